--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets, threads and actors around the deciding packages.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peers, targets and leases as state machines without sockets.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! All decisions of one instance behind one event interface.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Traffic decisions: admission, fairness, target choice, request records and retries.
--- /dev/null
+++ b/crates/protocol/src/code.rs
@@ -0,0 +1,165 @@
+//! Numbered result codes and what is known of a request's execution.
+//!
+//! `docs/RESULT-CODES.md` lists every code; a test holds the table to this enumeration.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What is known of whether a request ran at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RunState {
+    /// No byte of the request reached a target, or the target said that it refused before running.
+    NotRun,
+    /// The target ran the request to its end.
+    Ran,
+    /// The request may have run, in part or whole.
+    Unknown,
+}
+
+impl RunState {
+    /// The state as it stands in answers and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for RunState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $slug:literal, $status:literal;)*) => {
+        /// A numbered result code.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(into = "u16", try_from = "u16")]
+        pub enum Code {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Code {
+            /// Every code, in rising order.
+            pub const ALL: &'static [Code] = &[$(Code::$name,)*];
+
+            /// The code's number.
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// The code's short name in answers, logs and metrics.
+            pub fn slug(self) -> &'static str {
+                match self { $(Self::$name => $slug,)* }
+            }
+
+            /// The HTTP status of an answer with this code.
+            pub fn status(self) -> u16 {
+                match self { $(Self::$name => $status,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    /// The request was served.
+    Ok = 1000, "ok", 200;
+    /// The body or a header could not be read as the interface asks.
+    MalformedRequest = 1101, "malformed-request", 400;
+    /// The bearer key belongs to no client account.
+    UnknownAccount = 1102, "unknown-account", 401;
+    /// The sheet names no such service.
+    UnknownService = 1103, "unknown-service", 404;
+    /// The service has no such route.
+    UnknownRoute = 1104, "unknown-route", 404;
+    /// The body exceeds the limit.
+    BodyTooLarge = 1105, "body-too-large", 413;
+    /// The headers exceed the limit.
+    HeaderTooLarge = 1106, "header-too-large", 431;
+    /// The caller sent its request too slowly.
+    SlowSender = 1107, "slow-sender", 408;
+    /// The caller closed its connection before the answer was complete.
+    CallerGone = 1108, "caller-gone", 499;
+    /// The account may not use the tier that it asked for.
+    TierNotAllowed = 1109, "tier-not-allowed", 403;
+    /// The idempotency key was used before for another request.
+    KeyReused = 1110, "key-reused", 422;
+    /// The account's limit is used up.
+    AccountLimit = 1201, "account-limit", 429;
+    /// No target could answer before the deadline.
+    DeadlineUnreachable = 1202, "deadline-unreachable", 503;
+    /// The request waited in the queue until its deadline.
+    DeadlinePassed = 1203, "deadline-passed", 504;
+    /// The queue is full.
+    QueueFull = 1204, "queue-full", 503;
+    /// Lower-tier work gave way to a more urgent tier.
+    TierShed = 1205, "tier-shed", 503;
+    /// The service has no usable target.
+    NoTarget = 1206, "no-target", 503;
+    /// The retry budget of the service is used up.
+    RetryBudget = 1207, "retry-budget", 503;
+    /// The instance is stopping.
+    Stopping = 1208, "stopping", 503;
+    /// The instance has no configuration yet.
+    NotReady = 1209, "not-ready", 503;
+    /// The target refused the request before running it.
+    TargetRefused = 1210, "target-refused", 503;
+    /// The answer of the target broke off and could not be resumed.
+    AnswerBroken = 1301, "answer-broken", 502;
+    /// The connection broke after dispatch; whether the request ran is unknown.
+    OutcomeUnknown = 1302, "outcome-unknown", 502;
+    /// The target failed while it ran the request.
+    TargetFailed = 1303, "target-failed", 502;
+    /// The target stopped making progress.
+    TargetSilent = 1304, "target-silent", 504;
+    /// An earlier attempt of this request may have been dispatched; whether it ran is unknown.
+    EarlierAttempt = 1305, "earlier-attempt", 409;
+    /// The earlier attempt ran and its answer is no longer kept.
+    AlreadyRan = 1306, "already-ran", 409;
+    /// A request's answer was cancelled because its work gave way to a more urgent tier.
+    Preempted = 1307, "preempted", 503;
+    /// The sheet has faults; nothing of it was taken.
+    SheetFaulty = 1401, "sheet-faulty", 422;
+    /// Another sheet was accepted since the revision that this one was based on.
+    SheetConflict = 1402, "sheet-conflict", 409;
+    /// The platform's store could not be reached; the sheet was not accepted.
+    StoreUnavailable = 1403, "store-unavailable", 503;
+    /// The token is missing or wrong.
+    Forbidden = 1501, "forbidden", 403;
+    /// The message of a peer could not be read or is too large.
+    BadPeerMessage = 1502, "bad-peer-message", 400;
+    /// The peer belongs to another deployment.
+    OtherDeployment = 1503, "other-deployment", 403;
+    /// A fault of the program itself.
+    Internal = 1901, "internal", 500;
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.slug())
+    }
+}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> u16 {
+        code.number()
+    }
+}
+
+/// A number that no result code has.
+#[derive(Debug, thiserror::Error)]
+#[error("no result code has the number {0}")]
+pub struct UnknownCode(u16);
+
+impl TryFrom<u16> for Code {
+    type Error = UnknownCode;
+
+    fn try_from(number: u16) -> Result<Self, UnknownCode> {
+        Self::ALL.iter().copied().find(|code| code.number() == number).ok_or(UnknownCode(number))
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/message.rs
@@ -0,0 +1,98 @@
+//! Messages between instances: one exchange carries everything that instances share periodically.
+//!
+//! A section is left empty when there is nothing to say. The receiver answers with an exchange of
+//! its own, so that one round trip brings both sides up to date.
+
+use serde::{Deserialize, Serialize};
+
+use crate::evidence::{EvidenceCell, VerdictNote};
+use crate::traffic::{AccountUse, FloorAck, FloorRaise, TargetUse};
+use crate::{Incarnation, InstanceId, Revision, TargetId, Wall, ZoneId};
+
+/// Who sends a message, and in which life.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sender {
+    /// The deployment that the sender belongs to; others are refused.
+    pub deployment: String,
+    /// The sending instance.
+    pub instance: InstanceId,
+    /// The sender's life.
+    pub incarnation: Incarnation,
+    /// The sender's availability zone.
+    pub zone: ZoneId,
+    /// Number of the message within the sender's life, rising.
+    pub seq: u64,
+}
+
+/// The newest accepted configuration that the sender holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigDigest {
+    /// Revision of the configuration; zero if the sender has none.
+    pub revision: Revision,
+    /// Hash of its content in the object store, in hexadecimal.
+    pub hash: String,
+}
+
+/// What the sender believes of another instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberNote {
+    /// The instance spoken of.
+    pub instance: InstanceId,
+    /// The life spoken of.
+    pub incarnation: Incarnation,
+    /// The instance's availability zone.
+    pub zone: ZoneId,
+    /// Address for messages between instances.
+    pub address: String,
+    /// State in the sender's view.
+    pub state: MemberState,
+}
+
+/// State of an instance in another's view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberState {
+    /// Heard of within the heartbeat timeout.
+    Live,
+    /// Silent past the heartbeat timeout.
+    Suspect,
+    /// Stops on purpose and takes no new work.
+    Leaving,
+    /// Silent past the removal timeout, or gone from the platform's list.
+    Removed,
+}
+
+/// A target that takes no new work any more in this life.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeavingNote {
+    /// The target.
+    pub target: TargetId,
+    /// The life that leaves; a later life is usable again.
+    pub incarnation: Incarnation,
+}
+
+/// The periodic message between two instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// Who sends.
+    pub from: Sender,
+    /// When it was sent, by the sender's wall clock.
+    pub sent: Wall,
+    /// The sender's configuration.
+    pub config: ConfigDigest,
+    /// Other instances in the sender's view.
+    pub members: Vec<MemberNote>,
+    /// Targets that leave.
+    pub leaving: Vec<LeavingNote>,
+    /// The sender's work in flight per target.
+    pub targets: Vec<TargetUse>,
+    /// The sender's recent use per active account.
+    pub accounts: Vec<AccountUse>,
+    /// Tier floors in force.
+    pub floors: Vec<FloorRaise>,
+    /// Floors under which nothing lower runs at the sender any more.
+    pub floor_acks: Vec<FloorAck>,
+    /// Rollout evidence of the sender and of others that it merged.
+    pub evidence: Vec<EvidenceCell>,
+    /// Verdicts on versions.
+    pub verdicts: Vec<VerdictNote>,
+}
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on planned version moves: evidence, verdicts, stages, steward and brake.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of the daemon, read from TOML and checked once.
--- /dev/null
+++ b/crates/sheet/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' sheet: read, check, revision and difference.
--- /dev/null
+++ b/src/bin/sesamewind.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point.
+
+fn main() {}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests with real processes.
+
+mod programs;
