--- /dev/null
+++ b/crates/membership/src/lease/keeper.rs
@@ -0,0 +1,304 @@
+//! Drives one lease through its life cycle, one call at a time.
+
+use sesamewind_protocol::Time;
+
+use super::row::{Grant, Holder, LeaseAnswer, LeaseCall, LeaseRow, LeaseTiming};
+use super::state::{Acquiring, Free, Held, Lease, Releasing};
+
+/// Prefix of the keys of lease rows.
+const KEY_PREFIX: &str = "lease.";
+
+#[derive(Debug)]
+enum Phase {
+    Free(Lease<Free>),
+    Acquiring(Lease<Acquiring>),
+    Held(Lease<Held>),
+    Releasing(Lease<Releasing>),
+}
+
+/// Acquires, renews and releases the lease `lease.<name>` for one life of an instance.
+#[derive(Debug)]
+pub struct LeaseKeeper {
+    key: String,
+    me: Holder,
+    timing: LeaseTiming,
+    /// Taken only while a transition is made.
+    phase: Option<Phase>,
+    /// When the call on its way was asked for.
+    pending: Option<Time>,
+    next: Time,
+    stopped: bool,
+    /// Whether the row must be read before the next write.
+    settle: bool,
+}
+
+impl LeaseKeeper {
+    /// Starts without the lease; the first tick reads the row.
+    pub fn new(name: &str, me: Holder, timing: LeaseTiming) -> Self {
+        let lease = Lease::new(me.clone(), timing);
+        Self {
+            key: format!("{KEY_PREFIX}{name}"),
+            me,
+            timing,
+            phase: Some(Phase::Free(lease)),
+            pending: None,
+            next: Time::ZERO,
+            stopped: false,
+            settle: false,
+        }
+    }
+
+    /// Key of the lease's row.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// The right to act at `now`, if the lease is held. Checked immediately before each use.
+    pub fn grant(&self, now: Time) -> Option<Grant> {
+        match &self.phase {
+            Some(Phase::Held(lease)) if !self.stopped => lease.grant(now),
+            _ => None,
+        }
+    }
+
+    /// Gives the lease back and does not take it again. There is no grant from here on.
+    pub fn release(&mut self, now: Time) {
+        self.stopped = true;
+        self.next = now;
+        self.phase = match self.phase.take() {
+            Some(Phase::Held(lease)) => {
+                self.settle |= lease.state.unsettled.is_some();
+                Some(Phase::Releasing(lease.release()))
+            }
+            other => other,
+        };
+        if self.pending.is_none() {
+            self.abandon();
+        }
+    }
+
+    /// Whether nothing is left to do after [`LeaseKeeper::release`].
+    pub fn is_released(&self) -> bool {
+        self.stopped && self.pending.is_none() && matches!(self.phase, Some(Phase::Free(_)))
+    }
+
+    /// The next call to make at `now`; at most one is on its way.
+    pub fn tick(&mut self, now: Time) -> Option<LeaseCall> {
+        if self.pending.is_some() || now < self.next || self.is_released() {
+            return None;
+        }
+        self.start_take_over(now);
+        let call = self.call()?;
+        self.pending = Some(now);
+        Some(call)
+    }
+
+    fn start_take_over(&mut self, now: Time) {
+        if self.stopped || self.settle {
+            return;
+        }
+        self.phase = match self.phase.take() {
+            Some(Phase::Free(lease)) => Some(match lease.open_row(now) {
+                Some(seen) => Phase::Acquiring(lease.acquire(seen)),
+                None => Phase::Free(lease),
+            }),
+            other => other,
+        };
+    }
+
+    fn call(&self) -> Option<LeaseCall> {
+        let key = self.key.clone();
+        if self.settle {
+            return Some(LeaseCall::Read { key });
+        }
+        Some(match self.phase.as_ref()? {
+            Phase::Free(_) => LeaseCall::Read { key },
+            Phase::Acquiring(lease) => {
+                let Acquiring { seen, fence, .. } = &lease.state;
+                LeaseCall::Write { key, expected: seen.revision, row: self.row(true, *fence) }
+            }
+            Phase::Held(lease) => {
+                let Held { revision, fence, .. } = lease.state;
+                LeaseCall::Write { key, expected: revision, row: self.row(true, fence) }
+            }
+            Phase::Releasing(lease) => {
+                let Releasing { revision, fence } = lease.state;
+                LeaseCall::Write { key, expected: revision, row: self.row(false, fence) }
+            }
+        })
+    }
+
+    fn row(&self, held: bool, fence: u64) -> LeaseRow {
+        LeaseRow {
+            holder: held.then(|| self.me.instance.clone()),
+            incarnation: self.me.incarnation,
+            fence,
+            length_ms: u64::try_from(self.timing.length.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Takes the result of `call`, which [`LeaseKeeper::tick`] returned last.
+    pub fn on_result(&mut self, call: &LeaseCall, result: LeaseAnswer, now: Time) {
+        let Some(sent) = self.pending.take() else {
+            return;
+        };
+        match result {
+            LeaseAnswer::Stored { revision } => self.on_stored(call, revision, sent, now),
+            LeaseAnswer::Absent => self.on_row(0, None, now),
+            LeaseAnswer::Row { revision, row } => self.on_row(revision, Some(row), now),
+            LeaseAnswer::Unavailable => self.on_unavailable(now),
+            LeaseAnswer::Unknown => self.on_unknown(call, sent, now),
+        }
+    }
+
+    fn on_stored(&mut self, call: &LeaseCall, revision: u64, sent: Time, now: Time) {
+        self.settle = false;
+        self.phase = match self.phase.take() {
+            // Earlier writes expected the same revision, so that they took no effect and take none.
+            Some(Phase::Acquiring(lease)) => Some(self.take(lease, revision, sent, now)),
+            Some(Phase::Held(mut lease)) => {
+                lease.renew(revision, sent);
+                self.next = sent + self.timing.renew;
+                Some(Phase::Held(lease))
+            }
+            Some(Phase::Releasing(lease)) if is_release(call) => Some(Phase::Free(lease.done())),
+            Some(Phase::Releasing(mut lease)) => {
+                // A renewal that was on its way when the release was asked for.
+                lease.state.revision = revision;
+                Some(Phase::Releasing(lease))
+            }
+            other => other,
+        };
+    }
+
+    fn on_unavailable(&mut self, now: Time) {
+        self.next = now + self.timing.retry;
+        if self.stopped {
+            self.abandon();
+        }
+    }
+
+    /// Gives up a take-over of which nothing can have reached the row.
+    fn abandon(&mut self) {
+        self.phase = match self.phase.take() {
+            Some(Phase::Acquiring(lease)) if lease.state.unsettled.is_none() => {
+                Some(Phase::Free(lease.give_up()))
+            }
+            other => other,
+        };
+    }
+
+    fn take(&mut self, lease: Lease<Acquiring>, revision: u64, sent: Time, now: Time) -> Phase {
+        let lease = lease.hold(revision, sent);
+        self.next = (sent + self.timing.renew).max(now);
+        if self.stopped {
+            self.next = now;
+            return Phase::Releasing(lease.release());
+        }
+        Phase::Held(lease)
+    }
+
+    fn on_unknown(&mut self, call: &LeaseCall, sent: Time, now: Time) {
+        self.next = now + self.timing.retry;
+        if matches!(call, LeaseCall::Read { .. }) {
+            return;
+        }
+        self.settle = true;
+        match &mut self.phase {
+            Some(Phase::Acquiring(lease)) => {
+                lease.state.unsettled.get_or_insert(sent);
+            }
+            Some(Phase::Held(lease)) => {
+                lease.state.unsettled.get_or_insert(sent);
+            }
+            _ => {}
+        }
+    }
+
+    /// The row as it stands: read, or told by a refused write.
+    fn on_row(&mut self, revision: u64, row: Option<LeaseRow>, now: Time) {
+        self.settle = false;
+        self.next = now;
+        self.phase = match self.phase.take() {
+            Some(Phase::Free(mut lease)) => {
+                lease.see(revision, row, now);
+                if lease.open_row(now).is_none() {
+                    self.next = now + self.timing.poll;
+                }
+                Some(Phase::Free(lease))
+            }
+            Some(Phase::Acquiring(lease)) => Some(self.settle_acquire(lease, revision, row, now)),
+            Some(Phase::Held(lease)) => Some(self.settle_renewal(lease, revision, row, now)),
+            Some(Phase::Releasing(lease)) => Some(self.settle_release(lease, revision, row)),
+            None => None,
+        };
+    }
+
+    fn settle_acquire(
+        &mut self,
+        lease: Lease<Acquiring>,
+        revision: u64,
+        row: Option<LeaseRow>,
+        now: Time,
+    ) -> Phase {
+        let fence = lease.state.fence;
+        let is_mine = self.is_mine(row.as_ref(), fence);
+        if let (true, Some(sent)) = (is_mine, lease.state.unsettled) {
+            return self.take(lease, revision, sent, now);
+        }
+        if revision == lease.state.seen.revision && !self.stopped {
+            // The lost write has not taken effect yet. It and its repetition expect the same
+            // revision, so that only one of them can.
+            return Phase::Acquiring(lease);
+        }
+        let mut lease = lease.give_up();
+        lease.see(revision, row, now);
+        self.next = now + self.timing.poll;
+        Phase::Free(lease)
+    }
+
+    fn settle_renewal(
+        &mut self,
+        mut lease: Lease<Held>,
+        revision: u64,
+        row: Option<LeaseRow>,
+        now: Time,
+    ) -> Phase {
+        let fence = lease.state.fence;
+        let is_mine = self.is_mine(row.as_ref(), fence);
+        if !is_mine {
+            let mut lease = lease.lose();
+            lease.see(revision, row, now);
+            self.next = now + self.timing.poll;
+            return Phase::Free(lease);
+        }
+        if let (true, Some(sent)) = (revision != lease.state.revision, lease.state.unsettled) {
+            lease.renew(revision, sent);
+        }
+        lease.state.revision = revision;
+        Phase::Held(lease)
+    }
+
+    fn settle_release(
+        &mut self,
+        mut lease: Lease<Releasing>,
+        revision: u64,
+        row: Option<LeaseRow>,
+    ) -> Phase {
+        let fence = lease.state.fence;
+        let is_mine = self.is_mine(row.as_ref(), fence);
+        if !is_mine {
+            return Phase::Free(lease.done());
+        }
+        lease.state.revision = revision;
+        Phase::Releasing(lease)
+    }
+
+    fn is_mine(&self, row: Option<&LeaseRow>, fence: u64) -> bool {
+        row.is_some_and(|row| row.is_held_by(&self.me) && row.fence == fence)
+    }
+}
+
+fn is_release(call: &LeaseCall) -> bool {
+    matches!(call, LeaseCall::Write { row, .. } if row.holder.is_none())
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,1 +1,33 @@
-//! Peers, targets and leases as state machines without sockets.
+//! What instances agree on, as state machines without sockets or clocks.
+//!
+//! [`Members`] tells which instances exist, which can be reached and which targets leave.
+//! [`ConfigState`] takes configurations of rising revision only and [`Submission`] brings a new one
+//! into force. [`LeaseKeeper`] holds at most one lease over a row of the platform's table service.
+//! [`Deltas`] keeps what has not changed out of the messages between instances.
+//!
+//! The present time is an argument everywhere; the caller carries out the calls that the state
+//! machines ask for and reports their results.
+
+mod config;
+mod delta;
+mod lease;
+mod leaving;
+mod listing;
+mod members;
+mod partners;
+mod peer;
+mod submission;
+mod timing;
+
+pub use config::{CONFIG_KEY, ConfigRow, ConfigState, Fetch, Installed, Source, Submitted};
+pub use delta::Deltas;
+pub use lease::{Grant, Holder, LeaseAnswer, LeaseCall, LeaseKeeper, LeaseRow, LeaseTiming};
+pub use leaving::Leaving;
+pub use listing::{ListedInstance, ListedState, ListedTarget};
+pub use members::{Identity, MemberEvent, Members};
+pub use partners::{Kind, Partner};
+pub use peer::Known;
+pub use submission::{
+    Outcome, Step, Submission, SubmissionTiming, SubmitAnswer, SubmitCall, SubmitRequest,
+};
+pub use timing::Timing;
--- /dev/null
+++ b/crates/membership/src/members.rs
@@ -0,0 +1,439 @@
+//! The instances of the deployment as one of them sees them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use sesamewind_protocol::message::{Exchange, MemberNote, MemberState, Sender};
+use sesamewind_protocol::{Incarnation, InstanceId, Time, ZoneId};
+
+use crate::partners::{choose, is_due};
+use crate::peer::Peer;
+use crate::{Kind, Known, Leaving, ListedInstance, ListedState, ListedTarget, Partner, Timing};
+
+/// Who an instance is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// The deployment.
+    pub deployment: String,
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region; empty if not known, then learnt from the list.
+    pub region: String,
+    /// Address for messages between instances.
+    pub address: String,
+}
+
+/// A change in the view of the members.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// An instance was heard of for the first time.
+    Joined(InstanceId),
+    /// An instance began another life.
+    Restarted(InstanceId, Incarnation),
+    /// An instance has been silent past the heartbeat timeout.
+    Suspected(InstanceId),
+    /// An instance that was suspected or removed is live again.
+    Recovered(InstanceId),
+    /// An instance stops on purpose.
+    Leaving(InstanceId),
+    /// An instance has been silent past the removal timeout, or is gone from the list.
+    Removed(InstanceId),
+    /// A removed instance is no longer known of.
+    Forgotten(InstanceId),
+}
+
+/// The members and the targets that leave.
+#[derive(Debug)]
+pub struct Members {
+    me: Identity,
+    timing: Timing,
+    peers: BTreeMap<InstanceId, Peer>,
+    leaving: Leaving,
+    events: Vec<MemberEvent>,
+    seq: u64,
+    stopping: bool,
+    round: Option<Time>,
+    urgent: bool,
+}
+
+impl Members {
+    /// Starts alone.
+    pub fn new(me: Identity, timing: Timing) -> Self {
+        Self {
+            leaving: Leaving::new(timing.list_lag, timing.keep),
+            me,
+            timing,
+            peers: BTreeMap::new(),
+            events: Vec::new(),
+            seq: 0,
+            stopping: false,
+            round: None,
+            urgent: false,
+        }
+    }
+
+    /// The own identity.
+    pub fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    /// The targets that leave.
+    pub fn leaving(&self) -> &Leaving {
+        &self.leaving
+    }
+
+    /// The targets that leave, to take the word of targets. After a change that the other instances
+    /// must learn of at once, [`Members::hasten`] is called.
+    pub fn leaving_mut(&mut self) -> &mut Leaving {
+        &mut self.leaving
+    }
+
+    /// Has the next round reach the whole zone at once.
+    pub fn hasten(&mut self) {
+        self.urgent = true;
+    }
+
+    /// Says in all further messages that this instance stops.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+        self.urgent = true;
+    }
+
+    /// The head of the next message.
+    pub fn next_sender(&mut self) -> Sender {
+        self.seq += 1;
+        Sender {
+            deployment: self.me.deployment.clone(),
+            instance: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            zone: self.me.zone.clone(),
+            seq: self.seq,
+        }
+    }
+
+    /// Takes the platform's list, which lags behind the truth.
+    pub fn on_list(&mut self, instances: &[ListedInstance], targets: &[ListedTarget], now: Time) {
+        if self.leaving.on_list(targets, now) {
+            self.urgent = true;
+        }
+        for peer in self.peers.values_mut() {
+            peer.listed = false;
+        }
+        for entry in instances {
+            if entry.name == self.me.instance {
+                self.me.region.clone_from(&entry.region);
+                continue;
+            }
+            self.on_entry(entry, now);
+        }
+    }
+
+    fn on_entry(&mut self, entry: &ListedInstance, now: Time) {
+        let retold = self.timing.retold;
+        let is_new = !self.peers.contains_key(&entry.name);
+        let peer = self
+            .peers
+            .entry(entry.name.clone())
+            .or_insert_with(|| Peer::new(&entry.name, &entry.zone, &entry.address, now));
+        peer.listed = true;
+        peer.region.clone_from(&entry.region);
+        // The list is the only one to name the address of an instance that was never heard.
+        if peer.incarnation == Incarnation::default() {
+            peer.address.clone_from(&entry.address);
+        }
+        if is_new {
+            self.events.push(MemberEvent::Joined(entry.name.clone()));
+        }
+        // The list names no life: its "leaving" may speak of the one before.
+        let is_old = now.since(peer.since) > self.timing.list_lag || is_new;
+        let is_leaving = entry.state == ListedState::Leaving && peer.state == MemberState::Live;
+        if is_leaving && is_old && peer.set_state(MemberState::Leaving, now, retold) {
+            self.events.push(MemberEvent::Leaving(entry.name.clone()));
+        }
+    }
+
+    /// Takes a message that came in: its sender can reach this instance.
+    ///
+    /// Returns whether anything in it is so new that it should be passed on at once.
+    pub fn on_exchange(&mut self, exchange: &Exchange, now: Time) -> bool {
+        self.take(exchange, now)
+    }
+
+    /// Takes the answer to a message of this instance: the answering one can be reached.
+    ///
+    /// Returns whether anything in it is so new that it should be passed on at once.
+    pub fn on_reply(&mut self, exchange: &Exchange, now: Time) -> bool {
+        let is_new = self.take(exchange, now);
+        if let Some(peer) = self.peers.get_mut(&exchange.from.instance) {
+            peer.answered = Some(now);
+            peer.failures = 0;
+        }
+        is_new
+    }
+
+    /// Hears that a message to `instance` was not answered.
+    pub fn on_failure(&mut self, instance: &InstanceId, now: Time) {
+        let _ = now;
+        if let Some(peer) = self.peers.get_mut(instance) {
+            peer.failures = peer.failures.saturating_add(1);
+        }
+    }
+
+    fn take(&mut self, exchange: &Exchange, now: Time) -> bool {
+        let from = &exchange.from;
+        if from.deployment != self.me.deployment || from.instance == self.me.instance {
+            return false;
+        }
+        self.hear(from, now);
+        for note in &exchange.members {
+            if note.instance == self.me.instance {
+                continue;
+            }
+            if note.instance == from.instance {
+                self.on_own_note(note, now);
+            } else {
+                self.on_note(note, from, now);
+            }
+        }
+        let is_new = self.leaving.on_notes(&exchange.leaving, now);
+        self.urgent |= is_new;
+        is_new
+    }
+
+    fn hear(&mut self, from: &Sender, now: Time) {
+        let retold = self.timing.retold;
+        let is_new = !self.peers.contains_key(&from.instance);
+        let peer = self
+            .peers
+            .entry(from.instance.clone())
+            .or_insert_with(|| Peer::new(&from.instance, &from.zone, "", now));
+        if is_new {
+            self.events.push(MemberEvent::Joined(from.instance.clone()));
+        }
+        if from.incarnation < peer.incarnation {
+            return;
+        }
+        if from.incarnation > peer.incarnation {
+            let is_first = peer.incarnation == Incarnation::default();
+            peer.restart(from.incarnation, now, retold);
+            peer.zone.clone_from(&from.zone);
+            if !is_first {
+                self.events.push(MemberEvent::Restarted(from.instance.clone(), from.incarnation));
+            }
+            return;
+        }
+        if now.since(peer.heard) > self.timing.suspect {
+            peer.steady = now;
+        }
+        peer.heard = now;
+    }
+
+    /// What an instance says of itself.
+    fn on_own_note(&mut self, note: &MemberNote, now: Time) {
+        let retold = self.timing.retold;
+        let Some(peer) = self.peers.get_mut(&note.instance) else {
+            return;
+        };
+        if note.incarnation != peer.incarnation {
+            return;
+        }
+        peer.address.clone_from(&note.address);
+        let is_leaving = note.state == MemberState::Leaving;
+        if is_leaving && peer.set_state(MemberState::Leaving, now, retold) {
+            self.events.push(MemberEvent::Leaving(note.instance.clone()));
+        }
+    }
+
+    /// What an instance says of another. Nobody is taken for live on hearsay; only a new life, a
+    /// planned stop, and the silence of an instance towards its own zone are.
+    fn on_note(&mut self, note: &MemberNote, from: &Sender, now: Time) {
+        let retold = self.timing.retold;
+        let Some(peer) = self.peers.get_mut(&note.instance) else {
+            self.meet(note, now);
+            return;
+        };
+        if note.incarnation < peer.incarnation {
+            return;
+        }
+        if note.incarnation > peer.incarnation {
+            let is_first = peer.incarnation == Incarnation::default();
+            peer.restart(note.incarnation, now, retold);
+            peer.zone.clone_from(&note.zone);
+            peer.address.clone_from(&note.address);
+            if !is_first {
+                let event = MemberEvent::Restarted(note.instance.clone(), note.incarnation);
+                self.events.push(event);
+            }
+        }
+        let is_neighbour = from.zone == note.zone && self.me.zone != note.zone;
+        let is_silent = now.since(peer.heard) > self.timing.suspect;
+        let event = match note.state {
+            MemberState::Leaving if peer.state == MemberState::Live => MemberEvent::Leaving,
+            MemberState::Removed if is_neighbour && is_silent => MemberEvent::Removed,
+            MemberState::Suspect if is_neighbour && is_silent && peer.is_up() => {
+                MemberEvent::Suspected
+            }
+            _ => return,
+        };
+        if peer.set_state(note.state, now, retold) {
+            self.events.push(event(note.instance.clone()));
+        }
+    }
+
+    fn meet(&mut self, note: &MemberNote, now: Time) {
+        if note.state == MemberState::Removed {
+            return;
+        }
+        let mut peer = Peer::new(&note.instance, &note.zone, &note.address, now);
+        peer.incarnation = note.incarnation;
+        peer.state = note.state;
+        peer.retold = self.timing.retold;
+        self.peers.insert(note.instance.clone(), peer);
+        self.events.push(MemberEvent::Joined(note.instance.clone()));
+    }
+
+    /// Judges silence and returns the changes since the last call.
+    pub fn tick(&mut self, now: Time) -> Vec<MemberEvent> {
+        self.leaving.tick(now);
+        let beyond = self.beyond_gap();
+        let mut forgotten = Vec::new();
+        for peer in self.peers.values_mut() {
+            let is_near = peer.zone == self.me.zone;
+            let gap = if is_near { Duration::ZERO } else { beyond };
+            if let Some(event) = judge(peer, gap, &self.timing, now) {
+                self.events.push(event);
+            }
+            if is_over(peer, &self.timing, now) {
+                forgotten.push(peer.instance.clone());
+            }
+        }
+        for instance in forgotten {
+            self.peers.remove(&instance);
+            self.events.push(MemberEvent::Forgotten(instance));
+        }
+        std::mem::take(&mut self.events)
+    }
+
+    /// Time beyond the heartbeat timeout that an instance beyond the zone may be silent, since a
+    /// round reaches a few of them only.
+    fn beyond_gap(&self) -> Duration {
+        let beyond = self.peers.values().filter(|peer| peer.zone != self.me.zone).count();
+        // Each is called and calls once in this many rounds.
+        let rounds = beyond.div_ceil(self.timing.fan_out.max(1)).saturating_sub(1);
+        self.timing.interval * u32::try_from(rounds).unwrap_or(u32::MAX)
+    }
+
+    /// The instances to exchange with now: those of the own zone that are due, and once an interval
+    /// a few beyond it. Called several times an interval.
+    pub fn partners(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Partner> {
+        let is_urgent = std::mem::take(&mut self.urgent);
+        let is_round =
+            is_urgent || self.round.is_none_or(|round| now.since(round) >= self.timing.interval);
+        if is_round {
+            self.round = Some(now);
+        }
+        let me = &self.me;
+        let peers = self.peers.values().filter(|peer| peer.is_callable());
+        let (near, beyond): (Vec<_>, Vec<_>) = peers.partition(|peer| peer.zone == me.zone);
+        let near = near.into_iter().filter(|peer| is_urgent || is_due(peer, now, &self.timing));
+        let mut chosen: Vec<Partner> = near.map(|peer| partner(peer, Kind::Full)).collect();
+        if is_round {
+            let beyond = choose(beyond, &me.region, self.timing.fan_out, rng);
+            chosen.extend(beyond.into_iter().map(|peer| partner(peer, Kind::Summary)));
+        }
+        for partner in &chosen {
+            if let Some(peer) = self.peers.get_mut(&partner.instance) {
+                peer.sent = Some(now);
+            }
+        }
+        chosen
+    }
+
+    /// How much an answer to `zone` carries.
+    pub fn kind_for(&self, zone: &ZoneId) -> Kind {
+        if *zone == self.me.zone { Kind::Full } else { Kind::Summary }
+    }
+
+    /// The own state and the changes of others that are still to be passed on.
+    pub fn notes(&mut self) -> Vec<MemberNote> {
+        let state = if self.stopping { MemberState::Leaving } else { MemberState::Live };
+        let own = MemberNote {
+            instance: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            zone: self.me.zone.clone(),
+            address: self.me.address.clone(),
+            state,
+        };
+        let mut notes = vec![own];
+        let mut news: Vec<&mut Peer> =
+            self.peers.values_mut().filter(|peer| peer.retold > 0 && peer.is_named()).collect();
+        news.sort_by_key(|peer| std::cmp::Reverse(peer.retold));
+        for peer in news.into_iter().take(self.timing.news) {
+            peer.retold -= 1;
+            notes.push(peer.note());
+        }
+        notes
+    }
+
+    /// The instances that answer what is sent to them.
+    pub fn reachable(&self, now: Time) -> Vec<Known> {
+        self.all_known(now).into_iter().filter(|known| known.reached).collect()
+    }
+
+    /// Every other instance that could have taken a request within the time that records are kept,
+    /// removed ones included.
+    pub fn all_known(&self, now: Time) -> Vec<Known> {
+        let timeout = self.reach_timeout();
+        self.peers.values().map(|peer| peer.known(now, timeout)).collect()
+    }
+
+    /// What is known of one instance.
+    pub fn known(&self, instance: &InstanceId, now: Time) -> Option<Known> {
+        Some(self.peers.get(instance)?.known(now, self.reach_timeout()))
+    }
+
+    fn reach_timeout(&self) -> Duration {
+        self.timing.suspect + self.timing.interval
+    }
+}
+
+fn partner(peer: &Peer, kind: Kind) -> Partner {
+    Partner { instance: peer.instance.clone(), address: peer.address.clone(), kind }
+}
+
+/// Judges the silence of one instance; `gap` is the time between two expected messages beyond the
+/// interval.
+fn judge(peer: &mut Peer, gap: Duration, timing: &Timing, now: Time) -> Option<MemberEvent> {
+    let silence = now.since(peer.heard);
+    let instance = peer.instance.clone();
+    match peer.state {
+        MemberState::Live | MemberState::Leaving if silence > timing.suspect + gap => {
+            peer.charge(now, timing);
+            peer.set_state(MemberState::Suspect, now, timing.retold);
+            Some(MemberEvent::Suspected(instance))
+        }
+        MemberState::Suspect if silence > timing.suspect + timing.remove + gap => {
+            peer.set_state(MemberState::Removed, now, timing.retold);
+            Some(MemberEvent::Removed(instance))
+        }
+        MemberState::Suspect | MemberState::Removed if silence <= timing.suspect => {
+            if peer.heard <= peer.since || now.since(peer.steady) < peer.probation(now, timing) {
+                return None;
+            }
+            peer.set_state(MemberState::Live, now, timing.retold);
+            Some(MemberEvent::Recovered(instance))
+        }
+        _ => None,
+    }
+}
+
+/// Whether an instance need not be known of any more.
+fn is_over(peer: &Peer, timing: &Timing, now: Time) -> bool {
+    let is_gone = peer.state == MemberState::Removed && !peer.listed;
+    is_gone && now.since(peer.heard) > timing.keep
+}
--- /dev/null
+++ b/crates/membership/src/peer.rs
@@ -0,0 +1,183 @@
+//! What is known of one other instance.
+
+use std::time::Duration;
+
+use sesamewind_protocol::message::{MemberNote, MemberState};
+use sesamewind_protocol::{Incarnation, InstanceId, Time, ZoneId};
+
+use crate::Timing;
+
+/// Failed exchanges in a row after which an instance counts as not reached.
+const FAILURES: u32 = 2;
+
+/// An instance as others see it in [`crate::Members`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Known {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its newest life; zero if it was never heard of but through the list.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its region; empty if not known.
+    pub region: String,
+    /// Address for messages between instances.
+    pub address: String,
+    /// Its state.
+    pub state: MemberState,
+    /// Whether it answers what is sent to it.
+    pub reached: bool,
+    /// Whether anything comes from it.
+    pub heard: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) instance: InstanceId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) zone: ZoneId,
+    pub(crate) region: String,
+    pub(crate) address: String,
+    pub(crate) state: MemberState,
+    /// When the state last changed.
+    pub(crate) since: Time,
+    /// Whether the platform's list names it.
+    pub(crate) listed: bool,
+    /// When a message of its own last came in, or it was first known of.
+    pub(crate) heard: Time,
+    /// Since when it has been heard without a gap.
+    pub(crate) steady: Time,
+    /// When it last answered.
+    pub(crate) answered: Option<Time>,
+    /// When a message was last sent to it.
+    pub(crate) sent: Option<Time>,
+    /// Exchanges in a row that it did not answer.
+    pub(crate) failures: u32,
+    /// Penalty for coming and going, as of `charged`.
+    penalty: f64,
+    charged: Time,
+    /// Times that the last change is still to be passed on.
+    pub(crate) retold: u32,
+}
+
+impl Peer {
+    pub(crate) fn new(instance: &InstanceId, zone: &ZoneId, address: &str, now: Time) -> Self {
+        Self {
+            instance: instance.clone(),
+            incarnation: Incarnation::default(),
+            zone: zone.clone(),
+            region: String::new(),
+            address: address.to_owned(),
+            state: MemberState::Live,
+            since: now,
+            listed: false,
+            heard: now,
+            steady: now,
+            answered: None,
+            sent: None,
+            failures: 0,
+            penalty: 0.0,
+            charged: now,
+            retold: 0,
+        }
+    }
+
+    /// Whether it is believed to run, though it may be stopping.
+    pub(crate) fn is_up(&self) -> bool {
+        matches!(self.state, MemberState::Live | MemberState::Leaving)
+    }
+
+    /// Whether it answers what is sent to it. Before the first exchange has ended, an instance that
+    /// is believed to run is given the benefit of the doubt.
+    pub(crate) fn is_reached(&self, now: Time, timeout: Duration) -> bool {
+        if self.failures >= FAILURES || self.state == MemberState::Removed {
+            return false;
+        }
+        match self.answered {
+            Some(answered) => now.since(answered) <= timeout || self.failures == 0 && self.is_up(),
+            None => self.failures == 0 && self.is_up(),
+        }
+    }
+
+    /// Whether it is worth calling. One that is gone from the list and silent is not.
+    pub(crate) fn is_callable(&self) -> bool {
+        !self.address.is_empty() && (self.listed || self.state != MemberState::Removed)
+    }
+
+    /// Whether there is anything to tell of it.
+    pub(crate) fn is_named(&self) -> bool {
+        !self.address.is_empty() && self.incarnation != Incarnation::default()
+    }
+
+    /// The last exchange in either direction.
+    pub(crate) fn last_exchange(&self) -> Option<Time> {
+        self.answered.max(Some(self.heard).filter(|_| self.incarnation != Incarnation::default()))
+    }
+
+    /// Sets the state and has the change passed on; returns whether it is one.
+    pub(crate) fn set_state(&mut self, state: MemberState, now: Time, retold: u32) -> bool {
+        if self.state == state {
+            return false;
+        }
+        self.state = state;
+        self.since = now;
+        self.retold = retold;
+        true
+    }
+
+    /// Begins another life; nothing said of the one before holds.
+    pub(crate) fn restart(&mut self, incarnation: Incarnation, now: Time, retold: u32) {
+        self.incarnation = incarnation;
+        self.state = MemberState::Live;
+        self.since = now;
+        self.heard = now;
+        self.steady = now;
+        self.answered = None;
+        self.failures = 0;
+        self.retold = retold;
+    }
+
+    /// Charges a loss of contact.
+    pub(crate) fn charge(&mut self, now: Time, timing: &Timing) {
+        self.penalty = self.penalty(now, timing) + 1.0;
+        self.charged = now;
+    }
+
+    fn penalty(&self, now: Time, timing: &Timing) -> f64 {
+        let halvings = now.since(self.charged).as_secs_f64() / timing.half_life.as_secs_f64();
+        self.penalty * (-halvings).exp2()
+    }
+
+    /// Time that it must have been heard without a gap before it counts as live again.
+    pub(crate) fn probation(&self, now: Time, timing: &Timing) -> Duration {
+        let excess = self.penalty(now, timing) - timing.tolerance;
+        if excess <= 0.0 {
+            return Duration::ZERO;
+        }
+        let span = timing.steady.as_secs_f64() * excess.exp2();
+        Duration::from_secs_f64(span.min(timing.steady_cap.as_secs_f64()))
+    }
+
+    pub(crate) fn note(&self) -> MemberNote {
+        MemberNote {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            zone: self.zone.clone(),
+            address: self.address.clone(),
+            state: self.state,
+        }
+    }
+
+    pub(crate) fn known(&self, now: Time, timeout: Duration) -> Known {
+        Known {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            address: self.address.clone(),
+            state: self.state,
+            reached: self.is_reached(now, timeout),
+            heard: now.since(self.heard) <= timeout,
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/backoff.rs
@@ -0,0 +1,63 @@
+//! Waiting times between retries: exponential with full jitter.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// Bounds of a [`Backoff`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackoffTiming {
+    /// Upper bound of the first wait.
+    pub first: Duration,
+    /// Upper bound that no later wait exceeds.
+    pub cap: Duration,
+    /// Whether waits are drawn at random below their bound; without it every client that failed at
+    /// one moment returns at one moment.
+    pub jitter: bool,
+}
+
+impl Default for BackoffTiming {
+    fn default() -> Self {
+        Self { first: Duration::from_millis(50), cap: Duration::from_secs(2), jitter: true }
+    }
+}
+
+/// Counts failures in a row and draws the wait before the next attempt.
+#[derive(Debug, Clone)]
+pub struct Backoff {
+    timing: BackoffTiming,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Starts with no failure.
+    pub fn new(timing: BackoffTiming) -> Self {
+        Self { timing, failures: 0 }
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Forgets the failures.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Upper bound of the next wait.
+    pub fn bound(&self) -> Duration {
+        let factor = 2u32.checked_pow(self.failures).unwrap_or(u32::MAX);
+        self.timing.first.saturating_mul(factor).min(self.timing.cap)
+    }
+
+    /// Counts a failure and returns the wait before the next attempt.
+    pub fn next(&mut self, rng: &mut impl Rng) -> Duration {
+        let bound = self.bound();
+        self.failures = self.failures.saturating_add(1);
+        if !self.timing.jitter {
+            return bound;
+        }
+        bound.mul_f64(rng.random::<f64>())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/breaker.rs
@@ -0,0 +1,117 @@
+//! Circuit breaker: stops calls while the platform does not answer and lets single probes through.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use sesamewind_protocol::Time;
+
+use crate::{Backoff, BackoffTiming};
+
+/// Bounds of a [`Breaker`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BreakerTiming {
+    /// Failures in a row that open the breaker.
+    pub threshold: u32,
+    /// Waits before probes while the breaker is open.
+    pub probes: BackoffTiming,
+    /// Span after a probe that succeeded over which calls are let through at a rising share.
+    pub ramp: Duration,
+}
+
+impl Default for BreakerTiming {
+    fn default() -> Self {
+        Self {
+            threshold: 4,
+            probes: BackoffTiming {
+                first: Duration::from_millis(500),
+                cap: Duration::from_secs(3),
+                jitter: true,
+            },
+            ramp: Duration::from_secs(2),
+        }
+    }
+}
+
+/// State of a [`Breaker`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakerState {
+    /// Calls pass.
+    Closed,
+    /// Calls are stopped until the given time; then one probe passes.
+    Open(Time),
+    /// A probe is on its way; its deadline bounds the wait for it.
+    Probing(Time),
+    /// A probe succeeded at the given time; a rising share of calls passes.
+    Ramping(Time),
+}
+
+/// Circuit breaker over all calls to the platform.
+#[derive(Debug, Clone)]
+pub struct Breaker {
+    timing: BreakerTiming,
+    state: BreakerState,
+    failures: u32,
+    probes: Backoff,
+}
+
+impl Breaker {
+    /// Starts closed.
+    pub fn new(timing: BreakerTiming) -> Self {
+        let probes = Backoff::new(timing.probes);
+        Self { timing, state: BreakerState::Closed, failures: 0, probes }
+    }
+
+    /// The present state.
+    pub fn state(&self) -> BreakerState {
+        self.state
+    }
+
+    /// Whether a call may pass at `now`. A probe that has no result after `patience` is taken as
+    /// failed.
+    pub fn admit(&mut self, now: Time, patience: Duration, rng: &mut impl Rng) -> bool {
+        match self.state {
+            BreakerState::Closed => true,
+            BreakerState::Ramping(since) => self.admit_ramping(now, since, rng),
+            BreakerState::Open(until) | BreakerState::Probing(until) if now < until => false,
+            BreakerState::Open(_) | BreakerState::Probing(_) => {
+                self.state = BreakerState::Probing(now + patience);
+                true
+            }
+        }
+    }
+
+    fn admit_ramping(&mut self, now: Time, since: Time, rng: &mut impl Rng) -> bool {
+        let passed = now.since(since);
+        if passed >= self.timing.ramp {
+            self.state = BreakerState::Closed;
+            return true;
+        }
+        rng.random::<f64>() < passed.as_secs_f64() / self.timing.ramp.as_secs_f64()
+    }
+
+    /// Records that the platform answered.
+    pub fn success(&mut self, now: Time) {
+        self.failures = 0;
+        match self.state {
+            BreakerState::Closed | BreakerState::Ramping(_) => {}
+            BreakerState::Open(_) | BreakerState::Probing(_) => {
+                self.probes.reset();
+                self.state = BreakerState::Ramping(now);
+            }
+        }
+    }
+
+    /// Records that the platform did not answer.
+    pub fn failure(&mut self, now: Time, rng: &mut impl Rng) {
+        self.failures = self.failures.saturating_add(1);
+        let open = match self.state {
+            BreakerState::Closed => self.failures >= self.timing.threshold,
+            BreakerState::Ramping(_) | BreakerState::Probing(_) => true,
+            // Calls that left before the breaker opened don't prolong the wait.
+            BreakerState::Open(_) => false,
+        };
+        if open {
+            self.state = BreakerState::Open(now + self.probes.next(rng));
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,335 @@
+//! The client.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use sesamewind_protocol::Time;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::counters::Counters;
+use crate::transport::{Method, Reply, Request, Transport, TransportError};
+use crate::types::{KeyedRow, PutBody, Rows, Stored};
+use crate::{
+    Backoff, Counts, Guard, HttpTransport, Listing, Options, Permit, Put, Row, StoreError,
+};
+
+const OK: u16 = 200;
+const NO_CONTENT: u16 = 204;
+const CREATED: u16 = 201;
+const NOT_FOUND: u16 = 404;
+const CONFLICT: u16 = 409;
+const TOO_MANY_REQUESTS: u16 = 429;
+const SERVICE_UNAVAILABLE: u16 = 503;
+const FIRST_SERVER_ERROR: u16 = 500;
+
+/// Client of the platform; clones share connections, breaker and budget.
+#[derive(Clone)]
+pub struct Platform {
+    shared: Arc<Shared>,
+}
+
+impl std::fmt::Debug for Platform {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Platform").field("options", &self.shared.options).finish_non_exhaustive()
+    }
+}
+
+struct Shared {
+    transport: Box<dyn Transport>,
+    options: Options,
+    start: Instant,
+    control: Mutex<Control>,
+    counters: Counters,
+}
+
+struct Control {
+    guard: Guard,
+    rng: StdRng,
+}
+
+/// Whether a repetition of a call that may have taken effect is harmless.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Repeat {
+    /// Reads, and writes of content under its own hash.
+    Harmless,
+    /// Conditional writes: the caller settles a lost answer by reading back.
+    Harmful,
+}
+
+impl Platform {
+    /// A client over HTTP; `base_url` has no path, as in `http://127.0.0.1:7000`.
+    pub fn new(base_url: &str, options: Options) -> Self {
+        let transport = HttpTransport::new(base_url, options.connect);
+        Self::with_transport(transport, options)
+    }
+
+    /// A client over another transport.
+    pub fn with_transport(transport: impl Transport, options: Options) -> Self {
+        let rng = match options.seed {
+            Some(seed) => StdRng::seed_from_u64(seed),
+            None => StdRng::seed_from_u64(rand::rng().next_u64()),
+        };
+        let guard = Guard::new(&options, Time::ZERO);
+        let shared = Shared {
+            transport: Box::new(transport),
+            options,
+            start: Instant::now(),
+            control: Mutex::new(Control { guard, rng }),
+            counters: Counters::default(),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Counts of calls since the start.
+    pub fn counts(&self) -> Counts {
+        self.shared.counters.read()
+    }
+
+    /// Reads the list of instances and targets.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the list could not be had within the deadline.
+    pub async fn list(&self) -> Result<Listing, StoreError> {
+        let reply = self.read("/list".to_owned()).await?;
+        parse(&expect_ok(reply)?)
+    }
+
+    /// Reads the row under `key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the row could not be had within the deadline.
+    pub async fn row(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        let reply = self.read(format!("/table/{}", percent_encode(key))).await?;
+        if reply.status == NOT_FOUND {
+            return Ok(None);
+        }
+        parse(&expect_ok(reply)?).map(Some)
+    }
+
+    /// Reads the rows whose keys begin with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the rows could not be had within the deadline.
+    pub async fn rows(&self, prefix: &str) -> Result<Vec<KeyedRow>, StoreError> {
+        let reply = self.read(format!("/table?prefix={}", percent_encode(prefix))).await?;
+        let rows: Rows = parse(&expect_ok(reply)?)?;
+        Ok(rows.rows)
+    }
+
+    /// Writes `value` under `key` if the row has revision `expected`; zero stands for no row.
+    ///
+    /// The write is sent again only after an attempt that surely had no effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Unknown`] when the answer was lost; the write may have taken effect or
+    /// still take effect.
+    pub async fn put_row(
+        &self,
+        key: &str,
+        expected: u64,
+        value: &Value,
+    ) -> Result<Put, StoreError> {
+        let body = serde_json::to_vec(&PutBody { expected, value })
+            .map_err(|error| StoreError::Malformed(error.to_string()))?;
+        let path = format!("/table/{}", percent_encode(key));
+        let request = Request { method: Method::Put, path, body: body.into(), json: true };
+        let reply = self.call(request, Repeat::Harmful).await?;
+        match reply.status {
+            CONFLICT => lost_if_garbled(parse(&reply)).map(Put::Conflict),
+            _ => {
+                let stored: Stored = lost_if_garbled(parse(&expect_ok(reply)?))?;
+                Ok(Put::Stored(stored.revision))
+            }
+        }
+    }
+
+    /// Reads the object under `hash`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the object could not be had within the deadline.
+    pub async fn object(&self, hash: &str) -> Result<Option<Bytes>, StoreError> {
+        let reply = self.read(format!("/objects/{}", percent_encode(hash))).await?;
+        if reply.status == NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(expect_ok(reply)?.body))
+    }
+
+    /// Writes an object under its hash; repeated writes are harmless.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StoreError`] when the object was not surely stored within the deadline.
+    pub async fn put_object(&self, hash: &str, content: Bytes) -> Result<(), StoreError> {
+        let path = format!("/objects/{}", percent_encode(hash));
+        let request = Request { method: Method::Put, path, body: content, json: false };
+        expect_ok(self.call(request, Repeat::Harmless).await?).map(drop)
+    }
+
+    async fn read(&self, path: String) -> Result<Reply, StoreError> {
+        let request = Request { method: Method::Get, path, body: Bytes::new(), json: false };
+        self.call(request, Repeat::Harmless).await
+    }
+
+    /// Sends `request`, with retries where they are allowed, until the deadline.
+    async fn call(&self, request: Request, repeat: Repeat) -> Result<Reply, StoreError> {
+        let result = self.attempts(request, repeat).await;
+        self.count(result.as_ref().err());
+        result
+    }
+
+    async fn attempts(&self, request: Request, repeat: Repeat) -> Result<Reply, StoreError> {
+        let options = &self.shared.options;
+        let deadline = Instant::now() + options.deadline;
+        let mut backoff = Backoff::new(options.backoff);
+        let mut lost = None;
+        loop {
+            let error = match self.attempt(&request, deadline).await {
+                Ok(reply) => return Ok(reply),
+                Err(Failed::Final(error)) => return Err(lost.unwrap_or(error)),
+                Err(Failed::Again(error)) => error,
+            };
+            if error.may_have_run() {
+                if repeat == Repeat::Harmful {
+                    return Err(error);
+                }
+                lost.get_or_insert(error.clone());
+            }
+            let wait = self.with_control(|control| backoff.next(&mut control.rng));
+            if Instant::now() + wait >= deadline {
+                return Err(lost.unwrap_or(error));
+            }
+            sleep(wait).await;
+            Counters::add(&self.shared.counters.retries);
+        }
+    }
+
+    async fn attempt(&self, request: &Request, deadline: Instant) -> Result<Reply, Failed> {
+        self.permit(deadline).await?;
+        let counters = &self.shared.counters;
+        Counters::add(match request.method {
+            Method::Get => &counters.reads,
+            Method::Put => &counters.writes,
+        });
+        let limit = deadline.min(Instant::now() + self.shared.options.attempt);
+        let result = match timeout_at(limit, self.shared.transport.send(request.clone())).await {
+            Ok(Ok(reply)) => classify(reply),
+            Ok(Err(TransportError::NotSent(why))) => Err(StoreError::Unavailable(why)),
+            Ok(Err(TransportError::NoAnswer(why))) => Err(StoreError::Unknown(why)),
+            Err(_) => Err(StoreError::Unknown("no answer in time".to_owned())),
+        };
+        self.record(result.as_ref().err());
+        result.map_err(Failed::Again)
+    }
+
+    /// Waits for the budget; an open breaker ends the call at once.
+    async fn permit(&self, deadline: Instant) -> Result<(), Failed> {
+        loop {
+            let now = self.now();
+            match self.with_control(|control| control.guard.ask(now, &mut control.rng)) {
+                Permit::Go => return Ok(()),
+                Permit::Open => {
+                    Counters::add(&self.shared.counters.stopped);
+                    let why = "calls are stopped until the platform answers a probe";
+                    return Err(Failed::Final(StoreError::Unavailable(why.to_owned())));
+                }
+                Permit::Wait(wait) if Instant::now() + wait >= deadline => {
+                    return Err(Failed::Final(StoreError::RateLimited));
+                }
+                Permit::Wait(wait) => sleep(wait).await,
+            }
+        }
+    }
+
+    fn record(&self, error: Option<&StoreError>) {
+        let answered = !matches!(error, Some(StoreError::Unavailable(_) | StoreError::Unknown(_)));
+        let now = self.now();
+        self.with_control(|control| control.guard.record(answered, now, &mut control.rng));
+    }
+
+    fn count(&self, error: Option<&StoreError>) {
+        let counters = &self.shared.counters;
+        match error {
+            None => {}
+            Some(StoreError::Unavailable(_)) => Counters::add(&counters.unavailable),
+            Some(StoreError::Unknown(_)) => Counters::add(&counters.unknown),
+            Some(StoreError::RateLimited) => Counters::add(&counters.limited),
+            Some(StoreError::Refused { .. } | StoreError::Malformed(_)) => {
+                Counters::add(&counters.refused);
+            }
+        }
+    }
+
+    fn now(&self) -> Time {
+        let passed = self.shared.start.elapsed();
+        Time::ZERO + passed
+    }
+
+    fn with_control<T>(&self, use_it: impl FnOnce(&mut Control) -> T) -> T {
+        let mut control = self.shared.control.lock().unwrap_or_else(PoisonError::into_inner);
+        use_it(&mut control)
+    }
+}
+
+/// How an attempt failed.
+enum Failed {
+    /// The call is over.
+    Final(StoreError),
+    /// Another attempt may succeed.
+    Again(StoreError),
+}
+
+/// Sorts out the answers that say nothing of the row or object that was asked for.
+fn classify(reply: Reply) -> Result<Reply, StoreError> {
+    match reply.status {
+        TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
+        SERVICE_UNAVAILABLE => Err(StoreError::Unavailable("status 503".to_owned())),
+        // Other server errors don't say whether the call took effect.
+        status if status >= FIRST_SERVER_ERROR => {
+            Err(StoreError::Unknown(format!("status {status}")))
+        }
+        _ => Ok(reply),
+    }
+}
+
+fn expect_ok(reply: Reply) -> Result<Reply, StoreError> {
+    match reply.status {
+        OK | CREATED | NO_CONTENT => Ok(reply),
+        status => Err(StoreError::Refused { status }),
+    }
+}
+
+fn parse<T: DeserializeOwned>(reply: &Reply) -> Result<T, StoreError> {
+    serde_json::from_slice(&reply.body).map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
+/// An answer to a write that can't be read is as good as none.
+fn lost_if_garbled<T>(result: Result<T, StoreError>) -> Result<T, StoreError> {
+    result.map_err(|error| match error {
+        StoreError::Malformed(why) => StoreError::Unknown(why),
+        other => other,
+    })
+}
+
+/// Encodes all but unreserved characters.
+fn percent_encode(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
--- /dev/null
+++ b/crates/platform/src/counters.rs
@@ -0,0 +1,56 @@
+//! Counts of calls and of the reasons for which they failed.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Reads sent.
+    pub reads: u64,
+    /// Writes sent.
+    pub writes: u64,
+    /// Attempts after the first of a call.
+    pub retries: u64,
+    /// Calls stopped by the breaker.
+    pub stopped: u64,
+    /// Calls that ended as unavailable, those that the breaker stopped included.
+    pub unavailable: u64,
+    /// Calls that ended as unknown.
+    pub unknown: u64,
+    /// Calls that ended at a rate limit.
+    pub limited: u64,
+    /// Calls that the platform refused or answered in a form that is not understood.
+    pub refused: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    pub(crate) reads: AtomicU64,
+    pub(crate) writes: AtomicU64,
+    pub(crate) retries: AtomicU64,
+    pub(crate) stopped: AtomicU64,
+    pub(crate) unavailable: AtomicU64,
+    pub(crate) unknown: AtomicU64,
+    pub(crate) limited: AtomicU64,
+    pub(crate) refused: AtomicU64,
+}
+
+impl Counters {
+    pub(crate) fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn read(&self) -> Counts {
+        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Counts {
+            reads: get(&self.reads),
+            writes: get(&self.writes),
+            retries: get(&self.retries),
+            stopped: get(&self.stopped),
+            unavailable: get(&self.unavailable),
+            unknown: get(&self.unknown),
+            limited: get(&self.limited),
+            refused: get(&self.refused),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,64 @@
+//! [`Transport`] over HTTP.
+
+use std::time::Duration;
+
+use reqwest::header::CONTENT_TYPE;
+
+use crate::transport::{Method, Reply, ReplyFuture, Request, Transport, TransportError};
+
+/// Idle connections kept to the platform.
+const IDLE_CONNECTIONS: usize = 4;
+
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Sends requests over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpTransport {
+    base: String,
+    client: reqwest::Client,
+}
+
+impl HttpTransport {
+    /// Sends to `base_url`, with `connect` as the limit of each connection set-up.
+    pub fn new(base_url: &str, connect: Duration) -> Self {
+        let client = reqwest::Client::builder()
+            .connect_timeout(connect)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .no_proxy()
+            .build()
+            .unwrap_or_default();
+        Self { base: base_url.trim_end_matches('/').to_owned(), client }
+    }
+}
+
+impl Transport for HttpTransport {
+    fn send(&self, request: Request) -> ReplyFuture {
+        let url = format!("{}{}", self.base, request.path);
+        let mut builder = match request.method {
+            Method::Get => self.client.get(url),
+            Method::Put => self.client.put(url).body(request.body),
+        };
+        if request.json {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+        }
+        Box::pin(async move {
+            let response = builder.send().await.map_err(|error| sort(&error))?;
+            let status = response.status().as_u16();
+            let body = response
+                .bytes()
+                .await
+                .map_err(|error| TransportError::NoAnswer(error.to_string()))?;
+            Ok(Reply { status, body })
+        })
+    }
+}
+
+/// Only a failed connection set-up proves that nothing was sent.
+fn sort(error: &reqwest::Error) -> TransportError {
+    if error.is_connect() || error.is_builder() {
+        return TransportError::NotSent(error.to_string());
+    }
+    TransportError::NoAnswer(error.to_string())
+}
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -70,6 +70,17 @@
     pub incarnation: Incarnation,
 }
 
+/// What the sections of a message that are sent as changes build on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeltaHead {
+    /// Number of the sender's message that the changes build on; zero if everything is there.
+    pub base: u64,
+    /// The receiver's life that the sender has heard.
+    pub life: Incarnation,
+    /// Number of the newest message of that life that the sender has taken in.
+    pub heard: u64,
+}
+
 /// The periodic message between two instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Exchange {
@@ -77,6 +88,8 @@
     pub from: Sender,
     /// When it was sent, by the sender's wall clock.
     pub sent: Wall,
+    /// What this message builds on, and an acknowledgement.
+    pub delta: DeltaHead,
     /// The sender's configuration.
     pub config: ConfigDigest,
     /// Other instances in the sender's view.
@@ -96,3 +109,23 @@
     /// Verdicts on versions.
     pub verdicts: Vec<VerdictNote>,
 }
+
+impl Exchange {
+    /// A message with nothing to say yet.
+    pub fn new(from: Sender, sent: Wall) -> Self {
+        Self {
+            from,
+            sent,
+            delta: DeltaHead::default(),
+            config: ConfigDigest::default(),
+            members: Vec::new(),
+            leaving: Vec::new(),
+            targets: Vec::new(),
+            accounts: Vec::new(),
+            floors: Vec::new(),
+            floor_acks: Vec::new(),
+            evidence: Vec::new(),
+            verdicts: Vec::new(),
+        }
+    }
+}
