First version of the scheduler's surface

The daemon has to be written against the events, actions and views of the scheduler before its mechanisms exist. This states the whole type surface (events, actions, refusals by typestate, digests for peers, operators' views) and the messages by which a joining or leaving instance copies request records.

--- /dev/null
+++ b/crates/policy/src/action.rs
@@ -0,0 +1,105 @@
+//! What a scheduler asks the daemon to do.
+
+use sesamewind_protocol::record::{Lookup, LookupReply, RecordsCopy, RecordsRequest};
+use sesamewind_protocol::{InstanceId, TargetId, VersionId};
+
+use crate::event::Ticket;
+use crate::life::Refusal;
+
+/// Something to do.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Connect to the target, ask `WriteCheck`, then send the request.
+    Dispatch {
+        /// The attempt.
+        ticket: Ticket,
+        /// The target.
+        target: TargetId,
+        /// The version to ask for.
+        version: VersionId,
+    },
+    /// The bytes may be written.
+    Go {
+        /// The attempt.
+        ticket: Ticket,
+    },
+    /// The bytes must not be written; answer the caller with the refusal.
+    NoGo {
+        /// The attempt.
+        ticket: Ticket,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Answer the caller, or end its stream, with the refusal.
+    Refuse(Refusal),
+    /// Cancel the request at its target and answer the caller, if there is one.
+    Cancel {
+        /// The attempt.
+        ticket: Ticket,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Open a new connection and resume the stream from the next token.
+    Resume {
+        /// The attempt.
+        ticket: Ticket,
+        /// The target that generates.
+        target: TargetId,
+    },
+    /// Ask the target for a sign of life over a new connection.
+    Probe {
+        /// The target.
+        target: TargetId,
+    },
+    /// Drop every pooled connection to the target.
+    DropConnections {
+        /// The target.
+        target: TargetId,
+    },
+    /// Ask peers after a request.
+    AskPeers {
+        /// The attempt that waits for it.
+        ticket: Ticket,
+        /// The question.
+        lookup: Lookup,
+        /// Whom to ask.
+        peers: Vec<InstanceId>,
+    },
+    /// Answer a peer's lookup.
+    Reply {
+        /// The asking peer.
+        to: InstanceId,
+        /// The answer.
+        reply: LookupReply,
+    },
+    /// Answer the caller with the answer that another instance holds.
+    Attach {
+        /// The attempt.
+        ticket: Ticket,
+        /// The instance that holds the answer.
+        holder: InstanceId,
+    },
+    /// Answer the caller with the answer that another attempt at this instance gets or got.
+    AttachLocal {
+        /// The attempt.
+        ticket: Ticket,
+        /// The attempt that holds the answer.
+        to: Ticket,
+    },
+    /// Ask peers for their records before taking first attempts alone.
+    AskRecords {
+        /// The question.
+        request: RecordsRequest,
+        /// Whom to ask.
+        peers: Vec<InstanceId>,
+    },
+    /// Hand this instance's records to a peer.
+    SendRecords {
+        /// The peer.
+        to: InstanceId,
+        /// The records.
+        copy: RecordsCopy,
+    },
+    /// A tier floor or an acknowledgement changed; exchange with peers at once.
+    FloorChanged,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,20 @@
 //! Traffic decisions: admission, fairness, target choice, request records and retries.
+//!
+//! [`Scheduler`] is the only entry: it takes typed [`Event`]s with the present time and returns
+//! typed [`Action`]s. It opens no socket, reads no clock and draws from a seeded generator only.
+
+pub mod action;
+pub mod config;
+pub mod event;
+pub mod life;
+pub mod scheduler;
+pub mod version;
+pub mod view;
+
+pub use action::Action;
+pub use config::{Account, AccountLimits, Config, Kind, Limits, Service, Target, Tier};
+pub use event::{Arrival, End, Event, PeerNews, Prefix, Ticket, prefix_hash};
+pub use life::Refusal;
+pub use scheduler::Scheduler;
+pub use version::VersionChooser;
+pub use view::{Counters, QueueView, RetryReason, TargetView};
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -45,3 +45,41 @@
     /// Every instance that the answering one knows; the asker must have the answer of each.
     pub known: Vec<InstanceId>,
 }
+
+/// Asks a peer for its records before the asking instance takes first attempts alone.
+///
+/// The peer adds the asker to the instances that it names in [`LookupReply::known`] before it
+/// copies its records, so a lookup that it answered is in the copy and a later one names the asker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordsRequest {
+    /// The instance that asks.
+    pub asker: InstanceId,
+    /// Number of the question within the asker's life.
+    pub seq: u64,
+}
+
+/// One record of a copy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordNote {
+    /// The request.
+    pub key: RequestKey,
+    /// Latest attempt that the record speaks of.
+    pub attempt: u32,
+    /// What the sender knows of it.
+    pub seen: Seen,
+    /// How long the sender still keeps the record, in milliseconds.
+    pub keep_ms: u64,
+}
+
+/// Records of an instance, for one that joins or from one that leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordsCopy {
+    /// The instance whose records these are.
+    pub from: InstanceId,
+    /// Number of the question that is answered; none if the sender leaves.
+    pub seq: Option<u64>,
+    /// The records.
+    pub notes: Vec<RecordNote>,
+    /// Every instance that the sender knows.
+    pub known: Vec<InstanceId>,
+}
