--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Every other package builds on this one and none of its modules does any work with sockets.
 //! [`id`] names things, [`time`] holds the two clocks, [`code`] numbers every result, [`target`]
-//! describes what targets say of themselves, [`message`] is what instances send one another and
+//! describes what targets say of themselves, [`operator`] holds the bodies of the operators' API,
+//! [`message`] is what instances send one another and
 //! [`codec`] turns those messages into bytes and back.
 
 pub mod code;
@@ -10,6 +11,7 @@
 pub mod evidence;
 pub mod id;
 pub mod message;
+pub mod operator;
 pub mod record;
 pub mod target;
 pub mod time;
--- /dev/null
+++ b/crates/sheet/src/read.rs
@@ -0,0 +1,141 @@
+//! Reads the CSV text into rows, and each row into its kind.
+
+use std::collections::HashMap;
+
+use csv::{ByteRecord, ReaderBuilder};
+
+use crate::check::{self, Draft};
+use crate::row::{COLUMNS, Row, shown};
+use crate::{Fault, FaultCode, Sheet};
+
+/// Largest sheet, in bytes; with its frame it fits into one message between instances.
+pub const MAX_SHEET_BYTES: usize = 3 << 20;
+
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+/// Reads and checks a sheet.
+///
+/// # Errors
+///
+/// Returns every fault of the sheet, by row.
+pub fn read(bytes: &[u8]) -> Result<Sheet, Vec<Fault>> {
+    if bytes.len() > MAX_SHEET_BYTES {
+        let message = format!("{} bytes exceed the limit of {MAX_SHEET_BYTES}", bytes.len());
+        return Err(vec![Fault::new(1, "", FaultCode::TooLarge, message)]);
+    }
+    let bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
+    let mut faults = Vec::new();
+    let draft = read_rows(bytes, &mut faults);
+    let sheet = check::check(draft, &mut faults);
+    if faults.is_empty() {
+        return Ok(sheet);
+    }
+    faults.sort_by_key(|fault| (fault.row, column_order(&fault.column), fault.code));
+    Err(faults)
+}
+
+/// Position of a column, so that faults of one row come from left to right.
+fn column_order(column: &str) -> usize {
+    COLUMNS.iter().position(|known| *known == column).unwrap_or(COLUMNS.len())
+}
+
+fn read_rows(bytes: &[u8], faults: &mut Vec<Fault>) -> Draft {
+    let mut draft = Draft::default();
+    let mut reader = ReaderBuilder::new().has_headers(false).flexible(true).from_reader(bytes);
+    let mut record = ByteRecord::new();
+    let mut columns = None;
+    let mut rows = 0usize;
+    loop {
+        match reader.read_byte_record(&mut record) {
+            Ok(true) => {}
+            Ok(false) => break,
+            Err(err) => {
+                let message = format!("could not be read as CSV: {err}");
+                faults.push(Fault::new(1, "", FaultCode::Malformed, message));
+                return draft;
+            }
+        }
+        let number = row_number(bytes, &record);
+        let Some(columns) = &columns else {
+            columns = Some(read_header(number, &record, faults));
+            continue;
+        };
+        if record.iter().all(|cell| cell.trim_ascii().is_empty()) {
+            continue;
+        }
+        rows += 1;
+        read_row(number, &record, columns, &mut draft, faults);
+    }
+    if rows == 0 {
+        faults.push(Fault::new(1, "", FaultCode::NoRows, "the sheet has no rows".to_owned()));
+    }
+    draft
+}
+
+/// The row's number; the reader's position lies before any blank lines that it skipped.
+fn row_number(bytes: &[u8], record: &ByteRecord) -> u64 {
+    let Some(position) = record.position() else { return 0 };
+    let start = usize::try_from(position.byte()).unwrap_or(usize::MAX);
+    let rest = bytes.get(start..).unwrap_or_default();
+    let blank = rest.iter().take_while(|byte| matches!(byte, b'\r' | b'\n'));
+    position.line() + blank.filter(|byte| **byte == b'\n').count() as u64
+}
+
+/// The known columns by position. A column that is unknown or repeated reads as `None`.
+fn read_header(
+    number: u64,
+    record: &ByteRecord,
+    faults: &mut Vec<Fault>,
+) -> Vec<Option<&'static str>> {
+    let mut columns: Vec<Option<&'static str>> = Vec::new();
+    for cell in record {
+        let name = String::from_utf8_lossy(cell.trim_ascii());
+        let known = COLUMNS.iter().copied().find(|column| *column == name);
+        if known.is_none() {
+            let message = format!("no column is called {}", shown(&name));
+            faults.push(Fault::new(number, &name, FaultCode::UnknownColumn, message));
+        }
+        if known.is_some() && columns.contains(&known) {
+            let message = "the column stands twice".to_owned();
+            faults.push(Fault::new(number, &name, FaultCode::DuplicateColumn, message));
+            columns.push(None);
+            continue;
+        }
+        columns.push(known);
+    }
+    for column in COLUMNS.iter().filter(|column| !columns.contains(&Some(**column))) {
+        let message = "the header lacks this column".to_owned();
+        faults.push(Fault::new(number, column, FaultCode::MissingColumn, message));
+    }
+    columns
+}
+
+fn read_row(
+    number: u64,
+    record: &ByteRecord,
+    columns: &[Option<&'static str>],
+    draft: &mut Draft,
+    faults: &mut Vec<Fault>,
+) {
+    if record.len() != columns.len() {
+        let message = format!("{} cells under {} columns", record.len(), columns.len());
+        faults.push(Fault::new(number, "", FaultCode::CellCount, message));
+    }
+    let mut cells = HashMap::new();
+    for (cell, column) in record.iter().zip(columns) {
+        let Some(column) = *column else { continue };
+        let Ok(text) = std::str::from_utf8(cell) else {
+            let message = "the cell is not UTF-8 text".to_owned();
+            faults.push(Fault::new(number, column, FaultCode::NotText, message));
+            continue;
+        };
+        let text = text.trim();
+        if !text.is_empty() {
+            cells.insert(column, text);
+        }
+    }
+    // Without the column every row would repeat the header's fault.
+    if columns.contains(&Some("kind")) {
+        draft.read_row(Row::new(number, cells, faults));
+    }
+}
