Name lives of instances in request records

An instance that is killed and started again under its name has lost its records, so its 'voided' says nothing of what its earlier life dispatched. Comparing names alone can't tell the two apart, and waiting out the record time after every start would hold up each newcomer. Lookups, replies, copies and the peer set now name lives (instance and incarnation), and Scheduler::new takes its own life. The module on the life cycle of an attempt is called attempt to keep the words apart.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -3,8 +3,8 @@
 use sesamewind_protocol::record::{Lookup, LookupReply, RecordsCopy, RecordsRequest};
 use sesamewind_protocol::{InstanceId, TargetId, VersionId};
 
+use crate::attempt::Refusal;
 use crate::event::Ticket;
-use crate::life::Refusal;
 
 /// Something to do.
 #[derive(Debug, Clone)]
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -1,7 +1,7 @@
 //! What happens to a scheduler: callers' requests, targets' answers, peers' messages.
 
 use sesamewind_protocol::message::Exchange;
-use sesamewind_protocol::record::{Lookup, LookupReply, RecordsCopy, RecordsRequest};
+use sesamewind_protocol::record::{Life, Lookup, LookupReply, RecordsCopy, RecordsRequest};
 use sesamewind_protocol::target::{CacheEvent, LoadReport};
 use sesamewind_protocol::traffic::{AccountUse, FloorAck, FloorRaise, TargetUse};
 use sesamewind_protocol::{
@@ -201,7 +201,7 @@
     /// The other instances, by the view of membership.
     PeerSet {
         /// Every instance that may hold a request or may have taken a first attempt.
-        peers: &'a [InstanceId],
+        peers: &'a [Life],
         /// Those that can be reached.
         reachable: &'a [InstanceId],
     },
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,17 +4,18 @@
 //! typed [`Action`]s. It opens no socket, reads no clock and draws from a seeded generator only.
 
 pub mod action;
+pub mod attempt;
 pub mod config;
 pub mod event;
-pub mod life;
 pub mod scheduler;
 pub mod version;
 pub mod view;
 
 pub use action::Action;
+pub use attempt::Refusal;
 pub use config::{Account, AccountLimits, Config, Kind, Limits, Service, Target, Tier};
 pub use event::{Arrival, End, Event, PeerNews, Prefix, Ticket, prefix_hash};
-pub use life::Refusal;
 pub use scheduler::Scheduler;
+pub use sesamewind_protocol::record::Life;
 pub use version::VersionChooser;
 pub use view::{Counters, QueueView, RetryReason, TargetView};
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -5,21 +5,21 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sesamewind_protocol::record::{LookupReply, Seen};
+use sesamewind_protocol::record::{Life, LookupReply, Seen};
 use sesamewind_protocol::traffic::{AccountUse, FloorAck, FloorRaise, TargetUse};
-use sesamewind_protocol::{Code, InstanceId, ServiceId, TargetId, Time, VersionId, Wall};
+use sesamewind_protocol::{Code, ServiceId, TargetId, Time, VersionId, Wall};
 
 use crate::action::Action;
+use crate::attempt::{NotSent, Received, Sent};
 use crate::config::Config;
 use crate::event::{Arrival, End, Event, Ticket};
-use crate::life::{NotSent, Received, Sent};
 use crate::version::VersionChooser;
 use crate::view::{Counters, QueueView, TargetView};
 
 /// Decides on all traffic of one instance.
 #[derive(Debug)]
 pub struct Scheduler {
-    me: InstanceId,
+    me: Life,
     rng: ChaCha8Rng,
     targets: HashMap<TargetId, TargetState>,
     running: HashMap<Ticket, (TargetId, Sent)>,
@@ -35,8 +35,8 @@
 }
 
 impl Scheduler {
-    /// A scheduler of instance `me`; `seed` feeds its random choices.
-    pub fn new(config: &Config, me: InstanceId, seed: u64) -> Self {
+    /// A scheduler of the life `me` of an instance; `seed` feeds its random choices.
+    pub fn new(config: &Config, me: Life, seed: u64) -> Self {
         let mut this = Self {
             me,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -87,10 +87,10 @@
                 Vec::new()
             }
             Event::Lookup(lookup) => vec![Action::Reply {
-                to: lookup.asker.clone(),
+                to: lookup.asker.instance.clone(),
                 reply: LookupReply {
                     key: lookup.key,
-                    instance: self.me.clone(),
+                    from: self.me.clone(),
                     seen: Seen::Held,
                     known: Vec::new(),
                 },
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -2,7 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Code, InstanceId, RequestKey, RunState};
+use crate::{Code, Incarnation, InstanceId, RequestKey, RunState};
+
+/// One life of an instance. A later life under the same name has no records of the earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Which of its lives.
+    pub incarnation: Incarnation,
+}
 
 /// Asks whether an instance has seen a request, and voids it there if not.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -12,7 +21,7 @@
     /// The asking attempt: its number as the caller counts, zero if the caller did not say.
     pub attempt: u32,
     /// The instance that asks.
-    pub asker: InstanceId,
+    pub asker: Life,
 }
 
 /// What an instance knows of a request.
@@ -39,11 +48,11 @@
     /// The request.
     pub key: RequestKey,
     /// The instance that answers.
-    pub instance: InstanceId,
+    pub from: Life,
     /// What it knows.
     pub seen: Seen,
     /// Every instance that the answering one knows; the asker must have the answer of each.
-    pub known: Vec<InstanceId>,
+    pub known: Vec<Life>,
 }
 
 /// Asks a peer for its records before the asking instance takes first attempts alone.
@@ -53,7 +62,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordsRequest {
     /// The instance that asks.
-    pub asker: InstanceId,
+    pub asker: Life,
     /// Number of the question within the asker's life.
     pub seq: u64,
 }
@@ -75,11 +84,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordsCopy {
     /// The instance whose records these are.
-    pub from: InstanceId,
+    pub from: Life,
+    /// Whether the sender takes first attempts without asking its peers.
+    pub joined: bool,
     /// Number of the question that is answered; none if the sender leaves.
     pub seq: Option<u64>,
     /// The records.
     pub notes: Vec<RecordNote>,
     /// Every instance that the sender knows.
-    pub known: Vec<InstanceId>,
+    pub known: Vec<Life>,
 }
