First version of the stand-ins and the fault proxy

Each stand-in is an HTTP handler behind a fault proxy of its own: warp spawns its connections where they cannot be ended one by one, so kill, silence and lost answers act on the proxy. A listener kept open while killed was ruled out: a connection that is accepted and then reset counts as possibly delivered, a refused one does not.

--- /dev/null
+++ b/crates/standins/src/clock.rs
@@ -0,0 +1,11 @@
+//! The wall clock that log entries are stamped with.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use sesamewind_protocol::Wall;
+
+/// The present Unix time.
+pub fn wall_now() -> Wall {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Wall(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/standins/src/engine/run.rs
@@ -0,0 +1,154 @@
+//! The life of a request inside an engine: wait, prefill, decode.
+
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, timeout};
+
+use super::core::Core;
+use super::log::End;
+use super::stream::{Phase, Stream};
+use crate::clock::wall_now;
+
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
+const KEPT_SAMPLES: usize = 1_200;
+const PREFILL_SLICE: Duration = Duration::from_millis(20);
+const CHUNK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Records the engine's load regularly, for reports that lag; ends with the engine.
+pub(crate) async fn sample_load(core: Weak<Core>) {
+    loop {
+        let Some(core) = core.upgrade() else { return };
+        if !core.options.report_lag.is_zero() {
+            let report = core.measure();
+            let mut state = core.state();
+            state.samples.push_back((Instant::now(), report));
+            if state.samples.len() > KEPT_SAMPLES {
+                state.samples.pop_front();
+            }
+        }
+        drop(core);
+        sleep(SAMPLE_INTERVAL).await;
+    }
+}
+
+/// Runs `stream` until it is complete, stopped, or left by all its readers.
+pub(crate) async fn serve(core: Arc<Core>, stream: Arc<Stream>) {
+    tokio::select! {
+        () = work(&core, &stream) => stream.stop(End::Complete),
+        () = stream.ended() => {}
+        () = abandoned(&core, &stream) => stream.stop(End::Abandoned),
+    }
+    finish(&core, &stream);
+}
+
+async fn abandoned(core: &Core, stream: &Stream) {
+    let mut readers = stream.readers.subscribe();
+    loop {
+        if readers.wait_for(|count| *count == 0).await.is_err() {
+            return;
+        }
+        let back = timeout(core.options.abandon_after, readers.wait_for(|count| *count > 0)).await;
+        if back.is_err() {
+            return;
+        }
+    }
+}
+
+async fn work(core: &Core, stream: &Stream) {
+    let _place = core.places.acquire().await;
+    prefill(core, stream).await;
+    decode(core, stream).await;
+}
+
+async fn prefill(core: &Core, stream: &Stream) {
+    let _turn = core.prefill.lock().await;
+    let ask = &stream.ask;
+    let mut left = {
+        let mut state = core.state();
+        let hit = match &ask.prefix {
+            Some(prefix) => state.cache.lookup(prefix, ask.prefix_tokens.min(ask.prompt_tokens)),
+            None => 0,
+        };
+        state.log.dispatches[stream.entry].cache_hit = hit;
+        ask.prompt_tokens - hit
+    };
+    set_phase(core, stream, Phase::Prefill, left);
+    while left > 0 {
+        let rate = prefill_rate(core, stream);
+        let slice = (rate * PREFILL_SLICE.as_secs_f64()).max(1.0).min(f64::from(left));
+        // Counted before the time passes, so that a cancelled slice counts as spent.
+        core.state().log.dispatches[stream.entry].prefill_spent += slice as u32;
+        pause(slice.trunc() / rate).await;
+        left -= slice as u32;
+        set_phase(core, stream, Phase::Prefill, left);
+    }
+    let mut state = core.state();
+    if let Some(prefix) = &ask.prefix {
+        state.cache.insert(prefix, ask.prefix_tokens, Instant::now());
+    }
+}
+
+async fn decode(core: &Core, stream: &Stream) {
+    let total = stream.ask.output_tokens;
+    set_phase(core, stream, Phase::Decode, 0);
+    core.state().log.dispatches[stream.entry].first_token = Some(wall_now());
+    let mut produced = 1.0_f64.min(f64::from(total));
+    stream.produce(produced as u32);
+    let mut last = Instant::now();
+    while (produced as u32) < total {
+        let rate = decode_rate(core, stream);
+        let next = (produced.floor() + 1.0 - produced) / rate;
+        let to_end = (f64::from(total) - produced) / rate;
+        pause(next.max(CHUNK_INTERVAL.as_secs_f64()).min(to_end)).await;
+        let now = Instant::now();
+        let made =
+            if rate.is_finite() { now.duration_since(last).as_secs_f64() * rate } else { f64::MAX };
+        produced = (produced + made).min(f64::from(total));
+        last = now;
+        stream.produce(produced as u32);
+    }
+}
+
+fn prefill_rate(core: &Core, stream: &Stream) -> f64 {
+    let slowness = core.slowness(&core.state(), stream);
+    core.options.prefill_tokens_per_s / slowness
+}
+
+fn decode_rate(core: &Core, stream: &Stream) -> f64 {
+    let state = core.state();
+    let others = state.running().saturating_sub(1) as f64;
+    let crowd = 1.0 + others / core.options.batch_knee;
+    core.options.decode_tokens_per_s / crowd / core.slowness(&state, stream)
+}
+
+async fn pause(seconds: f64) {
+    if seconds > 0.0 {
+        sleep(Duration::from_secs_f64(seconds)).await;
+    }
+}
+
+fn set_phase(core: &Core, stream: &Stream, phase: Phase, to_prefill: u32) {
+    let mut state = core.state();
+    if let Some(kept) = state.streams.get_mut(&stream.id) {
+        kept.phase = phase;
+        kept.to_prefill = to_prefill;
+    }
+}
+
+fn finish(core: &Core, stream: &Stream) {
+    let progress = *stream.progress.borrow();
+    let mut state = core.state();
+    if let Some(kept) = state.streams.get_mut(&stream.id) {
+        kept.phase = Phase::Over;
+        kept.to_prefill = 0;
+    }
+    if let Some(loaded) = state.versions.get_mut(&stream.ask.version) {
+        loaded.running = loaded.running.saturating_sub(1);
+    }
+    let entry = &mut state.log.dispatches[stream.entry];
+    entry.end = progress.end;
+    entry.produced = progress.produced;
+    entry.ended = Some(wall_now());
+    state.finished.push_back((Instant::now(), stream.id));
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,23 @@
 //! Small stand-ins for engines, plain services and the platform, and a fault proxy.
+//!
+//! Each stand-in runs inside the caller's tokio runtime on a loopback socket, takes orders through
+//! its methods while it runs, and logs everything that reaches it. Tests and the replay judge by
+//! these logs, never by the daemon's own counters. [`answer`] makes every answer a function of its
+//! request, so that a wrong, partial or mixed answer shows.
+
+pub mod answer;
+pub mod engine;
+pub mod platform;
+pub mod proxy;
+pub mod service;
+
+mod bad;
+mod clock;
+mod server;
+
+pub use bad::Bad;
+pub use clock::wall_now;
+pub use engine::{Dispatch, End, Engine, EngineLog, EngineOptions, OrderEntry};
+pub use platform::{InstanceEntry, Platform, PlatformOptions, TargetEntry};
+pub use proxy::{FaultProxy, Flow, Mode, Side};
+pub use service::{Run, RunEnd, Service, ServiceLog, ServiceOptions};
--- /dev/null
+++ b/crates/standins/src/proxy.rs
@@ -0,0 +1,347 @@
+//! A TCP proxy on loopback that can cut, silence, freeze and delay what passes through it.
+
+use std::collections::HashMap;
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+const BUFFER_BYTES: usize = 16 << 10;
+const QUEUED_BUFFERS: usize = 256;
+const LISTEN_BACKLOG: u32 = 1024;
+const REBIND_TRIES: u32 = 100;
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// What happens to bytes in one direction of a connection.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Flow {
+    /// Bytes pass.
+    #[default]
+    Pass,
+    /// Bytes and the end of the stream are swallowed; the connection stays open.
+    Drop,
+    /// Bytes are held back until the flow changes.
+    Freeze,
+}
+
+/// Treatment of one connection.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Mode {
+    /// Towards the upstream.
+    pub up: Flow,
+    /// Towards the client.
+    pub down: Flow,
+    /// Time that every byte takes longer, in each direction.
+    pub delay: Duration,
+}
+
+/// The directions that a change applies to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// Towards the upstream.
+    Up,
+    /// Towards the client.
+    Down,
+    /// In both directions.
+    Both,
+}
+
+impl Mode {
+    fn with(mut self, side: Side, flow: Flow) -> Self {
+        if side != Side::Down {
+            self.up = flow;
+        }
+        if side != Side::Up {
+            self.down = flow;
+        }
+        self
+    }
+}
+
+#[derive(Debug)]
+struct Open {
+    mode: watch::Sender<Mode>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    fresh: Mode,
+    open: HashMap<u64, Open>,
+    by_peer: HashMap<SocketAddr, u64>,
+    accepted: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    upstream: SocketAddr,
+    table: Mutex<Table>,
+}
+
+impl Shared {
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A TCP proxy whose behaviour can be changed while it runs.
+#[derive(Debug)]
+pub struct FaultProxy {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    listener: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy to `upstream` on a free loopback port.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port can be bound.
+    pub async fn start(upstream: SocketAddr) -> Self {
+        Self::bind(SocketAddr::from(([127, 0, 0, 1], 0)), upstream).await
+    }
+
+    /// Starts a proxy to `upstream` that listens on `listen`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `listen` can't be bound.
+    pub async fn bind(listen: SocketAddr, upstream: SocketAddr) -> Self {
+        let listener = bind(listen).expect("proxy address can be bound");
+        let addr = listener.local_addr().expect("bound socket has an address");
+        let shared = Arc::new(Shared { upstream, table: Mutex::default() });
+        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Self { addr, shared, listener: Mutex::new(Some(task)) }
+    }
+
+    /// Address that clients connect to.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Number of connections accepted since the start.
+    pub fn accepted(&self) -> u64 {
+        self.shared.table().accepted
+    }
+
+    /// Number of connections that are open.
+    pub fn open(&self) -> usize {
+        let mut table = self.shared.table();
+        table.open.retain(|_, open| !open.task.is_finished());
+        table.open.len()
+    }
+
+    /// Sets the flow on open and new connections.
+    pub fn set(&self, side: Side, flow: Flow) {
+        self.set_new(side, flow);
+        self.set_open(side, flow);
+    }
+
+    /// Sets the flow on connections that are open now; new ones keep their treatment.
+    pub fn set_open(&self, side: Side, flow: Flow) {
+        for open in self.shared.table().open.values() {
+            open.mode.send_modify(|mode| *mode = mode.with(side, flow));
+        }
+    }
+
+    /// Sets the flow on connections made from now on.
+    pub fn set_new(&self, side: Side, flow: Flow) {
+        let mut table = self.shared.table();
+        table.fresh = table.fresh.with(side, flow);
+    }
+
+    /// Sets the delay in each direction on open and new connections.
+    pub fn delay(&self, delay: Duration) {
+        let mut table = self.shared.table();
+        table.fresh.delay = delay;
+        for open in table.open.values() {
+            open.mode.send_modify(|mode| mode.delay = delay);
+        }
+    }
+
+    /// Closes every open connection; new ones are served.
+    pub async fn close_open(&self) {
+        let open: Vec<Open> = {
+            let mut table = self.shared.table();
+            table.by_peer.clear();
+            table.open.drain().map(|(_, open)| open).collect()
+        };
+        for Open { task, .. } in open {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+
+    /// Closes the connection whose upstream side has the address `peer`.
+    pub fn close_peer(&self, peer: SocketAddr) {
+        let mut table = self.shared.table();
+        let Some(id) = table.by_peer.remove(&peer) else { return };
+        let Some(open) = table.open.remove(&id) else { return };
+        open.task.abort();
+    }
+
+    /// Closes every connection and stops listening, so that new ones are refused.
+    pub async fn cut(&self) {
+        let task = self.listener().take();
+        if let Some(task) = task {
+            task.abort();
+            let _ = task.await;
+        }
+        self.close_open().await;
+    }
+
+    /// Listens again and lets everything pass without delay on new connections.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another socket took the address meanwhile.
+    pub async fn restore(&self) {
+        self.set(Side::Both, Flow::Pass);
+        self.delay(Duration::ZERO);
+        if self.listener().is_some() {
+            return;
+        }
+        let listener = rebind(self.addr).await;
+        let task = tokio::spawn(accept(listener, Arc::clone(&self.shared)));
+        *self.listener() = Some(task);
+    }
+
+    fn listener(&self) -> MutexGuard<'_, Option<JoinHandle<()>>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        if let Some(task) = self.listener().take() {
+            task.abort();
+        }
+        for open in self.shared.table().open.values() {
+            open.task.abort();
+        }
+    }
+}
+
+fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    // Accepted sockets inherit this from the listening one.
+    socket.set_nodelay(true)?;
+    socket.bind(addr)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
+async fn rebind(addr: SocketAddr) -> TcpListener {
+    for _ in 0..REBIND_TRIES {
+        if let Ok(listener) = bind(addr) {
+            return listener;
+        }
+        sleep(REBIND_PAUSE).await;
+    }
+    panic!("address {addr} of the proxy was taken by another socket");
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((client, _)) = listener.accept().await else {
+            sleep(REBIND_PAUSE).await;
+            continue;
+        };
+        let mut table = shared.table();
+        let id = table.accepted;
+        table.accepted += 1;
+        let (mode, modes) = watch::channel(table.fresh);
+        let task = tokio::spawn(connection(Arc::clone(&shared), id, client, modes));
+        table.open.insert(id, Open { mode, task });
+    }
+}
+
+async fn connection(shared: Arc<Shared>, id: u64, client: TcpStream, modes: watch::Receiver<Mode>) {
+    let peer = relay(&shared, id, client, modes).await.ok();
+    let mut table = shared.table();
+    table.open.remove(&id);
+    if let Some(peer) = peer {
+        table.by_peer.remove(&peer);
+    }
+}
+
+async fn relay(
+    shared: &Shared,
+    id: u64,
+    client: TcpStream,
+    modes: watch::Receiver<Mode>,
+) -> io::Result<SocketAddr> {
+    let upstream = TcpStream::connect(shared.upstream).await?;
+    upstream.set_nodelay(true)?;
+    let peer = upstream.local_addr()?;
+    shared.table().by_peer.insert(peer, id);
+    let (client_read, client_write) = client.into_split();
+    let (upstream_read, upstream_write) = upstream.into_split();
+    let up = pump(client_read, upstream_write, modes.clone(), |mode| mode.up);
+    let down = pump(upstream_read, client_write, modes, |mode| mode.down);
+    // An error in one direction ends both; an orderly end of one leaves the other open.
+    let _ = tokio::try_join!(up, down);
+    Ok(peer)
+}
+
+async fn pump(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    modes: watch::Receiver<Mode>,
+    flow: impl Fn(&Mode) -> Flow,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(QUEUED_BUFFERS);
+    tokio::try_join!(read_side(from, sender, modes, flow), write_side(to, receiver))?;
+    Ok(())
+}
+
+async fn read_side(
+    mut from: OwnedReadHalf,
+    sender: mpsc::Sender<(Instant, Bytes)>,
+    mut modes: watch::Receiver<Mode>,
+    flow: impl Fn(&Mode) -> Flow,
+) -> io::Result<()> {
+    let mut buffer = BytesMut::new();
+    loop {
+        buffer.reserve(BUFFER_BYTES);
+        let count = from.read_buf(&mut buffer).await?;
+        let Ok(mode) = modes.wait_for(|mode| flow(mode) != Flow::Freeze).await.map(|mode| *mode)
+        else {
+            return Ok(());
+        };
+        match (flow(&mode), count) {
+            (Flow::Drop, 0) => return pending().await,
+            (Flow::Drop, _) => buffer.clear(),
+            (_, 0) => return Ok(()),
+            (_, _) => {
+                let due = Instant::now() + mode.delay;
+                if sender.send((due, buffer.split().freeze())).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+async fn write_side(
+    mut to: OwnedWriteHalf,
+    mut receiver: mpsc::Receiver<(Instant, Bytes)>,
+) -> io::Result<()> {
+    while let Some((due, bytes)) = receiver.recv().await {
+        if due > Instant::now() {
+            sleep_until(due).await;
+        }
+        to.write_all(&bytes).await?;
+    }
+    to.shutdown().await
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,145 @@
+//! HTTP plumbing that every stand-in shares: one handler behind a fault proxy of its own.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use serde::Serialize;
+use tokio::net::TcpSocket;
+use tokio::task::JoinHandle;
+use warp::Filter;
+use warp::filters::path::FullPath;
+use warp::reply::Response;
+
+use crate::proxy::FaultProxy;
+
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// A request as it reached a stand-in.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) peer: Option<SocketAddr>,
+}
+
+impl Call {
+    /// Value of a header, if it is there and readable.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Value of a header that holds a number.
+    pub(crate) fn number(&self, name: &str) -> Option<u32> {
+        self.header(name)?.parse().ok()
+    }
+
+    /// Value of a query parameter, not decoded.
+    pub(crate) fn param(&self, name: &str) -> Option<&str> {
+        self.query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    }
+}
+
+/// Answers the requests of one stand-in.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers `call`.
+    fn handle(self: Arc<Self>, call: Call) -> impl Future<Output = Response> + Send;
+}
+
+/// A running server and the proxy that clients reach it through.
+#[derive(Debug)]
+pub(crate) struct Server {
+    /// The proxy that clients connect to.
+    pub(crate) front: FaultProxy,
+    /// Address behind the proxy, for control and for measurements without the proxy.
+    pub(crate) inner: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Serves `handler` behind a proxy that listens on `listen`.
+    pub(crate) async fn start<H: Handler>(listen: SocketAddr, handler: Arc<H>) -> Self {
+        let socket = TcpSocket::new_v4().expect("socket can be made");
+        // Accepted sockets inherit this, so that small chunks leave at once.
+        socket.set_nodelay(true).expect("socket takes options");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a loopback port is free");
+        let listener = socket.listen(LISTEN_BACKLOG).expect("socket can listen");
+        let inner = listener.local_addr().expect("bound socket has an address");
+        let task = tokio::spawn(warp::serve(routes(handler)).incoming(listener).run());
+        let front = FaultProxy::bind(listen, inner).await;
+        Self { front, inner, task }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn routes<H: Handler>(
+    handler: Arc<H>,
+) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone {
+    let query = warp::query::raw().or(warp::any().map(String::new)).unify();
+    warp::method()
+        .and(warp::path::full())
+        .and(query)
+        .and(warp::header::headers_cloned())
+        .and(warp::addr::remote())
+        .and(warp::body::bytes())
+        .and(warp::any().map(move || Arc::clone(&handler)))
+        .then(serve)
+}
+
+async fn serve<H: Handler>(
+    method: Method,
+    path: FullPath,
+    query: String,
+    headers: HeaderMap,
+    peer: Option<SocketAddr>,
+    body: Bytes,
+    handler: Arc<H>,
+) -> Response {
+    let path = path.as_str().to_owned();
+    handler.handle(Call { method, path, query, headers, body, peer }).await
+}
+
+/// An answer with a status and a text.
+pub(crate) fn text(status: StatusCode, body: impl Into<String>) -> Response {
+    let mut response = Response::new(body.into().into());
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer in JSON.
+pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Response {
+    let bytes = serde_json::to_vec(body).expect("stand-in answers can be serialized");
+    let mut response = Response::new(bytes.into());
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
+    response
+}
+
+/// A refusal that tells the caller that nothing ran.
+pub(crate) fn not_run(reason: &str) -> Response {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    response.headers_mut().insert("x-not-run", http::HeaderValue::from_static("1"));
+    response
+}
+
+/// An answer whose body is sent piece by piece; an `Err` breaks the connection.
+pub(crate) fn stream(
+    receiver: tokio::sync::mpsc::Receiver<Result<Bytes, std::io::Error>>,
+) -> Response {
+    let pieces = futures_util::stream::unfold(receiver, |mut receiver| async move {
+        receiver.recv().await.map(|piece| (piece, receiver))
+    });
+    warp::Reply::into_response(warp::reply::stream(pieces))
+}
