--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,298 @@
+//! Metrics of one instance in the OpenMetrics text format.
+//!
+//! Labels hold names of the sheet, codes and reasons, but never client accounts or requests, so that
+//! the number of series does not grow with them.
+
+use std::fmt::{self, Display, Write};
+use std::time::Duration;
+
+use prometheus_client::encoding::text;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use sesamewind_protocol::operator::{RefusalRow, RefusalsBody, RetryRow};
+use sesamewind_protocol::{Code, Revision, ServiceId, VersionId};
+
+/// Reasons for which a request may be dispatched, or a stream resumed, once more.
+pub const RETRY_REASONS: [&str; 4] =
+    ["target-refused", "connect-failed", "stream-broken", "stream-silent"];
+
+/// Metrics of one instance. Cheap to update from any thread.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    refusals: Family<CodeLabels, Counter>,
+    retries: Family<ReasonLabels, Counter>,
+    dispatches: Family<VersionLabels, Counter>,
+    first_token: TierHistogram,
+    between_tokens: TierHistogram,
+    queue_wait: TierHistogram,
+    control_bytes: Family<FlowLabels, Counter>,
+    control_messages: Family<FlowLabels, Counter>,
+    rollout_changes: Family<RolloutLabels, Counter>,
+    dropped_answers: Counter,
+    queued: Gauge,
+    in_flight: Gauge,
+    revision: Gauge,
+}
+
+type TierHistogram = Family<TierLabels, Histogram, fn() -> Histogram>;
+
+/// Whether a control message was sent or received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Flow {
+    /// Sent by this instance.
+    Sent,
+    /// Received by this instance.
+    Received,
+}
+
+impl EncodeLabelValue for Flow {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        encoder.write_str(match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        })
+    }
+}
+
+/// A name of the sheet as a label's value.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Name<T>(T);
+
+impl<T: Display> EncodeLabelValue for Name<T> {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        write!(encoder, "{}", self.0)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabels {
+    code: u16,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VersionLabels {
+    service: Name<ServiceId>,
+    version: Name<VersionId>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TierLabels {
+    tier: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FlowLabels {
+    direction: Flow,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RolloutLabels {
+    service: Name<ServiceId>,
+    state: String,
+}
+
+impl Metrics {
+    /// Registers the metrics. Each refusal code and retry reason starts at zero, so that a first
+    /// occurrence shows as a rise.
+    pub fn new() -> Self {
+        let metrics = Self {
+            registry: Registry::with_prefix("sesamewind"),
+            refusals: Family::default(),
+            retries: Family::default(),
+            dispatches: Family::default(),
+            first_token: Family::new_with_constructor(seconds_histogram),
+            between_tokens: Family::new_with_constructor(seconds_histogram),
+            queue_wait: Family::new_with_constructor(seconds_histogram),
+            control_bytes: Family::default(),
+            control_messages: Family::default(),
+            rollout_changes: Family::default(),
+            dropped_answers: Counter::default(),
+            queued: Gauge::default(),
+            in_flight: Gauge::default(),
+            revision: Gauge::default(),
+        };
+        for code in refusal_codes() {
+            drop(metrics.refusals.get_or_create(&code_labels(code)));
+        }
+        for reason in RETRY_REASONS {
+            drop(metrics.retries.get_or_create(&ReasonLabels { reason }));
+        }
+        metrics.registered()
+    }
+
+    fn registered(mut self) -> Self {
+        let registry = &mut self.registry;
+        registry.register("refusals", "Refusals by result code", self.refusals.clone());
+        registry.register("retries", "Retries and resumes by reason", self.retries.clone());
+        registry.register(
+            "dispatches",
+            "Requests dispatched to a target, by service and version",
+            self.dispatches.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "Time from arrival to the first token, by tier",
+            self.first_token.clone(),
+        );
+        registry.register(
+            "between_tokens_seconds",
+            "Time between two tokens of one answer, by tier",
+            self.between_tokens.clone(),
+        );
+        registry.register(
+            "queue_wait_seconds",
+            "Time from arrival to dispatch, by tier",
+            self.queue_wait.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Bytes of messages between instances, by direction",
+            self.control_bytes.clone(),
+        );
+        registry.register(
+            "control_messages",
+            "Messages between instances, by direction",
+            self.control_messages.clone(),
+        );
+        registry.register(
+            "rollout_changes",
+            "Changes of state of rollouts, by service and new state",
+            self.rollout_changes.clone(),
+        );
+        registry.register(
+            "dropped_answers",
+            "Answers, or parts of them, that belonged to no live request",
+            self.dropped_answers.clone(),
+        );
+        registry.register("queued", "Requests in the queue", self.queued.clone());
+        registry.register("in_flight", "Requests dispatched and not ended", self.in_flight.clone());
+        registry.register(
+            "config_revision",
+            "Revision of the configuration in force",
+            self.revision.clone(),
+        );
+        self
+    }
+
+    /// Counts a refusal. [`Code::Ok`] is none and is not counted.
+    pub fn refused(&self, code: Code) {
+        if code != Code::Ok {
+            self.refusals.get_or_create(&code_labels(code)).inc();
+        }
+    }
+
+    /// Counts a retry or resume; `reason` should be one of [`RETRY_REASONS`].
+    pub fn retried(&self, reason: &'static str) {
+        self.retries.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
+    /// Counts a dispatch.
+    pub fn dispatched(&self, service: &ServiceId, version: &VersionId) {
+        let labels =
+            VersionLabels { service: Name(service.clone()), version: Name(version.clone()) };
+        self.dispatches.get_or_create(&labels).inc();
+    }
+
+    /// Records the time from a request's arrival to its first token.
+    pub fn first_token(&self, tier: &str, span: Duration) {
+        observe(&self.first_token, tier, span);
+    }
+
+    /// Records the time between two tokens of one answer.
+    pub fn between_tokens(&self, tier: &str, span: Duration) {
+        observe(&self.between_tokens, tier, span);
+    }
+
+    /// Records the time from a request's arrival to its dispatch.
+    pub fn queue_wait(&self, tier: &str, span: Duration) {
+        observe(&self.queue_wait, tier, span);
+    }
+
+    /// Counts a message between instances.
+    pub fn control(&self, direction: Flow, bytes: usize) {
+        let labels = FlowLabels { direction };
+        self.control_messages.get_or_create(&labels).inc();
+        self.control_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+
+    /// Counts a rollout's change to `state`.
+    pub fn rollout_changed(&self, service: &ServiceId, state: &str) {
+        let labels = RolloutLabels { service: Name(service.clone()), state: state.to_owned() };
+        self.rollout_changes.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer, or a part of one, that belonged to no live request.
+    pub fn answer_dropped(&self) {
+        self.dropped_answers.inc();
+    }
+
+    /// Sets how many requests wait and how many are in flight.
+    pub fn set_load(&self, queued: usize, in_flight: usize) {
+        self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
+        self.in_flight.set(i64::try_from(in_flight).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the revision of the configuration in force.
+    pub fn set_revision(&self, revision: Revision) {
+        self.revision.set(i64::try_from(revision.0).unwrap_or(i64::MAX));
+    }
+
+    /// Refusals and retries that were counted, without those at zero.
+    pub fn refusals(&self) -> RefusalsBody {
+        let refusals = refusal_codes().filter_map(|code| {
+            let count = self.refusals.get(&code_labels(code))?.get();
+            (count > 0).then(|| RefusalRow { code, reason: code.slug().to_owned(), count })
+        });
+        let retries = RETRY_REASONS.iter().filter_map(|reason| {
+            let count = self.retries.get(&ReasonLabels { reason })?.get();
+            (count > 0).then(|| RetryRow { reason: (*reason).to_owned(), count })
+        });
+        RefusalsBody { refusals: refusals.collect(), retries: retries.collect() }
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string does not fail.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn refusal_codes() -> impl Iterator<Item = Code> {
+    Code::ALL.iter().copied().filter(|code| *code != Code::Ok)
+}
+
+fn code_labels(code: Code) -> CodeLabels {
+    CodeLabels { code: code.number(), reason: code.slug() }
+}
+
+/// Buckets from one millisecond to two minutes.
+fn seconds_histogram() -> Histogram {
+    const FIRST_S: f64 = 0.001;
+    const FACTOR: f64 = 2.0;
+    const BUCKETS: u16 = 18;
+    Histogram::new(exponential_buckets(FIRST_S, FACTOR, BUCKETS))
+}
+
+fn observe(family: &TierHistogram, tier: &str, span: Duration) {
+    let labels = TierLabels { tier: tier.to_owned() };
+    family.get_or_create(&labels).observe(span.as_secs_f64());
+}
