Serve requests end to end through real daemon processes

Cause: the packages stood side by side without a program that joins them. Ruled out: deciding on the traffic threads, since two threads could then dispatch on different views; a job per request follows steps of one control actor instead. Ruled out as well: relaying bytes straight to the caller, since a resend must be able to read the whole answer; a kept answer with several readers serves both. Change: the daemon with its two listeners, the control thread around the node, target and peer clients, polling loops, and integration tests that start daemons between stand-ins. Conclusion: a model request and a plain call are served through separate processes.

--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,113 @@
+//! What the parts of one running instance share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use sesamewind_platform::Platform;
+use sesamewind_policy::Ticket;
+use sesamewind_protocol::{Incarnation, Revision};
+use sesamewind_settings::Settings;
+use sesamewind_sheet::Sheet;
+use xtra::{Address, Handler};
+
+use crate::clock::Clock;
+use crate::control::{Control, Signal, Told};
+use crate::metrics::Metrics;
+use crate::peers::PeerClient;
+use crate::targets::Targets;
+
+/// The accepted configuration in force. Readers take one pointer and so see one whole revision.
+#[derive(Debug)]
+pub struct Installed {
+    /// Revision of the configuration.
+    pub revision: Revision,
+    /// Hash of its content.
+    pub hash: String,
+    /// Its content as accepted.
+    pub content: Bytes,
+    /// Its content as read.
+    pub sheet: Sheet,
+}
+
+/// Shared parts of a running instance.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings, checked.
+    pub settings: Settings,
+    /// The clocks.
+    pub clock: Clock,
+    /// The instance's life.
+    pub incarnation: Incarnation,
+    /// Client for targets.
+    pub targets: Targets,
+    /// Client for peers.
+    pub peers: PeerClient,
+    /// Client for the platform.
+    pub platform: Platform,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The configuration in force, if there is one.
+    pub installed: ArcSwapOption<Installed>,
+    control: Address<Control>,
+    tickets: AtomicU64,
+}
+
+impl Context {
+    /// Puts the parts together.
+    pub fn new(settings: Settings, clock: Clock, control: Address<Control>) -> Self {
+        let peers = PeerClient::new(&settings);
+        let options = sesamewind_platform::Options {
+            attempt: settings.platform.call_timeout,
+            ..Default::default()
+        };
+        Self {
+            clock,
+            incarnation: clock.incarnation(),
+            targets: Targets::default(),
+            peers,
+            platform: Platform::new(&settings.platform.url, options),
+            metrics: Metrics::default(),
+            installed: ArcSwapOption::empty(),
+            control,
+            tickets: AtomicU64::new(1),
+            settings,
+        }
+    }
+
+    /// A ticket that was never used before in this life.
+    pub fn next_ticket(&self) -> Ticket {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Tells the control thread of a request's progress.
+    pub fn signal(&self, ticket: Ticket, signal: Signal) {
+        self.tell(Told { ticket, signal });
+    }
+
+    /// Sends the control thread a message without waiting for it to be handled.
+    pub fn tell<M>(&self, message: M)
+    where
+        M: Send + 'static,
+        Control: Handler<M>,
+    {
+        // The mailbox is unbounded, so the first poll delivers the message.
+        let _ = self.control.send(message).detach().now_or_never();
+    }
+
+    /// Asks the control thread and waits for its answer; `None` if the thread has ended.
+    pub async fn ask<M>(&self, message: M) -> Option<<Control as Handler<M>>::Return>
+    where
+        M: Send + 'static,
+        Control: Handler<M>,
+    {
+        self.control.send(message).await.ok()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Installed>> {
+        self.installed.load_full()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/inner.rs
@@ -0,0 +1,156 @@
+//! The inner listener: peers, operators and monitoring.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use serde::Serialize;
+use sesamewind_protocol::operator::{self, StatusBody};
+use sesamewind_protocol::{Code, RequestKey, codec};
+use sesamewind_settings::Secret;
+use warp::filters::BoxedFilter;
+use warp::reply::Response;
+use warp::{Filter, Reply};
+
+use crate::answer::Reader;
+use crate::context::Context;
+use crate::control::{FindAnswer, Status};
+use crate::problem::Problem;
+
+/// Longest time that a reader of a kept answer waits for something new.
+const ANSWER_WAIT: Duration = Duration::from_millis(500);
+
+/// Media type of the inner protocol.
+const MSGPACK: &str = "application/msgpack";
+
+/// A request at the inner listener.
+struct Inbound {
+    method: Method,
+    path: String,
+    query: String,
+    headers: HeaderMap,
+    #[allow(dead_code, reason = "read by the handlers of peer messages")]
+    body: Bytes,
+}
+
+/// The filter that serves peers, operators and monitoring.
+pub fn filter(context: Arc<Context>) -> BoxedFilter<(Response,)> {
+    let query = warp::query::raw().or(warp::any().map(String::new)).unify();
+    warp::any()
+        .and(warp::method())
+        .and(warp::path::full())
+        .and(query)
+        .and(warp::header::headers_cloned())
+        .and(warp::body::bytes())
+        .then(move |method, path: warp::path::FullPath, query, headers, body| {
+            let path = path.as_str().to_owned();
+            let inbound = Inbound { method, path, query, headers, body };
+            let context = Arc::clone(&context);
+            async move {
+                match serve(&context, &inbound).await {
+                    Ok(response) => response,
+                    Err(problem) => problem.to_response(""),
+                }
+            }
+        })
+        .boxed()
+}
+
+async fn serve(context: &Arc<Context>, inbound: &Inbound) -> Result<Response, Problem> {
+    match inbound.path.as_str() {
+        "/healthz" => Ok("ok".into_response()),
+        "/metrics" => Ok(context.metrics.encode().into_response()),
+        "/readyz" => ready(context).await,
+        "/status" => Ok(json(&status(context).await?)),
+        path => {
+            if let Some(rest) = path.strip_prefix("/peer/") {
+                allow(&inbound.headers, &context.settings.tokens.peer)?;
+                return peer(context, inbound, rest).await;
+            }
+            if path.starts_with("/operator/") {
+                allow(&inbound.headers, &context.settings.tokens.operator)?;
+                return operator(context, inbound).await;
+            }
+            Err(not_found())
+        }
+    }
+}
+
+fn allow(headers: &HeaderMap, token: &Secret) -> Result<(), Problem> {
+    let bearer = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let offered = bearer.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or_default();
+    if token.matches(offered) {
+        return Ok(());
+    }
+    Err(Problem::before_dispatch(Code::Forbidden, "the token is missing or wrong"))
+}
+
+async fn status(context: &Context) -> Result<StatusBody, Problem> {
+    context.ask(Status).await.ok_or_else(stopped)
+}
+
+async fn ready(context: &Context) -> Result<Response, Problem> {
+    let status = status(context).await?;
+    if status.ready {
+        return Ok("ready".into_response());
+    }
+    Err(Problem::before_dispatch(Code::NotReady, status.why))
+}
+
+async fn peer(context: &Arc<Context>, inbound: &Inbound, rest: &str) -> Result<Response, Problem> {
+    if let Some(key) = rest.strip_prefix("answer/") {
+        return kept_answer(context, key, &inbound.query).await;
+    }
+    if let Some(hash) = rest.strip_prefix("config/") {
+        let installed = context.configuration().filter(|installed| installed.hash == hash);
+        let Some(installed) = installed else { return Err(not_found()) };
+        return Ok(bytes(installed.content.clone()));
+    }
+    Err(not_found())
+}
+
+async fn kept_answer(context: &Context, key: &str, query: &str) -> Result<Response, Problem> {
+    let Some(key) = RequestKey::parse(key) else { return Err(not_found()) };
+    let from = query.strip_prefix("from=").and_then(|from| from.parse().ok()).unwrap_or(0);
+    let Some(answer) = context.ask(FindAnswer(key)).await.flatten() else {
+        return Err(not_found());
+    };
+    // Reading counts as waiting for the answer, which keeps the request from being cancelled.
+    let mut reader = Reader::new(Arc::clone(&answer));
+    let _ = tokio::time::timeout(ANSWER_WAIT, reader.past(from)).await;
+    message(&answer.peek(from))
+}
+
+async fn operator(context: &Arc<Context>, inbound: &Inbound) -> Result<Response, Problem> {
+    match (&inbound.method, inbound.path.as_str()) {
+        (&Method::GET, operator::STATUS_PATH) => Ok(json(&status(context).await?)),
+        _ => Err(not_found()),
+    }
+}
+
+fn not_found() -> Problem {
+    Problem::before_dispatch(Code::UnknownRoute, "no such path")
+}
+
+fn stopped() -> Problem {
+    Problem::before_dispatch(Code::Stopping, "the instance stops")
+}
+
+fn json<T: Serialize>(body: &T) -> Response {
+    warp::reply::json(body).into_response()
+}
+
+fn bytes(body: Bytes) -> Response {
+    let mut response = Response::new(body.into());
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(MSGPACK));
+    *response.status_mut() = StatusCode::OK;
+    response
+}
+
+fn message<T: Serialize>(message: &T) -> Result<Response, Problem> {
+    let encoded = codec::encode(message)
+        .map_err(|error| Problem::before_dispatch(Code::Internal, error.to_string()))?;
+    Ok(bytes(Bytes::from(encoded)))
+}
--- /dev/null
+++ b/crates/daemon/src/instance.rs
@@ -0,0 +1,189 @@
+//! A running instance: its threads, listeners and loops, from start to stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use error_stack::{Report, ResultExt};
+use sesamewind_node::{Node, Options};
+use sesamewind_policy::Limits;
+use sesamewind_settings::Settings;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::sync::{oneshot, watch};
+use xtra::Mailbox;
+
+use crate::clock::Clock;
+use crate::context::Context;
+use crate::control::Control;
+use crate::{callers, inner, polls, server};
+
+/// Why an instance could not be started.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A thread or runtime could not be made.
+    #[error("threads could not be started")]
+    Threads,
+    /// A listener could not be bound.
+    #[error("address {0} could not be bound")]
+    Bind(SocketAddr),
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Instance {
+    context: Arc<Context>,
+    traffic: Option<Runtime>,
+    handle: Handle,
+    control: Option<JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+    end: Option<oneshot::Sender<()>>,
+    callers: SocketAddr,
+    inner: SocketAddr,
+}
+
+impl Instance {
+    /// Starts an instance with its own threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] if a thread or a listener could not be made.
+    pub fn start(settings: Settings) -> Result<Self, Report<StartError>> {
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(settings.traffic.threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .change_context(StartError::Threads)?;
+        let handle = traffic.handle().clone();
+        let callers = bind(&handle, settings.listen.callers)?;
+        let inner = bind(&handle, settings.listen.inner)?;
+        let clock = Clock::start();
+        let node = Node::new(Options {
+            instance: settings.instance.name.clone(),
+            incarnation: clock.incarnation(),
+            limits: limits(&settings),
+            seed: rand::random(),
+        });
+        let (address, mailbox) = Mailbox::unbounded();
+        let context = Arc::new(Context::new(settings, clock, address));
+        let actor = Control::new(node, Arc::clone(&context), handle.clone());
+        let (end, ended) = oneshot::channel();
+        let control = run_control(actor, mailbox, ended)?;
+        let stop = watch::Sender::new(false);
+        let this = Self {
+            callers: local_address(&callers)?,
+            inner: local_address(&inner)?,
+            traffic: Some(traffic),
+            handle,
+            control: Some(control),
+            stop,
+            end: Some(end),
+            context,
+        };
+        this.spawn(callers, inner);
+        Ok(this)
+    }
+
+    /// Address of the callers' listener.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Address of the inner listener.
+    pub fn inner(&self) -> SocketAddr {
+        self.inner
+    }
+
+    /// Runs `future` on the calling thread with the traffic threads' timers and sockets.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the calling thread runs another runtime's task.
+    pub fn block_on<F: Future>(&self, future: F) -> F::Output {
+        self.handle.block_on(future)
+    }
+
+    /// The traffic threads, for what runs beside the listeners.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
+    /// Stops at once; requests in flight are cut.
+    pub fn kill(mut self) {
+        self.finish();
+    }
+
+    fn spawn(&self, callers: TcpListener, inner: TcpListener) {
+        let limits = server::Limits {
+            head_bytes: usize::try_from(self.context.settings.traffic.header_limit)
+                .unwrap_or(usize::MAX),
+            head_timeout: self.context.settings.traffic.send_timeout,
+        };
+        let handle = &self.handle;
+        let filter = callers::filter(Arc::clone(&self.context));
+        handle.spawn(server::serve(callers, filter, limits, self.stop.subscribe()));
+        let filter = inner::filter(Arc::clone(&self.context));
+        handle.spawn(server::serve(inner, filter, limits, self.stop.subscribe()));
+        handle.spawn(polls::ticks(Arc::clone(&self.context)));
+        handle.spawn(polls::configuration(Arc::clone(&self.context)));
+        handle.spawn(polls::loads(Arc::clone(&self.context)));
+    }
+
+    fn finish(&mut self) {
+        self.stop.send_replace(true);
+        drop(self.end.take());
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
+        }
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.finish();
+    }
+}
+
+fn limits(settings: &Settings) -> Limits {
+    Limits {
+        queue_requests: settings.traffic.queue_limit,
+        record_keep: settings.records.keep,
+        lookup_timeout: settings.records.lookup_timeout,
+        progress_timeout: settings.traffic.progress_timeout,
+        ..Limits::default()
+    }
+}
+
+fn bind(handle: &Handle, address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
+    let _guard = handle.enter();
+    server::bind(address).change_context(StartError::Bind(address))
+}
+
+fn local_address(listener: &TcpListener) -> Result<SocketAddr, Report<StartError>> {
+    listener.local_addr().change_context(StartError::Threads)
+}
+
+/// Runs the actor on the control thread until `ended` resolves.
+fn run_control(
+    actor: Control,
+    mailbox: Mailbox<Control>,
+    ended: oneshot::Receiver<()>,
+) -> Result<JoinHandle<()>, Report<StartError>> {
+    let runtime =
+        Builder::new_current_thread().enable_all().build().change_context(StartError::Threads)?;
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    _ = xtra::run(mailbox, actor) => {}
+                    _ = ended => {}
+                }
+            });
+        })
+        .change_context(StartError::Threads)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,29 @@
 //! Sockets, threads and actors around the deciding packages.
+//!
+//! [`Instance`] starts everything. [`callers`] and [`inner`] serve the two listeners through
+//! [`server`]; a caller's request becomes a [`job`], which follows the [`step`]s of the [`control`]
+//! actor, talks to [`targets`] and fills an [`answer`], which [`render`] turns into what the caller
+//! reads. [`polls`] read the platform and the targets; [`peers`] talks to other instances.
+//! [`context`] holds what all of them share.
 
+pub mod answer;
+pub mod body;
+pub mod callers;
+pub mod clock;
+pub mod context;
+pub mod control;
+pub mod inner;
+pub mod instance;
+pub mod job;
 pub mod logging;
 pub mod metrics;
+pub mod model;
+pub mod peers;
+pub mod polls;
+pub mod problem;
+pub mod render;
+pub mod server;
+pub mod step;
+pub mod targets;
+
+pub use instance::{Instance, StartError};
--- /dev/null
+++ b/crates/daemon/src/model.rs
@@ -0,0 +1,215 @@
+//! Chat and text completion requests as callers send them, and answers as callers read them.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use serde_json::{Map, Value, json};
+use sesamewind_protocol::Code;
+
+use crate::problem::Problem;
+
+/// Output tokens assumed when the caller sets no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
+/// Bytes of prompt text that make up one token, about.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Which of the two completion interfaces a request uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Interface {
+    /// Chat completion: a list of messages.
+    Chat,
+    /// Text completion: a prompt.
+    Text,
+}
+
+impl Interface {
+    /// The path, at this program and at targets alike.
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Text => "/v1/completions",
+        }
+    }
+
+    /// Name of the route when the caller names none.
+    pub fn default_route(self) -> &'static str {
+        match self {
+            Self::Chat => "chat",
+            Self::Text => "completions",
+        }
+    }
+
+    /// The value of `object` in a whole answer.
+    fn object(self) -> &'static str {
+        match self {
+            Self::Chat => "chat.completion",
+            Self::Text => "text_completion",
+        }
+    }
+}
+
+/// A model request, as read from a caller's body.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelRequest {
+    /// The service that is asked for.
+    pub model: String,
+    /// Whether the caller wants the answer as a stream.
+    pub stream: bool,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Largest number of output tokens.
+    pub output_tokens: u32,
+    /// The text that prompts of one conversation share, for prefix affinity.
+    pub opening: String,
+    /// The body for the target.
+    pub body: Bytes,
+}
+
+impl ModelRequest {
+    /// Reads a request from a caller's body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Code::MalformedRequest`] with what is wrong.
+    pub fn read(interface: Interface, bytes: &[u8]) -> Result<Self, Problem> {
+        let mut body: Map<String, Value> =
+            serde_json::from_slice(bytes).map_err(|error| malformed(error.to_string()))?;
+        let Some(model) = body.get("model").and_then(Value::as_str).map(str::to_owned) else {
+            return Err(malformed("`model` must name a service"));
+        };
+        let (prompt, opening) = prompt_of(interface, &body)?;
+        let stream = match body.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(value) => {
+                value.as_bool().ok_or_else(|| malformed("`stream` must be a boolean"))?
+            }
+        };
+        let output_tokens = output_limit(&body)?;
+        body.insert("stream".into(), Value::Bool(true));
+        let body = serde_json::to_vec(&body).map_err(|error| malformed(error.to_string()))?;
+        Ok(Self {
+            model,
+            stream,
+            prompt_tokens: estimate_tokens(prompt),
+            output_tokens,
+            opening,
+            body: Bytes::from(body),
+        })
+    }
+}
+
+/// Number that `headers` carry under `name`.
+///
+/// # Errors
+///
+/// Returns [`Code::MalformedRequest`] if the header is there and no such number.
+pub fn number_header<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &str,
+) -> Result<Option<T>, Problem> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().unwrap_or_default().trim();
+    let number = text.parse().map_err(|_| malformed(format!("header `{name}` is not a number")))?;
+    Ok(Some(number))
+}
+
+fn malformed(detail: impl Into<String>) -> Problem {
+    Problem::before_dispatch(Code::MalformedRequest, detail)
+}
+
+/// Bytes of prompt text, and the text that the conversation opens with.
+fn prompt_of(interface: Interface, body: &Map<String, Value>) -> Result<(usize, String), Problem> {
+    match interface {
+        Interface::Text => {
+            let Some(prompt) = body.get("prompt").and_then(Value::as_str) else {
+                return Err(malformed("`prompt` must be a string"));
+            };
+            Ok((prompt.len(), String::new()))
+        }
+        Interface::Chat => {
+            let Some(messages) = body.get("messages").and_then(Value::as_array) else {
+                return Err(malformed("`messages` must be a list"));
+            };
+            if messages.is_empty() {
+                return Err(malformed("`messages` must not be empty"));
+            }
+            let bytes = messages.iter().map(text_bytes).sum();
+            Ok((bytes, messages[0].to_string()))
+        }
+    }
+}
+
+fn text_bytes(message: &Value) -> usize {
+    match message.get("content") {
+        Some(Value::String(text)) => text.len(),
+        Some(other) => other.to_string().len(),
+        None => 0,
+    }
+}
+
+fn output_limit(body: &Map<String, Value>) -> Result<u32, Problem> {
+    let limit = body.get("max_completion_tokens").or_else(|| body.get("max_tokens"));
+    match limit {
+        None | Some(Value::Null) => Ok(DEFAULT_OUTPUT_TOKENS),
+        Some(value) => value
+            .as_u64()
+            .and_then(|tokens| u32::try_from(tokens).ok())
+            .filter(|tokens| *tokens > 0)
+            .ok_or_else(|| malformed("`max_tokens` must be a positive integer")),
+    }
+}
+
+fn estimate_tokens(bytes: usize) -> u32 {
+    u32::try_from(bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX).max(1)
+}
+
+/// Joins the chunks of a streamed answer to the answer that a caller without a stream expects.
+#[derive(Debug)]
+pub struct Joined {
+    interface: Interface,
+    text: String,
+    finish: Value,
+    last: Map<String, Value>,
+}
+
+impl Joined {
+    /// Starts with no chunk.
+    pub fn new(interface: Interface) -> Self {
+        Self { interface, text: String::new(), finish: Value::Null, last: Map::new() }
+    }
+
+    /// Adds a chunk.
+    pub fn add(&mut self, chunk: &[u8]) {
+        let Ok(chunk) = serde_json::from_slice::<Map<String, Value>>(chunk) else { return };
+        if let Some(choice) = chunk.get("choices").and_then(|choices| choices.get(0)) {
+            let text = match self.interface {
+                Interface::Chat => choice.pointer("/delta/content"),
+                Interface::Text => choice.get("text"),
+            };
+            self.text.push_str(text.and_then(Value::as_str).unwrap_or_default());
+            if let Some(finish) = choice.get("finish_reason").filter(|finish| !finish.is_null()) {
+                self.finish = finish.clone();
+            }
+        }
+        self.last = chunk;
+    }
+
+    /// The whole answer as JSON.
+    pub fn into_json(mut self) -> Value {
+        let choice = match self.interface {
+            Interface::Chat => json!({
+                "index": 0,
+                "message": {"role": "assistant", "content": self.text},
+                "finish_reason": self.finish,
+            }),
+            Interface::Text => json!({
+                "index": 0,
+                "text": self.text,
+                "finish_reason": self.finish,
+            }),
+        };
+        self.last.insert("object".into(), self.interface.object().into());
+        self.last.insert("choices".into(), json!([choice]));
+        Value::Object(self.last)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,152 @@
+//! Client for other instances.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use reqwest::Client;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sesamewind_protocol::RequestKey;
+use sesamewind_protocol::codec::{self, CodecError, MAX_MESSAGE_BYTES};
+use sesamewind_protocol::message::Exchange;
+use sesamewind_protocol::record::{Lookup, LookupReply, RecordsCopy, RecordsRequest};
+use sesamewind_settings::{Secret, Settings};
+
+use crate::answer::Part;
+
+/// Longest time to connect to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time of an exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Longest time to fetch a configuration or records.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a call to a peer failed.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// The peer could not be reached or did not answer in time.
+    #[error("peer did not answer")]
+    Http(#[from] reqwest::Error),
+    /// The message could not be encoded, or the answer not be read.
+    #[error("message not understood")]
+    Codec(#[from] CodecError),
+}
+
+/// Client for other instances.
+#[derive(Debug, Clone)]
+pub struct PeerClient {
+    http: Client,
+    token: Secret,
+    lookup_timeout: Duration,
+}
+
+impl PeerClient {
+    /// Makes a client with the settings' token.
+    pub fn new(settings: &Settings) -> Self {
+        let http = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .retry(reqwest::retry::never())
+            .no_proxy()
+            .build()
+            .unwrap_or_default();
+        Self {
+            http,
+            token: settings.tokens.peer.clone(),
+            lookup_timeout: settings.records.lookup_timeout,
+        }
+    }
+
+    /// Exchanges state with the peer at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if there was no readable answer in time.
+    pub async fn exchange(&self, address: &str, message: &Exchange) -> Result<Exchange, PeerError> {
+        self.post(address, "/peer/exchange", message, EXCHANGE_TIMEOUT).await
+    }
+
+    /// Asks the peer at `address` after a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if there was no readable answer in time.
+    pub async fn lookup(&self, address: &str, lookup: &Lookup) -> Result<LookupReply, PeerError> {
+        self.post(address, "/peer/lookup", lookup, self.lookup_timeout).await
+    }
+
+    /// Asks the peer at `address` for its records.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if there was no readable answer in time.
+    pub async fn records(
+        &self,
+        address: &str,
+        request: &RecordsRequest,
+    ) -> Result<RecordsCopy, PeerError> {
+        self.post(address, "/peer/records", request, TRANSFER_TIMEOUT).await
+    }
+
+    /// Hands this instance's records to the peer at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if the peer did not confirm in time.
+    pub async fn hand_over(&self, address: &str, copy: &RecordsCopy) -> Result<(), PeerError> {
+        self.post(address, "/peer/records-copy", copy, TRANSFER_TIMEOUT).await
+    }
+
+    /// Fetches a configuration by its hash.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if the peer does not have it or did not answer in time.
+    pub async fn configuration(&self, address: &str, hash: &str) -> Result<Bytes, PeerError> {
+        let path = format!("/peer/config/{hash}");
+        self.get(address, &path, TRANSFER_TIMEOUT).await
+    }
+
+    /// Reads on in the answer of a request that the peer holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if the peer does not hold it or did not answer in time.
+    pub async fn answer(
+        &self,
+        address: &str,
+        key: RequestKey,
+        from: usize,
+    ) -> Result<Part, PeerError> {
+        let path = format!("/peer/answer/{key}?from={from}");
+        let bytes = self.get(address, &path, TRANSFER_TIMEOUT).await?;
+        Ok(codec::decode(&bytes)?)
+    }
+
+    async fn get(&self, address: &str, path: &str, timeout: Duration) -> Result<Bytes, PeerError> {
+        let url = format!("http://{address}{path}");
+        let request = self.http.get(url).bearer_auth(self.token.expose()).timeout(timeout);
+        Ok(request.send().await?.error_for_status()?.bytes().await?)
+    }
+
+    async fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        message: &Q,
+        timeout: Duration,
+    ) -> Result<A, PeerError> {
+        let url = format!("http://{address}{path}");
+        let body = codec::encode(message)?;
+        let request =
+            self.http.post(url).bearer_auth(self.token.expose()).timeout(timeout).body(body);
+        let response = request.send().await?.error_for_status()?;
+        let size = response.content_length().unwrap_or_default();
+        if size > MAX_MESSAGE_BYTES as u64 {
+            return Err(CodecError::TooLarge(usize::try_from(size).unwrap_or(usize::MAX)).into());
+        }
+        Ok(codec::decode(&response.bytes().await?)?)
+    }
+}
--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -111,6 +111,18 @@
         Self(hash.h1, hash.h2)
     }
 
+    /// Reads a key as it is displayed; `None` if `text` is none.
+    pub fn parse(text: &str) -> Option<Self> {
+        const HALF_DIGITS: usize = 16;
+        let (high, low) = text.split_at_checked(HALF_DIGITS)?;
+        if low.len() != HALF_DIGITS {
+            return None;
+        }
+        let high = u64::from_str_radix(high, 16).ok()?;
+        let low = u64::from_str_radix(low, 16).ok()?;
+        Some(Self(high, low))
+    }
+
     /// Position of the request in `[0, 1)`, equal on every instance. `salt` separates independent
     /// uses of the position.
     pub fn position(&self, salt: &str) -> f64 {
