First version of the rollout decisions: record, brake, steward, view

Cause: the daemon needs the whole surface of crates/rollout before its parts can be joined. Ruled out: a claim on wall-clock windows in evidence; the stage number serves, since the share is constant within it. Conclusion: the types can be built against; limits and rules are still to be measured.

--- /dev/null
+++ b/crates/rollout/src/compare.rs
@@ -0,0 +1,204 @@
+//! Comparison of the new version with the old one at the same time, per route and length class.
+//!
+//! Within one stage the share is constant and requests are assigned by hash, so both arms see the
+//! same times, loads and targets. Each stratum is one stage, route and length class; the requests
+//! that the old version would have failed, or served slowly, in the new version's place are
+//! expected per stratum and summed. Neither a burst nor a slow engine moves the sum one-sidedly.
+
+use std::collections::BTreeMap;
+
+use sesamewind_protocol::evidence::{Arm, Counts, Reason};
+use sesamewind_protocol::{RolloutId, RouteId};
+
+use crate::evidence::{Evidence, Tally};
+use crate::histogram;
+use crate::plan::is_full;
+
+/// Share of the old version's requests that count as slow.
+const SLOW_TAIL: f64 = 0.1;
+/// Requests of the old version in a stratum below which its quantile is not used.
+const MIN_SLOW_CONTROL: u64 = 8;
+/// Failures per request that are expected of any version.
+const FAILURE_FLOOR: f64 = 0.001;
+/// Requests of weight given to the failures of other strata when one stratum's are estimated.
+const POOL_WEIGHT: f64 = 50.0;
+/// Requests of weight given to [`PRIOR_FAILURES`] when the failures of all strata are estimated.
+const PRIOR_REQUESTS: f64 = 100.0;
+/// Failures assumed among [`PRIOR_REQUESTS`].
+const PRIOR_FAILURES: f64 = 0.5;
+/// Standard deviations of the expectation that are added to it.
+const EXPECTATION_MARGIN: f64 = 1.0;
+
+/// One comparison of the arms: over all routes or on a single one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Comparison {
+    /// [`Reason::Failing`] or [`Reason::Slow`].
+    pub reason: Reason,
+    /// The route; `None` for all together.
+    pub route: Option<RouteId>,
+    /// Whether the old version served at the same time; if not, it is its earlier requests that
+    /// are compared with.
+    pub concurrent: bool,
+    /// Bad requests of the new version.
+    pub observed: f64,
+    /// Bad requests that the old version would have had in its place, with a margin for the
+    /// uncertainty of that estimate.
+    pub expected: f64,
+    /// Requests on both arms.
+    pub counts: Counts,
+}
+
+/// Sums over strata.
+#[derive(Debug, Default)]
+struct Sum {
+    expected: f64,
+    variance: f64,
+    counts: Counts,
+}
+
+impl Sum {
+    fn add(&mut self, rate: f64, variance: f64, old: (u64, u64), new: (u64, u64)) {
+        self.expected += rate * new.0 as f64;
+        self.variance += variance * (new.0 as f64).powi(2);
+        self.counts.old_requests += old.0;
+        self.counts.old_bad += old.1;
+        self.counts.new_requests += new.0;
+        self.counts.new_bad += new.1;
+    }
+
+    fn comparison(&self, scope: &Scope) -> Comparison {
+        Comparison {
+            reason: scope.reason,
+            route: scope.route.clone(),
+            concurrent: scope.concurrent,
+            observed: self.counts.new_bad as f64,
+            expected: self.expected + EXPECTATION_MARGIN * self.variance.sqrt(),
+            counts: self.counts,
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Stratum {
+    stage: u8,
+    route: RouteId,
+    class: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Scope {
+    reason: Reason,
+    concurrent: bool,
+    route: Option<RouteId>,
+}
+
+#[derive(Debug, Default)]
+struct ArmSum {
+    requests: u64,
+    failures: u64,
+    durations: Vec<u64>,
+}
+
+impl ArmSum {
+    fn add(&mut self, tally: &Tally) {
+        self.requests += tally.requests;
+        self.failures += tally.failures;
+        histogram::add(&mut self.durations, &tally.durations);
+    }
+
+    fn served(&self) -> u64 {
+        self.durations.iter().sum()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Arms {
+    old: ArmSum,
+    new: ArmSum,
+}
+
+impl Arms {
+    fn add(&mut self, arm: Arm, tally: &Tally) {
+        match arm {
+            Arm::Old => self.old.add(tally),
+            Arm::New => self.new.add(tally),
+        }
+    }
+}
+
+/// Compares the arms of `rollout`: each route by itself and all together.
+///
+/// `current` is the number of the present stage: requests at an earlier full stage count no longer,
+/// as a recheck has dealt with them.
+pub(crate) fn compare(evidence: &Evidence, rollout: &RolloutId, current: u8) -> Vec<Comparison> {
+    let mut strata: BTreeMap<Stratum, Arms> = BTreeMap::new();
+    let mut routes: BTreeMap<(RouteId, u8), ArmSum> = BTreeMap::new();
+    let mut all = ArmSum::default();
+    for (key, tally) in evidence.cells_of(rollout) {
+        let stratum = Stratum { stage: key.stage, route: key.route.clone(), class: key.class };
+        strata.entry(stratum).or_default().add(key.arm, tally);
+        if key.arm == Arm::Old {
+            routes.entry((key.route.clone(), key.class)).or_default().add(tally);
+            all.add(tally);
+        }
+    }
+    let prior = failure_rate(&all, PRIOR_FAILURES, PRIOR_REQUESTS);
+    let mut sums: BTreeMap<Scope, Sum> = BTreeMap::new();
+    for (stratum, arms) in &strata {
+        let dealt_with = is_full(stratum.stage) && stratum.stage != current;
+        if arms.new.requests == 0 || dealt_with {
+            continue;
+        }
+        let Some(history) = routes.get(&(stratum.route.clone(), stratum.class)) else {
+            add_failures(&mut sums, stratum, arms, prior, &ArmSum::default());
+            continue;
+        };
+        let pooled = failure_rate(history, prior * POOL_WEIGHT, POOL_WEIGHT);
+        add_failures(&mut sums, stratum, arms, pooled, history);
+        add_slowness(&mut sums, stratum, arms, history);
+    }
+    sums.iter().map(|(scope, sum)| sum.comparison(scope)).collect()
+}
+
+fn failure_rate(arm: &ArmSum, prior_failures: f64, prior_requests: f64) -> f64 {
+    (arm.failures as f64 + prior_failures) / (arm.requests as f64 + prior_requests)
+}
+
+fn add_failures(
+    sums: &mut BTreeMap<Scope, Sum>,
+    stratum: &Stratum,
+    arms: &Arms,
+    pooled: f64,
+    history: &ArmSum,
+) {
+    let rate = failure_rate(&arms.old, pooled * POOL_WEIGHT, POOL_WEIGHT).max(FAILURE_FLOOR);
+    let weight = arms.old.requests.max(history.requests) as f64 + POOL_WEIGHT;
+    let variance = rate / weight;
+    let concurrent = !is_full(stratum.stage);
+    let old = (arms.old.requests, arms.old.failures);
+    let new = (arms.new.requests, arms.new.failures);
+    for route in [None, Some(stratum.route.clone())] {
+        let scope = Scope { reason: Reason::Failing, concurrent, route };
+        sums.entry(scope).or_default().add(rate, variance, old, new);
+    }
+}
+
+fn add_slowness(sums: &mut BTreeMap<Scope, Sum>, stratum: &Stratum, arms: &Arms, history: &ArmSum) {
+    let concurrent = !is_full(stratum.stage);
+    let control = if concurrent { &arms.old } else { history };
+    let served = control.served();
+    if served < MIN_SLOW_CONTROL {
+        return;
+    }
+    let from = histogram::tail_bucket(&control.durations, SLOW_TAIL);
+    let slow = histogram::count_from(&control.durations, from);
+    // The quantile is taken from the same requests, hence one more than were counted.
+    let rate = (slow + 1) as f64 / (served + 1) as f64;
+    let variance = rate * (1.0 - rate) / (served + 2) as f64;
+    let old = (served, slow);
+    let new = (arms.new.served(), histogram::count_from(&arms.new.durations, from));
+    for route in [None, Some(stratum.route.clone())] {
+        let scope = Scope { reason: Reason::Slow, concurrent, route };
+        sums.entry(scope).or_default().add(rate, variance, old, new);
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/duty.rs
@@ -0,0 +1,288 @@
+//! The periodic tick: the steward's writes and orders while this instance holds the lease.
+
+use std::time::Duration;
+
+use sesamewind_protocol::evidence::Outcome;
+use sesamewind_protocol::{InstanceId, RolloutId, Time, Wall};
+
+use crate::action::{Action, OrderKind};
+use crate::entry::Entry;
+use crate::input::{LeaseGrant, Loaded};
+use crate::rollouts::{Pending, Rollouts};
+use crate::spec::RolloutSpec;
+use crate::steward::{COMPLETION_MARGIN, Context, LEASE_LENGTH, ORDER_TIMEOUT, holds};
+
+/// Time between two attempts at the store when it fails.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+/// How long an instance that counted requests and can't be reached is waited for before the old
+/// version is unloaded.
+const UNLOAD_PATIENCE: Duration = Duration::from_secs(1800);
+
+/// What the holder of the steward's lease keeps; lost with the lease.
+#[derive(Debug)]
+pub(crate) struct Steward {
+    /// Fencing number of the lease.
+    pub(crate) fence: u64,
+    /// When this instance first saw itself hold it.
+    pub(crate) since: Time,
+    /// Whether the store's rows were read since, and after each lost answer.
+    pub(crate) listed: bool,
+    /// Whether a listing is under way.
+    pub(crate) asked: bool,
+    asked_at: Option<Time>,
+}
+
+impl Rollouts {
+    /// Judges, and acts as steward if `lease` holds. Called about once a second on every instance.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        lease: Option<LeaseGrant>,
+        loaded: &dyn Loaded,
+    ) -> Vec<Action> {
+        self.wall = wall;
+        self.note_targets(loaded);
+        self.judge_changed();
+        let mut actions = Vec::new();
+        match holds(lease, now) {
+            Some(lease) => self.act(now, lease, loaded, &mut actions),
+            None => self.step_down(),
+        }
+        actions.extend(self.events.drain(..).map(Action::Event));
+        actions
+    }
+
+    fn step_down(&mut self) {
+        self.steward = None;
+        self.orders.clear();
+    }
+
+    fn act(
+        &mut self,
+        now: Time,
+        lease: LeaseGrant,
+        loaded: &dyn Loaded,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.steward.as_ref().is_none_or(|steward| steward.fence != lease.fence) {
+            self.orders.clear();
+            self.steward = Some(Steward {
+                fence: lease.fence,
+                since: now,
+                listed: false,
+                asked: false,
+                asked_at: None,
+            });
+        }
+        let Some(steward) = &mut self.steward else { return };
+        if !steward.listed {
+            let due = steward.asked_at.is_none_or(|at| now.since(at) >= STORE_RETRY);
+            if !steward.asked && due {
+                steward.asked = true;
+                steward.asked_at = Some(now);
+                actions.push(Action::ReadRecords);
+            }
+            return;
+        }
+        let quiet = now.since(steward.since) >= LEASE_LENGTH + ORDER_TIMEOUT;
+        self.write_records(now, lease, loaded, quiet, actions);
+        self.order_loads(now, lease, loaded, actions);
+        if quiet {
+            self.order_unloads(now, lease, loaded, actions);
+        }
+    }
+
+    fn write_records(
+        &mut self,
+        now: Time,
+        lease: LeaseGrant,
+        loaded: &dyn Loaded,
+        quiet: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let ids: Vec<RolloutId> = self.entries.keys().cloned().collect();
+        for id in ids {
+            let busy = self
+                .pending
+                .get(&id)
+                .is_some_and(|pending| pending.open || now.since(pending.sent) < STORE_RETRY);
+            if busy {
+                continue;
+            }
+            let Some(action) = self.next_write(&id, lease, loaded, quiet) else { continue };
+            if let Action::WriteRecord { record, .. } = &action {
+                let pending = Pending { record: record.clone(), sent: now, open: true };
+                self.pending.insert(id, pending);
+            }
+            actions.push(action);
+        }
+    }
+
+    fn next_write(
+        &self,
+        id: &RolloutId,
+        lease: LeaseGrant,
+        loaded: &dyn Loaded,
+        quiet: bool,
+    ) -> Option<Action> {
+        let entry = self.entries.get(id)?;
+        let unloading = entry.spec.as_ref().is_some_and(|spec| self.unloading(spec, quiet));
+        let context = Context {
+            id,
+            entry,
+            evidence: &self.evidence,
+            config: self.config,
+            lease,
+            wall: self.wall,
+            loaded,
+            unloading,
+            active: self.leads(id, entry),
+        };
+        let record = context.next_record()?;
+        let completes = matches!(record.outcome, Some(Outcome::Completed { .. }));
+        let latest = Wall(record.deadline.0.saturating_sub(COMPLETION_MARGIN.as_millis() as u64));
+        Some(Action::WriteRecord {
+            rollout: id.clone(),
+            expected: entry.revision,
+            record,
+            before: completes.then_some(latest),
+            lease_until: lease.valid_until,
+        })
+    }
+
+    /// Whether the rollout is the one of its service that may go on.
+    fn leads(&self, id: &RolloutId, entry: &Entry) -> bool {
+        let Some(spec) = &entry.spec else { return true };
+        self.active(&spec.service).is_some_and(|(active, _)| active == id)
+    }
+
+    /// Whether an unload of the new version may still be on its way to a target.
+    fn unloading(&self, spec: &RolloutSpec, quiet: bool) -> bool {
+        let lost_before = self.entries.values().any(|entry| {
+            let same = entry.record.as_ref().is_some_and(|record| record.service == spec.service);
+            same && entry.losing() == Some(&spec.to)
+        });
+        self.orders.unloads(&spec.to) || lost_before && !quiet
+    }
+
+    fn order_loads(
+        &mut self,
+        now: Time,
+        lease: LeaseGrant,
+        loaded: &dyn Loaded,
+        actions: &mut Vec<Action>,
+    ) {
+        for (id, entry) in &self.entries {
+            let Some(spec) = &entry.spec else { continue };
+            let wanted = entry.record.is_some() && !entry.ended() && entry.verdict.is_none();
+            if !wanted || !entry.matches() || !self.leads(id, entry) {
+                continue;
+            }
+            for target in &entry.missing {
+                if !self.orders.may_load(target, now) {
+                    continue;
+                }
+                self.orders.sent(target, OrderKind::Load, &spec.to, now);
+                actions.push(Action::Order {
+                    target: target.clone(),
+                    fence: lease.fence,
+                    order: OrderKind::Load,
+                    version: spec.to.clone(),
+                    lease_until: lease.valid_until,
+                });
+            }
+        }
+        let targets = self.entries.values().filter_map(|entry| entry.spec.as_ref());
+        for target in targets.flat_map(|spec| &spec.targets) {
+            if let Some(versions) = loaded.versions(target) {
+                self.orders.settle(target, &versions);
+            }
+        }
+    }
+
+    /// Orders the losing version off every target that holds the winning one as well, once every
+    /// reachable instance knows the outcome and has no request left on it.
+    fn order_unloads(
+        &mut self,
+        now: Time,
+        lease: LeaseGrant,
+        loaded: &dyn Loaded,
+        actions: &mut Vec<Action>,
+    ) {
+        for (id, entry) in &self.entries {
+            let Some(spec) = &entry.spec else { continue };
+            let Some(losing) = entry.losing().filter(|_| self.may_unload(id, entry, loaded)) else {
+                continue;
+            };
+            let winning = if *losing == spec.from { &spec.to } else { &spec.from };
+            for target in &spec.targets {
+                let Some(versions) = loaded.versions(target) else { continue };
+                let both = versions.contains(losing) && versions.contains(winning);
+                if !both || !self.orders.free(target, now) {
+                    continue;
+                }
+                self.orders.sent(target, OrderKind::Unload, losing, now);
+                actions.push(Action::Order {
+                    target: target.clone(),
+                    fence: lease.fence,
+                    order: OrderKind::Unload,
+                    version: losing.clone(),
+                    lease_until: lease.valid_until,
+                });
+            }
+        }
+    }
+
+    fn may_unload(&self, id: &RolloutId, entry: &Entry, loaded: &dyn Loaded) -> bool {
+        let (Some(record), Some(losing)) = (&entry.record, entry.losing()) else { return false };
+        let contested = *losing == record.from && entry.verdict.is_some();
+        let wanted = self.entries.values().any(|other| {
+            let spec = other.spec.as_ref().filter(|spec| spec.service == record.service);
+            let spec = spec.filter(|_| !other.ended());
+            spec.is_some_and(|spec| spec.from == *losing || spec.to == *losing)
+        });
+        if contested || wanted || !entry.matches() {
+            return false;
+        }
+        let peers = loaded.peers();
+        let known = peers.iter().all(|peer| {
+            let note = entry.peers.get(peer);
+            note.is_some_and(|note| note.revision >= entry.revision && note.draining == 0)
+        });
+        let drained = loaded.in_flight(&record.service, losing) == 0;
+        known && drained && self.silent_known(id, entry, &peers)
+    }
+
+    /// Whether each instance that counted requests and can't be reached knows the outcome, or has
+    /// been waited for long enough.
+    fn silent_known(&self, id: &RolloutId, entry: &Entry, peers: &[InstanceId]) -> bool {
+        let at = match entry.outcome() {
+            Some(Outcome::Completed { at } | Outcome::RolledBack { at, .. }) => *at,
+            None => return false,
+        };
+        if self.wall.since(at) >= UNLOAD_PATIENCE {
+            return true;
+        }
+        self.evidence.cells_of(id).all(|(key, _)| {
+            let near = key.instance == self.me || peers.contains(&key.instance);
+            let note = entry.peers.get(&key.instance);
+            near || note.is_some_and(|note| note.revision >= entry.revision)
+        })
+    }
+
+    fn note_targets(&mut self, loaded: &dyn Loaded) {
+        for entry in self.entries.values_mut() {
+            entry.missing.clear();
+            entry.unreachable.clear();
+            let Some(spec) = &entry.spec else { continue };
+            for target in &spec.targets {
+                match loaded.versions(target) {
+                    Some(versions) if versions.contains(&spec.to) => {}
+                    Some(_) => entry.missing.push(target.clone()),
+                    None => entry.unreachable.push(target.clone()),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/entry.rs
@@ -0,0 +1,109 @@
+//! What an instance knows of one rollout.
+
+use std::collections::BTreeMap;
+
+use sesamewind_protocol::evidence::{Outcome, RolloutRecord, Stage, VerdictNote};
+use sesamewind_protocol::{InstanceId, TargetId, VersionId, Wall};
+
+use crate::plan::Plan;
+use crate::spec::RolloutSpec;
+
+/// A peer's knowledge of the outcome.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeerNote {
+    /// Revision of the record that the peer holds.
+    pub(crate) revision: u64,
+    /// The peer's requests in flight to the version that lost.
+    pub(crate) draining: u32,
+}
+
+/// One rollout in this instance's view.
+#[derive(Debug, Default)]
+pub(crate) struct Entry {
+    /// Its row in the accepted sheet, while there is one.
+    pub(crate) spec: Option<RolloutSpec>,
+    /// Revision of the record; zero if none is known.
+    pub(crate) revision: u64,
+    /// The record.
+    pub(crate) record: Option<RolloutRecord>,
+    /// The verdict; once set it stays.
+    pub(crate) verdict: Option<VerdictNote>,
+    /// The full stage whose requests gave rise to a recheck, until the record shows a later one.
+    pub(crate) suspect: Option<u8>,
+    /// What peers know of the record.
+    pub(crate) peers: BTreeMap<InstanceId, PeerNote>,
+    /// Whether evidence changed since it was last judged.
+    pub(crate) changed: bool,
+    /// Reachable targets that lack the new version, as of the last tick.
+    pub(crate) missing: Vec<TargetId>,
+    /// Targets of the row that could not be reached at the last tick.
+    pub(crate) unreachable: Vec<TargetId>,
+}
+
+impl Entry {
+    /// The outcome, once one is recorded.
+    pub(crate) fn outcome(&self) -> Option<&Outcome> {
+        self.record.as_ref()?.outcome.as_ref()
+    }
+
+    /// Whether an outcome is recorded.
+    pub(crate) fn ended(&self) -> bool {
+        self.outcome().is_some()
+    }
+
+    /// Whether the record belongs to the move that the sheet states.
+    pub(crate) fn matches(&self) -> bool {
+        match (&self.spec, &self.record) {
+            (Some(spec), Some(record)) => {
+                spec.service == record.service && spec.from == record.from && spec.to == record.to
+            }
+            _ => true,
+        }
+    }
+
+    /// The stage in force here: the record's, lowered to a recheck on suspicion.
+    pub(crate) fn stage(&self) -> Stage {
+        let stage = self.record.as_ref().map_or(Stage::Loading, |record| record.stage);
+        match (stage, self.suspect) {
+            (Stage::Full(round), Some(suspect)) if suspect == round => Stage::Recheck(round),
+            _ => stage,
+        }
+    }
+
+    /// The plan, if the rollout has a row and a record.
+    pub(crate) fn plan(&self) -> Option<Plan> {
+        let spec = self.spec.as_ref()?;
+        let record = self.record.as_ref()?;
+        Some(Plan::new(spec.first_share, record.started, spec.deadline))
+    }
+
+    /// Share of requests that go to the new version at `wall`.
+    ///
+    /// A verdict goes before everything else. After the deadline only a known completion gives
+    /// the new version requests.
+    pub(crate) fn share(&self, wall: Wall) -> f64 {
+        let (Some(spec), Some(record)) = (&self.spec, &self.record) else { return 0.0 };
+        if self.verdict.is_some() || !self.matches() {
+            return 0.0;
+        }
+        match record.outcome {
+            Some(Outcome::Completed { .. }) => return 1.0,
+            Some(Outcome::RolledBack { .. }) => return 0.0,
+            None => {}
+        }
+        if wall >= spec.deadline {
+            return 0.0;
+        }
+        let held = self.plan().map_or(0.0, |plan| plan.share(self.stage()));
+        record.share.min(held)
+    }
+
+    /// The version that lost, once the outcome is recorded.
+    pub(crate) fn losing(&self) -> Option<&VersionId> {
+        let record = self.record.as_ref()?;
+        match record.outcome.as_ref()? {
+            Outcome::Completed { .. } => Some(&record.from),
+            Outcome::RolledBack { .. } => Some(&record.to),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/histogram.rs
@@ -0,0 +1,68 @@
+//! Logarithmic buckets for durations.
+
+use std::time::Duration;
+
+/// Buckets for each doubling of the duration.
+const BUCKETS_PER_OCTAVE: f64 = 4.0;
+/// Number of buckets; the last one also holds everything longer (over two minutes).
+const BUCKETS: usize = 69;
+
+/// The bucket that `duration` falls into.
+pub fn bucket_of(duration: Duration) -> usize {
+    let millis = duration.as_secs_f64() * 1e3;
+    let bucket = (millis.max(1.0).log2() * BUCKETS_PER_OCTAVE).floor() as usize;
+    bucket.min(BUCKETS - 1)
+}
+
+/// Upper end of `bucket` in milliseconds.
+pub fn bucket_upper_ms(bucket: usize) -> f64 {
+    ((bucket + 1) as f64 / BUCKETS_PER_OCTAVE).exp2()
+}
+
+/// Counts one request in `bucket`, growing `counts` as needed.
+pub(crate) fn count(counts: &mut Vec<u32>, bucket: usize) {
+    if counts.len() <= bucket {
+        counts.resize(bucket + 1, 0);
+    }
+    counts[bucket] = counts[bucket].saturating_add(1);
+}
+
+/// Raises each count to that of `other`.
+pub(crate) fn raise(counts: &mut Vec<u32>, other: &[u32]) {
+    let other = &other[..other.len().min(BUCKETS)];
+    if counts.len() < other.len() {
+        counts.resize(other.len(), 0);
+    }
+    for (mine, theirs) in counts.iter_mut().zip(other) {
+        *mine = (*mine).max(*theirs);
+    }
+}
+
+/// Adds the counts of `other`.
+pub(crate) fn add(counts: &mut Vec<u64>, other: &[u32]) {
+    if counts.len() < other.len() {
+        counts.resize(other.len(), 0);
+    }
+    for (sum, part) in counts.iter_mut().zip(other) {
+        *sum += u64::from(*part);
+    }
+}
+
+/// Requests in buckets at or above `from`.
+pub(crate) fn count_from(counts: &[u64], from: usize) -> u64 {
+    counts.iter().skip(from).sum()
+}
+
+/// The lowest bucket such that at most `tail` of all requests lie in it or above.
+pub(crate) fn tail_bucket(counts: &[u64], tail: f64) -> usize {
+    let total: u64 = counts.iter().sum();
+    let limit = total as f64 * tail;
+    let mut above = 0;
+    for bucket in (0..counts.len()).rev() {
+        above += counts[bucket];
+        if above as f64 > limit {
+            return bucket + 1;
+        }
+    }
+    0
+}
--- /dev/null
+++ b/crates/rollout/src/steward.rs
@@ -0,0 +1,237 @@
+//! The steward's decisions on one rollout: what the record should say next.
+//!
+//! Only the lease holder acts, and each write is conditional on the record's revision, so that a
+//! steward which lost its lease unawares writes nothing. `completed` is written only before the
+//! deadline; afterwards only a rollback is.
+
+use std::time::Duration;
+
+use sesamewind_protocol::evidence::{Arm, Counts, Outcome, Reason, RolloutRecord, Stage};
+use sesamewind_protocol::{Revision, RolloutId, Time, Wall};
+
+use crate::entry::Entry;
+use crate::evidence::Evidence;
+use crate::input::{LeaseGrant, Loaded};
+use crate::plan::{MIN_JUDGED, Plan, stage_number};
+use crate::spec::RolloutSpec;
+
+/// Longest time that a steward's lease holds without renewal.
+pub const LEASE_LENGTH: Duration = Duration::from_secs(15);
+/// Longest time from sending an order until it has taken effect or never will.
+pub const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+/// No completion is written during this time before the deadline.
+pub const COMPLETION_MARGIN: Duration = Duration::from_secs(2);
+
+/// Requests of the new version at a recheck after which full share is given again.
+const RECHECK_REQUESTS: u64 = 60;
+/// Returns to full share after a recheck.
+const MAX_ROUNDS: u8 = 3;
+
+/// What the steward's decisions on one rollout rest on.
+pub(crate) struct Context<'a> {
+    pub(crate) id: &'a RolloutId,
+    pub(crate) entry: &'a Entry,
+    pub(crate) evidence: &'a Evidence,
+    pub(crate) config: Revision,
+    pub(crate) lease: LeaseGrant,
+    pub(crate) wall: Wall,
+    pub(crate) loaded: &'a dyn Loaded,
+    /// Whether an unload of the new version may still be on its way to a target.
+    pub(crate) unloading: bool,
+    /// Whether the rollout is the one of its service that may go on.
+    pub(crate) active: bool,
+}
+
+/// How many of the reachable targets hold the new version.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Coverage {
+    /// Reachable targets that hold it.
+    pub(crate) holding: usize,
+    /// Reachable targets.
+    pub(crate) reachable: usize,
+}
+
+impl Coverage {
+    pub(crate) fn of(spec: &RolloutSpec, loaded: &dyn Loaded) -> Self {
+        let mut coverage = Self::default();
+        for versions in spec.targets.iter().filter_map(|target| loaded.versions(target)) {
+            coverage.reachable += 1;
+            coverage.holding += usize::from(versions.contains(&spec.to));
+        }
+        coverage
+    }
+
+    fn whole(self) -> bool {
+        self.reachable > 0 && self.holding == self.reachable
+    }
+
+    /// Whether at least three in four hold it.
+    fn most(self) -> bool {
+        self.reachable > 0 && self.holding * 4 >= self.reachable * 3
+    }
+}
+
+impl Context<'_> {
+    /// The record to write next, if any.
+    pub(crate) fn next_record(&self) -> Option<RolloutRecord> {
+        let Some(record) = &self.entry.record else { return self.first_record() };
+        let outdated = record.config > self.config || record.fence > self.lease.fence;
+        if record.outcome.is_some() || outdated {
+            return None;
+        }
+        let Some(spec) = self.entry.spec.as_ref().filter(|_| self.entry.matches()) else {
+            return Some(self.taken_back(record, Reason::Withdrawn));
+        };
+        if self.entry.verdict.is_some() {
+            return Some(self.judged(record));
+        }
+        if self.wall >= spec.deadline {
+            return Some(self.taken_back(record, self.late_reason(record)));
+        }
+        if record.deadline != spec.deadline {
+            return Some(RolloutRecord { deadline: spec.deadline, ..self.copy(record) });
+        }
+        if self.active { self.advanced(spec, record) } else { None }
+    }
+
+    fn first_record(&self) -> Option<RolloutRecord> {
+        let spec = self.entry.spec.as_ref()?;
+        let record = RolloutRecord {
+            service: spec.service.clone(),
+            from: spec.from.clone(),
+            to: spec.to.clone(),
+            deadline: spec.deadline,
+            config: self.config,
+            stage: Stage::Loading,
+            share: 0.0,
+            started: self.wall,
+            staged: self.wall,
+            fence: self.lease.fence,
+            outcome: None,
+        };
+        if self.entry.verdict.is_some() {
+            return Some(self.judged(&record));
+        }
+        if self.wall >= spec.deadline {
+            return Some(self.taken_back(&record, Reason::DeadlinePassed));
+        }
+        self.active.then_some(record)
+    }
+
+    /// The next stage or the completion, if its time has come.
+    fn advanced(&self, spec: &RolloutSpec, record: &RolloutRecord) -> Option<RolloutRecord> {
+        let plan = Plan::new(spec.first_share, record.started, spec.deadline);
+        if self.may_complete(&plan, spec, record) {
+            let outcome = Outcome::Completed { at: self.wall };
+            return Some(RolloutRecord { outcome: Some(outcome), ..self.copy(record) });
+        }
+        if !self.may_advance(&plan, spec, record) {
+            return None;
+        }
+        let stage = plan.next(record.stage);
+        let share = plan.share(stage);
+        Some(RolloutRecord { stage, share, staged: self.wall, ..self.copy(record) })
+    }
+
+    fn may_complete(&self, plan: &Plan, spec: &RolloutSpec, record: &RolloutRecord) -> bool {
+        let due = self.wall >= plan.complete_from();
+        let early = self.wall + COMPLETION_MARGIN < spec.deadline;
+        let judged = match self.entry.stage() {
+            Stage::Full(_) => self.judged_requests() >= MIN_JUDGED,
+            Stage::Recheck(round) => self.stage_requests(Stage::Recheck(round)) >= MIN_JUDGED,
+            Stage::Loading | Stage::Step(_) => false,
+        };
+        due && early && judged && self.dwelt(plan, record)
+    }
+
+    fn may_advance(&self, plan: &Plan, spec: &RolloutSpec, record: &RolloutRecord) -> bool {
+        let coverage = Coverage::of(spec, self.loaded);
+        match record.stage {
+            Stage::Loading => {
+                let most = self.wall >= plan.load_by() && coverage.most();
+                !self.unloading && (coverage.whole() || most)
+            }
+            Stage::Step(step) => {
+                coverage.most() && self.dwelt(plan, record) && self.step_judged(plan, step)
+            }
+            Stage::Full(round) => self.entry.suspect == Some(round),
+            Stage::Recheck(round) => {
+                let judged = self.stage_requests(record.stage) >= RECHECK_REQUESTS;
+                round < MAX_ROUNDS && judged && coverage.most() && self.dwelt(plan, record)
+            }
+        }
+    }
+
+    /// Whether the step has had enough requests, or its slot is over with fewer.
+    fn step_judged(&self, plan: &Plan, step: u8) -> bool {
+        let requests = self.judged_requests();
+        if requests >= plan.requests(step) {
+            return true;
+        }
+        let last = matches!(plan.next(Stage::Step(step)), Stage::Full(_));
+        let enough = !last || requests >= MIN_JUDGED;
+        self.wall >= plan.slot_end(step) && enough
+    }
+
+    fn dwelt(&self, plan: &Plan, record: &RolloutRecord) -> bool {
+        self.wall.since(record.staged) >= plan.min_dwell()
+    }
+
+    fn judged_requests(&self) -> u64 {
+        self.evidence.requests(self.id, Arm::New)
+    }
+
+    fn stage_requests(&self, stage: Stage) -> u64 {
+        let number = stage_number(stage);
+        let cells = self.evidence.cells_of(self.id);
+        let cells = cells.filter(|(key, _)| key.arm == Arm::New && key.stage == number);
+        cells.map(|(_, tally)| tally.requests).sum()
+    }
+
+    fn late_reason(&self, record: &RolloutRecord) -> Reason {
+        match record.stage {
+            Stage::Loading => Reason::NotLoaded,
+            Stage::Step(_) if self.judged_requests() < MIN_JUDGED => Reason::TooLittleTraffic,
+            _ => Reason::DeadlinePassed,
+        }
+    }
+
+    fn judged(&self, record: &RolloutRecord) -> RolloutRecord {
+        let Some(note) = &self.entry.verdict else { return self.copy(record) };
+        let outcome = Outcome::RolledBack {
+            reason: note.reason,
+            route: note.route.clone(),
+            counts: note.counts,
+            at: self.wall,
+        };
+        RolloutRecord { share: 0.0, outcome: Some(outcome), ..self.copy(record) }
+    }
+
+    fn taken_back(&self, record: &RolloutRecord, reason: Reason) -> RolloutRecord {
+        let outcome =
+            Outcome::RolledBack { reason, route: None, counts: self.counts(), at: self.wall };
+        RolloutRecord { share: 0.0, outcome: Some(outcome), ..self.copy(record) }
+    }
+
+    fn counts(&self) -> Counts {
+        let mut counts = Counts::default();
+        for (key, tally) in self.evidence.cells_of(self.id) {
+            let (requests, bad) = match key.arm {
+                Arm::Old => (&mut counts.old_requests, &mut counts.old_bad),
+                Arm::New => (&mut counts.new_requests, &mut counts.new_bad),
+            };
+            *requests += tally.requests;
+            *bad += tally.failures;
+        }
+        counts
+    }
+
+    fn copy(&self, record: &RolloutRecord) -> RolloutRecord {
+        RolloutRecord { config: self.config, fence: self.lease.fence, ..record.clone() }
+    }
+}
+
+/// Whether a grant still holds at `now`.
+pub(crate) fn holds(lease: Option<LeaseGrant>, now: Time) -> Option<LeaseGrant> {
+    lease.filter(|lease| now < lease.valid_until)
+}
--- /dev/null
+++ b/crates/rollout/src/view.rs
@@ -0,0 +1,177 @@
+//! What operators are told of a rollout.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use sesamewind_protocol::evidence::{Arm, Counts, Outcome, Reason, Stage};
+use sesamewind_protocol::{RolloutId, RouteId, ServiceId, TargetId, VersionId, Wall};
+
+use crate::entry::Entry;
+use crate::plan::MIN_JUDGED;
+use crate::rollouts::Rollouts;
+use crate::spec::RolloutSpec;
+
+/// A rollout as operators see it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RolloutView {
+    /// The rollout.
+    pub id: RolloutId,
+    /// The service.
+    pub service: ServiceId,
+    /// The version in use before.
+    pub from: VersionId,
+    /// The version that is to take over.
+    pub to: VersionId,
+    /// The deadline.
+    pub deadline: Wall,
+    /// Share of requests that this instance sends to the new version.
+    pub share: f64,
+    /// Requests of the new version that ended, over all instances.
+    pub requests: u64,
+    /// The state.
+    pub state: ViewState,
+}
+
+/// State of a rollout as operators see it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ViewState {
+    /// Not ended yet.
+    Running {
+        /// The stage.
+        stage: Stage,
+        /// What it waits for.
+        waits: String,
+    },
+    /// The new version took over in time.
+    Completed {
+        /// When.
+        at: Wall,
+    },
+    /// The new version was taken back.
+    RolledBack {
+        /// Why.
+        reason: Reason,
+        /// The route that showed it, if it was one route.
+        route: Option<RouteId>,
+        /// The counts that it rests on.
+        counts: Counts,
+        /// When.
+        at: Wall,
+    },
+}
+
+impl fmt::Display for ViewState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Running { stage, waits } => write!(f, "{}: {waits}", stage_name(*stage)),
+            Self::Completed { at } => write!(f, "completed at {}", at.0),
+            Self::RolledBack { reason, route, counts, at } => {
+                write!(f, "rolled back at {}: {reason}", at.0)?;
+                if let Some(route) = route {
+                    write!(f, " on route {route}")?;
+                }
+                let Counts { old_requests, old_bad, new_requests, new_bad } = counts;
+                write!(f, ", new {new_bad} of {new_requests}, old {old_bad} of {old_requests}")
+            }
+        }
+    }
+}
+
+fn stage_name(stage: Stage) -> String {
+    match stage {
+        Stage::Loading => "loading".to_owned(),
+        Stage::Step(step) => format!("step {}", step + 1),
+        Stage::Full(_) => "full share".to_owned(),
+        Stage::Recheck(_) => "recheck".to_owned(),
+    }
+}
+
+impl Rollouts {
+    /// All rollouts of the accepted sheet as operators see them.
+    pub fn view(&self, wall: Wall) -> Vec<RolloutView> {
+        let views = self.entries.iter().filter_map(|(id, entry)| {
+            let spec = entry.spec.as_ref()?;
+            let requests = self.evidence.requests(id, Arm::New);
+            Some(RolloutView {
+                id: id.clone(),
+                service: spec.service.clone(),
+                from: spec.from.clone(),
+                to: spec.to.clone(),
+                deadline: spec.deadline,
+                share: entry.share(wall),
+                requests,
+                state: self.state(id, entry, spec, requests, wall),
+            })
+        });
+        views.collect()
+    }
+
+    fn state(
+        &self,
+        id: &RolloutId,
+        entry: &Entry,
+        spec: &RolloutSpec,
+        requests: u64,
+        wall: Wall,
+    ) -> ViewState {
+        match entry.outcome().filter(|_| entry.matches()) {
+            Some(Outcome::Completed { at }) => ViewState::Completed { at: *at },
+            Some(Outcome::RolledBack { reason, route, counts, at }) => ViewState::RolledBack {
+                reason: *reason,
+                route: route.clone(),
+                counts: *counts,
+                at: *at,
+            },
+            None => {
+                let lead = self.active(&spec.service).map(|(active, _)| active);
+                let waits = match lead.filter(|active| *active != id) {
+                    Some(other) => format!("rollout {other} of the same service goes first"),
+                    None => waits(entry, spec, requests, wall),
+                };
+                ViewState::Running { stage: entry.stage(), waits }
+            }
+        }
+    }
+}
+
+/// What the rollout waits for, so that an operator can tell whether to do something.
+fn waits(entry: &Entry, spec: &RolloutSpec, requests: u64, wall: Wall) -> String {
+    if !entry.matches() {
+        let id = &spec.id;
+        return format!("the name {id} was used for another move; give this one a new name");
+    }
+    if let Some(note) = &entry.verdict {
+        let reason = note.reason;
+        return format!("taken back ({reason}); the table service has yet to record it");
+    }
+    let (Some(record), Some(plan)) = (&entry.record, entry.plan()) else {
+        return "a steward to begin; the table service must be reachable".to_owned();
+    };
+    if wall >= spec.deadline {
+        return "the deadline has passed; the table service has yet to record the outcome"
+            .to_owned();
+    }
+    let version = &spec.to;
+    match entry.stage() {
+        Stage::Loading if !entry.missing.is_empty() => {
+            let missing: Vec<&str> = entry.missing.iter().map(TargetId::as_str).collect();
+            format!("targets to load {version}: {}", missing.join(", "))
+        }
+        Stage::Loading => "the steward to begin the first step".to_owned(),
+        Stage::Step(step) if requests < plan.requests(step) => {
+            let needed = plan.requests(step);
+            let until = plan.slot_end(step).0;
+            format!("{requests} of {needed} requests at {version}, or until {until}")
+        }
+        Stage::Step(_) => format!("the shortest stage time since {}", record.staged.0),
+        Stage::Full(_) if requests < MIN_JUDGED => {
+            format!("{requests} of {MIN_JUDGED} requests at {version}")
+        }
+        Stage::Full(_) => format!("watched until {}", plan.complete_from().0),
+        Stage::Recheck(_) => {
+            format!("{version} looked slow or failing at full share; compared anew")
+        }
+    }
+}
