Run stand-ins as processes of their own

Integration tests with real daemon processes need stand-ins that outlive a test's runtime. One binary runs any of them; its control listener stands apart from the one that serves, so that a killed or silent stand-in can still be driven and read.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! request, so that a wrong, partial or mixed answer shows.
 
 pub mod answer;
+pub mod control;
 pub mod engine;
 pub mod platform;
 pub mod proxy;
@@ -17,6 +18,7 @@
 
 pub use bad::Bad;
 pub use clock::wall_now;
+pub use control::Control;
 pub use engine::{Dispatch, End, Engine, EngineLog, EngineOptions, OrderEntry};
 pub use platform::{InstanceEntry, Platform, PlatformOptions, TargetEntry};
 pub use proxy::{FaultProxy, Flow, Mode, Side};
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -45,7 +46,8 @@
 }
 
 /// The directions that a change applies to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Side {
     /// Towards the upstream.
     Up,
