Test settings and sheet, and bound durations and sizes

The fuzz test of the settings reader found that a heartbeat of 18446744073709551615s panicked ("overflow when multiplying duration by scalar") in the check against suspect_after; a sheet with a quote that is not closed swallowed rows into one cell.

--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -11,6 +11,11 @@
 
 use crate::Fault;
 
+/// Longest duration.
+const MAX_SPAN: Duration = Duration::from_secs(7 * 24 * 60 * 60);
+/// Largest size.
+const MAX_SIZE: ByteSize = ByteSize::gib(1);
+
 /// A table that is being read.
 ///
 /// A key that is missing or wrong adds a fault and reads as `None`, so that reading goes on and
@@ -118,6 +123,7 @@
     pub(crate) fn duration_or_zero(&mut self, key: &'a str, default: Duration) -> Duration {
         let Some(text) = self.optional_text(key) else { return default };
         match humantime::parse_duration(text) {
+            Ok(span) if span > MAX_SPAN => self.fault(key, "must not be longer than 7 days"),
             Ok(span) => return span,
             Err(err) => {
                 let message = format!("expected a duration such as \"250ms\", got {text:?}: {err}");
@@ -136,6 +142,7 @@
         }
         match text.parse::<ByteSize>() {
             Ok(ByteSize(0)) => self.fault(key, "must be greater than zero"),
+            Ok(size) if size > MAX_SIZE => self.fault(key, "must not be larger than 1 GiB"),
             Ok(size) => return size.as_u64(),
             Err(err) => {
                 let message = format!("expected a size such as \"4 MiB\", got {text:?}: {err}");
--- /dev/null
+++ b/crates/settings/tests/settings/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the settings' reader.
+
+mod fuzz;
+mod parse;
--- a/crates/sheet/src/fault.rs
+++ b/crates/sheet/src/fault.rs
@@ -34,7 +34,7 @@
     TooLarge = 2101, "too-large";
     /// A cell is not UTF-8 text.
     NotText = 2102, "not-text";
-    /// The text is no CSV.
+    /// A cell holds a quote or a control character, as after a quote that is not closed.
     Malformed = 2103, "malformed";
     /// The sheet has no row below the header.
     NoRows = 2104, "no-rows";
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -4,9 +4,11 @@
 //! of a faulty sheet is taken. [`diff`] lists what changed between two sheets, and [`hash`] names
 //! the content in the platform's object store.
 
+mod build;
 mod check;
 mod diff;
 mod digest;
+mod draft;
 mod fault;
 mod model;
 mod read;
--- a/crates/sheet/src/read.rs
+++ b/crates/sheet/src/read.rs
@@ -4,9 +4,9 @@
 
 use csv::{ByteRecord, ReaderBuilder};
 
-use crate::check::{self, Draft};
+use crate::draft::Draft;
 use crate::row::{COLUMNS, Row, shown};
-use crate::{Fault, FaultCode, Sheet};
+use crate::{Fault, FaultCode, Sheet, build, check};
 
 /// Largest sheet, in bytes; with its frame it fits into one message between instances.
 pub const MAX_SHEET_BYTES: usize = 3 << 20;
@@ -26,9 +26,9 @@
     let bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
     let mut faults = Vec::new();
     let draft = read_rows(bytes, &mut faults);
-    let sheet = check::check(draft, &mut faults);
+    check::check(&draft, &mut faults);
     if faults.is_empty() {
-        return Ok(sheet);
+        return Ok(build::build(draft));
     }
     faults.sort_by_key(|fault| (fault.row, column_order(&fault.column), fault.code));
     Err(faults)
@@ -122,20 +122,28 @@
         faults.push(Fault::new(number, "", FaultCode::CellCount, message));
     }
     let mut cells = HashMap::new();
+    let absent = COLUMNS.iter().copied().filter(|column| !columns.contains(&Some(*column)));
+    let mut unreadable: Vec<&'static str> = absent.collect();
     for (cell, column) in record.iter().zip(columns) {
         let Some(column) = *column else { continue };
         let Ok(text) = std::str::from_utf8(cell) else {
             let message = "the cell is not UTF-8 text".to_owned();
             faults.push(Fault::new(number, column, FaultCode::NotText, message));
+            unreadable.push(column);
             continue;
         };
         let text = text.trim();
+        if text.chars().any(|c| c == '"' || c.is_control()) {
+            let message = "the cell holds a quote, a line break or another control character; \
+                           a quote may not be closed"
+                .to_owned();
+            faults.push(Fault::new(number, column, FaultCode::Malformed, message));
+            unreadable.push(column);
+            continue;
+        }
         if !text.is_empty() {
             cells.insert(column, text);
         }
     }
-    // Without the column every row would repeat the header's fault.
-    if columns.contains(&Some("kind")) {
-        draft.read_row(Row::new(number, cells, faults));
-    }
+    draft.read_row(Row::new(number, cells, unreadable, faults));
 }
--- a/crates/sheet/src/row.rs
+++ b/crates/sheet/src/row.rs
@@ -41,6 +41,9 @@
 /// Longest time of a tier, in milliseconds.
 const MAX_TIER_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// Earliest deadline in Unix milliseconds; a lower number is likely to be in seconds.
+const MIN_DEADLINE_MS: u64 = 1_000_000_000_000;
+
 /// A row of the sheet that is being read.
 ///
 /// A cell that is empty or wrong adds a fault and reads as `None`, so that every fault is found in
@@ -48,18 +51,22 @@
 pub(crate) struct Row<'a> {
     number: u64,
     cells: HashMap<&'static str, &'a str>,
+    /// Columns that can't be read in this row and have their fault already.
+    unreadable: Vec<&'static str>,
     used: Vec<&'static str>,
     faults: &'a mut Vec<Fault>,
 }
 
 impl<'a> Row<'a> {
-    /// Begins to read row `number` with these filled `cells`.
+    /// Begins to read row `number` with these filled `cells`. Columns in `unreadable` have their
+    /// fault already.
     pub(crate) fn new(
         number: u64,
         cells: HashMap<&'static str, &'a str>,
+        unreadable: Vec<&'static str>,
         faults: &'a mut Vec<Fault>,
     ) -> Self {
-        Self { number, cells, used: vec!["kind"], faults }
+        Self { number, cells, unreadable, used: vec!["kind"], faults }
     }
 
     /// The row's number.
@@ -91,7 +98,7 @@
     /// The cell's text, which must be there.
     pub(crate) fn required(&mut self, column: &'static str) -> Option<&'a str> {
         let text = self.optional(column);
-        if text.is_none() {
+        if text.is_none() && !self.unreadable.contains(&column) {
             self.fault(column, FaultCode::MissingValue, "must be filled".to_owned());
         }
         text
@@ -242,7 +249,7 @@
 
 fn parse_deadline(text: &str) -> Option<Wall> {
     if text.bytes().all(|byte| byte.is_ascii_digit()) {
-        return text.parse().ok().map(Wall);
+        return text.parse().ok().filter(|ms| *ms >= MIN_DEADLINE_MS).map(Wall);
     }
     let time = humantime::parse_rfc3339(text).ok()?;
     let since = time.duration_since(std::time::UNIX_EPOCH).ok()?;
