Pass rollout records on in the exchange between instances

Cause: an instance that cannot reach the store must learn stage and outcome of a rollout from its peers, and the exchange had no section for records. Ruled out: a message of its own, since every exchange already brings both sides up to date. Change: one more section. Conclusion: the node can send and take records.

--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::{EvidenceCell, VerdictNote};
+use crate::evidence::{EvidenceCell, RecordNote, VerdictNote};
 use crate::traffic::{AccountUse, FloorAck, FloorRaise, TargetUse};
 use crate::{Incarnation, InstanceId, Revision, TargetId, Wall, ZoneId};
 
@@ -108,6 +108,8 @@
     pub evidence: Vec<EvidenceCell>,
     /// Verdicts on versions.
     pub verdicts: Vec<VerdictNote>,
+    /// Rollout records that the sender holds.
+    pub records: Vec<RecordNote>,
 }
 
 impl Exchange {
@@ -126,6 +128,7 @@
             floor_acks: Vec::new(),
             evidence: Vec::new(),
             verdicts: Vec::new(),
+            records: Vec::new(),
         }
     }
 }
