Join scheduler, rollouts, membership, configuration and lease in the node

Ruled out: letting the daemon wire them, since the order in which one package's result feeds the next is itself a decision. Change: Node takes typed events and returns typed actions for all of them; requests are followed as evidence on versions. Conclusion: every decision can be reached without a socket.

--- a/crates/node/src/convert.rs
+++ b/crates/node/src/convert.rs
@@ -1,6 +1,7 @@
 //! The accepted sheet in the form that the deciding packages read.
 
 use sesamewind_policy as policy;
+use sesamewind_rollout::RolloutSpec;
 use sesamewind_sheet::{ServiceClass, Sheet};
 
 /// The scheduler's configuration.
@@ -48,3 +49,17 @@
         zone: target.zone.clone(),
     }
 }
+
+/// The rollouts of the sheet. Every target of the service is to load the new version.
+pub fn rollouts(sheet: &Sheet) -> Vec<RolloutSpec> {
+    let spec = |row: &sesamewind_sheet::Rollout| RolloutSpec {
+        id: row.name.clone(),
+        service: row.service.clone(),
+        from: row.from.clone(),
+        to: row.to.clone(),
+        deadline: row.deadline,
+        first_share: row.share,
+        targets: sheet.targets_of(&row.service).map(|target| target.name.clone()).collect(),
+    };
+    sheet.rollouts.iter().map(spec).collect()
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,133 +1,329 @@
 //! The state machine of one instance.
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewind_membership::{
+    ConfigState, Holder, Identity, Installed, LeaseKeeper, LeaseTiming, Members, Source, Timing,
+};
 use sesamewind_policy as policy;
-use sesamewind_policy::Scheduler;
+use sesamewind_policy::{QueueView, Scheduler, TargetView};
+use sesamewind_protocol::message::{ConfigDigest, LeavingNote};
 use sesamewind_protocol::record::Life;
-use sesamewind_protocol::{
-    Incarnation, InstanceId, RequestKey, Revision, RouteId, ServiceId, Time, VersionId, Wall,
-};
+use sesamewind_protocol::target::LoadReport;
+use sesamewind_protocol::{InstanceId, Revision, TargetId, Time, Wall};
+use sesamewind_rollout::{LeaseGrant, RolloutView, Rollouts};
 use sesamewind_sheet::Sheet;
 
 use crate::convert;
+use crate::event::{Action, Event};
+use crate::loads::{LoadedView, Loads, Reach};
+use crate::requests::Requests;
+use crate::versions::{Chooser, InUse};
+
+/// Name of the lease of the one instance that writes rollout records.
+const STEWARD_LEASE: &str = "steward";
 
 /// What a node is made with.
 #[derive(Debug, Clone)]
 pub struct Options {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Its life.
-    pub incarnation: Incarnation,
+    /// Who the instance is.
+    pub identity: Identity,
     /// Limits of the scheduler.
     pub limits: policy::Limits,
+    /// Intervals of membership.
+    pub members: Timing,
+    /// Spans of the steward's lease.
+    pub lease: LeaseTiming,
     /// Seed of every random choice.
     pub seed: u64,
 }
 
-/// Something that happened.
-#[derive(Debug)]
-pub enum Event<'a> {
-    /// Something that concerns requests or targets.
-    Traffic(policy::Event<'a>),
-    /// An accepted sheet was fetched and read.
-    Sheet {
-        /// Its revision.
-        revision: Revision,
-        /// The sheet.
-        sheet: &'a Sheet,
-    },
-    /// Time passed.
-    Tick,
-}
-
-/// Something to do.
-#[derive(Debug)]
-pub enum Action {
-    /// Something that concerns requests or targets.
-    Traffic(policy::Action),
-    /// The sheet of this revision is in force from now on.
-    Installed(Revision),
-}
-
 /// All decisions of one instance.
 #[derive(Debug)]
 pub struct Node {
-    options: Options,
-    scheduler: Scheduler,
-    versions: Versions,
-    revision: Revision,
-}
-
-/// Versions in use by service, for the scheduler's choice at dispatch.
-#[derive(Debug, Default)]
-struct Versions {
-    in_use: Vec<(ServiceId, VersionId)>,
-}
-
-impl policy::VersionChooser for Versions {
-    fn choose(
-        &self,
-        service: &ServiceId,
-        _route: &RouteId,
-        _key: &RequestKey,
-        _wall: Wall,
-    ) -> VersionId {
-        let version = self.in_use.iter().find(|(name, _)| name == service);
-        version.map_or_else(|| VersionId::new(""), |(_, version)| version.clone())
-    }
+    pub(crate) limits: policy::Limits,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) rollouts: Rollouts,
+    pub(crate) members: Members,
+    pub(crate) config: ConfigState,
+    pub(crate) loads: Loads,
+    pub(crate) requests: Requests,
+    lease: LeaseKeeper,
+    in_use: InUse,
+    told_leaving: Vec<LeavingNote>,
+    told_peers: (Vec<Life>, Vec<InstanceId>),
+    has_rollouts: bool,
+    rng: ChaCha8Rng,
 }
 
 impl Node {
     /// A node without a configuration.
     pub fn new(options: Options) -> Self {
         let config = policy::Config { limits: options.limits.clone(), ..Default::default() };
-        let me = Life { instance: options.instance.clone(), incarnation: options.incarnation };
-        let scheduler = Scheduler::new(&config, me, options.seed);
-        Self { options, scheduler, versions: Versions::default(), revision: Revision::default() }
+        let identity = options.identity;
+        let (instance, incarnation) = (identity.instance.clone(), identity.incarnation);
+        let me = Life { instance: instance.clone(), incarnation };
+        let holder = Holder { instance: instance.clone(), incarnation };
+        Self {
+            limits: options.limits,
+            scheduler: Scheduler::new(&config, me, options.seed),
+            rollouts: Rollouts::new(instance, incarnation),
+            members: Members::new(identity, options.members),
+            config: ConfigState::new(),
+            loads: Loads::default(),
+            requests: Requests::default(),
+            lease: LeaseKeeper::new(STEWARD_LEASE, holder, options.lease),
+            in_use: InUse::default(),
+            told_leaving: Vec::new(),
+            told_peers: (Vec::new(), Vec::new()),
+            has_rollouts: false,
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+        }
     }
 
     /// Takes an event and returns what to do.
     pub fn handle(&mut self, event: Event<'_>, now: Time, wall: Wall) -> Vec<Action> {
+        let mut actions = Vec::new();
         match event {
-            Event::Traffic(event) => wrap(self.scheduler.handle(event, &self.versions, now, wall)),
-            Event::Sheet { revision, sheet } => self.install(revision, sheet, now, wall),
-            Event::Tick => wrap(self.scheduler.tick(&self.versions, now, wall)),
+            Event::Traffic(event) => self.schedule(event, now, wall, &mut actions),
+            Event::Closed(ticket) => self.requests.close(ticket),
+            Event::Polled { target, report } => {
+                self.polled(target, report, now, wall, &mut actions);
+            }
+            Event::Listed { instances, targets } => {
+                self.members.on_list(instances, targets, now);
+                self.spread_leaving(now, wall, &mut actions);
+            }
+            Event::Pointer { revision, hash } => {
+                let fetch = self.config.offer(revision, hash, Source::Store);
+                actions.extend(fetch.map(Action::Fetch));
+            }
+            Event::Sheet { revision, hash, sheet } => {
+                self.install(revision, hash, sheet, now, wall, &mut actions);
+            }
+            Event::FetchFailed(fetch) => {
+                actions.extend(self.config.failed(fetch).map(Action::Fetch));
+            }
+            Event::Exchange(message) => {
+                if self.members.on_exchange(message, now) {
+                    self.members.hasten();
+                }
+                self.take_news(message, now, wall, &mut actions);
+            }
+            Event::Answered(message) => {
+                if self.members.on_reply(message, now) {
+                    self.members.hasten();
+                }
+                self.take_news(message, now, wall, &mut actions);
+            }
+            Event::Unanswered(instance) => self.members.on_failure(instance, now),
+            Event::Lease { call, answer } => self.lease.on_result(call, answer, now),
+            Event::RecordWritten { rollout, result } => self.rollouts.on_write(rollout, result),
+            Event::RecordsRead(result) => self.rollouts.on_read(result),
+            Event::Ordered { target, result } => self.rollouts.on_order(target, result),
+            Event::Leave => {
+                self.lease.release(now);
+                self.members.stop();
+                self.members.hasten();
+            }
+            Event::Stop => self.schedule(policy::Event::Stop, now, wall, &mut actions),
+            Event::Tick => self.tick(now, wall, &mut actions),
         }
+        actions
+    }
+
+    /// The configuration in force.
+    pub fn in_force(&self) -> &ConfigDigest {
+        self.config.in_force()
+    }
+
+    /// The members, for views.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The scheduler's counts since the start.
+    pub fn counters(&self) -> &policy::Counters {
+        self.scheduler.counters()
     }
 
-    /// Revision of the configuration in force.
-    pub fn revision(&self) -> Revision {
-        self.revision
+    /// The targets as this instance sees them.
+    pub fn targets(&self) -> Vec<TargetView> {
+        self.scheduler.targets_view()
     }
 
-    /// The scheduler, for views.
-    pub fn scheduler(&self) -> &Scheduler {
-        &self.scheduler
+    /// The queues of every service.
+    pub fn queues(&self, now: Time) -> Vec<QueueView> {
+        self.scheduler.queue_view(now)
     }
 
-    /// Takes a sheet unless it is older than what is in force.
-    fn install(&mut self, revision: Revision, sheet: &Sheet, now: Time, wall: Wall) -> Vec<Action> {
-        if revision <= self.revision {
-            return Vec::new();
+    /// The rollouts as operators see them.
+    pub fn rollouts(&self, wall: Wall) -> Vec<RolloutView> {
+        self.rollouts.view(wall)
+    }
+
+    /// Requests under way.
+    pub fn under_way(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether the lease, if it was held, has been given up.
+    pub fn is_released(&self) -> bool {
+        self.lease.is_released()
+    }
+
+    /// Whether this instance takes first attempts by itself.
+    pub fn is_joined(&self) -> bool {
+        self.scheduler.joined()
+    }
+
+    /// Hands an event to the scheduler and follows what comes of it.
+    pub(crate) fn schedule(
+        &mut self,
+        event: policy::Event<'_>,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        self.requests.before(&event, &mut self.rollouts, now, wall);
+        let chooser = Chooser { rollouts: &self.rollouts, in_use: &self.in_use };
+        let wanted = self.scheduler.handle(event, &chooser, now, wall);
+        self.follow(wanted, now, wall, actions);
+    }
+
+    /// Tells the scheduler of targets that have begun to leave.
+    pub(crate) fn spread_leaving(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        let notes = self.members.leaving().notes();
+        if notes == self.told_leaving {
+            return;
         }
-        self.revision = revision;
-        self.versions.in_use = sheet
-            .services
-            .iter()
-            .map(|service| (service.name.clone(), service.version.clone()))
-            .collect();
-        self.scheduler.configure(&convert::scheduler(sheet, &self.options.limits), now);
-        let mut actions = vec![Action::Installed(revision)];
+        let is_new = |note: &&LeavingNote| !self.told_leaving.contains(note);
+        let fresh: Vec<LeavingNote> = notes.iter().filter(is_new).cloned().collect();
+        self.told_leaving = notes;
+        if fresh.is_empty() {
+            return;
+        }
+        self.members.hasten();
+        for LeavingNote { target, incarnation } in &fresh {
+            let event = policy::Event::TargetLeaving { target, incarnation: *incarnation };
+            self.schedule(event, now, wall, actions);
+        }
+    }
+
+    /// Peers that can be reached.
+    pub(crate) fn reachable_ids(&self, now: Time) -> Vec<InstanceId> {
+        self.members.reachable(now).into_iter().map(|peer| peer.instance).collect()
+    }
+
+    fn follow(
+        &mut self,
+        wanted: Vec<policy::Action>,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        for action in wanted {
+            self.requests.after(&action, &mut self.rollouts, now, wall);
+            if matches!(action, policy::Action::FloorChanged) {
+                self.members.hasten();
+            }
+            actions.push(Action::Traffic(action));
+        }
+    }
+
+    fn polled(
+        &mut self,
+        target: &TargetId,
+        report: Option<&LoadReport>,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.loads.on_poll(target, report) {
+            Reach::Same => {}
+            Reach::Lost => {
+                self.schedule(policy::Event::TargetDown { target }, now, wall, actions);
+            }
+            Reach::Back => {
+                self.schedule(policy::Event::TargetBack { target }, now, wall, actions);
+            }
+        }
+        let Some(report) = report else { return };
+        let (incarnation, leaving) = (report.incarnation, report.leaving);
+        self.members.leaving_mut().on_report(target, incarnation, leaving, now);
+        self.schedule(policy::Event::TargetReport(report), now, wall, actions);
+        self.spread_leaving(now, wall, actions);
+    }
+
+    /// Puts a sheet into force unless it is older than what is in force.
+    fn install(
+        &mut self,
+        revision: Revision,
+        hash: &str,
+        sheet: &Sheet,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.config.installed(revision, hash) == Installed::Stale {
+            return;
+        }
+        let known = |target: &TargetId| sheet.targets.iter().any(|row| row.name == *target);
+        self.loads.retain(known);
+        self.in_use = InUse::new(sheet);
+        let specs = convert::rollouts(sheet);
+        self.has_rollouts |= !specs.is_empty();
+        self.rollouts.configure(&specs, revision, wall);
+        self.scheduler.configure(&convert::scheduler(sheet, &self.limits), now);
+        actions.push(Action::Installed(revision));
         for target in &sheet.targets {
-            let event = policy::Event::TargetAssumed {
-                target: &target.name,
-                versions: std::slice::from_ref(&target.version),
-            };
-            actions.extend(wrap(self.scheduler.handle(event, &self.versions, now, wall)));
+            let versions = std::slice::from_ref(&target.version);
+            let event = policy::Event::TargetAssumed { target: &target.name, versions };
+            self.schedule(event, now, wall, actions);
+        }
+        self.members.hasten();
+    }
+
+    fn tick(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        let changes = self.members.tick(now);
+        actions.extend(changes.into_iter().map(Action::Member));
+        self.tell_peers(now, wall, actions);
+        self.tend_rollouts(now, wall, actions);
+        let chooser = Chooser { rollouts: &self.rollouts, in_use: &self.in_use };
+        let wanted = self.scheduler.tick(&chooser, now, wall);
+        self.follow(wanted, now, wall, actions);
+        for partner in self.members.partners(now, &mut self.rng) {
+            let message = Box::new(self.message(partner.kind, now, wall));
+            actions.push(Action::Send { partner, message });
         }
-        actions
     }
-}
 
-fn wrap(actions: Vec<policy::Action>) -> Vec<Action> {
-    actions.into_iter().map(Action::Traffic).collect()
+    /// Tells the scheduler which instances there are, when that has changed.
+    fn tell_peers(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        let known = self.members.all_known(now).into_iter();
+        let peers: Vec<Life> = known
+            .map(|peer| Life { instance: peer.instance, incarnation: peer.incarnation })
+            .collect();
+        let reachable = self.reachable_ids(now);
+        if self.told_peers.0 == peers && self.told_peers.1 == reachable {
+            return;
+        }
+        let event = policy::Event::PeerSet { peers: &peers, reachable: &reachable };
+        self.schedule(event, now, wall, actions);
+        self.told_peers = (peers, reachable);
+    }
+
+    /// Moves the rollouts on; the lease is sought only while the sheet has had a rollout.
+    fn tend_rollouts(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        if self.has_rollouts {
+            actions.extend(self.lease.tick(now).map(Action::Lease));
+        }
+        let grant = self.lease.grant(now);
+        let lease =
+            grant.map(|grant| LeaseGrant { fence: grant.fence, valid_until: grant.valid_until });
+        let peers = self.reachable_ids(now);
+        let loaded = LoadedView { loads: &self.loads, peers: &peers, requests: &self.requests };
+        let wanted = self.rollouts.tick(now, wall, lease, &loaded);
+        actions.extend(wanted.into_iter().map(Action::Rollout));
+    }
 }
--- /dev/null
+++ b/crates/node/src/requests.rs
@@ -0,0 +1,159 @@
+//! Requests from arrival to end, as evidence on the versions that serve them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewind_policy::{Action, Arrival, End, Event, Refusal, Ticket};
+use sesamewind_protocol::{Code, RouteId, ServiceId, Time, VersionId, Wall};
+use sesamewind_rollout::{EndState, Observation, Rollouts};
+
+/// A request under way.
+#[derive(Debug)]
+struct Request {
+    service: ServiceId,
+    route: RouteId,
+    tokens: u64,
+    sent: Option<Sent>,
+}
+
+/// A dispatch of a request.
+#[derive(Debug)]
+struct Sent {
+    version: VersionId,
+    at: Time,
+    /// From dispatch to the first token or byte.
+    first: Option<Duration>,
+}
+
+/// All requests under way.
+#[derive(Debug, Default)]
+pub struct Requests(HashMap<Ticket, Request>);
+
+impl Requests {
+    /// Requests in flight to `version` of `service`.
+    pub fn in_flight(&self, service: &ServiceId, version: &VersionId) -> u32 {
+        let to_version = |request: &&Request| {
+            let sent = request.sent.as_ref();
+            request.service == *service && sent.is_some_and(|sent| sent.version == *version)
+        };
+        u32::try_from(self.0.values().filter(to_version).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests under way, dispatched or not.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether no request is under way.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Follows an event before the scheduler takes it.
+    pub fn before(&mut self, event: &Event<'_>, rollouts: &mut Rollouts, now: Time, wall: Wall) {
+        match event {
+            Event::Arrive(arrival) => self.arrive(arrival),
+            Event::Accepted { ticket } => self.accepted(*ticket, now),
+            Event::Tokens { ticket, .. } => self.first(*ticket, now),
+            Event::Finished { ticket, end } => self.finished(*ticket, *end, rollouts, now, wall),
+            _ => {}
+        }
+    }
+
+    /// Follows an action that the scheduler asked for.
+    pub fn after(&mut self, action: &Action, rollouts: &mut Rollouts, now: Time, wall: Wall) {
+        match action {
+            Action::Dispatch { ticket, version, .. } => {
+                if let Some(request) = self.0.get_mut(ticket) {
+                    request.sent = Some(Sent { version: version.clone(), at: now, first: None });
+                }
+            }
+            Action::Refuse(refusal) | Action::Cancel { refusal, .. } => {
+                self.refused(refusal, rollouts, now, wall);
+            }
+            _ => {}
+        }
+    }
+
+    /// Forgets a request whose job has ended.
+    pub fn close(&mut self, ticket: Ticket) {
+        self.0.remove(&ticket);
+    }
+
+    fn arrive(&mut self, arrival: &Arrival) {
+        let request = Request {
+            service: arrival.service.clone(),
+            route: arrival.route.clone(),
+            tokens: u64::from(arrival.prompt_tokens),
+            sent: None,
+        };
+        self.0.insert(arrival.ticket, request);
+    }
+
+    /// A plain call's answer begins with its head; a model's begins with its first token.
+    fn accepted(&mut self, ticket: Ticket, now: Time) {
+        if self.0.get(&ticket).is_some_and(|request| request.tokens == 0) {
+            self.first(ticket, now);
+        }
+    }
+
+    fn first(&mut self, ticket: Ticket, now: Time) {
+        let sent = self.0.get_mut(&ticket).and_then(|request| request.sent.as_mut());
+        if let Some(sent) = sent.filter(|sent| sent.first.is_none()) {
+            sent.first = Some(now.since(sent.at));
+        }
+    }
+
+    fn finished(
+        &mut self,
+        ticket: Ticket,
+        end: End,
+        rollouts: &mut Rollouts,
+        now: Time,
+        wall: Wall,
+    ) {
+        let outcome = match end {
+            End::Complete => EndState::Ok,
+            End::Failed => EndState::Failed,
+            // Nothing ran, or the stream may yet be resumed: the refusal that follows tells.
+            End::RefusedNotRun | End::ConnectFailed | End::Broken { .. } => return,
+        };
+        self.observe(ticket, outcome, rollouts, now, wall);
+    }
+
+    /// A dispatched request that ends by the target's fault speaks against the version.
+    fn refused(&mut self, refusal: &Refusal, rollouts: &mut Rollouts, now: Time, wall: Wall) {
+        let to_blame = matches!(
+            refusal.code(),
+            Code::AnswerBroken
+                | Code::OutcomeUnknown
+                | Code::TargetFailed
+                | Code::TargetSilent
+                | Code::DeadlinePassed
+        );
+        if to_blame {
+            self.observe(refusal.ticket(), EndState::Failed, rollouts, now, wall);
+        }
+    }
+
+    fn observe(
+        &mut self,
+        ticket: Ticket,
+        outcome: EndState,
+        rollouts: &mut Rollouts,
+        now: Time,
+        wall: Wall,
+    ) {
+        let Some(request) = self.0.get_mut(&ticket) else { return };
+        let Some(sent) = request.sent.take() else { return };
+        rollouts.observe(Observation {
+            service: &request.service,
+            version: &sent.version,
+            route: &request.route,
+            prompt_tokens: request.tokens,
+            outcome,
+            duration: sent.first.unwrap_or_else(|| now.since(sent.at)),
+            wall,
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/versions.rs
@@ -0,0 +1,43 @@
+//! Choice of the version that serves a request.
+
+use std::collections::HashMap;
+
+use sesamewind_policy::VersionChooser;
+use sesamewind_protocol::{RequestKey, RouteId, ServiceId, VersionId, Wall};
+use sesamewind_rollout::Rollouts;
+use sesamewind_sheet::Sheet;
+
+/// Versions in use by service, as the sheet in force names them.
+#[derive(Debug, Default)]
+pub struct InUse(HashMap<ServiceId, VersionId>);
+
+impl InUse {
+    /// The versions that `sheet` names.
+    pub fn new(sheet: &Sheet) -> Self {
+        let services = sheet.services.iter();
+        Self(services.map(|service| (service.name.clone(), service.version.clone())).collect())
+    }
+}
+
+/// Chooses by the rollouts, and by the sheet where no rollout concerns the service.
+#[derive(Debug)]
+pub struct Chooser<'a> {
+    /// The rollouts.
+    pub rollouts: &'a Rollouts,
+    /// Versions in use.
+    pub in_use: &'a InUse,
+}
+
+impl VersionChooser for Chooser<'_> {
+    fn choose(
+        &self,
+        service: &ServiceId,
+        route: &RouteId,
+        key: &RequestKey,
+        wall: Wall,
+    ) -> VersionId {
+        let moved = self.rollouts.version_for(service, route, key, wall);
+        let in_use = || self.in_use.0.get(service).cloned();
+        moved.or_else(in_use).unwrap_or_else(|| VersionId::new(""))
+    }
+}
