--- /dev/null
+++ b/crates/policy/src/accounts.rs
@@ -0,0 +1,211 @@
+//! Limits of client accounts over all instances, by shares of what is asked for.
+//!
+//! Every instance tells its peers what each active account asks of it, refused requests counted
+//! too. Each grants its part of the limit in proportion, so one busy instance can use what idle
+//! ones don't, and the parts add up to the limit. What is asked for does not change with what is
+//! granted, so the parts don't swing. Idle accounts have no state.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewind_protocol::traffic::AccountUse;
+use sesamewind_protocol::{AccountId, InstanceId, Time};
+
+use crate::config::{Account, AccountLimits};
+
+const RATE_WINDOW: Duration = Duration::from_secs(2);
+const BUCKET_SECONDS: f64 = 0.25;
+/// Time after waking within which peers' news of the account may still be on their way.
+const PRIOR_WINDOW: Duration = Duration::from_millis(500);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Rates below this are not worth a peer's attention, in units a second.
+const MIN_RATE: f64 = 0.01;
+
+/// Exponentially decaying rate.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rate {
+    weight: f64,
+    at: Time,
+}
+
+impl Rate {
+    fn add(&mut self, amount: f64, now: Time) {
+        self.weight = self.decayed(now) + amount;
+        self.at = now;
+    }
+
+    fn decayed(&self, now: Time) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.weight * (-age / RATE_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn per_second(&self, now: Time) -> f64 {
+        self.decayed(now) / RATE_WINDOW.as_secs_f64()
+    }
+}
+
+/// Token bucket whose rate is set at each use; one large request may overdraw it.
+#[derive(Debug, Clone, Copy, Default)]
+struct Bucket {
+    level: f64,
+    rate: f64,
+    at: Time,
+}
+
+impl Bucket {
+    fn refill(&mut self, rate: f64, now: Time) {
+        let added = rate * now.since(self.at).as_secs_f64();
+        self.level = (self.level + added).min(rate * BUCKET_SECONDS);
+        self.rate = rate;
+        self.at = now;
+    }
+
+    /// Whether an overdraft is not paid back yet.
+    fn overdrawn(&self, now: Time) -> bool {
+        self.rate > 0.0 && self.level + self.rate * now.since(self.at).as_secs_f64() < 0.0
+    }
+
+    /// Time until the bucket is above zero again.
+    fn wait(&self, rate: f64) -> Duration {
+        let seconds = (-self.level / rate.max(MIN_RATE)).clamp(0.05, 3_600.0);
+        Duration::from_secs_f64(seconds)
+    }
+}
+
+#[derive(Debug)]
+struct Active {
+    since: Time,
+    last: Time,
+    tokens: Rate,
+    requests: Rate,
+    token_bucket: Bucket,
+    request_bucket: Bucket,
+}
+
+#[derive(Debug)]
+struct PeerUse {
+    heard: Time,
+    accounts: HashMap<AccountId, (f64, f64)>,
+}
+
+/// Use and limits of client accounts.
+#[derive(Debug, Default)]
+pub(crate) struct Accounts {
+    limits: HashMap<AccountId, AccountLimits>,
+    active: HashMap<AccountId, Active>,
+    peers: HashMap<InstanceId, PeerUse>,
+    reachable: usize,
+}
+
+impl Accounts {
+    pub(crate) fn configure(&mut self, accounts: &[Account]) {
+        let limited = accounts.iter().filter(|account| account.limits != AccountLimits::default());
+        self.limits = limited.map(|account| (account.id.clone(), account.limits)).collect();
+    }
+
+    /// Takes how many peers can be reached.
+    pub(crate) fn set_reachable(&mut self, reachable: usize) {
+        self.reachable = reachable;
+    }
+
+    /// Takes what accounts ask of a peer.
+    pub(crate) fn peer_news(&mut self, from: &InstanceId, uses: &[AccountUse], now: Time) {
+        let rates =
+            |usage: &AccountUse| (f64::from(usage.tokens_per_s), f64::from(usage.requests_per_s));
+        let accounts = uses.iter().map(|usage| (usage.account.clone(), rates(usage))).collect();
+        self.peers.insert(from.clone(), PeerUse { heard: now, accounts });
+    }
+
+    /// Charges a request of `tokens` to `account`.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to come back if the account's limit is used up.
+    pub(crate) fn charge(
+        &mut self,
+        account: &AccountId,
+        tokens: u32,
+        now: Time,
+    ) -> Result<(), Duration> {
+        let (peer_tokens, peer_requests) = self.peer_rates(account);
+        let prior = 1.0 / (self.reachable as f64 + 1.0);
+        let active = self.active.entry(account.clone()).or_insert_with(|| Active {
+            since: now,
+            last: now,
+            tokens: Rate::default(),
+            requests: Rate::default(),
+            token_bucket: Bucket { at: now, ..Bucket::default() },
+            request_bucket: Bucket { at: now, ..Bucket::default() },
+        });
+        active.last = now;
+        active.tokens.add(f64::from(tokens), now);
+        active.requests.add(1.0, now);
+        let Some(limits) = self.limits.get(account) else { return Ok(()) };
+        let fresh = now.since(active.since) < PRIOR_WINDOW;
+        let share = |own: f64, peers: f64| {
+            if fresh && peers == 0.0 { prior } else { own / (own + peers).max(MIN_RATE) }
+        };
+        let mut wait = Duration::ZERO;
+        let token_rate = limits
+            .tokens_per_s
+            .map(|limit| limit * share(active.tokens.per_second(now), peer_tokens));
+        if let Some(rate) = token_rate {
+            active.token_bucket.refill(rate, now);
+            if active.token_bucket.level < 0.0 {
+                wait = active.token_bucket.wait(rate);
+            }
+        }
+        let request_rate = limits
+            .requests_per_s
+            .map(|limit| limit * share(active.requests.per_second(now), peer_requests));
+        if let Some(rate) = request_rate {
+            active.request_bucket.refill(rate, now);
+            if active.request_bucket.level < 0.0 {
+                wait = wait.max(active.request_bucket.wait(rate));
+            }
+        }
+        if wait > Duration::ZERO {
+            return Err(wait);
+        }
+        active.token_bucket.level -= f64::from(tokens);
+        active.request_bucket.level -= 1.0;
+        Ok(())
+    }
+
+    fn peer_rates(&self, account: &AccountId) -> (f64, f64) {
+        let uses = self.peers.values().filter_map(|peer| peer.accounts.get(account));
+        uses.fold((0.0, 0.0), |sum, usage| (sum.0 + usage.0, sum.1 + usage.1))
+    }
+
+    /// What active accounts ask of this instance.
+    pub(crate) fn digest(&self, now: Time) -> Vec<AccountUse> {
+        let mut digest = Vec::new();
+        for (account, active) in &self.active {
+            let tokens = active.tokens.per_second(now);
+            if tokens < MIN_RATE {
+                continue;
+            }
+            digest.push(AccountUse {
+                account: account.clone(),
+                tokens_per_s: tokens as f32,
+                requests_per_s: active.requests.per_second(now) as f32,
+            });
+        }
+        digest
+    }
+
+    /// Forgets accounts that fell idle and peers that fell silent.
+    pub(crate) fn expire(&mut self, peer_timeout: Duration, now: Time) {
+        self.active.retain(|_, active| {
+            now.since(active.last) < IDLE_TIMEOUT
+                || active.token_bucket.overdrawn(now)
+                || active.request_bucket.overdrawn(now)
+        });
+        self.peers.retain(|_, peer| now.since(peer.heard) < peer_timeout);
+    }
+
+    /// Number of accounts that have state.
+    pub(crate) fn active(&self) -> usize {
+        self.active.len()
+    }
+}
--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -23,12 +23,12 @@
         /// The attempt.
         ticket: Ticket,
     },
-    /// The bytes must not be written; answer the caller with the refusal.
+    /// The bytes must not be written.
     NoGo {
         /// The attempt.
         ticket: Ticket,
-        /// The answer.
-        refusal: Refusal,
+        /// Answer for the caller; none if the attempt was answered before.
+        refusal: Option<Refusal>,
     },
     /// Answer the caller, or end its stream, with the refusal.
     Refuse(Refusal),
@@ -79,7 +79,8 @@
         /// The instance that holds the answer.
         holder: InstanceId,
     },
-    /// Answer the caller with the answer that another attempt at this instance gets or got.
+    /// Answer the caller with whatever another attempt at this instance gets or got: its answer,
+    /// its refusal, or the answer of the instance that it is attached to.
     AttachLocal {
         /// The attempt.
         ticket: Ticket,
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -1,8 +1,9 @@
 //! Life cycle of an attempt, as types.
 //!
-//! [`Received`] becomes [`Queued`], [`Dispatching`], [`Sent`], [`Streaming`]. A refusal that says
-//! "not run" takes the state by value and exists only for states before dispatch, or with a
-//! [`NotSent`] proof that no dispatch came about. No state can be built outside this package.
+//! [`Received`] becomes [`Claimed`], [`Queued`], [`Dispatching`], [`Sent`], [`Streaming`]. A refusal
+//! that says "not run" takes the state by value and exists only for states between claim and
+//! dispatch, or with a [`NotSent`] proof that no dispatch came about. No state can be built outside
+//! this package.
 
 use std::time::Duration;
 
@@ -68,9 +69,13 @@
 }
 
 state! {
-    /// The request was read and may have to be cleared with peers.
+    /// The request was read; another attempt of it may have run.
     Received
 }
+state! {
+    /// The request's record is held here.
+    Claimed
+}
 state! {
     /// The request waits for a target.
     Queued
@@ -93,22 +98,29 @@
         Self { ticket }
     }
 
+    /// This instance holds the request's record, so no attempt ran and no other can.
+    pub(crate) fn claim(self) -> Claimed {
+        Claimed { ticket: self.ticket }
+    }
+
+    /// Ends an attempt while another attempt of the request may have run. "Not run" is never taken
+    /// over from elsewhere.
+    pub fn end(self, code: Code, run: RunState, retry_after: Option<Duration>) -> Refusal {
+        let run = if run == RunState::NotRun { RunState::Unknown } else { run };
+        Refusal { ticket: self.ticket, code, run, retry_after }
+    }
+}
+
+impl Claimed {
     /// The request may wait for a target.
     pub fn enqueue(self) -> Queued {
         Queued { ticket: self.ticket }
     }
 
-    /// Refuses the attempt before anything ran.
+    /// Refuses the request before anything ran.
     pub fn refuse(self, code: Code, retry_after: Option<Duration>) -> Refusal {
         Refusal { ticket: self.ticket, code, run: RunState::NotRun, retry_after }
     }
-
-    /// Ends an attempt of a request whose other attempt ran or may have run.
-    pub fn earlier_attempt(self, code: Code, run: RunState) -> Refusal {
-        // "Not run" is never taken over from another attempt's instance.
-        let run = if run == RunState::NotRun { RunState::Unknown } else { run };
-        Refusal { ticket: self.ticket, code, run, retry_after: None }
-    }
 }
 
 impl Queued {
@@ -152,8 +164,8 @@
     }
 
     /// Ends the attempt with an unknown outcome.
-    pub fn end(self, code: Code) -> Refusal {
-        Refusal { ticket: self.ticket, code, run: RunState::Unknown, retry_after: None }
+    pub fn end(self, code: Code, retry_after: Option<Duration>) -> Refusal {
+        Refusal { ticket: self.ticket, code, run: RunState::Unknown, retry_after }
     }
 
     /// Ends the attempt after the target answered with a failure.
--- /dev/null
+++ b/crates/policy/src/choose.rs
@@ -0,0 +1,256 @@
+//! Choice of a target for a request.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use sesamewind_protocol::{Time, VersionId};
+
+use crate::config::Kind;
+use crate::event::Prefix;
+use crate::target::TargetState;
+
+/// Margin on predictions before a request is taken to miss its time.
+const SAFETY: f64 = 1.1;
+/// Streams that no target is given more of.
+const MAX_STREAMS: f64 = 512.0;
+/// Slow-down of streams that the most urgent tier bears if nothing is known of its answers.
+const DEFAULT_SLOWDOWN: f64 = 3.0;
+/// Slow-down that is always borne.
+const MIN_SLOWDOWN: f64 = 1.5;
+/// Targets within this factor and span of the best predicted time count as equally good.
+const NEAR_FACTOR: f64 = 1.15;
+const NEAR_SPAN: f64 = 0.01;
+/// Load over the mean that a target with the prefix cached, or meant for it, may have.
+const AFFINITY_BOUND: f64 = 1.25;
+const AFFINITY_SLACK: f64 = 2.0;
+
+/// What a request needs of a target.
+#[derive(Debug)]
+pub(crate) struct Need<'a> {
+    pub(crate) kind: Kind,
+    pub(crate) version: &'a VersionId,
+    pub(crate) prompt: f64,
+    pub(crate) output: f64,
+    pub(crate) prefix: Option<Prefix>,
+    /// Whether it belongs to the most urgent tier.
+    pub(crate) urgent: bool,
+    /// Whether its prompt is long.
+    pub(crate) long: bool,
+    pub(crate) first_within: Duration,
+    pub(crate) total_within: Duration,
+    /// Target that refused it before.
+    pub(crate) avoid: Option<usize>,
+    pub(crate) now: Time,
+}
+
+/// Bounds on what is given to targets.
+#[derive(Debug)]
+pub(crate) struct Bounds {
+    /// Seconds of prefill that may wait at a target.
+    pub(crate) window: f64,
+    /// Share of a target's capacity kept for the most urgent tier.
+    pub(crate) headroom: f64,
+    /// Seconds per output token that the most urgent tier can bear.
+    pub(crate) step_budget: Option<f64>,
+    pub(crate) cache_keep: Duration,
+}
+
+/// A chosen target.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pick {
+    pub(crate) target: usize,
+    pub(crate) uncached: f64,
+    /// Tokens to be prefilled before and with the prompt.
+    pub(crate) work: f64,
+    /// Predicted time to the first token, in seconds.
+    pub(crate) first: f64,
+    pub(crate) cached: bool,
+}
+
+/// Result of a choice.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Choice {
+    /// Dispatch there.
+    Target(Pick),
+    /// There is no room now.
+    Wait,
+    /// There is no room on the targets that take long prompts, whereas others may have some.
+    WaitLong,
+    /// It would miss its time on every target, even on an idle one.
+    Miss,
+    /// No usable target has the version loaded.
+    NoTarget,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    pick: Pick,
+    /// Predicted seconds to the end.
+    end: f64,
+    requests: f64,
+    fits: bool,
+}
+
+/// Chooses among `order`, the targets of a service; the first `long_targets` take long prompts.
+pub(crate) fn choose(
+    targets: &[TargetState],
+    order: &[usize],
+    long_targets: usize,
+    need: &Need<'_>,
+    bounds: &Bounds,
+    rng: &mut ChaCha8Rng,
+) -> Choice {
+    let usable =
+        |index: &usize| targets[*index].usable() && targets[*index].versions.contains(need.version);
+    let mut candidates: Vec<Candidate> = Vec::with_capacity(order.len());
+    let mut reachable_in_time = false;
+    let mut room_if_short = false;
+    let mut usable_targets = 0;
+    for (position, index) in order.iter().enumerate().filter(|(_, index)| usable(index)) {
+        usable_targets += 1;
+        let target = &targets[*index];
+        if need.kind == Kind::Plain {
+            candidates.push(plain(target, *index, need));
+            continue;
+        }
+        let (candidate, idle_fits) = model(target, *index, need, bounds);
+        reachable_in_time |= idle_fits;
+        if !has_room(target, need, bounds, &candidate) || !candidate.fits {
+            continue;
+        }
+        if need.long && position >= long_targets {
+            room_if_short = true;
+            continue;
+        }
+        candidates.push(candidate);
+    }
+    if usable_targets == 0 {
+        return Choice::NoTarget;
+    }
+    if candidates.len() > 1 {
+        candidates.retain(|candidate| Some(candidate.pick.target) != need.avoid);
+    }
+    if candidates.is_empty() {
+        return match (need.kind, reachable_in_time, room_if_short) {
+            (Kind::Model, false, _) => Choice::Miss,
+            (_, _, true) => Choice::WaitLong,
+            _ => Choice::Wait,
+        };
+    }
+    Choice::Target(select(targets, &candidates, need, rng))
+}
+
+fn plain(target: &TargetState, index: usize, need: &Need<'_>) -> Candidate {
+    let requests = target.load(need.now).requests;
+    let first = (requests + 1.0) * target.speed.call();
+    let pick = Pick { target: index, uncached: 0.0, work: 0.0, first, cached: false };
+    Candidate { pick, end: first, requests, fits: true }
+}
+
+/// Predicts a model engine's times; tells also whether an idle one of its kind would be in time.
+fn model(
+    target: &TargetState,
+    index: usize,
+    need: &Need<'_>,
+    bounds: &Bounds,
+) -> (Candidate, bool) {
+    let load = target.load(need.now);
+    let speed = &target.speed;
+    let cached =
+        need.prefix.map_or(0.0, |prefix| target.cached(&prefix, bounds.cache_keep, need.now));
+    let uncached = (need.prompt - cached).max(1.0);
+    let prefill = speed.prefill();
+    let idle_first = speed.overhead() + uncached / prefill;
+    let work = load.prefill + uncached;
+    let mut first = speed.overhead() + work / prefill;
+    let step = speed.step(load.requests + 1.0);
+    if let Some(batch) = target.batch(need.now).filter(|batch| load.requests >= *batch) {
+        // A slot frees up as the streams that run come to their end.
+        let per_slot = need.output * step / batch;
+        first += per_slot * (load.requests - batch + 1.0);
+    }
+    let end = first + need.output * step;
+    let idle_end = idle_first + need.output * speed.step(1.0);
+    let within = |first: f64, end: f64| {
+        first * SAFETY <= need.first_within.as_secs_f64()
+            && end * SAFETY <= need.total_within.as_secs_f64()
+    };
+    // What was not seen for a while may have changed; a request finds out.
+    let unknown = !speed.known(need.now);
+    let pick = Pick { target: index, uncached, work, first, cached: cached > 0.0 };
+    let fits = unknown || within(first, end);
+    let candidate = Candidate { pick, end, requests: load.requests, fits };
+    (candidate, unknown || within(idle_first, idle_end))
+}
+
+/// Whether a target may be given the request beside what it has.
+fn has_room(target: &TargetState, need: &Need<'_>, bounds: &Bounds, candidate: &Candidate) -> bool {
+    if candidate.requests < 0.5 {
+        return true;
+    }
+    let streams = candidate.requests + 1.0;
+    let share = if need.urgent { 1.0 } else { 1.0 - bounds.headroom };
+    let most = target.batch(need.now).map_or(MAX_STREAMS, |batch| (batch * share).max(1.0));
+    if streams > most {
+        return false;
+    }
+    let solo = target.speed.step(1.0);
+    let budget = bounds.step_budget.unwrap_or(solo * DEFAULT_SLOWDOWN);
+    if target.speed.step(streams) > (budget * share).max(solo * MIN_SLOWDOWN) {
+        return false;
+    }
+    let prefill = target.speed.prefill();
+    let waiting = (candidate.pick.work - candidate.pick.uncached) / prefill;
+    let own = candidate.pick.uncached / prefill;
+    let window = bounds.window * share;
+    // A prompt that exceeds the window by itself may still go where no other is prefilled.
+    let idle = waiting < 0.05 * window;
+    if need.urgent { waiting <= window } else { idle || waiting + own <= window }
+}
+
+/// Picks among the candidates: a target that likely has the prefix cached, then the one meant for
+/// the prefix, each while its load is near the mean, else any of the near-best at random.
+fn select(
+    targets: &[TargetState],
+    candidates: &[Candidate],
+    need: &Need<'_>,
+    rng: &mut ChaCha8Rng,
+) -> Pick {
+    let mean = candidates.iter().map(|c| c.requests).sum::<f64>() / candidates.len() as f64;
+    let bound = mean * AFFINITY_BOUND + AFFINITY_SLACK;
+    let least = candidates.iter().map(|c| c.end).fold(f64::INFINITY, f64::min);
+    if let Some(prefix) = need.prefix {
+        let light = candidates.iter().filter(|c| c.requests <= bound);
+        let worth = |c: &&Candidate| c.pick.cached && c.end <= least * 2.0 + NEAR_SPAN;
+        let holders = light.clone().filter(worth);
+        if let Some(holder) = holders.min_by(|a, b| a.end.total_cmp(&b.end)) {
+            return holder.pick;
+        }
+        let near = light.filter(|c| c.end <= least * NEAR_FACTOR * NEAR_FACTOR + NEAR_SPAN);
+        let meant = |c: &&Candidate| rendezvous(prefix.hash, targets[c.pick.target].id.as_str());
+        if let Some(home) = near.max_by_key(meant) {
+            return home.pick;
+        }
+    }
+    // Looking at a random half keeps instances with the same view apart.
+    let mut sample: Vec<&Candidate> = candidates.iter().collect();
+    let size = (sample.len() / 2).max(2).min(sample.len());
+    for at in 0..size {
+        let other = rng.random_range(at..sample.len());
+        sample.swap(at, other);
+    }
+    sample.truncate(size);
+    let best = sample.iter().map(|c| c.end).fold(f64::INFINITY, f64::min);
+    sample.retain(|c| c.end <= best * NEAR_FACTOR + NEAR_SPAN);
+    let at = rng.random_range(0..sample.len());
+    sample[at].pick
+}
+
+/// Rank of a target for a prefix, the same on every instance.
+fn rendezvous(prefix: u64, target: &str) -> u64 {
+    use std::hash::Hasher;
+    let mut hasher = siphasher::sip::SipHasher13::new_with_keys(prefix, 0);
+    hasher.write(target.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/policy/src/floor.rs
@@ -0,0 +1,224 @@
+//! Tier floors: while a floor is in force, no instance starts work of a lower tier for the service.
+//!
+//! An instance raises a floor when an urgent request can't be placed. While it is pressing, every
+//! instance also cancels running lower work step by step. A peer acknowledges when nothing lower
+//! runs there, and keeps to that until the floor ends, so an urgent request may be refused for
+//! want of room only after every reachable peer has acknowledged.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use sesamewind_protocol::traffic::{FloorAck, FloorRaise};
+use sesamewind_protocol::{InstanceId, ServiceId, Time, Wall};
+
+#[derive(Debug)]
+struct Own {
+    rank: u8,
+    seq: u64,
+    until: Time,
+    pressing_until: Time,
+    acks: HashMap<InstanceId, Time>,
+}
+
+#[derive(Debug)]
+struct Other {
+    rank: u8,
+    seq: u64,
+    until: Time,
+    pressing: bool,
+    acked: bool,
+}
+
+/// Floors of one service.
+#[derive(Debug, Default)]
+struct ServiceFloors {
+    own: Option<Own>,
+    others: HashMap<InstanceId, Other>,
+}
+
+/// Tier floors that this instance knows.
+#[derive(Debug)]
+pub(crate) struct Floors {
+    me: InstanceId,
+    seq: u64,
+    hold: Duration,
+    services: BTreeMap<ServiceId, ServiceFloors>,
+    reachable: HashSet<InstanceId>,
+}
+
+impl Floors {
+    pub(crate) fn new(me: InstanceId, hold: Duration) -> Self {
+        Self { me, seq: 0, hold, services: BTreeMap::new(), reachable: HashSet::new() }
+    }
+
+    pub(crate) fn set_hold(&mut self, hold: Duration) {
+        self.hold = hold;
+    }
+
+    pub(crate) fn set_reachable(&mut self, reachable: &[InstanceId]) {
+        self.reachable = reachable.iter().filter(|peer| **peer != self.me).cloned().collect();
+    }
+
+    /// Raises or renews the floor; returns whether peers should hear of it at once.
+    pub(crate) fn press(&mut self, service: &ServiceId, rank: u8, now: Time) -> bool {
+        let floors = entry(&mut self.services, service);
+        let pressing_until = now + self.hold / 4;
+        if let Some(own) = floors.own.as_mut().filter(|own| now < own.until && own.rank <= rank) {
+            let was_pressing = now < own.pressing_until;
+            own.until = now + self.hold;
+            own.pressing_until = pressing_until;
+            return !was_pressing;
+        }
+        self.seq += 1;
+        floors.own = Some(Own {
+            rank,
+            seq: self.seq,
+            until: now + self.hold,
+            pressing_until,
+            acks: HashMap::new(),
+        });
+        true
+    }
+
+    /// Notes that urgent requests can be placed again; the floor runs out by itself.
+    pub(crate) fn relax(&mut self, service: &ServiceId, now: Time) -> bool {
+        let Some(own) = self.services.get_mut(service).and_then(|floors| floors.own.as_mut())
+        else {
+            return false;
+        };
+        let was_pressing = now < own.pressing_until;
+        own.pressing_until = own.pressing_until.min(now);
+        was_pressing
+    }
+
+    /// Rank of the lowest tier that may start work.
+    pub(crate) fn rank(&self, service: &ServiceId, now: Time) -> Option<u8> {
+        self.in_force(service, now).map(|(rank, _)| rank).min()
+    }
+
+    /// Rank of the lowest tier that may go on running.
+    pub(crate) fn pressing_rank(&self, service: &ServiceId, now: Time) -> Option<u8> {
+        let pressing = self.in_force(service, now).filter(|(_, pressing)| *pressing);
+        pressing.map(|(rank, _)| rank).min()
+    }
+
+    fn in_force(&self, service: &ServiceId, now: Time) -> impl Iterator<Item = (u8, bool)> {
+        let floors = self.services.get(service);
+        let own = floors
+            .and_then(|floors| floors.own.as_ref())
+            .filter(move |own| now < own.until)
+            .map(move |own| (own.rank, now < own.pressing_until));
+        let others = floors.into_iter().flat_map(move |floors| {
+            let live = floors.others.values().filter(move |other| now < other.until);
+            live.map(|other| (other.rank, other.pressing))
+        });
+        own.into_iter().chain(others)
+    }
+
+    /// Whether every reachable peer runs nothing below the floor of this instance at `rank`.
+    pub(crate) fn acknowledged(&self, service: &ServiceId, rank: u8, now: Time) -> bool {
+        if self.reachable.is_empty() {
+            return true;
+        }
+        let own = self.services.get(service).and_then(|floors| floors.own.as_ref());
+        let Some(own) = own.filter(|own| now < own.until && own.rank <= rank) else {
+            return false;
+        };
+        // An acknowledgement binds the peer for half of the hold time at least.
+        let fresh = |heard: &Time| now.since(*heard) < self.hold / 2;
+        self.reachable.iter().all(|peer| own.acks.get(peer).is_some_and(fresh))
+    }
+
+    /// Takes a peer's floors and acknowledgements; `sent` is the peer's wall clock at sending, so
+    /// that only the remaining time is taken over and clocks need not agree.
+    pub(crate) fn peer_news(
+        &mut self,
+        from: &InstanceId,
+        sent: Wall,
+        raises: &[FloorRaise],
+        acks: &[FloorAck],
+        now: Time,
+    ) {
+        for floors in self.services.values_mut() {
+            if let Some(other) = floors.others.get_mut(from) {
+                other.pressing = false;
+            }
+        }
+        for raise in raises.iter().filter(|raise| raise.origin == *from) {
+            let until = now + raise.until.since(sent).min(self.hold);
+            let floors = entry(&mut self.services, &raise.service);
+            let old = floors.others.get(from);
+            let acked = old.is_some_and(|old| old.seq == raise.seq && old.acked);
+            let (rank, seq, pressing) = (raise.rank, raise.seq, raise.pressing);
+            let other = Other { rank, seq, until, pressing, acked };
+            floors.others.insert(from.clone(), other);
+        }
+        for ack in acks.iter().filter(|ack| ack.origin == self.me) {
+            let own = self.services.get_mut(&ack.service).and_then(|floors| floors.own.as_mut());
+            if let Some(own) = own.filter(|own| own.seq == ack.seq) {
+                own.acks.insert(from.clone(), now);
+            }
+        }
+    }
+
+    /// Sets which floors of peers this instance keeps to. `lowest` tells the lowest rank that runs
+    /// here for a service. Returns whether an acknowledgement is new.
+    pub(crate) fn settle(&mut self, now: Time, lowest: impl Fn(&ServiceId) -> Option<u8>) -> bool {
+        let mut new = false;
+        let half = self.hold / 2;
+        for (service, floors) in &mut self.services {
+            floors.others.retain(|_, other| now < other.until);
+            let running = lowest(service);
+            for other in floors.others.values_mut() {
+                let clear = running.is_none_or(|rank| rank <= other.rank);
+                let acked = clear && other.until.since(now) >= half;
+                new |= acked && !other.acked;
+                other.acked = acked;
+            }
+        }
+        let spent = |floors: &ServiceFloors| {
+            floors.others.is_empty() && floors.own.as_ref().is_none_or(|own| own.until <= now)
+        };
+        self.services.retain(|_, floors| !spent(floors));
+        new
+    }
+
+    /// Floors that this instance raised, for peers.
+    pub(crate) fn digest(&self, now: Time, wall: Wall) -> Vec<FloorRaise> {
+        let mut digest = Vec::new();
+        for (service, floors) in &self.services {
+            let Some(own) = floors.own.as_ref().filter(|own| now < own.until) else { continue };
+            digest.push(FloorRaise {
+                service: service.clone(),
+                rank: own.rank,
+                origin: self.me.clone(),
+                seq: own.seq,
+                until: wall + own.until.since(now),
+                pressing: now < own.pressing_until,
+            });
+        }
+        digest
+    }
+
+    /// Acknowledgements for peers.
+    pub(crate) fn acks(&self) -> Vec<FloorAck> {
+        let mut acks = Vec::new();
+        for (service, floors) in &self.services {
+            for (origin, other) in floors.others.iter().filter(|(_, other)| other.acked) {
+                acks.push(FloorAck {
+                    service: service.clone(),
+                    origin: origin.clone(),
+                    seq: other.seq,
+                });
+            }
+        }
+        acks
+    }
+}
+
+fn entry<'a>(
+    services: &'a mut BTreeMap<ServiceId, ServiceFloors>,
+    service: &ServiceId,
+) -> &'a mut ServiceFloors {
+    services.entry(service.clone()).or_default()
+}
--- /dev/null
+++ b/crates/policy/src/join.rs
@@ -0,0 +1,89 @@
+//! When an instance may take first attempts without asking its peers.
+//!
+//! A fresh life, or one that was frozen, may have missed promises that its peers gave while they
+//! did not count it. It copies their records first. A peer names the asker in every answer from
+//! then on, so a lookup that the peer answered earlier is in the copy, and a later one reaches the
+//! asker.
+
+use std::collections::BTreeMap;
+
+use sesamewind_protocol::record::{Life, RecordsCopy, RecordsRequest};
+use sesamewind_protocol::{InstanceId, Time};
+
+use crate::members::Members;
+
+const REPEAT: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// Progress of joining.
+#[derive(Debug)]
+pub(crate) struct Join {
+    me: Life,
+    joined: bool,
+    seq: u64,
+    /// Peers whose copy is here, and whether they had joined themselves.
+    copies: BTreeMap<Life, bool>,
+    asked: Option<Time>,
+    /// Whether membership has spoken at all.
+    informed: bool,
+}
+
+impl Join {
+    pub(crate) fn new(me: Life) -> Self {
+        Self { me, joined: false, seq: 1, copies: BTreeMap::new(), asked: None, informed: false }
+    }
+
+    pub(crate) fn joined(&self) -> bool {
+        self.joined
+    }
+
+    /// Starts over after a pause in which peers may have gone on without this instance.
+    pub(crate) fn restart(&mut self) {
+        self.joined = false;
+        self.seq += 1;
+        self.copies.clear();
+        self.asked = None;
+    }
+
+    /// Notes that membership named the peers.
+    pub(crate) fn informed(&mut self) {
+        self.informed = true;
+    }
+
+    /// Whom to ask for records now, if anyone.
+    pub(crate) fn due(
+        &mut self,
+        members: &Members,
+        now: Time,
+    ) -> Option<(RecordsRequest, Vec<InstanceId>)> {
+        if self.joined || !self.informed {
+            return None;
+        }
+        self.settle(members);
+        if self.joined || self.asked.is_some_and(|asked| now.since(asked) < REPEAT) {
+            return None;
+        }
+        self.asked = Some(now);
+        let lacking = members.listed().filter(|life| !self.copies.contains_key(*life));
+        let peers: Vec<InstanceId> = lacking.map(|life| life.instance.clone()).collect();
+        Some((RecordsRequest { asker: self.me.clone(), seq: self.seq }, peers))
+    }
+
+    /// Notes a peer's copy.
+    pub(crate) fn copied(&mut self, copy: &RecordsCopy, members: &Members) {
+        if copy.seq != Some(self.seq) || self.joined {
+            return;
+        }
+        self.copies.insert(copy.from.clone(), copy.joined);
+        self.settle(members);
+    }
+
+    /// A copy of every listed peer is enough, and so is one of every reachable peer if one of them
+    /// had joined: whoever clears a lookup without this instance has the answer of that one.
+    fn settle(&mut self, members: &Members) {
+        let has = |life: &Life| self.copies.contains_key(life);
+        let every = members.listed().all(has);
+        let reachable = members.reachable().all(has);
+        let vouched = self.copies.values().any(|joined| *joined);
+        self.joined = self.informed && (every || reachable && vouched);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,11 +3,21 @@
 //! [`Scheduler`] is the only entry: it takes typed [`Event`]s with the present time and returns
 //! typed [`Action`]s. It opens no socket, reads no clock and draws from a seeded generator only.
 
+mod accounts;
 pub mod action;
 pub mod attempt;
+mod choose;
 pub mod config;
 pub mod event;
+mod floor;
+mod join;
+mod members;
+mod queue;
+mod records;
+mod retry;
 pub mod scheduler;
+mod speed;
+mod target;
 pub mod version;
 pub mod view;
 
--- /dev/null
+++ b/crates/policy/src/records.rs
@@ -0,0 +1,433 @@
+//! Request records, which keep dispatch to at most once over all instances.
+//!
+//! An instance dispatches a request only if it holds the request's record. It takes the record at
+//! once for a first attempt that no peer has asked it about, and otherwise only after every life
+//! that may have taken an earlier attempt has answered "voided". Answering so is a promise: the
+//! answering instance will not dispatch the request without asking everybody in turn. Since an
+//! instance answers and takes records one event at a time, of two that ask at once at least one
+//! meets the other's question, and the order of attempts lets exactly one of them go on.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use sesamewind_protocol::record::{Life, Lookup, LookupReply, RecordNote, RecordsCopy, Seen};
+use sesamewind_protocol::{Code, InstanceId, RequestKey, RunState, Time};
+
+use crate::config::Limits;
+use crate::event::{Arrival, Ticket};
+use crate::members::Members;
+
+/// What becomes of an arriving attempt.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Claim {
+    /// This instance holds the record and may dispatch.
+    Held,
+    /// Peers have to be asked first.
+    Ask(Vec<InstanceId>),
+    /// Another attempt at this instance holds or held the record; its answer can be had.
+    Attach(Ticket),
+    /// An earlier or later attempt settles it.
+    Settled(Code, RunState),
+    /// The key stands for another request.
+    KeyReused,
+}
+
+/// What a peer's answer does to a pending lookup.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// Answers are still missing.
+    Wait,
+    /// More lives turned up; ask their instances too.
+    More(Ticket, Vec<InstanceId>),
+    /// Every life voided the request: this instance holds the record.
+    Cleared(Ticket),
+    /// A peer holds the answer.
+    Elsewhere(Ticket, InstanceId),
+    /// Another attempt settles it.
+    Settled(Ticket, Code, RunState),
+}
+
+#[derive(Debug)]
+struct Ask {
+    seq: u64,
+    ticket: Ticket,
+    attempt: u32,
+    since: Time,
+    repeated: bool,
+    pending: Vec<Life>,
+    answered: Vec<Life>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum State {
+    /// Promised to a peer not to dispatch without asking.
+    Void,
+    /// An attempt here waits for the answers of peers.
+    Asking(Ticket),
+    /// An attempt here may be dispatched, or was.
+    Held(Ticket),
+    /// The whole answer came and can be had again for a while.
+    Complete(Ticket, Time),
+    /// Ended otherwise.
+    Ended(Code, RunState),
+}
+
+#[derive(Debug)]
+struct Record {
+    state: State,
+    /// Latest attempt that the record speaks of.
+    attempt: u32,
+    /// Hash of what was asked for; zero if only peers spoke of it.
+    body: u64,
+    expires: Time,
+}
+
+/// The request records of one instance.
+#[derive(Debug)]
+pub(crate) struct Records {
+    me: Life,
+    pub(crate) members: Members,
+    keep: Duration,
+    answer_keep: Duration,
+    records: HashMap<RequestKey, Record>,
+    asks: HashMap<RequestKey, Ask>,
+    last_seq: u64,
+    expiry: VecDeque<(Time, RequestKey)>,
+}
+
+impl Records {
+    pub(crate) fn new(me: Life, limits: &Limits) -> Self {
+        Self {
+            members: Members::new(me.clone(), limits.record_keep),
+            me,
+            keep: limits.record_keep,
+            answer_keep: limits.answer_keep,
+            records: HashMap::new(),
+            asks: HashMap::new(),
+            last_seq: 0,
+            expiry: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn configure(&mut self, limits: &Limits) {
+        self.keep = limits.record_keep;
+        self.answer_keep = limits.answer_keep;
+        self.members.set_keep(limits.record_keep);
+    }
+
+    /// Number of records that are kept.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Takes the record for an arriving attempt, or says why not. `joined` tells whether first
+    /// attempts may be taken without asking.
+    pub(crate) fn claim(&mut self, arrival: &Arrival, joined: bool, now: Time) -> Claim {
+        let attempt = arrival.attempt.unwrap_or(0);
+        let Some(record) = self.records.get(&arrival.key) else {
+            if arrival.attempt == Some(0) && joined {
+                self.hold(arrival.key, arrival.ticket, attempt, arrival.body_hash);
+                return Claim::Held;
+            }
+            return self.ask(arrival, attempt, now);
+        };
+        if record.body != 0 && record.body != arrival.body_hash {
+            return Claim::KeyReused;
+        }
+        match record.state {
+            State::Held(ticket) | State::Asking(ticket) => Claim::Attach(ticket),
+            State::Complete(ticket, until) if now < until => Claim::Attach(ticket),
+            State::Complete(..) => Claim::Settled(Code::AlreadyRan, RunState::Ran),
+            State::Ended(_, RunState::Ran) => Claim::Settled(Code::AlreadyRan, RunState::Ran),
+            State::Ended(..) => Claim::Settled(Code::EarlierAttempt, RunState::Unknown),
+            // The caller has sent a later attempt since, which may be about to run.
+            State::Void if arrival.attempt.is_some_and(|attempt| attempt < record.attempt) => {
+                Claim::Settled(Code::EarlierAttempt, RunState::Unknown)
+            }
+            State::Void => self.ask(arrival, attempt, now),
+        }
+    }
+
+    fn hold(&mut self, key: RequestKey, ticket: Ticket, attempt: u32, body: u64) {
+        let expires = Time::from_micros(u64::MAX);
+        let record = Record { state: State::Held(ticket), attempt, body, expires };
+        self.records.insert(key, record);
+    }
+
+    fn ask(&mut self, arrival: &Arrival, attempt: u32, now: Time) -> Claim {
+        let pending: Vec<Life> = self.members.must_ask(now).cloned().collect();
+        if pending.is_empty() {
+            self.hold(arrival.key, arrival.ticket, attempt, arrival.body_hash);
+            return Claim::Held;
+        }
+        let peers = instances(&pending);
+        self.last_seq += 1;
+        self.asks.insert(
+            arrival.key,
+            Ask {
+                seq: self.last_seq,
+                ticket: arrival.ticket,
+                attempt,
+                since: now,
+                repeated: false,
+                pending,
+                answered: Vec::new(),
+            },
+        );
+        let record = Record {
+            state: State::Asking(arrival.ticket),
+            attempt,
+            body: arrival.body_hash,
+            expires: Time::from_micros(u64::MAX),
+        };
+        self.records.insert(arrival.key, record);
+        Claim::Ask(peers)
+    }
+
+    /// The question of a pending lookup.
+    pub(crate) fn question(&self, key: RequestKey) -> Option<Lookup> {
+        let ask = self.asks.get(&key)?;
+        Some(Lookup { key, attempt: ask.attempt, asker: self.me.clone(), seq: ask.seq })
+    }
+
+    /// Answers a peer's lookup. A local attempt that loses against it is returned; it must end.
+    pub(crate) fn answer(&mut self, lookup: &Lookup, now: Time) -> (LookupReply, Option<Ticket>) {
+        self.members.heard(&lookup.asker, now);
+        let mut loser = None;
+        let state = self.records.get(&lookup.key).map(|record| (record.state, record.attempt));
+        let seen = match state {
+            Some((State::Held(_), _)) => Seen::Held,
+            Some((State::Complete(_, until), _)) if now < until => Seen::Held,
+            Some((State::Complete(..), _)) => Seen::Ended { code: Code::Ok, run: RunState::Ran },
+            Some((State::Ended(code, run), _)) => Seen::Ended { code, run },
+            Some((State::Asking(ticket), attempt)) => {
+                let mine_first =
+                    attempt > lookup.attempt || attempt == lookup.attempt && self.me < lookup.asker;
+                if mine_first {
+                    Seen::Superseded
+                } else {
+                    loser = Some(ticket);
+                    self.asks.remove(&lookup.key);
+                    self.void(lookup.key, lookup.attempt, now);
+                    Seen::Voided
+                }
+            }
+            // A later attempt may have been answered "not run"; this one must not run after it.
+            Some((State::Void, attempt)) if attempt > lookup.attempt => Seen::Superseded,
+            Some((State::Void, _)) | None => {
+                self.void(lookup.key, lookup.attempt, now);
+                Seen::Voided
+            }
+        };
+        let known = self.known(now);
+        let from = self.me.clone();
+        (LookupReply { key: lookup.key, from, seq: lookup.seq, seen, known }, loser)
+    }
+
+    fn known(&self, now: Time) -> Vec<Life> {
+        self.members.must_ask(now).chain([&self.me]).cloned().collect()
+    }
+
+    /// Takes a peer's answer.
+    pub(crate) fn answered(&mut self, reply: &LookupReply, now: Time) -> Step {
+        self.members.heard(&reply.from, now);
+        let Some(ask) = self.asks.get_mut(&reply.key) else { return Step::Wait };
+        if ask.seq != reply.seq {
+            return Step::Wait;
+        }
+        let ticket = ask.ticket;
+        match &reply.seen {
+            Seen::Voided => {}
+            Seen::Held => {
+                self.release(reply.key, now);
+                return Step::Elsewhere(ticket, reply.from.instance.clone());
+            }
+            Seen::Ended { run, .. } => {
+                let run = *run;
+                self.release(reply.key, now);
+                let ran = run == RunState::Ran;
+                let code = if ran { Code::AlreadyRan } else { Code::EarlierAttempt };
+                return Step::Settled(ticket, code, run);
+            }
+            Seen::Superseded => {
+                self.release(reply.key, now);
+                return Step::Settled(ticket, Code::EarlierAttempt, RunState::Unknown);
+            }
+        }
+        ask.pending.retain(|life| *life != reply.from);
+        if !ask.answered.contains(&reply.from) {
+            ask.answered.push(reply.from.clone());
+        }
+        let mut more = Vec::new();
+        for life in &reply.known {
+            let settled = *life == self.me
+                || ask.answered.contains(life)
+                || ask.pending.contains(life)
+                || self.members.has_records_of(life);
+            if !settled {
+                ask.pending.push(life.clone());
+                more.push(life.clone());
+            }
+        }
+        if !more.is_empty() {
+            return Step::More(ticket, instances(&more));
+        }
+        if !ask.pending.is_empty() {
+            return Step::Wait;
+        }
+        let attempt = ask.attempt;
+        let body = self.records.get(&reply.key).map_or(0, |record| record.body);
+        self.asks.remove(&reply.key);
+        self.hold(reply.key, ticket, attempt, body);
+        Step::Cleared(ticket)
+    }
+
+    /// Lookups to repeat for want of an answer.
+    pub(crate) fn overdue(&mut self, now: Time, after: Duration) -> Vec<(RequestKey, Ticket)> {
+        let mut overdue = Vec::new();
+        for (key, ask) in &mut self.asks {
+            if !ask.repeated && now.since(ask.since) >= after {
+                ask.repeated = true;
+                overdue.push((*key, ask.ticket));
+            }
+        }
+        overdue
+    }
+
+    /// Instances whose answer a lookup still lacks.
+    pub(crate) fn lacking(&self, key: RequestKey) -> Vec<InstanceId> {
+        self.asks.get(&key).map(|ask| instances(&ask.pending)).unwrap_or_default()
+    }
+
+    /// Gives up lookups that weren't cleared in time and returns their attempts.
+    pub(crate) fn uncleared(&mut self, now: Time, timeout: Duration) -> Vec<Ticket> {
+        let late = |ask: &Ask| now.since(ask.since) >= timeout;
+        let keys: Vec<RequestKey> =
+            self.asks.iter().filter(|(_, ask)| late(ask)).map(|(key, _)| *key).collect();
+        let mut tickets = Vec::new();
+        for key in keys {
+            tickets.extend(self.asks.get(&key).map(|ask| ask.ticket));
+            self.release(key, now);
+        }
+        tickets
+    }
+
+    /// The attempt here that holds or looks for the record ended without any dispatch.
+    pub(crate) fn release(&mut self, key: RequestKey, now: Time) {
+        self.asks.remove(&key);
+        let Some(record) = self.records.get(&key) else { return };
+        if record.attempt == 0 && matches!(record.state, State::Held(_)) {
+            self.records.remove(&key);
+            return;
+        }
+        let attempt = record.attempt;
+        self.void(key, attempt, now);
+    }
+
+    /// The attempt here got the whole answer.
+    pub(crate) fn complete(&mut self, key: RequestKey, ticket: Ticket, now: Time) {
+        self.close(key, State::Complete(ticket, now + self.answer_keep), now);
+    }
+
+    /// The attempt here ended otherwise after it may have been dispatched.
+    pub(crate) fn end(&mut self, key: RequestKey, code: Code, run: RunState, now: Time) {
+        self.close(key, State::Ended(code, run), now);
+    }
+
+    fn close(&mut self, key: RequestKey, state: State, now: Time) {
+        let expires = now + self.keep;
+        let Some(record) = self.records.get_mut(&key) else { return };
+        record.state = state;
+        record.expires = expires;
+        self.expiry.push_back((expires, key));
+    }
+
+    fn void(&mut self, key: RequestKey, attempt: u32, now: Time) {
+        let expires = now + self.keep;
+        let record = self.records.entry(key).or_insert(Record {
+            state: State::Void,
+            attempt,
+            body: 0,
+            expires,
+        });
+        record.state = State::Void;
+        record.attempt = record.attempt.max(attempt);
+        record.expires = expires;
+        self.expiry.push_back((expires, key));
+    }
+
+    /// Forgets what no resend can ask after any more.
+    pub(crate) fn expire(&mut self, now: Time) {
+        while let Some((at, key)) = self.expiry.front().copied() {
+            if at > now {
+                break;
+            }
+            self.expiry.pop_front();
+            if self.records.get(&key).is_some_and(|record| record.expires <= now) {
+                self.records.remove(&key);
+            }
+        }
+    }
+
+    /// A copy of the records: for a joining instance all as promises, so that it asks before it
+    /// dispatches; from a leaving one with their results, since it can't be asked later.
+    pub(crate) fn copy(&self, seq: Option<u64>, joined: bool, now: Time) -> RecordsCopy {
+        let mut notes = Vec::new();
+        for (key, record) in &self.records {
+            let seen = match record.state {
+                _ if seq.is_some() => Seen::Voided,
+                State::Void | State::Asking(_) => Seen::Voided,
+                State::Complete(..) => Seen::Ended { code: Code::Ok, run: RunState::Ran },
+                State::Ended(code, run) => Seen::Ended { code, run },
+                State::Held(_) => {
+                    Seen::Ended { code: Code::OutcomeUnknown, run: RunState::Unknown }
+                }
+            };
+            let keep = record.expires.since(now).min(self.keep);
+            let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
+            notes.push(RecordNote { key: *key, attempt: record.attempt, seen, keep_ms });
+        }
+        RecordsCopy { from: self.me.clone(), joined, seq, notes, known: self.known(now) }
+    }
+
+    /// Takes over the records of a copy.
+    pub(crate) fn take(&mut self, copy: &RecordsCopy, now: Time) {
+        self.members.heard(&copy.from, now);
+        if copy.seq.is_none() {
+            self.members.handed_over(&copy.from, now);
+        }
+        for note in &copy.notes {
+            let state = match &note.seen {
+                Seen::Voided | Seen::Superseded => State::Void,
+                Seen::Ended { code, run } => State::Ended(*code, *run),
+                Seen::Held => State::Ended(Code::OutcomeUnknown, RunState::Unknown),
+            };
+            self.adopt(note, state, now);
+        }
+    }
+
+    fn adopt(&mut self, note: &RecordNote, state: State, now: Time) {
+        // Kept for the full time here, which is never shorter than at the sender.
+        let expires = now + self.keep;
+        match self.records.get_mut(&note.key) {
+            Some(record) if matches!(record.state, State::Void) => {
+                record.state = state;
+                record.attempt = record.attempt.max(note.attempt);
+                record.expires = expires;
+            }
+            Some(_) => return,
+            None => {
+                let record = Record { state, attempt: note.attempt, body: 0, expires };
+                self.records.insert(note.key, record);
+            }
+        }
+        self.expiry.push_back((expires, note.key));
+    }
+}
+
+fn instances(lives: &[Life]) -> Vec<InstanceId> {
+    let mut names: Vec<InstanceId> = lives.iter().map(|life| life.instance.clone()).collect();
+    names.sort();
+    names.dedup();
+    names
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/arrive.rs
@@ -0,0 +1,236 @@
+//! Arrival of requests: records, limits, queue.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use sesamewind_protocol::{Code, InstanceId, RunState};
+
+use crate::action::Action;
+use crate::attempt::{Received, Refusal};
+use crate::config::Kind;
+use crate::event::{Arrival, Ticket};
+use crate::queue::Class;
+use crate::records::Claim;
+
+use super::request::{Request, Stage};
+use super::{Context, Scheduler};
+
+const STOP_RETRY: Duration = Duration::from_secs(1);
+/// Multiple of the queue's limit up to which urgent requests wait while lower work is cancelled.
+const URGENT_OVERFLOW: usize = 4;
+/// Part of the predicted time of an idle target below which a request is hopeless.
+const HOPELESS: f64 = 0.8;
+
+impl Scheduler {
+    pub(super) fn arrive(&mut self, arrival: Arrival, cx: Context<'_>) {
+        let claim = if arrival.has_key {
+            self.records.claim(&arrival, self.join.joined(), cx.now)
+        } else {
+            Claim::Held
+        };
+        let received = Received::new(arrival.ticket);
+        match claim {
+            Claim::Held => self.admit(arrival, received, cx),
+            Claim::Ask(peers) => self.look_up(arrival, received, peers, cx),
+            Claim::Attach(to) => {
+                self.out.push(Action::AttachLocal { ticket: arrival.ticket, to });
+            }
+            Claim::Settled(code, run) => self.refuse(received.end(code, run, None)),
+            Claim::KeyReused => {
+                self.refuse(received.end(Code::KeyReused, RunState::Unknown, None));
+            }
+        }
+    }
+
+    /// Takes a request in whose record is held here.
+    fn admit(&mut self, arrival: Arrival, received: Received, cx: Context<'_>) {
+        let claimed = received.claim();
+        let service = match self.check(&arrival, cx) {
+            Ok(service) => service,
+            Err((code, retry_after)) => {
+                let refusal = claimed.refuse(code, retry_after);
+                self.close_record(&arrival, &refusal, cx);
+                return self.refuse(refusal);
+            }
+        };
+        let request = self.request(arrival, service, Stage::Queued(claimed.enqueue()), cx);
+        self.enqueue(request, cx);
+    }
+
+    /// Asks peers after a request that may be a resend.
+    fn look_up(
+        &mut self,
+        arrival: Arrival,
+        received: Received,
+        peers: Vec<InstanceId>,
+        cx: Context<'_>,
+    ) {
+        let service = match self.check(&arrival, cx) {
+            Ok(service) => service,
+            Err((code, retry_after)) => {
+                self.records.release(arrival.key, cx.now);
+                return self.refuse(received.end(code, RunState::Unknown, retry_after));
+            }
+        };
+        let (ticket, key) = (arrival.ticket, arrival.key);
+        let request = self.request(arrival, service, Stage::Received(received), cx);
+        self.requests.insert(ticket, request);
+        self.ask_peers(ticket, key, peers);
+    }
+
+    /// Index of the service, if the request may come in at all.
+    fn check(
+        &mut self,
+        arrival: &Arrival,
+        cx: Context<'_>,
+    ) -> Result<usize, (Code, Option<Duration>)> {
+        if self.stopped {
+            return Err((Code::Stopping, Some(STOP_RETRY)));
+        }
+        let known = self.service_index.get(&arrival.service).copied();
+        let active = known.filter(|index| self.services[*index].active);
+        let service = active.ok_or((Code::UnknownService, None))?;
+        let tokens = arrival.prompt_tokens.saturating_add(arrival.output_tokens);
+        let charged = self.accounts.charge(&arrival.account, tokens, cx.now);
+        charged.map_err(|wait| (Code::AccountLimit, Some(wait)))?;
+        Ok(service)
+    }
+
+    fn request(&self, arrival: Arrival, service: usize, stage: Stage, cx: Context<'_>) -> Request {
+        Request {
+            class: self.class(service, &arrival),
+            arrival,
+            service,
+            stage,
+            queued: cx.now,
+            avoid: None,
+            tries: 0,
+            orphan: None,
+        }
+    }
+
+    /// Goes on with a request that every peer has cleared.
+    pub(super) fn cleared(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(mut request) = self.requests.remove(&ticket) else { return };
+        let Stage::Received(received) = request.stage else {
+            self.requests.insert(ticket, request);
+            return;
+        };
+        let claimed = received.claim();
+        if self.stopped {
+            let refusal = claimed.refuse(Code::Stopping, Some(STOP_RETRY));
+            self.close_record(&request.arrival, &refusal, cx);
+            return self.refuse(refusal);
+        }
+        request.stage = Stage::Queued(claimed.enqueue());
+        self.enqueue(request, cx);
+    }
+
+    fn class(&self, service: usize, arrival: &Arrival) -> Class {
+        let long = arrival.prompt_tokens >= self.limits.long_prompt;
+        let model = self.services[service].kind == Kind::Model;
+        if long && model { Class::Long } else { Class::Short }
+    }
+
+    /// Puts a request into the queue.
+    fn enqueue(&mut self, mut request: Request, cx: Context<'_>) {
+        let ticket = request.arrival.ticket;
+        request.queued = cx.now;
+        if self.hopeless(&request, cx) {
+            return self.give_up(request, Code::DeadlineUnreachable, None, cx);
+        }
+        let (service, rank, class) = (request.service, request.arrival.rank, request.class);
+        let state = &mut self.services[service];
+        state.saw_demand(class, request.arrival.prompt_tokens, cx.now);
+        let first = state.queue.head(rank, class).is_none();
+        state.queue.push(rank, class, &request.arrival.account, ticket);
+        self.deadlines.push(Reverse((request.expires(), ticket)));
+        self.requests.insert(ticket, request);
+        self.bound_queue(service, rank, cx);
+        // Behind others that wait for room there is nothing to decide yet.
+        if first || self.services[service].blocked.is_none() {
+            self.pump(service, cx);
+        }
+    }
+
+    /// Keeps the queue within its limit: the least urgent tier gives way first, and within it the
+    /// account that waits most.
+    fn bound_queue(&mut self, service: usize, rank: u8, cx: Context<'_>) {
+        let limit = self.limits.queue_requests;
+        let queue = &self.services[service].queue;
+        if queue.len() <= limit {
+            return;
+        }
+        let Some(last) = queue.last_rank() else { return };
+        let overflow = queue.len() > limit * URGENT_OVERFLOW;
+        if last <= rank && !overflow && !self.may_shed(service, rank, cx) {
+            return;
+        }
+        let Some(ticket) = self.services[service].queue.surplus(last) else { return };
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        let code = if last > rank { Code::TierShed } else { Code::QueueFull };
+        let retry_after = Some(self.drain_time(service, cx));
+        self.give_up(request, code, retry_after, cx);
+    }
+
+    /// Whether an idle target, the best there is, would still be late by far.
+    fn hopeless(&self, request: &Request, cx: Context<'_>) -> bool {
+        let state = &self.services[request.service];
+        if cx.now >= request.expires() {
+            return true;
+        }
+        if state.kind == Kind::Plain || state.targets.is_empty() {
+            return false;
+        }
+        let arrival = &request.arrival;
+        let first_within = arrival.first_token_by.since(cx.now).as_secs_f64();
+        let total_within = arrival.deadline.since(cx.now).as_secs_f64();
+        let output = f64::from(arrival.output_tokens) * state.output_ratio;
+        state.targets.iter().all(|index| {
+            let target = &self.targets[*index];
+            if !target.speed.known(cx.now) {
+                return false;
+            }
+            let keep = self.limits.cache_keep;
+            let cached = arrival.prefix.map_or(0.0, |prefix| target.cached(&prefix, keep, cx.now));
+            let prompt = (f64::from(arrival.prompt_tokens) - cached).max(1.0);
+            let first = prompt / target.speed.prefill();
+            let end = first + output * target.speed.step(1.0);
+            first * HOPELESS > first_within || end * HOPELESS > total_within
+        })
+    }
+
+    /// When a caller that was refused for want of room should come back.
+    pub(super) fn drain_time(&self, service: usize, cx: Context<'_>) -> Duration {
+        const LEAST: Duration = Duration::from_millis(500);
+        const MOST: Duration = Duration::from_secs(10);
+        let queue = &self.services[service].queue;
+        let head = queue
+            .next_rank(0)
+            .and_then(|rank| Class::ALL.iter().find_map(|class| queue.head(rank, *class)));
+        let waited = head
+            .and_then(|ticket| self.requests.get(&ticket))
+            .map_or(Duration::ZERO, |request| cx.now.since(request.queued));
+        waited.clamp(LEAST, MOST)
+    }
+
+    /// Counts and sends a refusal.
+    pub(super) fn refuse(&mut self, refusal: Refusal) {
+        self.count(&refusal);
+        self.out.push(Action::Refuse(refusal));
+    }
+
+    pub(super) fn count(&mut self, refusal: &Refusal) {
+        *self.counters.refusals.entry(refusal.code()).or_default() += 1;
+    }
+
+    /// Ends an attempt that waits for its record by what became of another attempt.
+    pub(super) fn settle(&mut self, ticket: Ticket, code: Code, run: RunState) {
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        let Stage::Received(received) = request.stage else {
+            self.requests.insert(ticket, request);
+            return;
+        };
+        self.refuse(received.end(code, run, None));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/end.rs
@@ -0,0 +1,122 @@
+//! Ends of requests that get no whole answer.
+
+use std::time::Duration;
+
+use sesamewind_protocol::Code;
+
+use crate::action::Action;
+use crate::attempt::Refusal;
+use crate::config::Kind;
+use crate::event::{Arrival, Ticket};
+
+use super::request::{Flight, Request, Stage, frees_record};
+use super::{Context, Scheduler};
+
+const PREEMPT_RETRY: Duration = Duration::from_secs(2);
+
+impl Scheduler {
+    /// Sets a request's work at its target off.
+    pub(super) fn leave_target(&mut self, service: usize, rank: u8, flight: &Flight) {
+        self.targets[flight.target].left(flight.prompt_left(), flight.output_left());
+        self.services[service].ended(rank);
+    }
+
+    /// Keeps in the record what a refusal says.
+    pub(super) fn close_record(&mut self, arrival: &Arrival, refusal: &Refusal, cx: Context<'_>) {
+        if !arrival.has_key {
+            return;
+        }
+        if frees_record(refusal) {
+            self.records.release(arrival.key, cx.now);
+        } else {
+            self.records.end(arrival.key, refusal.code(), refusal.run(), cx.now);
+        }
+    }
+
+    /// Ends an attempt of which nothing was sent, wherever it stands.
+    pub(super) fn give_up(
+        &mut self,
+        request: Request,
+        code: Code,
+        retry_after: Option<Duration>,
+        cx: Context<'_>,
+    ) {
+        let refusal = self.take_out(request, code, retry_after, cx);
+        self.refuse(refusal);
+    }
+
+    /// Ends an attempt that may have run.
+    pub(super) fn give_up_sent(&mut self, request: Request, code: Code, cx: Context<'_>) {
+        let refusal = self.take_out(request, code, None, cx);
+        self.refuse(refusal);
+    }
+
+    /// Takes a request out of queue, target and record.
+    fn take_out(
+        &mut self,
+        request: Request,
+        code: Code,
+        retry_after: Option<Duration>,
+        cx: Context<'_>,
+    ) -> Refusal {
+        let Request { arrival, service, class, stage, .. } = request;
+        if matches!(stage, Stage::Queued(_)) {
+            let queue = &mut self.services[service].queue;
+            queue.remove(arrival.rank, class, &arrival.account, arrival.ticket);
+        }
+        if let Some(flight) = stage.flight() {
+            self.leave_target(service, arrival.rank, flight);
+        }
+        let refusal = stage.give_up(code, retry_after);
+        self.close_record(&arrival, &refusal, cx);
+        refusal
+    }
+
+    /// Cancels a request at its target.
+    pub(super) fn cancel(
+        &mut self,
+        request: Request,
+        code: Code,
+        retry_after: Option<Duration>,
+        cx: Context<'_>,
+    ) {
+        let ticket = request.arrival.ticket;
+        let refusal = self.take_out(request, code, retry_after, cx);
+        self.count(&refusal);
+        self.out.push(Action::Cancel { ticket, refusal });
+    }
+
+    /// Makes room for a more urgent tier.
+    pub(super) fn preempt(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        let Some(flight) = request.stage.flight() else {
+            self.requests.insert(ticket, request);
+            return;
+        };
+        let prefill = self.targets[flight.target].speed.prefill();
+        self.counters.preempted += 1;
+        self.counters.preempted_tokens += flight.done(prefill, cx.now) as u64;
+        self.cancel(request, Code::Preempted, Some(PREEMPT_RETRY), cx);
+    }
+
+    pub(super) fn caller_gone(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let model = self.services[request.service].kind == Kind::Model;
+        let sent = matches!(request.stage, Stage::Sent(..) | Stage::Streaming(..));
+        if sent && (request.arrival.has_key || !model) {
+            // A resend may fetch the answer; a plain call is never cut short.
+            request.orphan = Some(cx.now);
+            return;
+        }
+        let service = request.service;
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        self.cancel(request, Code::CallerGone, None, cx);
+        self.pump(service, cx);
+    }
+
+    pub(super) fn caller_back(&mut self, ticket: Ticket) {
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.orphan = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/flight.rs
@@ -0,0 +1,266 @@
+//! Requests in flight: write check, progress, end.
+
+use sesamewind_protocol::{Code, TargetId, Time};
+
+use crate::action::Action;
+use crate::attempt::NotSent;
+use crate::config::Kind;
+use crate::event::{End, Prefix, Ticket};
+use crate::view::RetryReason;
+
+use super::request::{Flight, Request, Stage};
+use super::{Context, Scheduler};
+
+/// Dispatches of one request that may fail to connect before it is refused.
+const MAX_TRIES: u32 = 4;
+/// Prompts below this say little of the speed of prefill, in tokens.
+const MIN_OBSERVED: f64 = 1.0;
+
+impl Scheduler {
+    /// Decides right before the write. An attempt that was given up, or whose time is over, must
+    /// not be written, also by an instance that was frozen in between.
+    pub(super) fn write_check(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(mut request) = self.requests.remove(&ticket) else {
+            return self.out.push(Action::NoGo { ticket, refusal: None });
+        };
+        let (dispatching, mut flight) = match request.stage {
+            Stage::Dispatching(dispatching, flight) => (dispatching, flight),
+            stage => {
+                request.stage = stage;
+                self.requests.insert(ticket, request);
+                return self.out.push(Action::NoGo { ticket, refusal: None });
+            }
+        };
+        if cx.now >= request.arrival.deadline {
+            self.leave_target(request.service, request.arrival.rank, &flight);
+            let queued = dispatching.withdraw(NotSent::write_denied());
+            let refusal = queued.refuse(Code::DeadlinePassed, None);
+            self.close_record(&request.arrival, &refusal, cx);
+            self.count(&refusal);
+            return self.out.push(Action::NoGo { ticket, refusal: Some(refusal) });
+        }
+        flight.sent = cx.now;
+        flight.last = cx.now;
+        request.stage = Stage::Sent(dispatching.send(), flight);
+        self.requests.insert(ticket, request);
+        self.out.push(Action::Go { ticket });
+    }
+
+    pub(super) fn accepted(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(mut request) = self.requests.remove(&ticket) else { return };
+        request.stage = match request.stage {
+            Stage::Sent(sent, mut flight) => {
+                flight.last = cx.now;
+                Stage::Streaming(sent.accept(), flight)
+            }
+            Stage::Streaming(streaming, mut flight) => {
+                flight.last = cx.now;
+                flight.proved = true;
+                flight.silent = false;
+                Stage::Streaming(streaming, flight)
+            }
+            stage => stage,
+        };
+        self.requests.insert(ticket, request);
+    }
+
+    pub(super) fn tokens(&mut self, ticket: Ticket, n: u32, cx: Context<'_>) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let service = request.service;
+        let prefix = request.arrival.prefix;
+        let Some(flight) = request.stage.flight_mut() else { return };
+        if n == 0 {
+            return;
+        }
+        let target = &mut self.targets[flight.target];
+        let first = flight.produced == 0;
+        let gap = cx.now.since(flight.last);
+        // After a pause of the connection the gap says nothing of the target's speed.
+        let steady = !flight.silent && !flight.proved;
+        flight.last = cx.now;
+        flight.silent = false;
+        flight.proved = false;
+        flight.patience = 1;
+        if first {
+            target.prefilled(flight.uncached, cx.now);
+            if flight.work >= MIN_OBSERVED && flight.resumes == 0 {
+                target.speed.saw_prefill(flight.work, cx.now.since(flight.sent), cx.now);
+            }
+            if let Some(Prefix { hash, tokens }) = prefix {
+                target.hint(hash, tokens, cx.now);
+            }
+        } else if steady {
+            let streams = target.load(cx.now).requests;
+            target.speed.saw_step(streams, gap.as_secs_f64() / f64::from(n));
+        }
+        flight.produced += n;
+        target.generated(f64::from(n));
+        if first && self.services[service].blocked.is_some() {
+            self.pump(service, cx);
+        }
+    }
+
+    pub(super) fn finished(&mut self, ticket: Ticket, end: End, cx: Context<'_>) {
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        let Some(target) = request.stage.flight().map(|flight| flight.target) else {
+            self.requests.insert(ticket, request);
+            return;
+        };
+        let service = request.service;
+        match end {
+            End::Complete => self.completed(request, cx),
+            End::RefusedNotRun => self.not_run(request, RetryReason::TargetRefused, cx),
+            End::ConnectFailed | End::Broken { sent: false } => {
+                self.suspect(target, cx);
+                self.not_run(request, RetryReason::ConnectFailed, cx);
+            }
+            End::Broken { sent: true } => self.broken(request, cx),
+            End::Failed => self.failed(request, cx),
+        }
+        self.pump(service, cx);
+    }
+
+    fn completed(&mut self, request: Request, cx: Context<'_>) {
+        let Some(flight) = request.stage.flight() else { return };
+        self.leave_target(request.service, request.arrival.rank, flight);
+        let urgent = self.is_urgent(request.arrival.rank);
+        let state = &mut self.services[request.service];
+        state.retries.success();
+        if state.kind == Kind::Plain {
+            let took = cx.now.since(flight.sent);
+            self.targets[flight.target].speed.saw_call(took);
+        } else if flight.produced > 0 {
+            state.saw_output(urgent, request.arrival.output_tokens, flight.produced);
+        }
+        if request.arrival.has_key {
+            self.records.complete(request.arrival.key, request.arrival.ticket, cx.now);
+        }
+        self.counters.completed += 1;
+    }
+
+    /// Nothing ran: the request goes back to the queue if it may be tried again.
+    fn not_run(&mut self, mut request: Request, reason: RetryReason, cx: Context<'_>) {
+        let (queued, flight) = match request.stage {
+            Stage::Dispatching(stage, flight) => (stage.withdraw(NotSent::reported()), flight),
+            Stage::Sent(stage, flight) => (stage.withdraw(NotSent::reported()), flight),
+            // The target forgot a stream that ran, or can't be reached to resume it.
+            Stage::Streaming(..) => {
+                let lost = reason == RetryReason::ConnectFailed;
+                return if lost { self.await_target(request, cx) } else { self.lost(request, cx) };
+            }
+            Stage::Received(_) | Stage::Queued(_) => return,
+        };
+        request.stage = Stage::Queued(queued);
+        self.leave_target(request.service, request.arrival.rank, &flight);
+        request.avoid = Some(flight.target);
+        let state = &mut self.services[request.service];
+        // A failed connection costs targets nothing; refusals draw on the budget.
+        let allowed = match reason {
+            RetryReason::ConnectFailed => request.tries < MAX_TRIES,
+            _ => request.tries < MAX_TRIES && state.retries.spend(),
+        };
+        if !allowed {
+            let tried_out = request.tries >= MAX_TRIES || reason == RetryReason::ConnectFailed;
+            let code = if tried_out { Code::TargetRefused } else { Code::RetryBudget };
+            let retry_after = Some(self.drain_time(request.service, cx));
+            return self.give_up(request, code, retry_after, cx);
+        }
+        *self.counters.retries.entry(reason).or_default() += 1;
+        let (rank, class) = (request.arrival.rank, request.class);
+        let ticket = request.arrival.ticket;
+        state.queue.push_front(rank, class, &request.arrival.account, ticket);
+        self.requests.insert(ticket, request);
+    }
+
+    /// The connection broke after bytes may have been sent.
+    fn broken(&mut self, mut request: Request, cx: Context<'_>) {
+        let kind = self.services[request.service].kind;
+        let resumes = self.limits.resumes;
+        if let Stage::Streaming(_, flight) = &mut request.stage
+            && kind == Kind::Model
+            && flight.resumes < resumes
+        {
+            let ticket = request.arrival.ticket;
+            let target = self.resume(flight, RetryReason::StreamBroken, cx);
+            self.requests.insert(ticket, request);
+            return self.out.push(Action::Resume { ticket, target });
+        }
+        self.lost(request, cx);
+    }
+
+    /// Counts one more connection of a stream and says where to open it.
+    fn resume(&mut self, flight: &mut Flight, reason: RetryReason, cx: Context<'_>) -> TargetId {
+        flight.resumes += 1;
+        flight.last = cx.now;
+        flight.proved = true;
+        flight.silent = false;
+        *self.counters.retries.entry(reason).or_default() += 1;
+        self.targets[flight.target].id.clone()
+    }
+
+    /// Keeps a stream whose target can't be reached until a probe decides.
+    fn await_target(&mut self, mut request: Request, cx: Context<'_>) {
+        let resumes = self.limits.resumes;
+        let model = self.services[request.service].kind == Kind::Model;
+        let ticket = request.arrival.ticket;
+        match request.stage.flight_mut() {
+            Some(flight) if model && flight.resumes < resumes => {
+                flight.silent = true;
+                self.requests.insert(ticket, request);
+            }
+            _ => self.lost(request, cx),
+        }
+    }
+
+    /// Ends an attempt of which it isn't known whether it ran.
+    pub(super) fn lost(&mut self, request: Request, cx: Context<'_>) {
+        let code = match &request.stage {
+            Stage::Streaming(_, flight) if flight.produced > 0 => Code::AnswerBroken,
+            _ => Code::OutcomeUnknown,
+        };
+        self.give_up_sent(request, code, cx);
+    }
+
+    fn failed(&mut self, request: Request, cx: Context<'_>) {
+        let (refusal, flight) = match request.stage {
+            Stage::Dispatching(stage, flight) => (stage.end(Code::OutcomeUnknown), flight),
+            Stage::Sent(stage, flight) => (stage.fail(Code::TargetFailed), flight),
+            Stage::Streaming(stage, flight) => (stage.fail(Code::TargetFailed), flight),
+            Stage::Received(_) | Stage::Queued(_) => return,
+        };
+        self.leave_target(request.service, request.arrival.rank, &flight);
+        self.close_record(&request.arrival, &refusal, cx);
+        self.refuse(refusal);
+    }
+
+    /// Resumes the silent streams of a target over new connections.
+    pub(super) fn resume_streams(&mut self, target: usize, quiet_since: Time, cx: Context<'_>) {
+        let mut tickets: Vec<Ticket> = Vec::new();
+        for (ticket, request) in &self.requests {
+            if let Stage::Streaming(_, flight) = &request.stage
+                && flight.target == target
+                && (flight.silent || flight.last <= quiet_since)
+                && self.services[request.service].kind == Kind::Model
+            {
+                tickets.push(*ticket);
+            }
+        }
+        tickets.sort_unstable();
+        for ticket in tickets {
+            let Some(mut request) = self.requests.remove(&ticket) else { continue };
+            let exhausted = match request.stage.flight_mut() {
+                Some(flight) if flight.resumes < self.limits.resumes => {
+                    let target = self.resume(flight, RetryReason::StreamSilent, cx);
+                    self.out.push(Action::Resume { ticket, target });
+                    false
+                }
+                _ => true,
+            };
+            if exhausted {
+                self.lost(request, cx);
+            } else {
+                self.requests.insert(ticket, request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/pump.rs
@@ -0,0 +1,233 @@
+//! From the queue to the targets, the most urgent tier first.
+
+use std::time::Duration;
+
+use sesamewind_protocol::Code;
+
+use crate::action::Action;
+use crate::choose::{Bounds, Choice, Need, Pick, choose};
+use crate::config::Kind;
+use crate::event::Ticket;
+use crate::queue::Class;
+
+use super::request::{Flight, Stage};
+use super::{Context, Scheduler};
+
+/// Part of the most urgent tier's time to first token that prompts may wait inside a target.
+const WINDOW_SHARE: f64 = 0.5;
+const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
+
+/// How far a class of a tier got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// Nothing waits any more.
+    Done,
+    /// The next request has to wait for room that lower tiers must not take.
+    Blocked,
+    /// The next request has to wait for room among the targets that take long prompts.
+    BlockedLong,
+}
+
+impl Scheduler {
+    /// Dispatches what waits and has room.
+    pub(super) fn pump(&mut self, service: usize, cx: Context<'_>) {
+        let id = self.services[service].id.clone();
+        let floor = self.floors.rank(&id, cx.now);
+        let mut blocked = None;
+        let mut from = 0;
+        while let Some(rank) = self.services[service].queue.next_rank(from) {
+            if floor.is_some_and(|floor| rank > floor) {
+                blocked = blocked.or(Some(rank));
+                break;
+            }
+            let progress = Class::ALL.map(|class| self.pump_class(service, rank, class, cx));
+            if progress.contains(&Progress::Blocked) {
+                blocked = blocked.or(Some(rank));
+                break;
+            }
+            if progress.contains(&Progress::BlockedLong) {
+                blocked = blocked.or(Some(rank));
+            }
+            let Some(next) = rank.checked_add(1) else { break };
+            from = next;
+        }
+        self.services[service].blocked = blocked;
+        self.relax_floor(service, blocked, cx);
+    }
+
+    fn pump_class(&mut self, service: usize, rank: u8, class: Class, cx: Context<'_>) -> Progress {
+        while let Some(ticket) = self.services[service].queue.head(rank, class) {
+            let Some(request) = self.requests.get(&ticket) else {
+                self.services[service].queue.pop(rank, class, 0);
+                continue;
+            };
+            let waited = cx.now.since(request.queued);
+            if cx.now >= request.expires() {
+                self.drop_head(ticket, Code::DeadlinePassed, cx);
+                continue;
+            }
+            match self.choose_for(ticket, cx) {
+                Choice::Target(pick) => self.dispatch(ticket, &pick, cx),
+                Choice::Wait => {
+                    self.press(service, rank, waited, cx);
+                    return Progress::Blocked;
+                }
+                Choice::WaitLong => {
+                    self.press(service, rank, waited, cx);
+                    return Progress::BlockedLong;
+                }
+                Choice::Miss if self.may_shed(service, rank, cx) => {
+                    self.drop_head(ticket, Code::DeadlineUnreachable, cx);
+                }
+                Choice::Miss => return Progress::Blocked,
+                Choice::NoTarget => self.park(ticket, cx),
+            }
+        }
+        Progress::Done
+    }
+
+    fn choose_for(&mut self, ticket: Ticket, cx: Context<'_>) -> Choice {
+        let Some(request) = self.requests.get(&ticket) else { return Choice::NoTarget };
+        let state = &self.services[request.service];
+        let arrival = &request.arrival;
+        let version = cx.versions.choose(&arrival.service, &arrival.route, &arrival.key, cx.wall);
+        let need = Need {
+            kind: state.kind,
+            version: &version,
+            prompt: f64::from(arrival.prompt_tokens),
+            output: f64::from(arrival.output_tokens) * state.output_ratio,
+            prefix: arrival.prefix,
+            urgent: self.is_urgent(arrival.rank),
+            long: request.class == Class::Long,
+            first_within: arrival.first_token_by.since(cx.now),
+            total_within: arrival.deadline.since(cx.now),
+            avoid: request.avoid,
+            now: cx.now,
+        };
+        let bounds = self.bounds(request.service);
+        let (order, long_targets) = (&state.targets, state.long_targets);
+        choose(&self.targets, order, long_targets, &need, &bounds, &mut self.rng)
+    }
+
+    fn bounds(&self, service: usize) -> Bounds {
+        let top = self.tiers.first();
+        let first = top.map_or(DEFAULT_WINDOW, |tier| tier.first_token);
+        let output = self.services[service].urgent_output;
+        let step_budget = top.zip(output).map(|(tier, output)| {
+            tier.total.saturating_sub(tier.first_token).as_secs_f64() / output.max(1.0)
+        });
+        Bounds {
+            window: first.as_secs_f64() * WINDOW_SHARE,
+            headroom: if self.tiers.len() > 1 { self.limits.headroom } else { 0.0 },
+            step_budget,
+            cache_keep: self.limits.cache_keep,
+        }
+    }
+
+    fn dispatch(&mut self, ticket: Ticket, pick: &Pick, cx: Context<'_>) {
+        let Some(mut request) = self.requests.remove(&ticket) else { return };
+        let cost = request.cost().max(1);
+        let Stage::Queued(queued) = request.stage else {
+            self.requests.insert(ticket, request);
+            return;
+        };
+        let arrival = &request.arrival;
+        let version = cx.versions.choose(&arrival.service, &arrival.route, &arrival.key, cx.wall);
+        let state = &mut self.services[request.service];
+        state.queue.pop(arrival.rank, request.class, cost);
+        let output = f64::from(arrival.output_tokens) * state.output_ratio;
+        state.started(arrival.rank);
+        let target = &mut self.targets[pick.target];
+        target.sent(pick.uncached, output, cx.now);
+        let flight = Flight {
+            target: pick.target,
+            sent: cx.now,
+            uncached: pick.uncached,
+            output,
+            work: pick.work,
+            predicted: Duration::from_secs_f64(pick.first.clamp(0.0, 3_600.0)),
+            produced: 0,
+            last: cx.now,
+            resumes: 0,
+            silent: false,
+            proved: false,
+            patience: 1,
+            overdue: 1,
+        };
+        self.counters.dispatched += 1;
+        self.counters.prefix_hits += u64::from(pick.cached);
+        let action = Action::Dispatch { ticket, target: target.id.clone(), version };
+        request.stage = Stage::Dispatching(queued.dispatch(), Box::new(flight));
+        request.tries += 1;
+        self.requests.insert(ticket, request);
+        self.out.push(action);
+    }
+
+    fn drop_head(&mut self, ticket: Ticket, code: Code, cx: Context<'_>) {
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        let retry_after = Some(self.drain_time(request.service, cx));
+        self.give_up(request, code, retry_after, cx);
+    }
+
+    /// Sets a request aside until a target has its version, or refuses it.
+    fn park(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        if cx.now.since(request.queued) >= self.limits.target_wait {
+            return self.drop_head(ticket, Code::NoTarget, cx);
+        }
+        let (rank, class) = (request.arrival.rank, request.class);
+        self.services[request.service].queue.pop(rank, class, 0);
+        self.parked.push(ticket);
+    }
+
+    /// Puts requests that were set aside back into their queues.
+    pub(super) fn unpark(&mut self) {
+        for ticket in std::mem::take(&mut self.parked) {
+            let Some(request) = self.requests.get(&ticket) else { continue };
+            let Stage::Queued(_) = request.stage else { continue };
+            let (rank, class) = (request.arrival.rank, request.class);
+            let queue = &mut self.services[request.service].queue;
+            queue.push_front(rank, class, &request.arrival.account, ticket);
+        }
+    }
+
+    /// Whether a request of tier `rank` may be refused for want of room: nothing lower runs here,
+    /// and every reachable peer has said the same. Asks for it if not.
+    pub(super) fn may_shed(&mut self, service: usize, rank: u8, cx: Context<'_>) -> bool {
+        if self.is_lowest(rank) || self.services[service].kind == Kind::Plain {
+            return true;
+        }
+        let state = &self.services[service];
+        let clear = state.lowest_running().is_none_or(|lowest| lowest <= rank);
+        if clear && self.floors.acknowledged(&state.id, rank, cx.now) {
+            return true;
+        }
+        self.raise_floor(service, rank, cx);
+        false
+    }
+
+    /// Raises the tier floor for a request that has waited too long for room.
+    fn press(&mut self, service: usize, rank: u8, waited: Duration, cx: Context<'_>) {
+        let lowest = self.is_lowest(rank) || self.services[service].kind == Kind::Plain;
+        if !lowest && waited >= self.limits.floor_delay {
+            self.raise_floor(service, rank, cx);
+        }
+    }
+
+    fn raise_floor(&mut self, service: usize, rank: u8, cx: Context<'_>) {
+        let id = &self.services[service].id;
+        if self.floors.press(id, rank, cx.now) {
+            self.counters.floors_raised += 1;
+            self.out.push(Action::FloorChanged);
+        }
+    }
+
+    fn relax_floor(&mut self, service: usize, blocked: Option<u8>, cx: Context<'_>) {
+        let id = &self.services[service].id;
+        let floor = self.floors.rank(id, cx.now);
+        let pressing = blocked.is_some_and(|rank| floor.is_some_and(|floor| rank <= floor));
+        if !pressing && self.floors.relax(id, cx.now) {
+            self.out.push(Action::FloorChanged);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/request.rs
@@ -0,0 +1,136 @@
+//! A request that the scheduler has on its hands.
+
+use std::time::Duration;
+
+use sesamewind_protocol::{Code, RunState, Time};
+
+use crate::attempt::{Dispatching, NotSent, Queued, Received, Refusal, Sent, Streaming};
+use crate::event::Arrival;
+use crate::queue::Class;
+
+/// Where an attempt stands; see [`crate::attempt`].
+#[derive(Debug)]
+pub(super) enum Stage {
+    Received(Received),
+    Queued(Queued),
+    Dispatching(Dispatching, Box<Flight>),
+    Sent(Sent, Box<Flight>),
+    Streaming(Streaming, Box<Flight>),
+}
+
+impl Stage {
+    pub(super) fn flight(&self) -> Option<&Flight> {
+        match self {
+            Self::Received(_) | Self::Queued(_) => None,
+            Self::Dispatching(_, flight) | Self::Sent(_, flight) | Self::Streaming(_, flight) => {
+                Some(flight)
+            }
+        }
+    }
+
+    pub(super) fn flight_mut(&mut self) -> Option<&mut Flight> {
+        match self {
+            Self::Received(_) | Self::Queued(_) => None,
+            Self::Dispatching(_, flight) | Self::Sent(_, flight) | Self::Streaming(_, flight) => {
+                Some(flight)
+            }
+        }
+    }
+
+    /// Gives the attempt up. Only what was certainly not sent ends as "not run"; the caller sees
+    /// to it that a write check of an attempt that was given up is denied.
+    pub(super) fn give_up(self, code: Code, retry_after: Option<Duration>) -> Refusal {
+        match self {
+            Self::Received(received) => received.end(code, RunState::Unknown, retry_after),
+            Self::Queued(queued) => queued.refuse(code, retry_after),
+            Self::Dispatching(dispatching, _) => {
+                dispatching.withdraw(NotSent::write_denied()).refuse(code, retry_after)
+            }
+            Self::Sent(sent, _) => sent.end(code, retry_after),
+            Self::Streaming(streaming, _) => streaming.end(code, retry_after),
+        }
+    }
+}
+
+/// A dispatch to a target.
+#[derive(Debug)]
+pub(super) struct Flight {
+    /// Index of the target.
+    pub(super) target: usize,
+    /// When it was dispatched, and later when the bytes were written.
+    pub(super) sent: Time,
+    /// Prompt tokens to prefill, less what is likely cached.
+    pub(super) uncached: f64,
+    /// Output tokens expected.
+    pub(super) output: f64,
+    /// Tokens that had to be prefilled before and with this prompt.
+    pub(super) work: f64,
+    /// Predicted time to the first token.
+    pub(super) predicted: Duration,
+    pub(super) produced: u32,
+    pub(super) last: Time,
+    pub(super) resumes: u32,
+    /// Whether the connection is taken for silent or broken.
+    pub(super) silent: bool,
+    /// Whether the present connection was seen to work since the last token.
+    pub(super) proved: bool,
+    /// Multiplies the progress timeout of a target that is slow, not silent.
+    pub(super) patience: u32,
+    /// Multiple of the predicted time that was already held against the target.
+    pub(super) overdue: u32,
+}
+
+impl Flight {
+    /// Prompt tokens that count as not prefilled.
+    pub(super) fn prompt_left(&self) -> f64 {
+        if self.produced == 0 { self.uncached } else { 0.0 }
+    }
+
+    /// Output tokens that count as not generated.
+    pub(super) fn output_left(&self) -> f64 {
+        (self.output - f64::from(self.produced)).max(0.0)
+    }
+
+    /// Work that is lost if the request is cancelled now, in tokens.
+    pub(super) fn done(&self, prefill_speed: f64, now: Time) -> f64 {
+        if self.produced > 0 {
+            return self.uncached + f64::from(self.produced);
+        }
+        let own_start = (self.work - self.uncached).max(0.0);
+        let passed = now.since(self.sent).as_secs_f64() * prefill_speed - own_start;
+        passed.clamp(0.0, self.uncached)
+    }
+}
+
+/// A request on this instance's hands.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) arrival: Arrival,
+    /// Index of the service.
+    pub(super) service: usize,
+    pub(super) class: Class,
+    pub(super) stage: Stage,
+    pub(super) queued: Time,
+    /// Target that refused it last.
+    pub(super) avoid: Option<usize>,
+    pub(super) tries: u32,
+    /// Since when nobody waits for it.
+    pub(super) orphan: Option<Time>,
+}
+
+impl Request {
+    /// Tokens that the account pays for.
+    pub(super) fn cost(&self) -> u64 {
+        u64::from(self.arrival.prompt_tokens) + u64::from(self.arrival.output_tokens)
+    }
+
+    /// The point at which waiting in the queue has become pointless.
+    pub(super) fn expires(&self) -> Time {
+        self.arrival.first_token_by.min(self.arrival.deadline)
+    }
+}
+
+/// Whether a refusal leaves the request's record free for another attempt.
+pub(super) fn frees_record(refusal: &Refusal) -> bool {
+    refusal.run() == RunState::NotRun
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/silence.rs
@@ -0,0 +1,146 @@
+//! Silent connections, told apart from slow and from dead targets.
+//!
+//! A connection without progress is no verdict on its target. A probe over a new connection
+//! decides: if it is answered, the old connections are dropped together and every quiet stream is
+//! resumed; if not, the target is suspect and gets no new work until a probe is answered. A
+//! stream that stays quiet on a connection that was just seen to work is slow: it gets more time.
+
+use sesamewind_protocol::{Code, TargetId, Time};
+
+use crate::action::Action;
+use crate::config::Kind;
+use crate::event::Ticket;
+use crate::target::Suspicion;
+
+use super::request::{Flight, Stage};
+use super::{Context, Scheduler};
+
+/// Multiple of the predicted time to first token that counts as progress still to come.
+const FIRST_TOKEN_FACTOR: u32 = 3;
+/// Multiple of the progress timeout after which a stream of a suspect target is given up.
+const LOST_FACTOR: u32 = 2;
+const MAX_PATIENCE: u32 = 8;
+
+impl Scheduler {
+    pub(super) fn silent(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(flight) = request.stage.flight_mut() else { return };
+        if flight.proved {
+            // The connection is new and was accepted: the target is slow.
+            flight.last = cx.now;
+            flight.patience = (flight.patience * 2).min(MAX_PATIENCE);
+            return;
+        }
+        if flight.silent {
+            return;
+        }
+        flight.silent = true;
+        let target = flight.target;
+        self.probe(target, cx);
+    }
+
+    fn probe(&mut self, target: usize, cx: Context<'_>) {
+        let state = &mut self.targets[target];
+        if state.probing.is_none() {
+            state.probing = Some(cx.now);
+            let target = state.id.clone();
+            self.out.push(Action::Probe { target });
+        }
+    }
+
+    pub(super) fn probe_result(&mut self, id: &TargetId, ok: bool, cx: Context<'_>) {
+        let Some(index) = self.target_index.get(id).copied() else { return };
+        self.targets[index].probing = None;
+        if !ok {
+            return self.doubt(index, cx);
+        }
+        self.targets[index].suspicion = None;
+        self.out.push(Action::DropConnections { target: id.clone() });
+        let quiet_since = cx.now - self.limits.progress_timeout / 2;
+        self.resume_streams(index, quiet_since, cx);
+        self.pump(self.targets[index].service, cx);
+    }
+
+    /// Takes a target for unreachable and has it probed at once.
+    pub(super) fn suspect(&mut self, index: usize, cx: Context<'_>) {
+        self.doubt(index, cx);
+        self.probe(index, cx);
+    }
+
+    fn doubt(&mut self, index: usize, cx: Context<'_>) {
+        let next_probe = cx.now + self.limits.probe_interval;
+        let since = self.targets[index].suspicion;
+        self.targets[index].suspicion = Some(Suspicion {
+            since: since.map_or(cx.now, |doubt| doubt.since),
+            since_wall: since.map_or(cx.wall, |doubt| doubt.since_wall),
+            next_probe,
+        });
+    }
+
+    pub(super) fn target_back(&mut self, id: &TargetId, cx: Context<'_>) {
+        let Some(index) = self.target_index.get(id).copied() else { return };
+        if self.targets[index].suspicion.is_some() {
+            self.probe_result(id, true, cx);
+        }
+    }
+
+    /// Probes suspect targets, and takes an unanswered probe as failed.
+    pub(super) fn chase_probes(&mut self, cx: Context<'_>) {
+        for index in 0..self.targets.len() {
+            let target = &mut self.targets[index];
+            let timeout = self.limits.progress_timeout;
+            if target.probing.is_some_and(|since| cx.now.since(since) >= timeout) {
+                target.probing = None;
+                self.doubt(index, cx);
+            }
+            let due = self.targets[index].suspicion.is_some_and(|doubt| cx.now >= doubt.next_probe);
+            if due && self.targets[index].active {
+                self.probe(index, cx);
+            }
+        }
+    }
+
+    /// Finds requests without progress.
+    pub(super) fn find_silent(&mut self, cx: Context<'_>) {
+        let mut silent: Vec<Ticket> = Vec::new();
+        let mut lost: Vec<Ticket> = Vec::new();
+        for (ticket, request) in &self.requests {
+            let Some(flight) = request.stage.flight() else { continue };
+            let doubt = self.targets[flight.target].suspicion;
+            if flight.silent {
+                let gone = self.limits.progress_timeout * LOST_FACTOR;
+                let dead = doubt.is_some_and(|doubt| cx.now.since(doubt.since) >= gone);
+                let plain = self.services[request.service].kind == Kind::Plain;
+                if dead && !plain {
+                    lost.push(*ticket);
+                }
+            } else if cx.now >= self.progress_due(flight) {
+                silent.push(*ticket);
+            }
+        }
+        silent.sort_unstable();
+        lost.sort_unstable();
+        for ticket in silent {
+            self.silent(ticket, cx);
+        }
+        for ticket in lost {
+            let Some(request) = self.requests.remove(&ticket) else { continue };
+            match request.stage {
+                Stage::Streaming(..) => self.lost(request, cx),
+                Stage::Sent(..) => self.give_up_sent(request, Code::TargetSilent, cx),
+                _ => {
+                    self.requests.insert(ticket, request);
+                }
+            }
+        }
+    }
+
+    /// When a request's connection counts as silent unless it makes progress.
+    fn progress_due(&self, flight: &Flight) -> Time {
+        let mut patience = self.limits.progress_timeout * flight.patience;
+        if flight.produced == 0 {
+            patience = patience.max(flight.predicted * FIRST_TOKEN_FACTOR);
+        }
+        flight.last + patience
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/timer.rs
@@ -0,0 +1,168 @@
+//! What is due by time alone.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use sesamewind_protocol::Code;
+
+use crate::config::Kind;
+use crate::event::Ticket;
+use crate::speed::Prior;
+
+use super::request::Stage;
+use super::{Context, Scheduler};
+
+/// Time between two rounds of the less pressing work.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Multiple of the predicted time to first token from which a target counts as slower.
+const OVERDUE_FACTOR: u32 = 2;
+
+impl Scheduler {
+    pub(super) fn run_timers(&mut self, cx: Context<'_>) {
+        self.expire_requests(cx);
+        self.chase_lookups(cx);
+        self.pursue_join(cx);
+        for target in &mut self.targets {
+            target.remember(cx.wall);
+        }
+        self.settle_floors(cx);
+        self.unpark();
+        for service in 0..self.services.len() {
+            self.make_room(service, cx);
+            self.pump(service, cx);
+        }
+        if cx.now.since(self.last_sweep) >= SWEEP_INTERVAL {
+            self.last_sweep = cx.now;
+            self.sweep(cx);
+        }
+    }
+
+    fn sweep(&mut self, cx: Context<'_>) {
+        self.find_silent(cx);
+        self.chase_probes(cx);
+        self.cancel_orphans(cx);
+        self.hold_overdue(cx);
+        self.records.expire(cx.now);
+        self.accounts.expire(self.limits.peer_timeout, cx.now);
+        for target in &mut self.targets {
+            target.expire_peers(self.limits.peer_timeout, cx.now);
+            target.expire_hints(self.limits.cache_keep, cx.now);
+        }
+        for service in 0..self.services.len() {
+            self.services[service].queue.prune();
+            self.services[service].divide(self.limits.long_share, cx.now);
+            self.share_speeds(service);
+        }
+    }
+
+    /// Ends requests whose time is over.
+    fn expire_requests(&mut self, cx: Context<'_>) {
+        while let Some(Reverse((at, ticket))) = self.deadlines.peek().copied() {
+            if at > cx.now {
+                break;
+            }
+            self.deadlines.pop();
+            let Some(request) = self.requests.get(&ticket) else { continue };
+            let waiting = matches!(request.stage, Stage::Received(_) | Stage::Queued(_));
+            if !waiting && cx.now < request.arrival.deadline {
+                self.deadlines.push(Reverse((request.arrival.deadline, ticket)));
+                continue;
+            }
+            self.expire_request(ticket, cx);
+        }
+    }
+
+    fn expire_request(&mut self, ticket: Ticket, cx: Context<'_>) {
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        let plain = self.services[request.service].kind == Kind::Plain;
+        match request.stage {
+            Stage::Received(_) | Stage::Queued(_) | Stage::Dispatching(..) => {
+                let retry_after = Some(self.drain_time(request.service, cx));
+                self.give_up(request, Code::DeadlinePassed, retry_after, cx);
+            }
+            Stage::Sent(..) | Stage::Streaming(..) if plain => {
+                self.give_up_sent(request, Code::OutcomeUnknown, cx);
+            }
+            Stage::Sent(..) | Stage::Streaming(..) => {
+                self.cancel(request, Code::DeadlinePassed, None, cx);
+            }
+        }
+    }
+
+    /// Cancels what nobody waits for any more.
+    fn cancel_orphans(&mut self, cx: Context<'_>) {
+        let grace = self.limits.orphan_grace;
+        let mut orphans: Vec<Ticket> = Vec::new();
+        for (ticket, request) in &self.requests {
+            let model = self.services[request.service].kind == Kind::Model;
+            if model && request.orphan.is_some_and(|since| cx.now.since(since) >= grace) {
+                orphans.push(*ticket);
+            }
+        }
+        orphans.sort_unstable();
+        for ticket in orphans {
+            let Some(request) = self.requests.remove(&ticket) else { continue };
+            self.cancel(request, Code::CallerGone, None, cx);
+        }
+    }
+
+    /// Under a pressing tier floor, cancels half of what runs below it, least work lost first.
+    fn make_room(&mut self, service: usize, cx: Context<'_>) {
+        let state = &self.services[service];
+        let Some(floor) = self.floors.pressing_rank(&state.id, cx.now) else { return };
+        let step = cx.now.since(state.last_cancel) >= self.limits.floor_step;
+        let runs_lower = state.lowest_running().is_some_and(|lowest| lowest > floor);
+        if state.kind == Kind::Plain || !step || !runs_lower {
+            return;
+        }
+        let mut lower: Vec<(u64, Ticket)> = Vec::new();
+        for (ticket, request) in &self.requests {
+            if request.service != service || request.arrival.rank <= floor {
+                continue;
+            }
+            let Some(flight) = request.stage.flight() else { continue };
+            let prefill = self.targets[flight.target].speed.prefill();
+            lower.push((flight.done(prefill, cx.now) as u64, *ticket));
+        }
+        lower.sort_unstable();
+        for (_, ticket) in &lower[..lower.len().div_ceil(2)] {
+            self.preempt(*ticket, cx);
+        }
+        self.services[service].last_cancel = cx.now;
+        self.settle_floors(cx);
+    }
+
+    /// Holds a first token that is long overdue against its target's speed before it comes.
+    fn hold_overdue(&mut self, cx: Context<'_>) {
+        for request in self.requests.values_mut() {
+            let (Stage::Sent(_, flight) | Stage::Streaming(_, flight)) = &mut request.stage else {
+                continue;
+            };
+            let waited = cx.now.since(flight.sent);
+            let due = flight.predicted * flight.overdue * OVERDUE_FACTOR;
+            if flight.produced > 0 || flight.predicted.is_zero() || waited < due {
+                continue;
+            }
+            flight.overdue *= OVERDUE_FACTOR;
+            let speed = &mut self.targets[flight.target].speed;
+            speed.saw_prefill(flight.work, waited, cx.now);
+        }
+    }
+
+    /// Lets targets that were not seen yet be taken for average.
+    fn share_speeds(&mut self, service: usize) {
+        let state = &self.services[service];
+        let learned = state.targets.iter().filter(|index| self.targets[**index].speed.learned());
+        let priors: Vec<Prior> =
+            learned.map(|index| self.targets[*index].speed.as_prior()).collect();
+        if priors.is_empty() {
+            return;
+        }
+        let n = priors.len() as f64;
+        let prefill = priors.iter().map(|prior| prior.prefill).sum::<f64>() / n;
+        let step = priors.iter().map(|prior| prior.step).sum::<f64>() / n;
+        for index in &state.targets {
+            self.targets[*index].speed.set_prior(Prior { prefill, step });
+        }
+    }
+}
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use sesamewind_protocol::{Code, ServiceId, TargetId, VersionId};
+use sesamewind_protocol::{Code, Incarnation, ServiceId, TargetId, VersionId};
 
 /// A target as the scheduler sees it.
 #[derive(Debug, Clone)]
@@ -14,6 +14,8 @@
     pub service: ServiceId,
     /// Versions that it has loaded.
     pub versions: Vec<VersionId>,
+    /// The life that reported last; zero before its first report.
+    pub incarnation: Incarnation,
     /// Whether it takes new work.
     pub usable: bool,
     /// Whether it takes no new work in this life.
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -22,6 +22,9 @@
     pub attempt: u32,
     /// The instance that asks.
     pub asker: Life,
+    /// Number of the question within the asker's life. An answer to an earlier question on the
+    /// same request is void, since the answering instance may have been asked otherwise since.
+    pub seq: u64,
 }
 
 /// What an instance knows of a request.
@@ -49,6 +52,8 @@
     pub key: RequestKey,
     /// The instance that answers.
     pub from: Life,
+    /// Number of the question.
+    pub seq: u64,
     /// What it knows.
     pub seen: Seen,
     /// Every instance that the answering one knows; the asker must have the answer of each.
--- a/crates/protocol/src/traffic.rs
+++ b/crates/protocol/src/traffic.rs
@@ -11,11 +11,13 @@
     pub target: TargetId,
     /// Requests in flight.
     pub requests: u32,
+    /// Prompt tokens in flight that are not prefilled yet.
+    pub prefill: u64,
     /// Prompt and output tokens in flight that are not done yet.
     pub tokens: u64,
 }
 
-/// One instance's recent use by a client account.
+/// What a client account asks of one instance, refused requests counted too.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountUse {
     /// The account.
@@ -39,6 +41,8 @@
     pub seq: u64,
     /// When the floor ends unless renewed, by the origin's wall clock.
     pub until: Wall,
+    /// Whether urgent requests wait at the origin now, so that running lower work must end.
+    pub pressing: bool,
 }
 
 /// Says that nothing below a floor runs at the sender any more.
