--- a/crates/policy/src/records.rs
+++ b/crates/policy/src/records.rs
@@ -138,8 +138,7 @@
             State::Held(ticket) | State::Asking(ticket) => Claim::Attach(ticket),
             State::Complete(ticket, until) if now < until => Claim::Attach(ticket),
             State::Complete(..) => Claim::Settled(Code::AlreadyRan, RunState::Ran),
-            State::Ended(_, RunState::Ran) => Claim::Settled(Code::AlreadyRan, RunState::Ran),
-            State::Ended(..) => Claim::Settled(Code::EarlierAttempt, RunState::Unknown),
+            State::Ended(_, run) => Claim::Settled(settling(run), run),
             // The caller has sent a later attempt since, which may be about to run.
             State::Void if arrival.attempt.is_some_and(|attempt| attempt < record.attempt) => {
                 Claim::Settled(Code::EarlierAttempt, RunState::Unknown)
@@ -245,9 +244,7 @@
             Seen::Ended { run, .. } => {
                 let run = *run;
                 self.release(reply.key, now);
-                let ran = run == RunState::Ran;
-                let code = if ran { Code::AlreadyRan } else { Code::EarlierAttempt };
-                return Step::Settled(ticket, code, run);
+                return Step::Settled(ticket, settling(run), run);
             }
             Seen::Superseded => {
                 self.release(reply.key, now);
@@ -390,41 +387,49 @@
         RecordsCopy { from: self.me.clone(), joined, seq, notes, known: self.known(now) }
     }
 
-    /// Takes over the records of a copy.
-    pub(crate) fn take(&mut self, copy: &RecordsCopy, now: Time) {
+    /// Takes over the records of a copy. Returns attempts here that one of them settles.
+    pub(crate) fn take(&mut self, copy: &RecordsCopy, now: Time) -> Vec<(Ticket, Code, RunState)> {
         self.members.heard(&copy.from, now);
         if copy.seq.is_none() {
             self.members.handed_over(&copy.from, now);
         }
-        for note in &copy.notes {
-            let state = match &note.seen {
-                Seen::Voided | Seen::Superseded => State::Void,
-                Seen::Ended { code, run } => State::Ended(*code, *run),
-                Seen::Held => State::Ended(Code::OutcomeUnknown, RunState::Unknown),
-            };
-            self.adopt(note, state, now);
-        }
+        copy.notes.iter().filter_map(|note| self.adopt(note, now)).collect()
     }
 
-    fn adopt(&mut self, note: &RecordNote, state: State, now: Time) {
+    fn adopt(&mut self, note: &RecordNote, now: Time) -> Option<(Ticket, Code, RunState)> {
+        let state = match &note.seen {
+            Seen::Voided | Seen::Superseded => State::Void,
+            Seen::Ended { code, run } => State::Ended(*code, *run),
+            Seen::Held => State::Ended(Code::OutcomeUnknown, RunState::Unknown),
+        };
         // Kept for the full time here, which is never shorter than at the sender.
         let expires = now + self.keep;
-        match self.records.get_mut(&note.key) {
-            Some(record) if matches!(record.state, State::Void) => {
-                record.state = state;
-                record.attempt = record.attempt.max(note.attempt);
-                record.expires = expires;
-            }
-            Some(_) => return,
-            None => {
-                let record = Record { state, attempt: note.attempt, body: 0, expires };
-                self.records.insert(note.key, record);
-            }
-        }
+        let Some(record) = self.records.get_mut(&note.key) else {
+            let record = Record { state, attempt: note.attempt, body: 0, expires };
+            self.records.insert(note.key, record);
+            self.expiry.push_back((expires, note.key));
+            return None;
+        };
+        let settled = match (record.state, state) {
+            (State::Void, _) => None,
+            // The sender will not be asked again, so its answer has to be taken from the copy.
+            (State::Asking(ticket), State::Ended(_, run)) => Some((ticket, settling(run), run)),
+            _ => return None,
+        };
+        record.state = state;
+        record.attempt = record.attempt.max(note.attempt);
+        record.expires = expires;
         self.expiry.push_back((expires, note.key));
+        self.asks.remove(&note.key);
+        settled
     }
 }
 
+/// Code for an attempt that meets another one's end.
+fn settling(run: RunState) -> Code {
+    if run == RunState::Ran { Code::AlreadyRan } else { Code::EarlierAttempt }
+}
+
 fn instances(lives: &[Life]) -> Vec<InstanceId> {
     let mut names: Vec<InstanceId> = lives.iter().map(|life| life.instance.clone()).collect();
     names.sort();
--- a/crates/policy/src/scheduler/lookup.rs
+++ b/crates/policy/src/scheduler/lookup.rs
@@ -65,7 +65,9 @@
     }
 
     pub(super) fn records_copy(&mut self, copy: &RecordsCopy, cx: Context<'_>) {
-        self.records.take(copy, cx.now);
+        for (ticket, code, run) in self.records.take(copy, cx.now) {
+            self.settle(ticket, code, run);
+        }
         self.join.copied(copy, &self.records.members);
     }
 
--- /dev/null
+++ b/crates/policy/tests/at_most_once.rs
@@ -0,0 +1,377 @@
+//! At most one dispatch per request over all instances, under random orders of attempts, losses,
+//! freezes, kills, replacements and planned stops.
+
+mod support;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sesamewind_policy::{Action, End, Event, Life, Scheduler};
+use sesamewind_protocol::record::{Lookup, LookupReply, RecordsCopy, RecordsRequest};
+use sesamewind_protocol::{InstanceId, RunState, Time};
+
+use support::{arrival, at, config, life, refusals, scheduler, step, tick};
+
+const NAMES: [&str; 4] = ["i0", "i1", "i2", "i3"];
+const KEYS: u64 = 3;
+
+#[derive(Debug, Clone)]
+enum Message {
+    Lookup(Lookup),
+    Reply(LookupReply),
+    Ask(RecordsRequest),
+    Copy(RecordsCopy),
+}
+
+/// A dispatch on its way from a daemon to a target.
+#[derive(Debug)]
+struct Wire {
+    ticket: u64,
+    key: u64,
+    attempt: u32,
+    written: bool,
+    arrived: bool,
+}
+
+struct Node {
+    life: Life,
+    scheduler: Scheduler,
+    frozen: bool,
+    wires: Vec<Wire>,
+    /// Callers' attempts by ticket.
+    tickets: BTreeMap<u64, (u64, u32)>,
+    /// Attempts that reached the socket and were not read yet.
+    inbox: VecDeque<(u64, u32)>,
+}
+
+struct World {
+    now: Time,
+    nodes: Vec<Node>,
+    mail: Vec<(InstanceId, Message)>,
+    /// Attempts under way from callers: instance, key, attempt.
+    calls: Vec<(usize, u64, u32)>,
+    /// Last attempt that each caller sent.
+    sent: [Option<u32>; KEYS as usize],
+    /// Lives that membership lists, killed ones too until it notices.
+    listed: Vec<Life>,
+    ran: BTreeMap<u64, u32>,
+    /// Highest attempt that was answered "not run".
+    denied: BTreeMap<u64, u32>,
+    lives: u64,
+    tickets: u64,
+    dispatches: u64,
+    counted: bool,
+}
+
+impl World {
+    fn new(counted: bool) -> Self {
+        let mut world = Self {
+            now: at(1),
+            nodes: Vec::new(),
+            mail: Vec::new(),
+            calls: Vec::new(),
+            sent: [None; KEYS as usize],
+            listed: Vec::new(),
+            ran: BTreeMap::new(),
+            denied: BTreeMap::new(),
+            lives: 0,
+            tickets: 0,
+            dispatches: 0,
+            counted,
+        };
+        for at in 0..3 {
+            world.start(NAMES[at]);
+        }
+        for at in 0..3 {
+            world.inform(at);
+        }
+        world
+    }
+
+    fn start(&mut self, name: &str) {
+        self.lives += 1;
+        let life = life(name, self.lives);
+        let scheduler = scheduler(&config(1), life.clone());
+        self.listed.push(life.clone());
+        self.nodes.push(Node {
+            life,
+            scheduler,
+            frozen: false,
+            wires: Vec::new(),
+            tickets: BTreeMap::new(),
+            inbox: VecDeque::new(),
+        });
+        // A starting instance reads the list before anything else.
+        self.inform(self.nodes.len() - 1);
+    }
+
+    fn inform(&mut self, node: usize) {
+        let peers = self.listed.clone();
+        let reachable: Vec<InstanceId> =
+            self.nodes.iter().map(|n| n.life.instance.clone()).collect();
+        self.event(node, Event::PeerSet { peers: &peers, reachable: &reachable });
+    }
+
+    fn event(&mut self, node: usize, event: Event<'_>) {
+        let actions = step(&mut self.nodes[node].scheduler, event, self.now);
+        self.apply(node, actions);
+    }
+
+    fn apply(&mut self, node: usize, actions: Vec<Action>) {
+        for refusal in refusals(&actions) {
+            if refusal.run() != RunState::NotRun {
+                continue;
+            }
+            let Some((key, attempt)) = self.nodes[node].tickets.get(&refusal.ticket()).copied()
+            else {
+                continue;
+            };
+            assert!(!self.ran.contains_key(&key), "false not-run: {refusal:?}");
+            let denied = self.denied.entry(key).or_default();
+            *denied = (*denied).max(attempt);
+        }
+
+        for action in actions {
+            match action {
+                Action::Dispatch { ticket, .. } => {
+                    let (key, attempt) = self.nodes[node].tickets[&ticket];
+                    let wire = Wire { ticket, key, attempt, written: false, arrived: false };
+                    self.nodes[node].wires.push(wire);
+                }
+                Action::Go { ticket } => {
+                    let wires = &mut self.nodes[node].wires;
+                    let wire = wires.iter_mut().find(|wire| wire.ticket == ticket && !wire.written);
+                    wire.expect("a dispatch is checked once").written = true;
+                }
+                Action::NoGo { ticket, .. } => {
+                    self.nodes[node].wires.retain(|wire| wire.ticket != ticket || wire.written);
+                }
+                Action::AskPeers { lookup, peers, .. } => {
+                    self.mail
+                        .extend(peers.into_iter().map(|to| (to, Message::Lookup(lookup.clone()))));
+                }
+                Action::Reply { to, reply } => self.mail.push((to, Message::Reply(reply))),
+                Action::AskRecords { request, peers } => {
+                    self.mail
+                        .extend(peers.into_iter().map(|to| (to, Message::Ask(request.clone()))));
+                }
+                Action::SendRecords { to, copy } => self.mail.push((to, Message::Copy(copy))),
+                Action::Attach { .. } | Action::AttachLocal { .. } => {}
+                _ => {}
+            }
+        }
+    }
+
+    /// A caller sends its next attempt, or the first.
+    fn call(&mut self, node: usize, key: u64) {
+        let attempt = self.sent[key as usize].map_or(0, |last| last + 1);
+        self.sent[key as usize] = Some(attempt);
+        self.calls.push((node, key, attempt));
+    }
+
+    /// A call reaches the socket of its instance.
+    fn arrive(&mut self, call: usize) {
+        let (node, key, attempt) = self.calls.swap_remove(call);
+        let Some(node) = self.nodes.get_mut(node) else { return };
+        node.inbox.push_back((key, attempt));
+    }
+
+    /// An instance reads a call from its socket.
+    fn read(&mut self, node: usize) {
+        if self.nodes[node].frozen {
+            return;
+        }
+        let Some((key, attempt)) = self.nodes[node].inbox.pop_front() else { return };
+        self.tickets += 1;
+        let mut call = arrival(self.tickets, key, self.now);
+        call.attempt = self.counted.then_some(attempt);
+        call.deadline = self.now + Duration::from_secs(5);
+        self.nodes[node].tickets.insert(self.tickets, (key, attempt));
+        self.event(node, Event::Arrive(call));
+    }
+
+    fn deliver(&mut self, mail: usize) {
+        let (to, message) = self.mail.swap_remove(mail);
+        let Some(node) = self.nodes.iter().position(|node| node.life.instance == to) else {
+            return;
+        };
+        if self.nodes[node].frozen {
+            self.mail.push((to, message));
+            return;
+        }
+        match &message {
+            Message::Lookup(lookup) => self.event(node, Event::Lookup(lookup)),
+            Message::Reply(reply) => self.event(node, Event::LookupReply(reply)),
+            Message::Ask(request) => self.event(node, Event::RecordsRequest(request)),
+            Message::Copy(copy) => self.event(node, Event::RecordsCopy(copy)),
+        }
+    }
+
+    /// Moves a dispatch on: write check, arrival at the target, end.
+    fn wire(&mut self, node: usize, wire: usize, choice: u8) {
+        if self.nodes[node].frozen {
+            // What was written before the freeze still arrives.
+            let wire = &mut self.nodes[node].wires[wire];
+            if wire.written && !wire.arrived {
+                wire.arrived = true;
+                let (key, attempt) = (wire.key, wire.attempt);
+                self.run(key, attempt);
+            }
+            return;
+        }
+        let (ticket, key, attempt) = {
+            let wire = &self.nodes[node].wires[wire];
+            (wire.ticket, wire.key, wire.attempt)
+        };
+        if !self.nodes[node].wires[wire].written {
+            return self.event(node, Event::WriteCheck { ticket });
+        }
+        if !self.nodes[node].wires[wire].arrived {
+            if choice % 4 == 0 {
+                self.nodes[node].wires.remove(wire);
+                return self.event(node, Event::Finished { ticket, end: End::ConnectFailed });
+            }
+            if choice % 4 == 1 {
+                self.nodes[node].wires.remove(wire);
+                return self.event(node, Event::Finished { ticket, end: End::RefusedNotRun });
+            }
+            self.nodes[node].wires[wire].arrived = true;
+            return self.run(key, attempt);
+        }
+        self.nodes[node].wires.remove(wire);
+        let end = [End::Complete, End::Broken { sent: true }, End::Failed][usize::from(choice % 3)];
+        self.event(node, Event::Finished { ticket, end });
+    }
+
+    fn run(&mut self, key: u64, attempt: u32) {
+        self.dispatches += 1;
+        assert!(!self.ran.contains_key(&key), "key {key} dispatched twice");
+        if self.counted {
+            let denied = self.denied.get(&key).copied();
+            assert!(denied.is_none_or(|denied| attempt > denied), "ran after 'not run'");
+        }
+        self.ran.insert(key, attempt);
+    }
+
+    fn kill(&mut self, node: usize) -> String {
+        let node = self.nodes.remove(node);
+        // What was written before may still arrive at the target.
+        for wire in node.wires.iter().filter(|wire| wire.written && !wire.arrived) {
+            self.run(wire.key, wire.attempt);
+        }
+        node.life.instance.to_string()
+    }
+
+    /// Stops a node as planned: it refuses what comes, ends what it has and hands its records over.
+    fn stop(&mut self, node: usize) {
+        if self.nodes[node].frozen {
+            return;
+        }
+        self.event(node, Event::Stop);
+        while !self.nodes[node].inbox.is_empty() {
+            self.read(node);
+        }
+        for _ in 0..4 {
+            for wire in (0..self.nodes[node].wires.len()).rev() {
+                self.wire(node, wire, 2);
+            }
+        }
+        if !self.nodes[node].scheduler.idle() {
+            return;
+        }
+        let copy = self.nodes[node].scheduler.hand_over(self.now);
+        let gone = self.nodes.remove(node).life;
+        for peer in &self.nodes {
+            self.mail.push((peer.life.instance.clone(), Message::Copy(copy.clone())));
+        }
+        self.listed.retain(|life| *life != gone);
+    }
+
+    fn act(&mut self, op: u8, a: u8, b: u8) {
+        let node = usize::from(a) % self.nodes.len();
+        match op % 40 {
+            0..=3 => self.call(node, u64::from(b) % KEYS),
+            4..=8 if !self.calls.is_empty() => self.arrive(usize::from(b) % self.calls.len()),
+            9..=13 => self.read(node),
+            14..=24 if !self.mail.is_empty() => {
+                let mail = (usize::from(a) << 8 | usize::from(b)) % self.mail.len();
+                self.deliver(mail);
+            }
+            25 => (0..self.mail.len()).for_each(|_| self.deliver(0)),
+            26 if b % 2 == 0 && !self.mail.is_empty() => {
+                let mail = usize::from(b) % self.mail.len();
+                self.mail.swap_remove(mail);
+            }
+            27..=32 if !self.nodes[node].wires.is_empty() => {
+                let wire = usize::from(b) % self.nodes[node].wires.len();
+                self.wire(node, wire, b);
+            }
+            33 => self.nodes[node].frozen = b % 3 == 0,
+            34 if b % 6 == 0 && self.nodes.len() > 1 => {
+                let name = self.kill(node);
+                self.start(&name);
+            }
+            35 if self.nodes.len() < NAMES.len() && b % 4 == 0 => {
+                let free = |name: &&&str| {
+                    !self.nodes.iter().any(|node| node.life.instance.as_str() == **name)
+                };
+                let name = NAMES.iter().find(free).copied();
+                self.start(name.unwrap_or("i9"));
+            }
+            35 if self.nodes.len() > 2 && b % 4 == 1 => self.stop(node),
+            36 if !self.nodes[node].frozen => self.inform(node),
+            37 if b % 8 == 0 => self.now = self.now + Duration::from_millis(2_500),
+            38 if b % 2 == 0 => {
+                // Membership notices the lives that ended.
+                let nodes = &self.nodes;
+                self.listed.retain(|life| nodes.iter().any(|node| node.life == *life));
+            }
+            39 => self.tick(),
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now + Duration::from_millis(30);
+        for node in 0..self.nodes.len() {
+            if !self.nodes[node].frozen {
+                let actions = tick(&mut self.nodes[node].scheduler, self.now);
+                self.apply(node, actions);
+            }
+        }
+    }
+}
+
+fn play(ops: &[u8], counted: bool) -> World {
+    let mut world = World::new(counted);
+    for op in ops.chunks_exact(3) {
+        world.act(op[0], op[1], op[2]);
+    }
+    world
+}
+
+#[test]
+fn random_orders_dispatch_once() {
+    bolero::check!()
+        .with_generator(bolero::produce::<Vec<u8>>().with().len(0..900_usize))
+        .for_each(|ops| {
+            play(ops, true);
+            play(ops, false);
+        });
+}
+
+#[test]
+fn seeded_orders_dispatch_once() {
+    let mut dispatches = 0;
+    for seed in 0..4_000 {
+        let mut ops = vec![0; 1_200];
+        ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut ops);
+        dispatches += play(&ops, true).dispatches;
+        dispatches += play(&ops, false).dispatches;
+    }
+    // Orders in which nothing runs would prove nothing.
+    println!("{dispatches} dispatches");
+    assert!(dispatches > 4_000, "only {dispatches} dispatches");
+}
--- /dev/null
+++ b/crates/policy/tests/records.rs
@@ -0,0 +1,421 @@
+//! Request records: what a resend, a delayed first attempt and a refusal come to.
+
+mod support;
+
+use std::time::Duration;
+
+use sesamewind_policy::{Action, Arrival, End, Event};
+use sesamewind_protocol::record::{RecordsCopy, RecordsRequest};
+use sesamewind_protocol::{Code, RunState};
+
+use support::bus::{Bus, three};
+use support::{arrival, at, config, life, scheduler, step};
+
+fn attempt(bus: &Bus, ticket: u64, number: Option<u32>) -> Arrival {
+    let mut arrival = arrival(ticket, 1, bus.now);
+    arrival.attempt = number;
+    arrival
+}
+
+/// What became of a resend at `b`.
+#[derive(Debug, PartialEq, Eq)]
+enum Fate {
+    Dispatched,
+    Attached(&'static str),
+    AttachedLocal,
+    Ended(Code, RunState),
+}
+
+fn fate(bus: &Bus, name: &str, ticket: u64) -> Option<Fate> {
+    bus.done.iter().filter(|(from, _)| from == name).find_map(|(_, action)| match action {
+        Action::Dispatch { ticket: of, .. } if *of == ticket => Some(Fate::Dispatched),
+        Action::Attach { ticket: of, holder } if *of == ticket => {
+            let names = ["a", "b", "c"];
+            names.into_iter().find(|name| holder.as_str() == *name).map(Fate::Attached)
+        }
+        Action::AttachLocal { ticket: of, .. } if *of == ticket => Some(Fate::AttachedLocal),
+        Action::Refuse(refusal) | Action::Cancel { refusal, .. } if refusal.ticket() == ticket => {
+            Some(Fate::Ended(refusal.code(), refusal.run()))
+        }
+        _ => None,
+    })
+}
+
+struct Resend {
+    name: &'static str,
+    /// What happens between the first attempt, ticket 1 at `a`, and the resend, ticket 2.
+    before: fn(&mut Bus),
+    to: &'static str,
+    number: Option<u32>,
+    want: Fate,
+}
+
+fn first_attempt(bus: &mut Bus) {
+    bus.call("a", attempt(bus, 1, Some(0)));
+    bus.write("a", 1);
+}
+
+fn end(bus: &mut Bus, end: End) {
+    first_attempt(bus);
+    bus.event("a", Event::Finished { ticket: 1, end });
+}
+
+fn kill(bus: &mut Bus, name: &str) {
+    bus.nodes.remove(name);
+    bus.cut.insert(name.to_owned());
+}
+
+#[test]
+fn resends() {
+    const UNKNOWN: Fate = Fate::Ended(Code::EarlierAttempt, RunState::Unknown);
+    let cases = [
+        Resend {
+            name: "nobody saw the first attempt",
+            before: |_| {},
+            to: "b",
+            number: Some(1),
+            want: Fate::Dispatched,
+        },
+        Resend {
+            name: "the holder streams",
+            before: first_attempt,
+            to: "b",
+            number: Some(1),
+            want: Fate::Attached("a"),
+        },
+        Resend {
+            name: "no attempt declared",
+            before: first_attempt,
+            to: "b",
+            number: None,
+            want: Fate::Attached("a"),
+        },
+        Resend {
+            name: "same instance",
+            before: first_attempt,
+            to: "a",
+            number: Some(1),
+            want: Fate::AttachedLocal,
+        },
+        Resend {
+            name: "answer lost on the way to the caller",
+            before: |bus| end(bus, End::Complete),
+            to: "b",
+            number: Some(1),
+            want: Fate::Attached("a"),
+        },
+        Resend {
+            name: "answer no longer kept",
+            before: |bus| {
+                end(bus, End::Complete);
+                bus.pass(40_000);
+            },
+            to: "b",
+            number: Some(1),
+            want: Fate::Ended(Code::AlreadyRan, RunState::Ran),
+        },
+        Resend {
+            name: "first attempt failed at the target",
+            before: |bus| end(bus, End::Failed),
+            to: "b",
+            number: Some(1),
+            want: Fate::Ended(Code::AlreadyRan, RunState::Ran),
+        },
+        Resend {
+            name: "first attempt of unknown outcome",
+            before: |bus| {
+                bus.call("a", attempt(bus, 1, Some(0)));
+                bus.event("a", Event::WriteCheck { ticket: 1 });
+                bus.event("a", Event::Finished { ticket: 1, end: End::Broken { sent: true } });
+            },
+            to: "b",
+            number: Some(1),
+            want: UNKNOWN,
+        },
+        Resend {
+            name: "first attempt refused before it ran",
+            before: |bus| {
+                let mut late = attempt(bus, 1, Some(0));
+                late.first_token_by = bus.now;
+                bus.call("a", late);
+            },
+            to: "b",
+            number: Some(1),
+            want: Fate::Dispatched,
+        },
+        Resend {
+            name: "holder killed",
+            before: |bus| {
+                first_attempt(bus);
+                kill(bus, "a");
+            },
+            to: "b",
+            number: Some(1),
+            want: UNKNOWN,
+        },
+        Resend {
+            name: "holder killed and gone from the list",
+            before: |bus| {
+                first_attempt(bus);
+                kill(bus, "a");
+                bus.inform(&["b", "c"], &["b", "c"]);
+            },
+            to: "b",
+            number: Some(1),
+            want: UNKNOWN,
+        },
+        Resend {
+            name: "holder killed and started again under its name",
+            before: |bus| {
+                first_attempt(bus);
+                kill(bus, "a");
+                bus.cut.clear();
+                bus.add(&config(2), "a", 2);
+                bus.inform(&["a", "b", "c"], &["a", "b", "c"]);
+                bus.pass(400);
+            },
+            to: "b",
+            number: Some(1),
+            want: UNKNOWN,
+        },
+        Resend {
+            name: "zone of the holder cut off",
+            before: |bus| {
+                first_attempt(bus);
+                bus.cut.insert("a".to_owned());
+            },
+            to: "b",
+            number: Some(1),
+            want: UNKNOWN,
+        },
+        Resend {
+            name: "holder stopped as planned",
+            before: |bus| {
+                end(bus, End::Complete);
+                bus.event("a", Event::Stop);
+                let copy = bus.nodes["a"].hand_over(bus.now);
+                kill(bus, "a");
+                for peer in ["b", "c"] {
+                    bus.event(peer, Event::RecordsCopy(&copy));
+                }
+                bus.inform(&["b", "c"], &["b", "c"]);
+            },
+            to: "b",
+            number: Some(1),
+            want: Fate::Ended(Code::AlreadyRan, RunState::Ran),
+        },
+        Resend {
+            name: "another instance stopped as planned",
+            before: |bus| {
+                bus.event("a", Event::Stop);
+                let copy = bus.nodes["a"].hand_over(bus.now);
+                kill(bus, "a");
+                for peer in ["b", "c"] {
+                    bus.event(peer, Event::RecordsCopy(&copy));
+                }
+                bus.inform(&["b", "c"], &["b", "c"]);
+            },
+            to: "b",
+            number: Some(1),
+            want: Fate::Dispatched,
+        },
+    ];
+    for case in cases {
+        let mut bus = three();
+        (case.before)(&mut bus);
+        bus.call(case.to, attempt(&bus, 2, case.number));
+        bus.settle();
+        bus.pass(600);
+        assert_eq!(fate(&bus, case.to, 2), Some(case.want), "{}", case.name);
+    }
+}
+
+#[test]
+fn cut_off_zone_serves_first_attempts() {
+    let mut bus = three();
+    bus.cut.insert("a".to_owned());
+    bus.call("a", attempt(&bus, 1, Some(0)));
+    assert_eq!(bus.dispatchers(), ["a"]);
+}
+
+#[test]
+fn delayed_first_attempt_meets_the_void_record() {
+    let mut bus = three();
+    bus.call("b", attempt(&bus, 2, Some(1)));
+    bus.settle();
+    assert_eq!(bus.dispatchers(), ["b"]);
+    bus.call("a", attempt(&bus, 1, Some(0)));
+    bus.settle();
+    assert_eq!(bus.dispatchers(), ["b"]);
+    let want = Fate::Ended(Code::EarlierAttempt, RunState::Unknown);
+    assert_eq!(fate(&bus, "a", 1), Some(want));
+}
+
+#[test]
+fn one_of_two_resends_at_once_wins() {
+    for (first, second) in [(Some(1), Some(1)), (Some(1), Some(2)), (None, None)] {
+        let mut bus = three();
+        bus.call("b", attempt(&bus, 2, first));
+        bus.call("c", attempt(&bus, 3, second));
+        bus.settle();
+        bus.pass(600);
+        assert_eq!(bus.dispatchers().len(), 1, "{first:?} {second:?}: {:?}", bus.dispatchers());
+    }
+}
+
+#[test]
+fn reused_key_is_refused() {
+    let mut bus = three();
+    first_attempt(&mut bus);
+    let mut other = attempt(&bus, 2, Some(0));
+    other.body_hash = 99;
+    bus.call("a", other);
+    assert_eq!(fate(&bus, "a", 2), Some(Fate::Ended(Code::KeyReused, RunState::Unknown)));
+}
+
+/// `a` joins after `b` cleared a resend with `c` alone; the first attempt reaches `a` late.
+#[test]
+fn joining_instance_learns_of_void_records() {
+    let mut bus = Bus::new(&config(2), &["b", "c"]);
+    bus.call("b", attempt(&bus, 2, Some(1)));
+    bus.settle();
+    assert_eq!(bus.dispatchers(), ["b"]);
+    bus.add(&config(2), "a", 1);
+    assert!(!bus.nodes["a"].joined());
+    bus.inform(&["a"], &["a", "b", "c"]);
+    assert!(bus.nodes["a"].joined());
+    bus.call("a", attempt(&bus, 1, Some(0)));
+    bus.settle();
+    assert_eq!(bus.dispatchers(), ["b"]);
+}
+
+/// A lookup that began before `a` joined, and that `c` answers after, must reach `a` too.
+#[test]
+fn lookup_covers_an_instance_that_joins_meanwhile() {
+    let mut bus = Bus::new(&config(2), &["b", "c"]);
+    bus.call("b", attempt(&bus, 2, Some(1)));
+    bus.add(&config(2), "a", 1);
+    let request = RecordsRequest { asker: life("a", 1), seq: 1 };
+    bus.event("c", Event::RecordsRequest(&request));
+    bus.call("a", attempt(&bus, 1, Some(0)));
+    bus.settle();
+    assert_eq!(bus.dispatchers(), ["a"]);
+    assert_eq!(fate(&bus, "b", 2), Some(Fate::Attached("a")));
+}
+
+struct Joining {
+    name: &'static str,
+    /// Peers that are listed, reachable, and answered, and whether those that answered had joined.
+    listed: &'static [&'static str],
+    reachable: &'static [&'static str],
+    answered: &'static [(&'static str, bool)],
+    want: bool,
+}
+
+#[test]
+fn joins() {
+    let cases = [
+        Joining { name: "alone", listed: &[], reachable: &[], answered: &[], want: true },
+        Joining {
+            name: "no answer yet",
+            listed: &["b", "c"],
+            reachable: &["b", "c"],
+            answered: &[],
+            want: false,
+        },
+        Joining {
+            name: "every peer answered, all as new as itself",
+            listed: &["b", "c"],
+            reachable: &["b", "c"],
+            answered: &[("b", false), ("c", false)],
+            want: true,
+        },
+        Joining {
+            name: "cut zone with a joined peer",
+            listed: &["b", "c"],
+            reachable: &["b"],
+            answered: &[("b", true)],
+            want: true,
+        },
+        Joining {
+            name: "cut zone with new peers only",
+            listed: &["b", "c"],
+            reachable: &["b"],
+            answered: &[("b", false)],
+            want: false,
+        },
+        Joining {
+            name: "cut off from all",
+            listed: &["b", "c"],
+            reachable: &[],
+            answered: &[],
+            want: false,
+        },
+    ];
+    for case in cases {
+        let mut joiner = scheduler(&config(1), life("a", 1));
+        let peers: Vec<_> = case.listed.iter().map(|name| life(name, 1)).collect();
+        let reachable: Vec<_> = case.reachable.iter().map(|name| (*name).into()).collect();
+        let event = Event::PeerSet { peers: &peers, reachable: &reachable };
+        step(&mut joiner, event, at(1));
+        for (name, joined) in case.answered {
+            let copy = RecordsCopy {
+                from: life(name, 1),
+                joined: *joined,
+                seq: Some(1),
+                notes: Vec::new(),
+                known: Vec::new(),
+            };
+            step(&mut joiner, Event::RecordsCopy(&copy), at(2));
+        }
+        assert_eq!(joiner.joined(), case.want, "{}", case.name);
+    }
+}
+
+/// An instance frozen past the record time is asked by nobody; when it wakes, a first attempt that
+/// waited in its socket meanwhile must not run beside the resend.
+#[test]
+fn frozen_instance_asks_before_it_dispatches() {
+    let mut short = config(2);
+    short.limits.record_keep = Duration::from_secs(3);
+    let mut bus = Bus::new(&short, &["a", "b", "c"]);
+    bus.cut.insert("a".to_owned());
+    bus.inform(&["b", "c"], &["b", "c"]);
+    bus.pass(5_000);
+    bus.call("b", attempt(&bus, 2, Some(1)));
+    bus.settle();
+    assert_eq!(bus.dispatchers(), ["b"]);
+    bus.cut.clear();
+    bus.call("a", attempt(&bus, 1, Some(0)));
+    bus.settle();
+    assert_eq!(bus.dispatchers(), ["b"]);
+    assert_eq!(fate(&bus, "a", 1), Some(Fate::Attached("b")));
+}
+
+#[test]
+fn write_is_denied_past_the_deadline() {
+    let mut node = scheduler(&config(1), life("a", 1));
+    let mut call = arrival(1, 1, at(1));
+    call.deadline = at(1_000);
+    step(&mut node, Event::Arrive(call), at(1));
+    let actions = step(&mut node, Event::WriteCheck { ticket: 1 }, at(1_000));
+    let refusal = support::refusals(&actions).pop().expect("a refusal");
+    assert_eq!((refusal.code(), refusal.run()), (Code::DeadlinePassed, RunState::NotRun));
+    let again = step(&mut node, Event::WriteCheck { ticket: 1 }, at(1_001));
+    assert!(matches!(again[..], [Action::NoGo { refusal: None, .. }]));
+}
+
+#[test]
+fn records_outlive_the_resend_window_and_no_more() {
+    let mut short = config(2);
+    short.limits.record_keep = Duration::from_secs(3);
+    let mut bus = Bus::new(&short, &["a", "b"]);
+    bus.call("b", attempt(&bus, 2, Some(1)));
+    bus.settle();
+    bus.write("b", 2);
+    bus.event("b", Event::Finished { ticket: 2, end: End::Complete });
+    bus.pass(2_800);
+    assert_eq!((bus.nodes["a"].records(), bus.nodes["b"].records()), (1, 1));
+    bus.pass(400);
+    assert_eq!((bus.nodes["a"].records(), bus.nodes["b"].records()), (0, 0));
+}
--- /dev/null
+++ b/crates/policy/tests/support/bus.rs
@@ -0,0 +1,181 @@
+//! A few instances whose messages arrive at once, unless their receiver is cut off or frozen.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use sesamewind_policy::{Action, Arrival, Event, Life, PeerNews, Scheduler};
+use sesamewind_protocol::record::{Lookup, LookupReply, RecordsCopy, RecordsRequest};
+use sesamewind_protocol::{InstanceId, Time};
+
+use super::{config, life, scheduler, step, tick, wall};
+
+#[derive(Debug)]
+enum Message {
+    Lookup(Lookup),
+    Reply(LookupReply),
+    Ask(RecordsRequest),
+    Copy(RecordsCopy),
+}
+
+pub struct Bus {
+    pub now: Time,
+    pub nodes: BTreeMap<String, Scheduler>,
+    /// Instances that neither get nor send anything.
+    pub cut: BTreeSet<String>,
+    lives: BTreeMap<String, Life>,
+    mail: VecDeque<(String, InstanceId, Message)>,
+    /// Everything that instances asked their daemons to do.
+    pub done: Vec<(String, Action)>,
+}
+
+impl Bus {
+    /// Starts instances `a`, `b`, ... that know each other and have joined.
+    pub fn new(config: &sesamewind_policy::Config, names: &[&str]) -> Self {
+        let mut bus = Self {
+            now: super::at(1),
+            nodes: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            lives: BTreeMap::new(),
+            mail: VecDeque::new(),
+            done: Vec::new(),
+        };
+        for name in names {
+            bus.add(config, name, 1);
+        }
+        bus.inform(names, names);
+        bus.pass(400);
+        bus.done.clear();
+        bus
+    }
+
+    /// Starts an instance that knows nobody yet.
+    pub fn add(&mut self, config: &sesamewind_policy::Config, name: &str, incarnation: u64) {
+        let life = life(name, incarnation);
+        self.nodes.insert(name.to_owned(), scheduler(config, life.clone()));
+        self.lives.insert(name.to_owned(), life);
+    }
+
+    /// Tells the instances in `to` that membership lists `listed`.
+    pub fn inform(&mut self, to: &[&str], listed: &[&str]) {
+        let peers: Vec<Life> = listed.iter().map(|name| self.lives[*name].clone()).collect();
+        let reachable: Vec<InstanceId> = listed
+            .iter()
+            .filter(|name| !self.cut.contains(**name))
+            .map(|name| InstanceId::from(*name))
+            .collect();
+        for name in to {
+            self.event(name, Event::PeerSet { peers: &peers, reachable: &reachable });
+        }
+        self.settle();
+    }
+
+    pub fn event(&mut self, name: &str, event: Event<'_>) {
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        let actions = step(node, event, self.now);
+        self.apply(name, actions);
+    }
+
+    fn apply(&mut self, from: &str, actions: Vec<Action>) {
+        for action in actions {
+            let mut send = |to: &InstanceId, message| {
+                self.mail.push_back((from.to_owned(), to.clone(), message));
+            };
+            match &action {
+                Action::AskPeers { lookup, peers, .. } => {
+                    peers.iter().for_each(|to| send(to, Message::Lookup(lookup.clone())));
+                }
+                Action::Reply { to, reply } => send(to, Message::Reply(reply.clone())),
+                Action::AskRecords { request, peers } => {
+                    peers.iter().for_each(|to| send(to, Message::Ask(request.clone())));
+                }
+                Action::SendRecords { to, copy } => send(to, Message::Copy(copy.clone())),
+                _ => {}
+            }
+            self.done.push((from.to_owned(), action));
+        }
+    }
+
+    /// Delivers every message.
+    pub fn settle(&mut self) {
+        while let Some((from, to, message)) = self.mail.pop_front() {
+            let to = to.as_str().to_owned();
+            if self.cut.contains(&from) || self.cut.contains(&to) {
+                continue;
+            }
+            match &message {
+                Message::Lookup(lookup) => self.event(&to, Event::Lookup(lookup)),
+                Message::Reply(reply) => self.event(&to, Event::LookupReply(reply)),
+                Message::Ask(request) => self.event(&to, Event::RecordsRequest(request)),
+                Message::Copy(copy) => self.event(&to, Event::RecordsCopy(copy)),
+            }
+        }
+    }
+
+    /// Sends a request to an instance, without delivering messages between instances.
+    pub fn call(&mut self, name: &str, arrival: Arrival) {
+        self.event(name, Event::Arrive(arrival));
+    }
+
+    /// Lets time pass for every instance that is not cut off, 50 ms at a time.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(50) {
+            self.now = self.now + std::time::Duration::from_millis(50);
+            let names: Vec<String> = self.nodes.keys().cloned().collect();
+            for name in
+                names.iter().filter(|name| !self.cut.contains(*name)).cloned().collect::<Vec<_>>()
+            {
+                let actions = tick(self.nodes.get_mut(&name).expect("a node"), self.now);
+                self.apply(&name, actions);
+            }
+            self.settle();
+        }
+    }
+
+    /// Exchanges traffic news among the instances that are not cut off.
+    pub fn exchange(&mut self) {
+        let names: Vec<String> =
+            self.nodes.keys().filter(|name| !self.cut.contains(*name)).cloned().collect();
+        for from in &names {
+            let node = &self.nodes[from];
+            let (targets, accounts) = (node.target_use(), node.account_use(self.now));
+            let (floors, floor_acks) = (node.floors(self.now), node.floor_acks());
+            let sender = InstanceId::from(from.as_str());
+            for to in names.iter().filter(|to| *to != from) {
+                let news = PeerNews {
+                    from: &sender,
+                    sent: wall(self.now),
+                    targets: &targets,
+                    accounts: &accounts,
+                    floors: &floors,
+                    floor_acks: &floor_acks,
+                };
+                self.event(to, Event::Peer(news));
+            }
+        }
+        self.settle();
+    }
+
+    /// Passes the write check and the target's acceptance of every dispatch so far.
+    pub fn write(&mut self, name: &str, ticket: u64) {
+        self.event(name, Event::WriteCheck { ticket });
+        self.event(name, Event::Accepted { ticket });
+    }
+
+    /// Names of the instances that dispatched.
+    pub fn dispatchers(&self) -> Vec<&str> {
+        let dispatches =
+            |(_, action): &&(String, Action)| matches!(action, Action::Dispatch { .. });
+        self.done.iter().filter(dispatches).map(|(name, _)| name.as_str()).collect()
+    }
+
+    /// Final answers of an instance.
+    pub fn refusals(&self, name: &str) -> Vec<sesamewind_policy::Refusal> {
+        let of: Vec<Action> =
+            self.done.iter().filter(|(from, _)| from == name).map(|(_, a)| a.clone()).collect();
+        super::refusals(&of)
+    }
+}
+
+/// Three instances that know each other and have joined.
+pub fn three() -> Bus {
+    Bus::new(&config(2), &["a", "b", "c"])
+}
