Run the daemon on the node: peers, store, leases, rollouts, planned stop

Cause: the daemon drove only the scheduler; membership, configuration, rollouts and leases had no sockets. Ruled out: actors of their own per package, since one control thread must see one order of events; effects run on the traffic threads and come back as messages. Found on the way: with no peer at all an instance never became ready, because an unchanged empty member set was never told to the scheduler; it is told once the list or a peer has spoken. Change: effects, operators' API, views, planned stop with exit codes. Conclusion: the whole surface runs in a process.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,7 +1,7 @@
 //! What the parts of one running instance share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
@@ -14,7 +14,8 @@
 use xtra::{Address, Handler};
 
 use crate::clock::Clock;
-use crate::control::{Control, Signal, Told};
+use crate::control::Control;
+use crate::message::{Signal, Told};
 use crate::metrics::Metrics;
 use crate::peers::PeerClient;
 use crate::targets::Targets;
@@ -53,11 +54,17 @@
     pub installed: ArcSwapOption<Installed>,
     control: Address<Control>,
     tickets: AtomicU64,
+    stopping: AtomicBool,
 }
 
 impl Context {
     /// Puts the parts together.
-    pub fn new(settings: Settings, clock: Clock, control: Address<Control>) -> Self {
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        incarnation: Incarnation,
+        control: Address<Control>,
+    ) -> Self {
         let peers = PeerClient::new(&settings);
         let options = sesamewind_platform::Options {
             attempt: settings.platform.call_timeout,
@@ -65,7 +72,7 @@
         };
         Self {
             clock,
-            incarnation: clock.incarnation(),
+            incarnation,
             targets: Targets::default(),
             peers,
             platform: Platform::new(&settings.platform.url, options),
@@ -73,6 +80,7 @@
             installed: ArcSwapOption::empty(),
             control,
             tickets: AtomicU64::new(1),
+            stopping: AtomicBool::new(false),
             settings,
         }
     }
@@ -82,6 +90,16 @@
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Notes that a planned stop has begun.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
     /// Tells the control thread of a request's progress.
     pub fn signal(&self, ticket: Ticket, signal: Signal) {
         self.tell(Told { ticket, signal });
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -8,18 +8,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sesamewind_membership::Source;
 use sesamewind_node::{Action, Event, Node};
 use sesamewind_policy as policy;
-use sesamewind_policy::{Arrival, End, Ticket};
-use sesamewind_protocol::operator::StatusBody;
-use sesamewind_protocol::target::LoadReport;
-use sesamewind_protocol::{RequestKey, Revision, TargetId, Time};
+use sesamewind_policy::{End, Ticket};
+use sesamewind_protocol::message::Exchange;
+use sesamewind_protocol::record::{LookupReply, RecordsCopy};
+use sesamewind_protocol::{
+    InstanceId, RequestKey, Revision, RolloutId, ServiceId, TargetId, Time, VersionId,
+};
+use sesamewind_rollout as rollout;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedSender;
 use xtra::{Context as ActorContext, Handler};
 
 use crate::answer::Answer;
-use crate::context::{Context, Installed};
+use crate::context::Context;
+use crate::effects::{self, WriteLimits};
+use crate::message::*;
 use crate::problem::Problem;
 use crate::step::Step;
 use crate::targets::TargetAddress;
@@ -27,80 +33,6 @@
 /// How long an ended request's answer can be read again.
 const ANSWER_KEEP: Duration = Duration::from_secs(30);
 
-/// Longest time of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// What a job tells of its request.
-#[derive(Debug)]
-pub enum Signal {
-    /// The request is about to be written.
-    WriteCheck,
-    /// The target answered with its headers.
-    Accepted,
-    /// Tokens arrived.
-    Tokens(u32),
-    /// The attempt at the target ended.
-    Finished(End),
-    /// The target made no progress within the progress timeout.
-    Silent,
-    /// Nobody reads the answer any more.
-    CallerGone,
-    /// Somebody reads the answer again.
-    CallerBack,
-    /// The peer that holds the answer was lost.
-    HolderLost,
-    /// The job has ended.
-    Closed,
-}
-
-/// A request arrived.
-#[derive(Debug)]
-pub struct Arrive {
-    /// The request.
-    pub arrival: Arrival,
-    /// Where its job takes steps.
-    pub steps: UnboundedSender<Step>,
-    /// Its answer.
-    pub answer: Arc<Answer>,
-}
-
-/// A job tells of its request.
-#[derive(Debug)]
-pub struct Told {
-    /// The request.
-    pub ticket: Ticket,
-    /// What happened.
-    pub signal: Signal,
-}
-
-/// Time passed.
-#[derive(Debug)]
-pub struct Tick;
-
-/// A sheet was fetched and read.
-#[derive(Debug)]
-pub struct Fetched(pub Installed);
-
-/// A target's load report, or that there was none in time.
-#[derive(Debug)]
-pub struct Polled {
-    /// The target.
-    pub target: TargetId,
-    /// Its report.
-    pub report: Option<LoadReport>,
-}
-
-/// Asks for the answer of a request that this instance holds.
-#[derive(Debug)]
-pub struct FindAnswer(pub RequestKey);
-
-/// A probe over a new connection ended.
-#[derive(Debug)]
-pub struct Probed {
-    target: TargetId,
-    report: Option<LoadReport>,
-}
-
 /// A request that has a job or whose answer is kept.
 #[derive(Debug)]
 struct Held {
@@ -133,50 +65,136 @@
         }
     }
 
+    /// The node, for views.
+    pub(crate) fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// Why the instance is not ready; empty if it is.
+    pub(crate) fn unready(&self) -> &'static str {
+        if self.context.is_stopping() {
+            return "the instance stops";
+        }
+        if self.node.in_force().revision == Revision(0) {
+            return "no configuration: neither the store nor a peer has given one yet";
+        }
+        if !self.node.is_joined() {
+            return "records of requests have not been copied from the peers yet";
+        }
+        ""
+    }
+
+    /// What the instance's parts share.
+    pub(crate) fn context(&self) -> &Context {
+        &self.context
+    }
+
+    fn actions(&mut self, event: Event<'_>) -> Vec<Action> {
+        self.node.handle(event, self.context.clock.now(), self.context.clock.wall())
+    }
+
     fn decide(&mut self, event: Event<'_>) {
-        let now = self.context.clock.now();
-        let wall = self.context.clock.wall();
-        for action in self.node.handle(event, now, wall) {
+        for action in self.actions(event) {
             self.carry_out(action);
         }
     }
 
     fn carry_out(&mut self, action: Action) {
+        let context = Arc::clone(&self.context);
         match action {
             Action::Traffic(action) => self.carry_out_traffic(action),
             Action::Installed(revision) => {
+                context.metrics.set_revision(revision);
                 log::info!(revision = revision.0; "configuration in force");
             }
+            Action::Fetch(fetch) => {
+                let address = match &fetch.source {
+                    Source::Store => None,
+                    Source::Peer(peer) => self.peer_address(peer),
+                };
+                self.spawn(effects::fetch(context, fetch, address));
+            }
+            Action::Send { partner, message } => {
+                self.spawn(effects::exchange(context, partner, message));
+            }
+            Action::Lease(call) => self.spawn(effects::lease(context, call)),
+            Action::Rollout(action) => self.carry_out_rollout(action),
+            Action::Member(event) => log::info!("members changed: {event:?}"),
         }
     }
 
     fn carry_out_traffic(&mut self, action: policy::Action) {
         use policy::Action as Do;
+        let context = Arc::clone(&self.context);
         match action {
             Do::Dispatch { ticket, target, version } => self.dispatch(ticket, &target, version),
             Do::Go { ticket } => self.step(ticket, Step::Go),
             Do::Resume { ticket, .. } => self.step(ticket, Step::Resume),
-            Do::NoGo { ticket, refusal } => self.step(ticket, Step::Refuse(problem(&refusal))),
+            Do::NoGo { ticket, refusal: Some(refusal) } => {
+                self.step(ticket, Step::Refuse(problem(&refusal)));
+            }
+            // The attempt was answered before; its job has the step that ends it.
+            Do::NoGo { refusal: None, .. } => {}
             Do::Refuse(refusal) => self.step(refusal.ticket(), Step::Refuse(problem(&refusal))),
             Do::Cancel { ticket, refusal } => self.step(ticket, Step::Cancel(problem(&refusal))),
-            Do::Probe { target } => self.probe(target),
-            Do::DropConnections { target } => self.context.targets.drop_connections(&target),
+            Do::Probe { target } => {
+                if let Some(at) = self.address_of(&target) {
+                    self.spawn(effects::probe(context, at));
+                }
+            }
+            Do::DropConnections { target } => context.targets.drop_connections(&target),
             Do::AttachLocal { ticket, to } => self.attach_local(ticket, to),
-            Do::AskPeers { .. }
-            | Do::Reply { .. }
-            | Do::Attach { .. }
-            | Do::AskRecords { .. }
-            | Do::SendRecords { .. }
-            | Do::FloorChanged => {}
+            Do::Attach { ticket, holder } => self.attach(ticket, &holder),
+            Do::AskPeers { lookup, peers, .. } => {
+                for address in self.peer_addresses(&peers) {
+                    let lookup = lookup.clone();
+                    self.spawn(effects::lookup(Arc::clone(&context), address, lookup));
+                }
+            }
+            Do::AskRecords { request, peers } => {
+                for address in self.peer_addresses(&peers) {
+                    let request = request.clone();
+                    self.spawn(effects::ask_records(Arc::clone(&context), address, request));
+                }
+            }
+            Do::SendRecords { to, copy } => {
+                if let Some(address) = self.peer_address(&to) {
+                    self.spawn(effects::hand_over(context, address, copy));
+                }
+            }
+            // Answers to peers are picked out by the handlers of the peers' questions; the node has
+            // hastened its next exchange already.
+            Do::Reply { .. } | Do::FloorChanged => {}
         }
     }
 
-    fn dispatch(
-        &mut self,
-        ticket: Ticket,
-        target: &TargetId,
-        version: sesamewind_protocol::VersionId,
-    ) {
+    fn carry_out_rollout(&self, action: rollout::Action) {
+        use rollout::Action as Do;
+        let context = Arc::clone(&self.context);
+        match action {
+            Do::WriteRecord { rollout, expected, record, before, lease_until } => {
+                let limits = WriteLimits { before, lease_until };
+                self.spawn(effects::write_record(context, rollout, expected, record, limits));
+            }
+            Do::ReadRecords => self.spawn(effects::read_records(context)),
+            Do::Order { target, fence, order, version, lease_until } => {
+                let at = self.address_of(&target);
+                let order = (fence, order.as_str(), version);
+                self.spawn(effects::order(context, at, target, order, lease_until));
+            }
+            Do::Event(event) => {
+                let service = self.service_of(event.rollout());
+                context.metrics.rollout_changed(&service, event.kind());
+                log::info!(rollout:% = event.rollout(), kind = event.kind(); "{event}");
+            }
+        }
+    }
+
+    fn spawn(&self, effect: impl Future<Output = ()> + Send + 'static) {
+        self.traffic.spawn(effect);
+    }
+
+    fn dispatch(&mut self, ticket: Ticket, target: &TargetId, version: VersionId) {
         let Some(at) = self.address_of(target) else {
             let end = End::ConnectFailed;
             self.decide(Event::Traffic(policy::Event::Finished { ticket, end }));
@@ -191,6 +209,30 @@
         Some(TargetAddress { target: target.clone(), address: row.address.to_string() })
     }
 
+    fn service_of(&self, rollout: &RolloutId) -> ServiceId {
+        let installed = self.context.configuration();
+        let row = installed
+            .as_ref()
+            .and_then(|installed| installed.sheet.rollouts.iter().find(|row| row.name == *rollout));
+        row.map_or_else(|| ServiceId::new(""), |row| row.service.clone())
+    }
+
+    fn peer_address(&self, peer: &InstanceId) -> Option<String> {
+        let now = self.context.clock.now();
+        Some(self.node.members().known(peer, now)?.address)
+    }
+
+    fn peer_addresses(&self, peers: &[InstanceId]) -> Vec<String> {
+        peers.iter().filter_map(|peer| self.peer_address(peer)).collect()
+    }
+
+    fn attach(&mut self, ticket: Ticket, holder: &InstanceId) {
+        match self.peer_address(holder) {
+            Some(address) => self.step(ticket, Step::Attach { address }),
+            None => self.decide(Event::Traffic(policy::Event::HolderLost { ticket })),
+        }
+    }
+
     fn attach_local(&mut self, ticket: Ticket, to: Ticket) {
         match self.held.get(&to) {
             Some(held) => {
@@ -201,15 +243,6 @@
         }
     }
 
-    fn probe(&self, target: TargetId) {
-        let Some(at) = self.address_of(&target) else { return };
-        let context = Arc::clone(&self.context);
-        self.traffic.spawn(async move {
-            let report = context.targets.probe(&at, PROBE_TIMEOUT).await.ok();
-            context.tell(Probed { target, report });
-        });
-    }
-
     fn step(&self, ticket: Ticket, step: Step) {
         // A job that has ended takes no steps.
         if let Some(held) = self.held.get(&ticket) {
@@ -268,7 +301,7 @@
             Signal::HolderLost => Happened::HolderLost { ticket },
             Signal::Closed => {
                 self.ended.push_back((self.context.clock.now(), ticket));
-                return;
+                return self.decide(Event::Closed(ticket));
             }
         };
         self.decide(Event::Traffic(event));
@@ -288,38 +321,80 @@
     type Return = ();
 
     async fn handle(&mut self, message: Fetched, _: &mut ActorContext<Self>) {
-        let Fetched(installed) = message;
-        let installed = Arc::new(installed);
-        if installed.revision <= self.node.revision() {
+        let installed = Arc::new(message.0);
+        if installed.revision <= self.node.in_force().revision {
             return;
         }
         // Jobs read addresses from the snapshot, so it must be there before the first dispatch.
         self.context.installed.store(Some(Arc::clone(&installed)));
-        let revision = installed.revision;
-        self.decide(Event::Sheet { revision, sheet: &installed.sheet });
+        let (revision, hash) = (installed.revision, installed.hash.as_str());
+        self.decide(Event::Sheet { revision, hash, sheet: &installed.sheet });
     }
 }
 
-impl Handler<Polled> for Control {
+impl Handler<Probed> for Control {
     type Return = ();
 
-    async fn handle(&mut self, message: Polled, _: &mut ActorContext<Self>) {
-        if let Some(report) = &message.report {
-            self.decide(Event::Traffic(policy::Event::TargetReport(report)));
+    async fn handle(&mut self, message: Probed, _: &mut ActorContext<Self>) {
+        let Probed { target, report } = message;
+        let ok = report.is_some();
+        if report.is_some() {
+            self.decide(Event::Polled { target: &target, report: report.as_ref() });
         }
+        self.decide(Event::Traffic(policy::Event::ProbeResult { target: &target, ok }));
     }
 }
 
-impl Handler<Probed> for Control {
+impl Handler<CacheChanged> for Control {
     type Return = ();
 
-    async fn handle(&mut self, message: Probed, _: &mut ActorContext<Self>) {
-        let Probed { target, report } = message;
-        let ok = report.is_some();
-        if let Some(report) = &report {
-            self.decide(Event::Traffic(policy::Event::TargetReport(report)));
+    async fn handle(&mut self, message: CacheChanged, _: &mut ActorContext<Self>) {
+        let target = &message.target;
+        for event in &message.events {
+            self.decide(Event::Traffic(policy::Event::CacheEvent { target, event }));
         }
-        self.decide(Event::Traffic(policy::Event::ProbeResult { target: &target, ok }));
+    }
+}
+
+impl Handler<PeerMessage> for Control {
+    type Return = Exchange;
+
+    async fn handle(&mut self, message: PeerMessage, _: &mut ActorContext<Self>) -> Exchange {
+        self.decide(Event::Exchange(&message.0));
+        let now = self.context.clock.now();
+        self.node.answer(&message.0, now, self.context.clock.wall())
+    }
+}
+
+impl Handler<PeerLookup> for Control {
+    type Return = Option<LookupReply>;
+
+    async fn handle(&mut self, message: PeerLookup, _: &mut ActorContext<Self>) -> Self::Return {
+        let event = Event::Traffic(policy::Event::Lookup(&message.0));
+        let mut answer = None;
+        for action in self.actions(event) {
+            match action {
+                Action::Traffic(policy::Action::Reply { reply, .. }) => answer = Some(reply),
+                action => self.carry_out(action),
+            }
+        }
+        answer
+    }
+}
+
+impl Handler<PeerRecords> for Control {
+    type Return = Option<RecordsCopy>;
+
+    async fn handle(&mut self, message: PeerRecords, _: &mut ActorContext<Self>) -> Self::Return {
+        let event = Event::Traffic(policy::Event::RecordsRequest(&message.0));
+        let mut answer = None;
+        for action in self.actions(event) {
+            match action {
+                Action::Traffic(policy::Action::SendRecords { copy, .. }) => answer = Some(copy),
+                action => self.carry_out(action),
+            }
+        }
+        answer
     }
 }
 
@@ -332,38 +407,64 @@
     }
 }
 
-/// The revision in force, for the loops that poll.
-#[derive(Debug)]
-pub struct InForce;
-
-impl Handler<InForce> for Control {
-    type Return = Revision;
+impl Handler<Remaining> for Control {
+    type Return = Left;
 
-    async fn handle(&mut self, _: InForce, _: &mut ActorContext<Self>) -> Revision {
-        self.node.revision()
+    async fn handle(&mut self, _: Remaining, _: &mut ActorContext<Self>) -> Left {
+        Left { requests: self.node.under_way(), lease: !self.node.is_released() }
     }
 }
 
-/// Asks for the instance's state.
-#[derive(Debug)]
-pub struct Status;
-
-impl Handler<Status> for Control {
-    type Return = StatusBody;
-
-    async fn handle(&mut self, _: Status, _: &mut ActorContext<Self>) -> StatusBody {
-        let settings = &self.context.settings;
-        let revision = self.node.revision().0;
-        let ready = revision > 0;
-        let why = if ready { "" } else { "no configuration is in force yet" };
-        StatusBody {
-            instance: settings.instance.name.clone(),
-            zone: settings.instance.zone.clone(),
-            ready,
-            why: why.to_owned(),
-            revision,
-            queued: 0,
-            in_flight: 0,
+impl Handler<HandOver> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _: HandOver, _: &mut ActorContext<Self>) {
+        let now = self.context.clock.now();
+        let copy = self.node.hand_over(now);
+        let peers: Vec<String> =
+            self.node.members().reachable(now).into_iter().map(|peer| peer.address).collect();
+        let sends = peers
+            .into_iter()
+            .map(|address| effects::hand_over(Arc::clone(&self.context), address, copy.clone()));
+        for send in sends {
+            self.traffic.spawn(send);
         }
     }
 }
+
+/// Implements messages that are one event of the node and want no answer.
+macro_rules! one_event {
+    ($($message:ty, $given:ident => $event:expr;)*) => {
+        $(impl Handler<$message> for Control {
+            type Return = ();
+
+            async fn handle(&mut self, $given: $message, _: &mut ActorContext<Self>) {
+                self.decide($event);
+            }
+        })*
+    };
+}
+
+one_event! {
+    FetchFailed, given => Event::FetchFailed(&given.0);
+    Pointer, given => Event::Pointer { revision: Revision(given.0.revision), hash: &given.0.hash };
+    Listed, given => Event::Listed {
+        instances: &given.0.instances,
+        targets: &given.0.targets,
+    };
+    Polled, given => Event::Polled { target: &given.target, report: given.report.as_ref() };
+    Answered, given => Event::Answered(&given.0);
+    Unanswered, given => Event::Unanswered(&given.0);
+    Replied, given => Event::Traffic(policy::Event::LookupReply(&given.0));
+    RecordsCopied, given => Event::Traffic(policy::Event::RecordsCopy(&given.0));
+    LeaseAnswered, given => Event::Lease { call: &given.call, answer: given.answer.clone() };
+    RecordWritten, given => Event::RecordWritten {
+        rollout: &given.rollout,
+        result: given.result.clone(),
+    };
+    RecordsRead, given => Event::RecordsRead(given.0);
+    RecordsSeen, given => Event::RecordsSeen(&given.0);
+    Ordered, given => Event::Ordered { target: &given.target, result: given.result };
+    Leave, _given => Event::Leave;
+    Refuse, _given => Event::Stop;
+}
--- /dev/null
+++ b/crates/daemon/src/effects.rs
@@ -0,0 +1,220 @@
+//! Calls to other processes that the node asks for, run on the traffic threads; their results go
+//! back to the control thread as messages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sesamewind_membership::{Fetch, LeaseCall, Partner, Source};
+use sesamewind_platform::{Put, StoreError, control as store};
+use sesamewind_protocol::evidence::{RecordNote, RolloutRecord};
+use sesamewind_protocol::message::Exchange;
+use sesamewind_protocol::record::{Lookup, RecordsCopy, RecordsRequest};
+use sesamewind_protocol::{RolloutId, TargetId, Time, Wall};
+use sesamewind_rollout::{OrderResult, ReadResult, WriteResult};
+
+use crate::context::{Context, Installed};
+use crate::message::{
+    Answered, FetchFailed, Fetched, LeaseAnswered, Ordered, Probed, RecordWritten, RecordsCopied,
+    RecordsRead, RecordsSeen, Replied, Unanswered,
+};
+use crate::metrics::Flow;
+use crate::targets::{OrderBody, TargetAddress};
+
+/// Longest time of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest time of an order to a target.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Prefix of the keys of rollout records in the table service.
+const RECORD_PREFIX: &str = "rollout.";
+
+/// Fetches a configuration from the store or from a peer at `address`.
+pub async fn fetch(context: Arc<Context>, fetch: Fetch, address: Option<String>) {
+    match fetched(&context, &fetch, address).await {
+        Some(installed) => context.tell(Fetched(installed)),
+        None => context.tell(FetchFailed(fetch)),
+    }
+}
+
+async fn fetched(context: &Context, fetch: &Fetch, address: Option<String>) -> Option<Installed> {
+    let content = match (&fetch.source, address) {
+        (Source::Store, _) => context.platform.object(&fetch.hash).await.ok()??,
+        (Source::Peer(_), Some(address)) => {
+            context.peers.configuration(&address, &fetch.hash).await.ok()?
+        }
+        (Source::Peer(_), None) => return None,
+    };
+    read(fetch, content)
+}
+
+/// Reads fetched content, unless it is not what its hash says.
+fn read(fetch: &Fetch, content: Bytes) -> Option<Installed> {
+    let revision = fetch.revision;
+    if sesamewind_sheet::hash(&content) != fetch.hash {
+        log::warn!(revision = revision.0; "configuration does not match its hash");
+        return None;
+    }
+    match sesamewind_sheet::read(&content) {
+        Ok(sheet) => Some(Installed { revision, hash: fetch.hash.clone(), content, sheet }),
+        Err(faults) => {
+            log::error!(revision = revision.0; "accepted sheet has {} faults", faults.len());
+            None
+        }
+    }
+}
+
+/// Exchanges messages with a peer.
+pub async fn exchange(context: Arc<Context>, partner: Partner, message: Box<Exchange>) {
+    match context.peers.exchange(&partner.address, &message).await {
+        Ok((answer, sent, received)) => {
+            context.metrics.control(Flow::Sent, sent);
+            context.metrics.control(Flow::Received, received);
+            context.tell(Answered(answer));
+        }
+        Err(error) => {
+            log::debug!("no exchange with {}: {error}", partner.instance);
+            context.tell(Unanswered(partner.instance));
+        }
+    }
+}
+
+/// Asks a peer after a request.
+pub async fn lookup(context: Arc<Context>, address: String, lookup: Lookup) {
+    if let Ok(reply) = context.peers.lookup(&address, &lookup).await {
+        context.tell(Replied(reply));
+    }
+}
+
+/// Asks a peer for its records.
+pub async fn ask_records(context: Arc<Context>, address: String, request: RecordsRequest) {
+    if let Ok(copy) = context.peers.records(&address, &request).await {
+        context.tell(RecordsCopied(copy));
+    }
+}
+
+/// Hands this instance's records to a peer.
+pub async fn hand_over(context: Arc<Context>, address: String, copy: RecordsCopy) {
+    if let Err(error) = context.peers.hand_over(&address, &copy).await {
+        log::warn!("records not handed over to {address}: {error}");
+    }
+}
+
+/// Asks a target for a sign of life over a new connection.
+pub async fn probe(context: Arc<Context>, at: TargetAddress) {
+    let report = context.targets.probe(&at, PROBE_TIMEOUT).await.ok();
+    context.tell(Probed { target: at.target, report });
+}
+
+/// Makes a call on a lease.
+pub async fn lease(context: Arc<Context>, call: LeaseCall) {
+    let answer = store::call_lease(&context.platform, &call).await;
+    context.tell(LeaseAnswered { call, answer });
+}
+
+/// Limits after which a record must not be written any more.
+#[derive(Debug, Clone, Copy)]
+pub struct WriteLimits {
+    /// By the wall clock.
+    pub before: Option<Wall>,
+    /// End of the lease.
+    pub lease_until: Time,
+}
+
+/// Writes a rollout record.
+pub async fn write_record(
+    context: Arc<Context>,
+    rollout: RolloutId,
+    expected: u64,
+    record: RolloutRecord,
+    limits: WriteLimits,
+) {
+    let result = written(&context, &rollout, expected, &record, limits).await;
+    context.tell(RecordWritten { rollout, result });
+}
+
+async fn written(
+    context: &Context,
+    rollout: &RolloutId,
+    expected: u64,
+    record: &RolloutRecord,
+    limits: WriteLimits,
+) -> WriteResult {
+    let too_late = limits.before.is_some_and(|before| context.clock.wall() >= before);
+    if too_late || context.clock.now() >= limits.lease_until {
+        return WriteResult::Failed;
+    }
+    let Ok(value) = serde_json::to_value(record) else { return WriteResult::Failed };
+    let key = format!("{RECORD_PREFIX}{rollout}");
+    match context.platform.put_row(&key, expected, &value).await {
+        Ok(Put::Stored(revision)) => WriteResult::Stored(revision),
+        Ok(Put::Conflict(row)) => match serde_json::from_value(row.value) {
+            Ok(record) => WriteResult::Conflict(row.revision, record),
+            Err(_) => WriteResult::Failed,
+        },
+        Err(error) if error.may_have_run() => WriteResult::Unknown,
+        Err(_) => WriteResult::Failed,
+    }
+}
+
+/// Reads the rollout records beside those that the steward asks for.
+pub async fn refresh_records(context: Arc<Context>) {
+    match rows(&context).await {
+        Ok(rows) => context.tell(RecordsSeen(rows)),
+        Err(error) => log::debug!("rollout records not read: {error}"),
+    }
+}
+
+/// Lists the rollout records for the steward.
+pub async fn read_records(context: Arc<Context>) {
+    let result = match rows(&context).await {
+        Ok(rows) => ReadResult::Rows(rows),
+        Err(error) => {
+            log::debug!("rollout records not read: {error}");
+            ReadResult::Failed
+        }
+    };
+    context.tell(RecordsRead(result));
+}
+
+async fn rows(context: &Context) -> Result<Vec<RecordNote>, StoreError> {
+    let rows = context.platform.rows(RECORD_PREFIX).await?;
+    let notes = rows.into_iter().filter_map(|row| {
+        let rollout = RolloutId::new(row.key.strip_prefix(RECORD_PREFIX)?);
+        let record = serde_json::from_value(row.value).ok()?;
+        Some(RecordNote { rollout, revision: row.revision, record, draining: 0 })
+    });
+    Ok(notes.collect())
+}
+
+/// Gives a target an order, unless the lease that it was given under has ended.
+pub async fn order(
+    context: Arc<Context>,
+    at: Option<TargetAddress>,
+    target: TargetId,
+    order: (u64, &'static str, sesamewind_protocol::VersionId),
+    lease_until: Time,
+) {
+    let result = ordered(&context, at, order, lease_until).await;
+    context.tell(Ordered { target, result });
+}
+
+async fn ordered(
+    context: &Context,
+    at: Option<TargetAddress>,
+    order: (u64, &'static str, sesamewind_protocol::VersionId),
+    lease_until: Time,
+) -> OrderResult {
+    let Some(at) = at else { return OrderResult::Failed };
+    if context.clock.now() >= lease_until {
+        return OrderResult::Failed;
+    }
+    let (fence, order, version) = order;
+    let body = OrderBody { fence, order, version: &version };
+    match context.targets.order(&at, &body, ORDER_TIMEOUT).await {
+        Ok(status) if status.is_success() => OrderResult::Done,
+        Ok(status) if status == http::StatusCode::CONFLICT => OrderResult::Fenced,
+        Ok(_) | Err(_) => OrderResult::Failed,
+    }
+}
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -7,7 +7,9 @@
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use serde::Serialize;
-use sesamewind_protocol::operator::{self, StatusBody};
+use serde::de::DeserializeOwned;
+use sesamewind_protocol::message::Exchange;
+use sesamewind_protocol::operator::StatusBody;
 use sesamewind_protocol::{Code, RequestKey, codec};
 use sesamewind_settings::Secret;
 use warp::filters::BoxedFilter;
@@ -16,8 +18,11 @@
 
 use crate::answer::Reader;
 use crate::context::Context;
-use crate::control::{FindAnswer, Status};
+use crate::message::{FindAnswer, PeerLookup, PeerMessage, PeerRecords, RecordsCopied};
+use crate::metrics::Flow;
+use crate::operators;
 use crate::problem::Problem;
+use crate::views::Status;
 
 /// Longest time that a reader of a kept answer waits for something new.
 const ANSWER_WAIT: Duration = Duration::from_millis(500);
@@ -31,7 +36,6 @@
     path: String,
     query: String,
     headers: HeaderMap,
-    #[allow(dead_code, reason = "read by the handlers of peer messages")]
     body: Bytes,
 }
 
@@ -49,10 +53,10 @@
             let inbound = Inbound { method, path, query, headers, body };
             let context = Arc::clone(&context);
             async move {
-                match serve(&context, &inbound).await {
-                    Ok(response) => response,
-                    Err(problem) => problem.to_response(""),
-                }
+                serve(&context, &inbound).await.unwrap_or_else(|problem| {
+                    context.metrics.refused(problem.code);
+                    problem.to_response("")
+                })
             }
         })
         .boxed()
@@ -71,7 +75,8 @@
             }
             if path.starts_with("/operator/") {
                 allow(&inbound.headers, &context.settings.tokens.operator)?;
-                return operator(context, inbound).await;
+                let Inbound { method, query, body, .. } = inbound;
+                return operators::serve(context, method, path, query, body.clone()).await;
             }
             Err(not_found())
         }
@@ -108,7 +113,41 @@
         let Some(installed) = installed else { return Err(not_found()) };
         return Ok(bytes(installed.content.clone()));
     }
-    Err(not_found())
+    match rest {
+        "exchange" => exchange(context, &inbound.body).await,
+        "lookup" => {
+            let lookup = decode(&inbound.body)?;
+            let reply = context.ask(PeerLookup(lookup)).await.flatten();
+            message(&reply.ok_or_else(stopped)?)
+        }
+        "records" => {
+            let request = decode(&inbound.body)?;
+            let copy = context.ask(PeerRecords(request)).await.flatten();
+            message(&copy.ok_or_else(stopped)?)
+        }
+        "records-copy" => {
+            context.tell(RecordsCopied(decode(&inbound.body)?));
+            message(&())
+        }
+        _ => Err(not_found()),
+    }
+}
+
+async fn exchange(context: &Context, body: &[u8]) -> Result<Response, Problem> {
+    let given: Exchange = decode(body)?;
+    if given.from.deployment != context.settings.deployment {
+        return Err(Problem::before_dispatch(Code::OtherDeployment, "another deployment"));
+    }
+    context.metrics.control(Flow::Received, body.len());
+    let answer = context.ask(PeerMessage(given)).await.ok_or_else(stopped)?;
+    let response = encode(&answer)?;
+    context.metrics.control(Flow::Sent, response.len());
+    Ok(bytes(response))
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Problem> {
+    codec::decode(body)
+        .map_err(|error| Problem::before_dispatch(Code::BadPeerMessage, error.to_string()))
 }
 
 async fn kept_answer(context: &Context, key: &str, query: &str) -> Result<Response, Problem> {
@@ -123,13 +162,6 @@
     message(&answer.peek(from))
 }
 
-async fn operator(context: &Arc<Context>, inbound: &Inbound) -> Result<Response, Problem> {
-    match (&inbound.method, inbound.path.as_str()) {
-        (&Method::GET, operator::STATUS_PATH) => Ok(json(&status(context).await?)),
-        _ => Err(not_found()),
-    }
-}
-
 fn not_found() -> Problem {
     Problem::before_dispatch(Code::UnknownRoute, "no such path")
 }
@@ -150,7 +182,11 @@
 }
 
 fn message<T: Serialize>(message: &T) -> Result<Response, Problem> {
+    Ok(bytes(encode(message)?))
+}
+
+fn encode<T: Serialize>(message: &T) -> Result<Bytes, Problem> {
     let encoded = codec::encode(message)
         .map_err(|error| Problem::before_dispatch(Code::Internal, error.to_string()))?;
-    Ok(bytes(Bytes::from(encoded)))
+    Ok(Bytes::from(encoded))
 }
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -5,8 +5,10 @@
 use std::thread::JoinHandle;
 
 use error_stack::{Report, ResultExt};
+use sesamewind_membership::{Identity, LeaseTiming, Timing};
 use sesamewind_node::{Node, Options};
 use sesamewind_policy::Limits;
+use sesamewind_protocol::Incarnation;
 use sesamewind_settings::Settings;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle, Runtime};
@@ -16,8 +18,15 @@
 use crate::clock::Clock;
 use crate::context::Context;
 use crate::control::Control;
+use crate::stop::{self, Stopped};
 use crate::{callers, inner, polls, server};
 
+/// The part of a lease's length that its holder leaves unused.
+const LEASE_MARGIN_PART: u32 = 8;
+
+/// Renewals within a lease's length.
+const LEASE_RENEWALS: u32 = 3;
+
 /// Why an instance could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -56,24 +65,22 @@
             .build()
             .change_context(StartError::Threads)?;
         let handle = traffic.handle().clone();
-        let callers = bind(&handle, settings.listen.callers)?;
-        let inner = bind(&handle, settings.listen.inner)?;
+        let caller_listener = bind(&handle, settings.listen.callers)?;
+        let inner_listener = bind(&handle, settings.listen.inner)?;
+        let callers = local_address(&caller_listener)?;
+        let inner = local_address(&inner_listener)?;
         let clock = Clock::start();
-        let node = Node::new(Options {
-            instance: settings.instance.name.clone(),
-            incarnation: clock.incarnation(),
-            limits: limits(&settings),
-            seed: rand::random(),
-        });
+        let incarnation = clock.incarnation();
+        let node = Node::new(options(&settings, incarnation, inner));
         let (address, mailbox) = Mailbox::unbounded();
-        let context = Arc::new(Context::new(settings, clock, address));
+        let context = Arc::new(Context::new(settings, clock, incarnation, address));
         let actor = Control::new(node, Arc::clone(&context), handle.clone());
         let (end, ended) = oneshot::channel();
         let control = run_control(actor, mailbox, ended)?;
         let stop = watch::Sender::new(false);
         let this = Self {
-            callers: local_address(&callers)?,
-            inner: local_address(&inner)?,
+            callers,
+            inner,
             traffic: Some(traffic),
             handle,
             control: Some(control),
@@ -81,7 +88,7 @@
             end: Some(end),
             context,
         };
-        this.spawn(callers, inner);
+        this.spawn(caller_listener, inner_listener);
         Ok(this)
     }
 
@@ -109,6 +116,11 @@
         &self.handle
     }
 
+    /// Stops as planned: waits for the requests in flight, within the settings' limits.
+    pub async fn stop(&self) -> Stopped {
+        stop::stop(Arc::clone(&self.context)).await
+    }
+
     /// Stops at once; requests in flight are cut.
     pub fn kill(mut self) {
         self.finish();
@@ -127,7 +139,9 @@
         handle.spawn(server::serve(inner, filter, limits, self.stop.subscribe()));
         handle.spawn(polls::ticks(Arc::clone(&self.context)));
         handle.spawn(polls::configuration(Arc::clone(&self.context)));
-        handle.spawn(polls::loads(Arc::clone(&self.context)));
+        handle.spawn(polls::list(Arc::clone(&self.context)));
+        handle.spawn(polls::records(Arc::clone(&self.context)));
+        handle.spawn(polls::targets(Arc::clone(&self.context)));
     }
 
     fn finish(&mut self) {
@@ -148,6 +162,38 @@
     }
 }
 
+/// What the node is made with; `inner` is the inner listener's address.
+fn options(settings: &Settings, incarnation: Incarnation, inner: SocketAddr) -> Options {
+    let control = &settings.control;
+    let address = settings.listen.advertise.unwrap_or(inner);
+    Options {
+        identity: Identity {
+            deployment: settings.deployment.clone(),
+            instance: settings.instance.name.clone(),
+            incarnation,
+            zone: settings.instance.zone.clone(),
+            region: settings.instance.region.clone(),
+            address: address.to_string(),
+        },
+        limits: limits(settings),
+        members: Timing {
+            interval: control.heartbeat,
+            suspect: control.suspect_after,
+            remove: control.remove_after,
+            keep: settings.records.keep,
+            ..Timing::default()
+        },
+        lease: LeaseTiming {
+            length: control.lease_length,
+            margin: control.lease_length / LEASE_MARGIN_PART,
+            renew: control.lease_length / LEASE_RENEWALS,
+            poll: control.lease_length / LEASE_RENEWALS,
+            ..LeaseTiming::default()
+        },
+        seed: rand::random(),
+    }
+}
+
 fn limits(settings: &Settings) -> Limits {
     Limits {
         queue_requests: settings.traffic.queue_limit,
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -14,7 +14,7 @@
 use crate::answer::{Answer, Ending, Head};
 use crate::body::SharedBody;
 use crate::context::Context;
-use crate::control::Signal;
+use crate::message::Signal;
 use crate::problem::Problem;
 use crate::step::Step;
 use crate::targets::{
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,5 +1,6 @@
 //! Client for other instances.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,6 +48,7 @@
     pub fn new(settings: &Settings) -> Self {
         let http = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
+            .local_address(own_address(settings))
             .tcp_nodelay(true)
             .retry(reqwest::retry::never())
             .no_proxy()
@@ -59,13 +61,21 @@
         }
     }
 
-    /// Exchanges state with the peer at `address`.
+    /// Exchanges state with the peer at `address`; returns its answer, the bytes sent and the bytes
+    /// received.
     ///
     /// # Errors
     ///
     /// Returns [`PeerError`] if there was no readable answer in time.
-    pub async fn exchange(&self, address: &str, message: &Exchange) -> Result<Exchange, PeerError> {
-        self.post(address, "/peer/exchange", message, EXCHANGE_TIMEOUT).await
+    pub async fn exchange(
+        &self,
+        address: &str,
+        message: &Exchange,
+    ) -> Result<(Exchange, usize, usize), PeerError> {
+        let body = codec::encode(message)?;
+        let sent = body.len();
+        let answer = self.post(address, "/peer/exchange", body, EXCHANGE_TIMEOUT).await?;
+        Ok((codec::decode(&answer)?, sent, answer.len()))
     }
 
     /// Asks the peer at `address` after a request.
@@ -74,7 +84,7 @@
     ///
     /// Returns [`PeerError`] if there was no readable answer in time.
     pub async fn lookup(&self, address: &str, lookup: &Lookup) -> Result<LookupReply, PeerError> {
-        self.post(address, "/peer/lookup", lookup, self.lookup_timeout).await
+        self.ask(address, "/peer/lookup", lookup, self.lookup_timeout).await
     }
 
     /// Asks the peer at `address` for its records.
@@ -87,7 +97,7 @@
         address: &str,
         request: &RecordsRequest,
     ) -> Result<RecordsCopy, PeerError> {
-        self.post(address, "/peer/records", request, TRANSFER_TIMEOUT).await
+        self.ask(address, "/peer/records", request, TRANSFER_TIMEOUT).await
     }
 
     /// Hands this instance's records to the peer at `address`.
@@ -96,7 +106,7 @@
     ///
     /// Returns [`PeerError`] if the peer did not confirm in time.
     pub async fn hand_over(&self, address: &str, copy: &RecordsCopy) -> Result<(), PeerError> {
-        self.post(address, "/peer/records-copy", copy, TRANSFER_TIMEOUT).await
+        self.ask(address, "/peer/records-copy", copy, TRANSFER_TIMEOUT).await
     }
 
     /// Fetches a configuration by its hash.
@@ -131,15 +141,25 @@
         Ok(request.send().await?.error_for_status()?.bytes().await?)
     }
 
-    async fn post<Q: Serialize, A: DeserializeOwned>(
+    async fn ask<Q: Serialize, A: DeserializeOwned>(
         &self,
         address: &str,
         path: &str,
         message: &Q,
         timeout: Duration,
     ) -> Result<A, PeerError> {
+        let answer = self.post(address, path, codec::encode(message)?, timeout).await?;
+        Ok(codec::decode(&answer)?)
+    }
+
+    async fn post(
+        &self,
+        address: &str,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, PeerError> {
         let url = format!("http://{address}{path}");
-        let body = codec::encode(message)?;
         let request =
             self.http.post(url).bearer_auth(self.token.expose()).timeout(timeout).body(body);
         let response = request.send().await?.error_for_status()?;
@@ -147,6 +167,11 @@
         if size > MAX_MESSAGE_BYTES as u64 {
             return Err(CodecError::TooLarge(usize::try_from(size).unwrap_or(usize::MAX)).into());
         }
-        Ok(codec::decode(&response.bytes().await?)?)
+        Ok(response.bytes().await?)
     }
 }
+
+/// The address that connections to peers come from, so that a peer's network can tell who calls.
+fn own_address(settings: &Settings) -> Option<IpAddr> {
+    Some(settings.listen.inner.ip()).filter(|address| !address.is_unspecified())
+}
--- a/crates/daemon/src/polls.rs
+++ b/crates/daemon/src/polls.rs
@@ -1,96 +1,112 @@
 //! Loops on the traffic threads that read the platform and the targets at fixed intervals.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use serde::Deserialize;
-use sesamewind_protocol::{Revision, TargetId};
-use tokio::time::{MissedTickBehavior, interval};
+use sesamewind_platform::control;
+use sesamewind_protocol::TargetId;
+use sesamewind_sheet::ServiceClass;
+use tokio::time::{Interval, MissedTickBehavior, interval};
 
-use crate::context::{Context, Installed};
-use crate::control::{Fetched, InForce, Polled, Tick};
+use crate::context::Context;
+use crate::effects;
+use crate::message::{CacheChanged, Listed, Pointer, Polled, Tick};
 use crate::targets::TargetAddress;
 
 /// Interval of the control thread's own timer.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Key of the pointer to the accepted configuration in the table service.
-const CONFIG_KEY: &str = "config";
-
-/// The pointer to the accepted configuration.
-#[derive(Debug, Deserialize)]
-struct ConfigRow {
-    revision: u64,
-    hash: String,
-}
-
 /// Sends the control thread the passing of time.
 pub async fn ticks(context: Arc<Context>) {
-    let mut timer = interval(TICK);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut timer = timer(TICK);
     loop {
         timer.tick().await;
         context.tell(Tick);
     }
 }
 
-/// Reads the pointer to the configuration and fetches what is newer than what is in force.
+/// Reads the pointer to the accepted configuration.
 pub async fn configuration(context: Arc<Context>) {
-    let mut timer = interval(context.settings.control.config_poll);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut timer = timer(context.settings.control.config_poll);
     loop {
         timer.tick().await;
-        let Some(in_force) = context.ask(InForce).await else { return };
-        if let Some(installed) = newer(&context, in_force).await {
-            context.tell(Fetched(installed));
+        match control::read_config(&context.platform).await {
+            Ok(Some(row)) => context.tell(Pointer(row)),
+            Ok(None) => {}
+            Err(error) => log::debug!("configuration not read: {error}"),
         }
     }
 }
 
-async fn newer(context: &Context, in_force: Revision) -> Option<Installed> {
-    let row = context.platform.row(CONFIG_KEY).await.ok()??;
-    let row: ConfigRow = serde_json::from_value(row.value).ok()?;
-    let revision = Revision(row.revision);
-    if revision <= in_force {
-        return None;
+/// Reads the platform's list.
+pub async fn list(context: Arc<Context>) {
+    let mut timer = timer(context.settings.control.list_poll);
+    loop {
+        timer.tick().await;
+        match context.platform.list().await {
+            Ok(listing) => context.tell(Listed(listing)),
+            Err(error) => log::debug!("list not read: {error}"),
+        }
     }
-    let content = context.platform.object(&row.hash).await.ok()??;
-    read(revision, &row.hash, content)
 }
 
-/// Reads fetched content, unless it is not what its hash says.
-fn read(revision: Revision, hash: &str, content: Bytes) -> Option<Installed> {
-    if sesamewind_sheet::hash(&content) != hash {
-        log::warn!(revision = revision.0; "configuration does not match its hash");
-        return None;
-    }
-    match sesamewind_sheet::read(&content) {
-        Ok(sheet) => Some(Installed { revision, hash: hash.to_owned(), content, sheet }),
-        Err(faults) => {
-            log::error!(revision = revision.0; "accepted sheet has {} faults", faults.len());
-            None
+/// Reads the rollout records while the sheet in force has a rollout.
+pub async fn records(context: Arc<Context>) {
+    let mut timer = timer(context.settings.control.record_poll);
+    loop {
+        timer.tick().await;
+        let installed = context.configuration();
+        if installed.is_some_and(|installed| !installed.sheet.rollouts.is_empty()) {
+            effects::refresh_records(Arc::clone(&context)).await;
         }
     }
 }
 
-/// Polls the load of every target of the configuration in force.
-pub async fn loads(context: Arc<Context>) {
+/// Polls the load of every target of the configuration in force, and model engines' caches.
+pub async fn targets(context: Arc<Context>) {
     let period = context.settings.control.load_poll;
-    let mut timer = interval(period);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut timer = timer(period);
+    let mut seen: HashMap<TargetId, Arc<AtomicU64>> = HashMap::new();
     loop {
         timer.tick().await;
         let Some(installed) = context.configuration() else { continue };
         for row in &installed.sheet.targets {
-            let at = TargetAddress { target: row.name.clone(), address: row.address.to_string() };
-            tokio::spawn(poll_load(Arc::clone(&context), at, period));
+            let target = row.name.clone();
+            let at = TargetAddress { target: target.clone(), address: row.address.to_string() };
+            tokio::spawn(poll_load(Arc::clone(&context), at.clone(), period));
+            let service = installed.sheet.service(&row.service);
+            if service.is_some_and(|service| service.class == ServiceClass::Model) {
+                let last = Arc::clone(seen.entry(target).or_default());
+                tokio::spawn(poll_cache(Arc::clone(&context), at, last, period));
+            }
         }
     }
 }
 
 async fn poll_load(context: Arc<Context>, at: TargetAddress, timeout: Duration) {
     let report = context.targets.load(&at, timeout).await.ok();
-    let target: TargetId = at.target;
-    context.tell(Polled { target, report });
+    context.tell(Polled { target: at.target, report });
+}
+
+/// Reads the cache events after the last one seen. Events are hints, so that a poll that overlaps
+/// with the one before does no harm.
+async fn poll_cache(
+    context: Arc<Context>,
+    at: TargetAddress,
+    last: Arc<AtomicU64>,
+    timeout: Duration,
+) {
+    let after = last.load(Ordering::Relaxed);
+    let Ok(events) = context.targets.events(&at, after, timeout).await else { return };
+    let Some(newest) = events.iter().map(|event| event.seq).max() else { return };
+    last.fetch_max(newest, Ordering::Relaxed);
+    context.tell(CacheChanged { target: at.target, events });
+}
+
+fn timer(period: Duration) -> Interval {
+    let mut timer = interval(period);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    timer
 }
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -43,6 +43,8 @@
         wall: Wall,
         actions: &mut Vec<Action>,
     ) {
+        self.informed = true;
+        self.revisions.insert(message.from.instance.clone(), message.config.revision);
         self.offer_config(message, actions);
         self.rollouts.learn_verdicts(&message.verdicts);
         self.rollouts.heard(&message.from.instance, &message.records);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,5 +1,7 @@
 //! The state machine of one instance.
 
+use std::collections::HashMap;
+
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sesamewind_membership::{
@@ -8,7 +10,7 @@
 use sesamewind_policy as policy;
 use sesamewind_policy::{QueueView, Scheduler, TargetView};
 use sesamewind_protocol::message::{ConfigDigest, LeavingNote};
-use sesamewind_protocol::record::Life;
+use sesamewind_protocol::record::{Life, RecordsCopy};
 use sesamewind_protocol::target::LoadReport;
 use sesamewind_protocol::{InstanceId, Revision, TargetId, Time, Wall};
 use sesamewind_rollout::{LeaseGrant, RolloutView, Rollouts};
@@ -51,7 +53,10 @@
     lease: LeaseKeeper,
     in_use: InUse,
     told_leaving: Vec<LeavingNote>,
-    told_peers: (Vec<Life>, Vec<InstanceId>),
+    told_peers: Option<(Vec<Life>, Vec<InstanceId>)>,
+    /// Whether the platform's list or a peer has spoken; before that the members are not known.
+    pub(crate) informed: bool,
+    pub(crate) revisions: HashMap<InstanceId, Revision>,
     has_rollouts: bool,
     rng: ChaCha8Rng,
 }
@@ -75,7 +80,9 @@
             lease: LeaseKeeper::new(STEWARD_LEASE, holder, options.lease),
             in_use: InUse::default(),
             told_leaving: Vec::new(),
-            told_peers: (Vec::new(), Vec::new()),
+            told_peers: None,
+            informed: false,
+            revisions: HashMap::new(),
             has_rollouts: false,
             rng: ChaCha8Rng::seed_from_u64(options.seed),
         }
@@ -91,6 +98,7 @@
                 self.polled(target, report, now, wall, &mut actions);
             }
             Event::Listed { instances, targets } => {
+                self.informed = true;
                 self.members.on_list(instances, targets, now);
                 self.spread_leaving(now, wall, &mut actions);
             }
@@ -120,6 +128,11 @@
             Event::Lease { call, answer } => self.lease.on_result(call, answer, now),
             Event::RecordWritten { rollout, result } => self.rollouts.on_write(rollout, result),
             Event::RecordsRead(result) => self.rollouts.on_read(result),
+            Event::RecordsSeen(notes) => {
+                for note in notes {
+                    self.rollouts.on_record(&note.rollout, note.revision, note.record.clone());
+                }
+            }
             Event::Ordered { target, result } => self.rollouts.on_order(target, result),
             Event::Leave => {
                 self.lease.release(now);
@@ -137,6 +150,11 @@
         self.config.in_force()
     }
 
+    /// Revision in force at a peer, as last heard; zero if none.
+    pub fn revision_at(&self, peer: &InstanceId) -> Revision {
+        self.revisions.get(peer).copied().unwrap_or_default()
+    }
+
     /// The members, for views.
     pub fn members(&self) -> &Members {
         &self.members
@@ -167,6 +185,11 @@
         self.requests.len()
     }
 
+    /// This instance's records for its peers, once it takes no requests any more.
+    pub fn hand_over(&self, now: Time) -> RecordsCopy {
+        self.scheduler.hand_over(now)
+    }
+
     /// Whether the lease, if it was held, has been given up.
     pub fn is_released(&self) -> bool {
         self.lease.is_released()
@@ -305,12 +328,14 @@
             .map(|peer| Life { instance: peer.instance, incarnation: peer.incarnation })
             .collect();
         let reachable = self.reachable_ids(now);
-        if self.told_peers.0 == peers && self.told_peers.1 == reachable {
+        let current = Some((peers, reachable));
+        if !self.informed || self.told_peers == current {
             return;
         }
+        self.told_peers = current;
+        let Some((peers, reachable)) = self.told_peers.clone() else { return };
         let event = policy::Event::PeerSet { peers: &peers, reachable: &reachable };
         self.schedule(event, now, wall, actions);
-        self.told_peers = (peers, reachable);
     }
 
     /// Moves the rollouts on; the lease is sought only while the sheet has had a rollout.
--- a/src/bin/sesamewindd.rs
+++ b/src/bin/sesamewindd.rs
@@ -2,8 +2,16 @@
 
 use std::process::ExitCode;
 
-use sesamewind_daemon::Instance;
+use sesamewind_daemon::{Instance, Stopped, logging};
 use sesamewind_settings::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code for settings with faults.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit code for a planned stop whose limit ran out.
+const EXIT_LIMIT: u8 = 3;
+/// Exit code for a stop that a second signal cut short.
+const EXIT_SECOND_SIGNAL: u8 = 4;
 
 mod flags {
     #![allow(missing_docs, reason = "generated from the help texts")]
@@ -27,13 +35,17 @@
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
-            return ExitCode::from(2);
+            return ExitCode::from(EXIT_SETTINGS);
         }
     };
     if flags.check {
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
+    if let Err(error) = logging::init(&settings.log, &settings.instance.name) {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
     let instance = match Instance::start(settings) {
         Ok(instance) => instance,
         Err(report) => {
@@ -42,9 +54,34 @@
         }
     };
     println!("callers {} inner {}", instance.callers(), instance.inner());
-    instance.block_on(async {
-        let _ = tokio::signal::ctrl_c().await;
-    });
+    let code = instance.block_on(run(&instance));
     instance.kill();
-    ExitCode::SUCCESS
+    code
+}
+
+/// Waits for a stop signal and stops as planned; a second signal stops at once.
+async fn run(instance: &Instance) -> ExitCode {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        eprintln!("signals can't be watched");
+        return ExitCode::FAILURE;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tokio::select! {
+        stopped = instance.stop() => match stopped {
+            Stopped::Clean => ExitCode::SUCCESS,
+            Stopped::LimitReached(cut) => {
+                eprintln!("stop limit reached; {cut} requests were cut");
+                ExitCode::from(EXIT_LIMIT)
+            }
+        },
+        _ = terminate.recv() => {
+            eprintln!("second stop signal; stopping at once, requests in flight are cut");
+            ExitCode::from(EXIT_SECOND_SIGNAL)
+        }
+    }
 }
