--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -14,8 +14,8 @@
 const SAFETY: f64 = 1.1;
 /// Streams that no target is given more of.
 const MAX_STREAMS: f64 = 512.0;
-/// Slow-down of streams that the most urgent tier bears if nothing is known of its answers.
-const DEFAULT_SLOWDOWN: f64 = 3.0;
+/// Slow-down of streams from which more of them add little to an engine's output.
+const MAX_SLOWDOWN: f64 = 3.0;
 /// Slow-down that is always borne.
 const MIN_SLOWDOWN: f64 = 1.5;
 /// Targets within this factor and span of the best predicted time count as equally good.
@@ -163,13 +163,8 @@
     let prefill = speed.prefill();
     let idle_first = speed.overhead() + uncached / prefill;
     let work = load.prefill + uncached;
-    let mut first = speed.overhead() + work / prefill;
+    let first = speed.overhead() + work / prefill;
     let step = speed.step(load.requests + 1.0);
-    if let Some(batch) = target.batch(need.now).filter(|batch| load.requests >= *batch) {
-        // A slot frees up as the streams that run come to their end.
-        let per_slot = need.output * step / batch;
-        first += per_slot * (load.requests - batch + 1.0);
-    }
     let end = first + need.output * step;
     let idle_end = idle_first + need.output * speed.step(1.0);
     let within = |first: f64, end: f64| {
@@ -191,13 +186,10 @@
     }
     let streams = candidate.requests + 1.0;
     let share = if need.urgent { 1.0 } else { 1.0 - bounds.headroom };
-    let most = target.batch(need.now).map_or(MAX_STREAMS, |batch| (batch * share).max(1.0));
-    if streams > most {
-        return false;
-    }
     let solo = target.speed.step(1.0);
-    let budget = bounds.step_budget.unwrap_or(solo * DEFAULT_SLOWDOWN);
-    if target.speed.step(streams) > (budget * share).max(solo * MIN_SLOWDOWN) {
+    let budget = bounds.step_budget.unwrap_or(f64::INFINITY);
+    let most = (budget * share).max(solo * MIN_SLOWDOWN).min(solo * MAX_SLOWDOWN * share);
+    if streams > MAX_STREAMS * share || target.speed.step(streams) > most {
         return false;
     }
     let prefill = target.speed.prefill();
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -1,8 +1,8 @@
 //! What a target can do, learned from what it does.
 //!
-//! Time to the first token is fitted as a line over the tokens that had to be prefilled; time per
-//! output token is kept per number of streams, since engines that batch slow down with each. Both
-//! follow the target when it speeds up or slows down, and no setting describes an engine.
+//! Time to the first token is fitted as a line over the tokens that had to be prefilled, and time
+//! per output token as a line over the number of streams, since engines that batch slow down with
+//! each. Both follow the target when it speeds up or slows down; no setting describes an engine.
 
 use std::time::Duration;
 
@@ -10,12 +10,11 @@
 
 const DEFAULT_PREFILL: f64 = 5_000.0;
 const DEFAULT_STEP: f64 = 0.03;
-const FIT_DECAY: f64 = 0.94;
-const STEP_GAIN: f64 = 0.08;
-const CURVE_GAIN: f64 = 0.02;
-const MAX_RATIO: f64 = 4.0;
+const PREFILL_DECAY: f64 = 0.94;
+const STEP_DECAY: f64 = 0.995;
+/// Spread of the observed points, over the square of their mean, that determines a slope.
+const MIN_SPREAD: f64 = 0.05;
 const MAX_OVERHEAD: f64 = 0.5;
-const STEP_BUCKETS: usize = 9;
 const PLAIN_GAIN: f64 = 0.1;
 /// How long an observation of prefill counts as current.
 const CURRENT: Duration = Duration::from_secs(10);
@@ -25,8 +24,10 @@
 pub(crate) struct Speed {
     fit: Fit,
     seen: Option<Time>,
-    /// Seconds per output token, by the binary logarithm of the number of streams.
-    steps: [Option<f32>; STEP_BUCKETS],
+    /// Seconds per output token over streams beyond the first.
+    steps: Fit,
+    /// Share by which each further stream slows all down.
+    crowd: f64,
     /// Seconds per call of a plain service.
     call: Option<f64>,
     /// Speeds of the service's other targets, until this one was seen.
@@ -48,9 +49,10 @@
     }
 }
 
-/// Decaying least squares of seconds over tokens.
-#[derive(Debug, Clone, Copy, Default)]
+/// Decaying least squares of seconds over a load.
+#[derive(Debug, Clone, Copy)]
 struct Fit {
+    decay: f64,
     n: f64,
     x: f64,
     y: f64,
@@ -59,38 +61,45 @@
 }
 
 impl Fit {
+    fn new(decay: f64) -> Self {
+        Self { decay, n: 0.0, x: 0.0, y: 0.0, xx: 0.0, xy: 0.0 }
+    }
+
     fn add(&mut self, x: f64, y: f64) {
-        self.n = self.n * FIT_DECAY + 1.0;
-        self.x = self.x * FIT_DECAY + x;
-        self.y = self.y * FIT_DECAY + y;
-        self.xx = self.xx * FIT_DECAY + x * x;
-        self.xy = self.xy * FIT_DECAY + x * y;
+        self.n = self.n * self.decay + 1.0;
+        self.x = self.x * self.decay + x;
+        self.y = self.y * self.decay + y;
+        self.xx = self.xx * self.decay + x * x;
+        self.xy = self.xy * self.decay + x * y;
     }
 
-    /// Intercept in seconds and slope in seconds a token.
+    fn mean(&self) -> Option<(f64, f64)> {
+        (self.n >= 1.0).then(|| (self.x / self.n, self.y / self.n))
+    }
+
+    /// Intercept and slope, if the points lie far enough apart and both are sound.
     fn line(&self) -> Option<(f64, f64)> {
-        if self.n < 1.0 {
-            return None;
-        }
-        let (mean_x, mean_y) = (self.x / self.n, self.y / self.n);
+        let (mean_x, mean_y) = self.mean()?;
         let spread = self.xx / self.n - mean_x * mean_x;
-        let through_origin = (0.0, mean_y / mean_x.max(1.0));
-        // Points too close together say nothing of the intercept.
-        if spread < 0.05 * mean_x * mean_x {
-            return Some(through_origin);
+        if spread < MIN_SPREAD * mean_x * mean_x || spread <= 0.0 {
+            return None;
         }
         let slope = (self.xy / self.n - mean_x * mean_y) / spread;
         let intercept = mean_y - slope * mean_x;
-        if slope <= 0.0 || intercept < 0.0 {
-            return Some(through_origin);
-        }
-        Some((intercept.min(MAX_OVERHEAD), slope))
+        (slope > 0.0 && intercept >= 0.0).then_some((intercept, slope))
     }
 }
 
 impl Speed {
     pub(crate) fn new(prior: Prior) -> Self {
-        Self { fit: Fit::default(), seen: None, steps: [None; STEP_BUCKETS], call: None, prior }
+        Self {
+            fit: Fit::new(PREFILL_DECAY),
+            seen: None,
+            steps: Fit::new(STEP_DECAY),
+            crowd: 0.0,
+            call: None,
+            prior,
+        }
     }
 
     /// Whether prefill was seen at all.
@@ -111,16 +120,10 @@
 
     /// Notes the time per output token while `streams` streams ran.
     pub(crate) fn saw_step(&mut self, streams: f64, seconds: f64) {
-        let expected = self.step(streams);
-        let ratio = (seconds / expected.max(1e-6)).clamp(1.0 / MAX_RATIO, MAX_RATIO);
-        // What slows one load level down mostly slows the others too.
-        for step in self.steps.iter_mut().flatten() {
-            *step *= (1.0 + CURVE_GAIN * (ratio - 1.0)) as f32;
+        self.steps.add((streams - 1.0).max(0.0), seconds);
+        if let Some((solo, slope)) = self.steps.line() {
+            self.crowd = slope / solo.max(1e-6);
         }
-        let step = &mut self.steps[bucket(streams)];
-        let old = f64::from(step.unwrap_or(seconds as f32));
-        let seen = seconds.clamp(old / MAX_RATIO, old * MAX_RATIO);
-        *step = Some((old + STEP_GAIN * (seen - old)) as f32);
     }
 
     /// Notes how long a call of a plain service took.
@@ -137,23 +140,26 @@
 
     /// Seconds from dispatch to the first token apart from prefill.
     pub(crate) fn overhead(&self) -> f64 {
-        self.fit.line().map_or(0.0, |line| line.0)
+        self.fit.line().map_or(0.0, |line| line.0.min(MAX_OVERHEAD))
     }
 
     /// Prompt tokens a second.
     pub(crate) fn prefill(&self) -> f64 {
-        self.fit.line().map_or(self.prior.prefill, |line| 1.0 / line.1.max(1e-7))
+        let slope = match (self.fit.line(), self.fit.mean()) {
+            (Some((_, slope)), _) => slope,
+            (None, Some((tokens, seconds))) => seconds / tokens.max(1.0),
+            (None, None) => return self.prior.prefill,
+        };
+        1.0 / slope.max(1e-7)
     }
 
     /// Seconds per output token of one stream beside others, `streams` in all.
     ///
-    /// A load that was not seen yet is taken to be as fast as the next lower one, so that it will
-    /// be tried.
+    /// Until a slope was seen, more streams are taken to be as fast as few, so that they are tried.
     pub(crate) fn step(&self, streams: f64) -> f64 {
-        let at = bucket(streams);
-        let lower = self.steps[..=at].iter().rev().flatten().next();
-        let nearest = lower.or_else(|| self.steps[at..].iter().flatten().next());
-        nearest.map_or(self.prior.step, |step| f64::from(*step))
+        let Some((others, seconds)) = self.steps.mean() else { return self.prior.step };
+        let solo = seconds / (1.0 + self.crowd * others);
+        solo * (1.0 + self.crowd * (streams - 1.0).max(0.0))
     }
 
     /// Speeds for others to assume.
@@ -165,8 +171,3 @@
         self.prior = prior;
     }
 }
-
-fn bucket(streams: f64) -> usize {
-    let rounded = streams.max(1.0).round() as u64;
-    (rounded.ilog2() as usize).min(STEP_BUCKETS - 1)
-}
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -16,8 +16,6 @@
 const MAX_HINTS: usize = 512;
 /// Time after which half of a prefix is taken to be evicted.
 const HINT_HALF_LIFE: f64 = 60.0;
-/// How long a full batch is remembered.
-const BATCH_KEEP: Duration = Duration::from_secs(20);
 
 /// Work at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -92,7 +90,7 @@
     pub(crate) suspicion: Option<Suspicion>,
     pub(crate) probing: Option<Time>,
     pub(crate) own: Load,
-    /// When the oldest prompt of this instance began to be prefilled.
+    /// When the prompts in flight were last accounted for.
     prefill_since: Time,
     peers: HashMap<InstanceId, (Time, Load)>,
     peer_sum: Load,
@@ -100,8 +98,6 @@
     extra: Load,
     extra_at: Time,
     history: VecDeque<Sample>,
-    /// Most streams that the target was seen to run while others waited inside it.
-    batch: Option<(f64, Time)>,
     pub(crate) speed: Speed,
     hints: HashMap<u64, Hint>,
 }
@@ -125,7 +121,6 @@
             extra: Load::default(),
             extra_at: Time::ZERO,
             history: VecDeque::new(),
-            batch: None,
             speed: Speed::new(Prior::default()),
             hints: HashMap::new(),
         }
@@ -178,9 +173,6 @@
         };
         self.extra = reported.beyond(self.accounted(report.measured));
         self.extra_at = now;
-        if report.waiting > 0 && report.running > 0 {
-            self.batch = Some((f64::from(report.running), now));
-        }
     }
 
     /// Load that this instance and its peers accounted for at `at`.
@@ -216,6 +208,9 @@
             None => {}
         }
         self.sum_peers();
+        if self.own.prefill <= 0.0 {
+            self.prefill_since = now;
+        }
     }
 
     /// Drops what silent peers said.
@@ -269,19 +264,13 @@
         let extra = self.extra.scaled((-age / EXTRA_HALF_LIFE).exp2());
         let mut load = self.own.plus(self.peer_sum).plus(extra);
         // Prefill goes on between one first token and the next.
-        if load.prefill > 0.0 && self.own.prefill > 0.0 {
+        if load.prefill > 0.0 {
             let done = now.since(self.prefill_since).as_secs_f64() * self.speed.prefill();
             load.prefill -= done.min(load.prefill * 0.9);
         }
         load
     }
 
-    /// Most streams that run at once, if the target was seen at that limit.
-    pub(crate) fn batch(&self, now: Time) -> Option<f64> {
-        let (streams, at) = self.batch?;
-        (now.since(at) < BATCH_KEEP).then_some(streams)
-    }
-
     /// Tokens of `prefix` that are likely cached.
     pub(crate) fn cached(&self, prefix: &Prefix, keep: Duration, now: Time) -> f64 {
         let Some(hint) = self.hints.get(&prefix.hash) else { return 0.0 };
--- a/crates/policy/tests/at_most_once.rs
+++ b/crates/policy/tests/at_most_once.rs
@@ -81,8 +81,8 @@
             dispatches: 0,
             counted,
         };
-        for at in 0..3 {
-            world.start(NAMES[at]);
+        for name in &NAMES[..3] {
+            world.start(name);
         }
         for at in 0..3 {
             world.inform(at);
@@ -229,7 +229,7 @@
             return self.event(node, Event::WriteCheck { ticket });
         }
         if !self.nodes[node].wires[wire].arrived {
-            if choice % 4 == 0 {
+            if choice.is_multiple_of(4) {
                 self.nodes[node].wires.remove(wire);
                 return self.event(node, Event::Finished { ticket, end: End::ConnectFailed });
             }
@@ -300,7 +300,7 @@
                 self.deliver(mail);
             }
             25 => (0..self.mail.len()).for_each(|_| self.deliver(0)),
-            26 if b % 2 == 0 && !self.mail.is_empty() => {
+            26 if b.is_multiple_of(2) && !self.mail.is_empty() => {
                 let mail = usize::from(b) % self.mail.len();
                 self.mail.swap_remove(mail);
             }
@@ -308,12 +308,12 @@
                 let wire = usize::from(b) % self.nodes[node].wires.len();
                 self.wire(node, wire, b);
             }
-            33 => self.nodes[node].frozen = b % 3 == 0,
-            34 if b % 6 == 0 && self.nodes.len() > 1 => {
+            33 => self.nodes[node].frozen = b.is_multiple_of(3),
+            34 if b.is_multiple_of(6) && self.nodes.len() > 1 => {
                 let name = self.kill(node);
                 self.start(&name);
             }
-            35 if self.nodes.len() < NAMES.len() && b % 4 == 0 => {
+            35 if self.nodes.len() < NAMES.len() && b.is_multiple_of(4) => {
                 let free = |name: &&&str| {
                     !self.nodes.iter().any(|node| node.life.instance.as_str() == **name)
                 };
@@ -322,8 +322,8 @@
             }
             35 if self.nodes.len() > 2 && b % 4 == 1 => self.stop(node),
             36 if !self.nodes[node].frozen => self.inform(node),
-            37 if b % 8 == 0 => self.now = self.now + Duration::from_millis(2_500),
-            38 if b % 2 == 0 => {
+            37 if b.is_multiple_of(8) => self.now = self.now + Duration::from_millis(2_500),
+            38 if b.is_multiple_of(2) => {
                 // Membership notices the lives that ended.
                 let nodes = &self.nodes;
                 self.listed.retain(|life| nodes.iter().any(|node| node.life == *life));
