--- /dev/null
+++ b/crates/rollout/examples/verdict_study/main.rs
@@ -0,0 +1,95 @@
+//! Compares the rules for verdicts on seeded cases, at the request rates of both users.
+//!
+//! `cargo run --release -p sesamewind-rollout --example verdict_study -- [SEEDS] [RULE] [USER]`
+//! prints the tables of `docs/design/rollouts.md`. Each run drives the whole package: a sheet row,
+//! load orders, stages, brake and outcome. Only the requests and the engines are simulated.
+
+mod bound;
+mod cases;
+mod run;
+mod traffic;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cases::{CASES, Case, USERS, User};
+use run::{Outcome, run};
+use sesamewind_rollout::rule::{FixedThresholds, GammaPoisson, MaxSprt, Rule};
+
+/// Threads that the runs are spread over.
+const THREADS: usize = 4;
+/// Seeds per case unless the command line says otherwise.
+const SEEDS: u64 = 200;
+
+type MakeRule = fn() -> Box<dyn Rule + Send + Sync>;
+
+const RULES: [(&str, MakeRule); 3] = [
+    ("thresholds", || Box::new(FixedThresholds::default())),
+    ("maxsprt", || Box::new(MaxSprt::default())),
+    ("gamma-poisson", || Box::new(GammaPoisson::default())),
+];
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let seeds = arguments.next().and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
+    let rule = arguments.next().unwrap_or_default();
+    let user = arguments.next().unwrap_or_default();
+    for user in USERS.iter().filter(|known| user.is_empty() || known.name == user) {
+        for (name, make) in RULES.iter().filter(|known| rule.is_empty() || known.0 == rule) {
+            println!(
+                "\n{} at {} requests an hour, {} h: {name}",
+                user.name, user.per_hour, user.hours
+            );
+            println!(
+                "| case | taken back | before full share | completed | taken back otherwise \
+                 | exposed median | exposed 95th |"
+            );
+            println!("|---|---|---|---|---|---|---|");
+            for case in &CASES {
+                report(case, &runs(case, user, *make, seeds));
+            }
+        }
+    }
+    bound::print();
+}
+
+fn runs(case: &Case, user: &User, make: MakeRule, seeds: u64) -> Vec<Outcome> {
+    let next = AtomicU64::new(0);
+    let outcomes = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= seeds {
+                        break;
+                    }
+                    let outcome = run(case, user, make(), seed);
+                    outcomes.lock().expect("no run panics").push(outcome);
+                }
+            });
+        }
+    });
+    outcomes.into_inner().expect("no run panics")
+}
+
+fn report(case: &Case, outcomes: &[Outcome]) {
+    let count = |keep: fn(&&Outcome) -> bool| outcomes.iter().filter(keep).count();
+    let judged = count(|outcome| outcome.judged);
+    let before = count(|outcome| outcome.judged && !outcome.full);
+    let completed = count(|outcome| outcome.completed);
+    let otherwise = outcomes.len() - completed - judged;
+    let mut exposed: Vec<u64> =
+        outcomes.iter().filter(|outcome| outcome.judged).map(|outcome| outcome.exposed).collect();
+    exposed.sort_unstable();
+    let quantile = |part: f64| {
+        let index = (exposed.len() as f64 * part) as usize;
+        exposed.get(index.min(exposed.len().saturating_sub(1))).map_or("-".into(), u64::to_string)
+    };
+    println!(
+        "| {} | {judged} | {before} | {completed} | {otherwise} | {} | {} |",
+        case.name,
+        quantile(0.5),
+        quantile(0.95),
+    );
+}
--- a/crates/rollout/src/entry.rs
+++ b/crates/rollout/src/entry.rs
@@ -5,7 +5,7 @@
 use sesamewind_protocol::evidence::{Outcome, RolloutRecord, Stage, VerdictNote};
 use sesamewind_protocol::{InstanceId, TargetId, VersionId, Wall};
 
-use crate::plan::Plan;
+use crate::plan::{Plan, stage_number};
 use crate::spec::RolloutSpec;
 
 /// A peer's knowledge of the outcome.
@@ -17,6 +17,9 @@
     pub(crate) draining: u32,
 }
 
+/// Stage changes that are remembered; requests dispatched before them count for the oldest.
+const MAX_CHANGES: usize = 16;
+
 /// One rollout in this instance's view.
 #[derive(Debug, Default)]
 pub(crate) struct Entry {
@@ -34,6 +37,8 @@
     pub(crate) peers: BTreeMap<InstanceId, PeerNote>,
     /// Whether evidence changed since it was last judged.
     pub(crate) changed: bool,
+    /// Stage numbers in force here and since when, oldest first.
+    changes: Vec<(Wall, u8)>,
     /// Reachable targets that lack the new version, as of the last tick.
     pub(crate) missing: Vec<TargetId>,
     /// Targets of the row that could not be reached at the last tick.
@@ -70,6 +75,27 @@
         }
     }
 
+    /// Notes the stage in force from `wall` on, if it is another than before.
+    pub(crate) fn note_stage(&mut self, wall: Wall) {
+        let number = stage_number(self.stage());
+        if self.changes.last().is_some_and(|(_, last)| *last == number) {
+            return;
+        }
+        if self.changes.len() == MAX_CHANGES {
+            self.changes.remove(0);
+        }
+        self.changes.push((wall, number));
+    }
+
+    /// Number of the stage that was in force here at `wall`.
+    ///
+    /// A request counts for the stage of its dispatch: its arm was chosen by that stage's share,
+    /// and those which end late would otherwise tilt the next stage.
+    pub(crate) fn stage_at(&self, wall: Wall) -> u8 {
+        let before = self.changes.iter().rev().find(|(since, _)| *since <= wall);
+        before.or(self.changes.first()).map_or(0, |(_, number)| *number)
+    }
+
     /// The plan, if the rollout has a row and a record.
     pub(crate) fn plan(&self) -> Option<Plan> {
         let spec = self.spec.as_ref()?;
--- a/crates/rollout/src/input.rs
+++ b/crates/rollout/src/input.rs
@@ -29,6 +29,8 @@
     pub outcome: EndState,
     /// From dispatch to the first token, or to the first byte for plain services.
     pub duration: Duration,
+    /// When it was dispatched; it counts for the stage of that time.
+    pub sent: Wall,
     /// When it ended.
     pub wall: Wall,
 }
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -1,7 +1,7 @@
 //! Stages of a rollout and when the next one may begin.
 //!
 //! The time between start and deadline is divided: the steps have ended and full share is reached
-//! by half of it, the rest is for watching. A step ends early once enough requests were judged.
+//! by six tenths of it, the rest is for watching. A step ends early once enough requests were judged.
 //! With too little traffic for that, a step ends at its slot's end, so that a larger share brings
 //! more requests to judge; full share and completion still need [`MIN_JUDGED`] requests, without
 //! which the version is taken back at the deadline.
@@ -15,13 +15,13 @@
 pub const MIN_JUDGED: u64 = 20;
 
 /// Requests of the new version, over all stages, at which each step may end early.
-const STEP_REQUESTS: [u64; 4] = [40, 100, 200, 300];
+const STEP_REQUESTS: [u64; 4] = [40, 80, 150, 300];
 /// Factor between the shares of two steps.
 const GROWTH: f64 = 3.0;
 /// Largest share of a step before full share.
 const MAX_STEP_SHARE: f64 = 0.5;
 /// Part of the time until the deadline by which full share is to be reached.
-const FULL_BY: f64 = 0.5;
+const FULL_BY: f64 = 0.6;
 /// Part of the time until the deadline during which loading is waited for on every target.
 const LOAD_BY: f64 = 0.2;
 /// Part of the time until the deadline that a stage lasts at least.
@@ -105,9 +105,12 @@
     }
 
     /// End of the slot of `step`, when too little traffic no longer holds it.
+    ///
+    /// Slots are longer at larger shares, where more requests come in the same time.
     pub fn slot_end(&self, step: u8) -> Wall {
-        let passed = f64::from(step + 1) / self.shares.len() as f64;
-        self.started + self.span.mul_f64(LOAD_BY + (FULL_BY - LOAD_BY) * passed)
+        let passed: f64 = (0..=usize::from(step)).map(|step| self.step_share(step).sqrt()).sum();
+        let whole: f64 = self.shares.iter().map(|share| share.sqrt()).sum();
+        self.started + self.span.mul_f64(FULL_BY * passed / whole)
     }
 
     /// Requests of the new version at which `step` may end before its slot does.
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -15,7 +15,6 @@
 use crate::input::{EndState, Loaded, Observation, OrderResult, ReadResult, WriteResult};
 use crate::judge::judge;
 use crate::orders::Orders;
-use crate::plan::stage_number;
 use crate::rule::{MaxSprt, Rule};
 use crate::spec::RolloutSpec;
 
@@ -126,7 +125,7 @@
         };
         let id = id.clone();
         let key = CellKey {
-            stage: stage_number(entry.stage()),
+            stage: entry.stage_at(observation.sent),
             route: observation.route.clone(),
             class: length_class(observation.prompt_tokens),
             arm,
@@ -157,16 +156,22 @@
         (self.evidence.changes(), cells)
     }
 
-    /// Merges cells of peers and judges what changed. Order and repetition make no difference.
+    /// Merges cells of peers. Order and repetition make no difference.
+    ///
+    /// Failures of the new version are judged at once, everything else at the next tick.
     pub fn merge(&mut self, cells: &[EvidenceCell]) {
+        let mut failed = false;
         for cell in cells {
             let Some(entry) = self.entries.get_mut(&cell.rollout) else { continue };
             let known = entry.spec.is_some() && !entry.ended();
             if known && self.evidence.merge(cell) {
                 entry.changed = true;
+                failed |= cell.arm == Arm::New && cell.failures > 0;
             }
         }
-        self.judge_changed();
+        if failed {
+            self.judge_changed();
+        }
     }
 
     /// All verdicts known here, for the peers.
@@ -223,6 +228,7 @@
             self.events.push(RolloutEvent::Staged { rollout: id.clone(), stage, share });
         }
         entry.record = Some(record);
+        entry.note_stage(self.wall);
     }
 
     /// Takes the store's answer to a write.
@@ -280,6 +286,7 @@
     pub(crate) fn judge_changed(&mut self) {
         for (id, entry) in self.entries.iter_mut().filter(|(_, entry)| entry.changed) {
             let judged = judge(entry, id, &self.evidence, &*self.rule, &self.me, self.wall);
+            entry.note_stage(self.wall);
             if let Some(note) = entry.verdict.as_ref().filter(|_| judged) {
                 self.events.push(RolloutEvent::Judged(note.clone()));
             }
--- /dev/null
+++ b/crates/rollout/tests/all/model.rs
@@ -0,0 +1,1 @@
+//! Model test.
