--- /dev/null
+++ b/crates/replay/src/client.rs
@@ -0,0 +1,182 @@
+//! One caller's exchange over HTTP, and the check of its answer.
+
+use std::time::Duration;
+
+use reqwest::{RequestBuilder, Response};
+use serde_json::{Value, json};
+use sesamewind_protocol::{AccountId, RequestKey, RunState};
+use sesamewind_standins::answer::{self, Check};
+use tokio::time::Instant;
+
+use crate::received::{Answer, Refusal};
+use crate::trace::Entry;
+
+/// Result of one exchange.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Time from the start of the exchange to the first token.
+    pub first_token: Option<Duration>,
+    /// How it ended.
+    pub answer: Answer,
+    /// Whether nothing reached the other side: it refused the connection or the run.
+    pub untouched: bool,
+}
+
+impl Exchange {
+    fn ended(answer: Answer) -> Self {
+        Self { first_token: None, answer, untouched: false }
+    }
+}
+
+/// The request's identifier over all attempts, as targets see it.
+pub fn request_key(entry: &Entry) -> RequestKey {
+    RequestKey::derive(&AccountId::new(&entry.account), &entry.key)
+}
+
+/// Whether the entry calls a model service.
+pub fn is_model(entry: &Entry) -> bool {
+    plain_route(entry).is_none()
+}
+
+/// Method and path of a plain call.
+pub fn plain_route(entry: &Entry) -> Option<(&str, &str)> {
+    entry.route.split_once(' ').filter(|(_, path)| path.starts_with('/'))
+}
+
+/// Body of a model call.
+pub fn body(entry: &Entry) -> String {
+    json!({
+        "model": entry.service,
+        "stream": true,
+        "max_tokens": entry.output_tokens,
+        "messages": [{"role": "user", "content": entry.key}],
+    })
+    .to_string()
+}
+
+/// Sends `request` and reads the answer to `entry`, for at most `patience`.
+pub async fn exchange(entry: &Entry, request: RequestBuilder, patience: Duration) -> Exchange {
+    let start = Instant::now();
+    let mut first_token = None;
+    let read = read(entry, request, start, &mut first_token);
+    let exchange = tokio::time::timeout(patience, read).await;
+    let mut exchange = exchange.unwrap_or_else(|_| Exchange::ended(Answer::Lost));
+    exchange.first_token = first_token;
+    exchange
+}
+
+async fn read(
+    entry: &Entry,
+    request: RequestBuilder,
+    start: Instant,
+    first_token: &mut Option<Duration>,
+) -> Exchange {
+    let response = match request.send().await {
+        Ok(response) => response,
+        Err(error) => {
+            let untouched = error.is_connect();
+            return Exchange { untouched, ..Exchange::ended(Answer::Lost) };
+        }
+    };
+    if !response.status().is_success() {
+        return refused(response).await;
+    }
+    if is_model(entry) {
+        return Exchange::ended(read_stream(entry, response, start, first_token).await);
+    }
+    let Ok(body) = response.text().await else { return Exchange::ended(Answer::Lost) };
+    let request = request_key(entry).to_string();
+    let (method, path) = plain_route(entry).unwrap_or_default();
+    let whole = body == answer::service_body(&request, method, path);
+    Exchange::ended(if whole { Answer::Whole } else { Answer::Wrong })
+}
+
+async fn refused(response: Response) -> Exchange {
+    let status = response.status().as_u16();
+    let untouched = response.headers().contains_key("x-not-run");
+    let Ok(body) = response.text().await else { return Exchange::ended(Answer::Lost) };
+    let body: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
+    let mut refusal = refusal(&body);
+    refusal.status = status;
+    Exchange { untouched, ..Exchange::ended(Answer::Refused(refusal)) }
+}
+
+fn refusal(body: &Value) -> Refusal {
+    let code = body["code"].as_u64().and_then(|code| u16::try_from(code).ok()).unwrap_or(0);
+    let status = body["status"].as_u64().and_then(|status| u16::try_from(status).ok());
+    let run = match body["run"].as_str() {
+        Some("not-run") => RunState::NotRun,
+        Some("ran") => RunState::Ran,
+        _ => RunState::Unknown,
+    };
+    Refusal { status: status.unwrap_or(0), code, run }
+}
+
+/// Reads server-sent events until the end marker, a refusal within the stream, or its break.
+async fn read_stream(
+    entry: &Entry,
+    mut response: Response,
+    start: Instant,
+    first_token: &mut Option<Duration>,
+) -> Answer {
+    let mut events = Events::default();
+    loop {
+        let Ok(Some(piece)) = response.chunk().await else { return Answer::Lost };
+        events.feed(&piece);
+        if first_token.is_none() && !events.text.is_empty() {
+            *first_token = Some(start.elapsed());
+        }
+        if let Some(refusal) = events.refusal.take() {
+            return Answer::Refused(refusal);
+        }
+        if events.done {
+            return check(entry, &events.text);
+        }
+    }
+}
+
+fn check(entry: &Entry, text: &str) -> Answer {
+    let request = request_key(entry).to_string();
+    match answer::check(&request, entry.output_tokens, text) {
+        Check::Whole => Answer::Whole,
+        Check::Partial(_) | Check::Wrong(_) => Answer::Wrong,
+    }
+}
+
+/// Server-sent events of a chat completion, as far as they have come.
+#[derive(Debug, Default)]
+pub struct Events {
+    pending: Vec<u8>,
+    /// Text of the answer.
+    pub text: String,
+    /// Whether the end marker has come.
+    pub done: bool,
+    /// A refusal within the stream.
+    pub refusal: Option<Refusal>,
+}
+
+impl Events {
+    /// Takes in the next bytes of the stream.
+    pub fn feed(&mut self, piece: &[u8]) {
+        self.pending.extend_from_slice(piece);
+        while let Some(end) = self.pending.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.pending.drain(..=end).collect();
+            self.line(String::from_utf8_lossy(&line).trim_end());
+        }
+    }
+
+    fn line(&mut self, line: &str) {
+        let Some(data) = line.strip_prefix("data:") else { return };
+        let data = data.trim_start();
+        if data == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        let chunk: Value = serde_json::from_str(data).unwrap_or(Value::Null);
+        let problem = if chunk["error"].is_object() { &chunk["error"] } else { &chunk };
+        if problem["code"].is_u64() {
+            self.refusal = Some(refusal(problem));
+        }
+        self.text += chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/replay/src/count.rs
@@ -0,0 +1,317 @@
+//! Joins the stand-ins' logs with the callers' answers into a report.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use sesamewind_protocol::{Code, RunState, Wall};
+use sesamewind_standins::End;
+
+use crate::client::request_key;
+use crate::received::{Answer, Received, Refusal};
+use crate::replay::Outcome;
+use crate::report::{Goodput, PrefillTokens, Report, RolloutReport};
+use crate::scenario::{RolloutPlan, Scenario, Truth};
+use crate::trace::Entry;
+
+/// Time after which a leaving target and a version taken back get no new request.
+const NO_NEW_WORK_AFTER: Duration = Duration::from_secs(3);
+
+/// One run that reached a stand-in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The request's id.
+    pub request: String,
+    /// The service.
+    pub service: String,
+    /// The version.
+    pub version: String,
+    /// When it began.
+    pub at: Wall,
+    /// When it ended, if it did.
+    pub ended: Option<Wall>,
+    /// Whether it was generated to its end.
+    pub complete: bool,
+    /// Prompt tokens that were prefilled for it.
+    pub prefill: u64,
+    /// Whether it came too long after the target had asked for no new work.
+    pub late: bool,
+}
+
+/// A record write that holds a rollout's outcome.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Recorded {
+    /// The rollout.
+    pub rollout: String,
+    /// When it was first written.
+    pub at: Wall,
+    /// `completed` or `rolled-back`.
+    pub outcome: String,
+}
+
+/// Everything that the count starts from.
+#[derive(Debug)]
+pub struct Facts<'a> {
+    /// The scenario.
+    pub scenario: &'a Scenario,
+    /// The trace.
+    pub entries: &'a [Entry],
+    /// When the replay began.
+    pub start: Wall,
+    /// What callers received.
+    pub received: &'a [Received],
+    /// What reached the targets.
+    pub dispatches: Vec<Dispatch>,
+    /// Outcomes in the platform's table.
+    pub recorded: Vec<Recorded>,
+    /// Orders that did harm at a target.
+    pub harmful_orders: u64,
+}
+
+impl<'a> Facts<'a> {
+    /// Reads the logs of a replay's stand-ins.
+    pub fn gather(scenario: &'a Scenario, entries: &'a [Entry], outcome: &'a Outcome) -> Self {
+        let mut dispatches = Vec::new();
+        let mut harmful_orders = 0;
+        for target in &scenario.targets {
+            if let Some(engine) = outcome.world.engines.get(&target.name) {
+                let log = engine.log();
+                harmful_orders += log.harmful_orders() as u64;
+                let left = log.left.map(|left| left + NO_NEW_WORK_AFTER);
+                dispatches.extend(log.dispatches.into_iter().map(|entry| Dispatch {
+                    request: entry.request,
+                    service: target.service.clone(),
+                    version: entry.version,
+                    at: entry.at,
+                    ended: entry.ended,
+                    complete: entry.end == End::Complete,
+                    prefill: u64::from(entry.prefill_spent),
+                    late: entry.leaving && left.is_some_and(|left| entry.at > left),
+                }));
+            }
+            if let Some(service) = outcome.world.services.get(&target.name) {
+                dispatches.extend(service.log().runs.into_iter().map(|run| Dispatch {
+                    request: run.request,
+                    service: target.service.clone(),
+                    version: run.version,
+                    at: run.at,
+                    ended: None,
+                    complete: true,
+                    prefill: 0,
+                    late: false,
+                }));
+            }
+        }
+        let recorded = recorded(outcome);
+        let (start, received) = (outcome.start, outcome.received.as_slice());
+        Self { scenario, entries, start, received, dispatches, recorded, harmful_orders }
+    }
+
+    /// Counts everything that the report names.
+    pub fn report(&self, policy: &str, trace: &str, seed: u64) -> Report {
+        let requests = self.requests();
+        let mut report = Report::new(policy, trace, seed);
+        for tier in &self.scenario.tiers {
+            report.goodput.insert(tier.name.clone(), Goodput::default());
+        }
+        for request in &requests {
+            self.count(request, &mut report);
+        }
+        for received in self.received {
+            if let Answer::Refused(refusal) = &received.answer {
+                *report.refusals.entry(slug(refusal)).or_insert(0) += 1;
+            }
+        }
+        report.dispatched_after_leaving =
+            self.dispatches.iter().filter(|dispatch| dispatch.late).count() as u64;
+        report.harmful_orders = self.harmful_orders;
+        for rollout in &self.scenario.rollouts {
+            report.rollouts.insert(rollout.id.clone(), self.rollout(rollout));
+        }
+        report
+    }
+
+    fn requests(&self) -> Vec<Request<'_>> {
+        let mut requests: Vec<Request<'_>> = Vec::new();
+        let mut index: HashMap<String, usize> = HashMap::new();
+        for received in self.received {
+            let entry = &self.entries[received.entry];
+            let id = request_key(entry).to_string();
+            let at = *index.entry(id).or_insert_with(|| {
+                requests.push(Request { entry, attempts: Vec::new(), dispatches: Vec::new() });
+                requests.len() - 1
+            });
+            requests[at].attempts.push(received);
+        }
+        for dispatch in &self.dispatches {
+            if let Some(at) = index.get(&dispatch.request) {
+                requests[*at].dispatches.push(dispatch);
+            }
+        }
+        requests
+    }
+
+    fn count(&self, request: &Request<'_>, report: &mut Report) {
+        let Some(tier) = self.scenario.tier(&request.entry.tier) else { return };
+        let first_token = Duration::from_millis(tier.first_token_ms);
+        let total = Duration::from_millis(tier.total_ms);
+        let goodput = report.goodput.entry(tier.name.clone()).or_default();
+        goodput.offered += 1;
+        goodput.answered_in_time += u64::from(request.in_time(first_token, total));
+        let prefill: u64 = request.dispatches.iter().map(|dispatch| dispatch.prefill).sum();
+        report.prefill_tokens.total += prefill;
+        report.prefill_tokens.wasted += prefill - request.useful_prefill();
+        report.dispatched_twice += u64::from(request.dispatches.len() > 1);
+        let repeatable = self.repeatable(request.entry);
+        report.unrepeatable_repeated += u64::from(request.dispatches.len() > 1 && !repeatable);
+        report.lost += request.attempts.iter().filter(|a| a.answer == Answer::Lost).count() as u64;
+        report.wrong_answer += request.attempts.iter().filter(|a| a.answer == Answer::Wrong).count() as u64;
+        report.false_not_run += u64::from(request.false_not_run());
+        if tier.rank == 0 {
+            let shed = request.attempts.iter().filter(|a| self.shed_too_early(request.entry, a));
+            report.urgent_shed_while_lower_ran += shed.count() as u64;
+        }
+    }
+
+    /// Whether the caller may repeat the call; model calls count as not repeatable.
+    fn repeatable(&self, entry: &Entry) -> bool {
+        let service = self.scenario.service(&entry.service);
+        let routes = service.into_iter().flat_map(|service| &service.routes);
+        let longest = routes
+            .filter(|route| entry.route.starts_with(&route.route))
+            .max_by_key(|route| route.route.len());
+        longest.is_some_and(|route| route.idempotent)
+    }
+
+    /// Whether the most urgent tier was shed while lower-tier work of its service still ran.
+    fn shed_too_early(&self, entry: &Entry, attempt: &Received) -> bool {
+        let Answer::Refused(refusal) = &attempt.answer else { return false };
+        if !is_shed(refusal) {
+            return false;
+        }
+        let told = Wall(attempt.at.0.saturating_sub(self.scenario.client_delay().as_millis() as u64));
+        self.dispatches.iter().any(|dispatch| {
+            let runs = dispatch.at < told && dispatch.ended.is_some_and(|ended| ended > told);
+            runs && dispatch.service == entry.service && self.is_lower(&dispatch.request)
+        })
+    }
+
+    fn is_lower(&self, request: &str) -> bool {
+        let of = |entry: &&Entry| request_key(entry).to_string() == request;
+        let entry = self.entries.iter().find(of);
+        let tier = entry.and_then(|entry| self.scenario.tier(&entry.tier));
+        tier.is_some_and(|tier| tier.rank > 0)
+    }
+
+    fn rollout(&self, rollout: &RolloutPlan) -> RolloutReport {
+        let deadline = self.start + Duration::from_secs_f64(rollout.deadline_s);
+        let recorded = self.recorded.iter().find(|recorded| recorded.rollout == rollout.id);
+        let of_version =
+            |d: &&Dispatch| d.service == rollout.service && d.version == rollout.to;
+        let exposed = self.dispatches.iter().filter(of_version);
+        let taken_back = recorded.filter(|recorded| recorded.outcome == "rolled-back");
+        let after = exposed.clone().filter(|dispatch| {
+            taken_back.is_some_and(|recorded| dispatch.at > recorded.at + NO_NEW_WORK_AFTER)
+        });
+        RolloutReport {
+            truth: rollout.truth,
+            outcome: recorded.map_or("none", |recorded| recorded.outcome.as_str()).to_owned(),
+            in_time: recorded.is_some_and(|recorded| recorded.at <= deadline),
+            exposed_requests: exposed.clone().count() as u64,
+            requests_after_verdict: after.count() as u64,
+            ended_well: recorded.is_some_and(|recorded| match rollout.truth {
+                Truth::Good => recorded.outcome == "completed" && recorded.at <= deadline,
+                Truth::Bad => recorded.outcome == "rolled-back",
+            }),
+        }
+    }
+}
+
+fn recorded(outcome: &Outcome) -> Vec<Recorded> {
+    let mut found: BTreeMap<String, Recorded> = BTreeMap::new();
+    for write in outcome.world.platform.writes() {
+        let Some(rollout) = write.key.strip_prefix("rollout.") else { continue };
+        let value = &write.row.value["outcome"];
+        let kinds = value.as_object().and_then(|object| object.keys().next());
+        let Some(kind) = kinds.map(String::as_str).or(value.as_str()) else { continue };
+        found.entry(rollout.to_owned()).or_insert_with(|| Recorded {
+            rollout: rollout.to_owned(),
+            at: write.at,
+            outcome: kind.to_owned(),
+        });
+    }
+    found.into_values().collect()
+}
+
+fn is_shed(refusal: &Refusal) -> bool {
+    const SHED: [Code; 5] = [
+        Code::DeadlineUnreachable,
+        Code::DeadlinePassed,
+        Code::QueueFull,
+        Code::TierShed,
+        Code::Preempted,
+    ];
+    SHED.iter().any(|code| code.number() == refusal.code)
+}
+
+fn slug(refusal: &Refusal) -> String {
+    let code = Code::try_from(refusal.code);
+    code.map_or_else(|_| format!("status-{}", refusal.status), |code| code.slug().to_owned())
+}
+
+/// All attempts and runs of one request.
+#[derive(Debug)]
+struct Request<'a> {
+    entry: &'a Entry,
+    attempts: Vec<&'a Received>,
+    dispatches: Vec<&'a Dispatch>,
+}
+
+impl Request<'_> {
+    /// Whether any attempt brought the whole answer in time, counted from the first sending.
+    fn in_time(&self, first_token: Duration, total: Duration) -> bool {
+        let Some(first) = self.attempts.iter().map(|attempt| attempt.sent).min() else {
+            return false;
+        };
+        self.attempts.iter().any(|attempt| {
+            let waited = attempt.sent.since(first);
+            let token_in_time = attempt.first_token.is_none_or(|time| waited + time <= first_token);
+            attempt.answer == Answer::Whole && token_in_time && waited + attempt.total <= total
+        })
+    }
+
+    /// Prompt tokens of the run whose answer a caller received whole within its timeout.
+    fn useful_prefill(&self) -> u64 {
+        let timeout = Duration::from_millis(self.entry.timeout_ms);
+        let whole = |a: &&&Received| a.answer == Answer::Whole && a.total <= timeout;
+        if self.attempts.iter().find(whole).is_none() {
+            return 0;
+        }
+        let useful = self.dispatches.iter().find(|dispatch| dispatch.complete);
+        useful.map_or(0, |dispatch| dispatch.prefill)
+    }
+
+    /// Whether a caller was told that the request had not run although it had, or ran afterwards
+    /// without being sent again.
+    fn false_not_run(&self) -> bool {
+        let told = self.attempts.iter().filter(|attempt| says_not_run(&attempt.answer));
+        told.into_iter().any(|told| self.dispatches.iter().any(|dispatch| self.denies(told, dispatch)))
+    }
+
+    fn denies(&self, told: &Received, dispatch: &Dispatch) -> bool {
+        let sent_between = |other: &&Received| other.sent >= told.sent && other.sent <= dispatch.at;
+        let others = self.attempts.iter().filter(|other| other.entry != told.entry);
+        dispatch.at <= told.at || !others.copied().any(|other| sent_between(&other))
+    }
+}
+
+fn says_not_run(answer: &Answer) -> bool {
+    matches!(answer, Answer::Refused(refusal) if refusal.run == RunState::NotRun)
+}
+
+/// Sums of prompt tokens; kept beside the count so that both stay in step.
+impl PrefillTokens {
+    /// Share of the prompt tokens that was wasted.
+    pub fn wasted_share(&self) -> f64 {
+        if self.total == 0 { 0.0 } else { self.wasted as f64 / self.total as f64 }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/report.rs
@@ -0,0 +1,285 @@
+//! The report of a replay: figures, comparison, stated outcomes, and the printed table.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::scenario::{OutcomePlan, Truth};
+
+/// Requests of one tier.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Goodput {
+    /// Requests that callers sent, resends not counted.
+    pub offered: u64,
+    /// Requests whose whole answer came within the tier's times.
+    pub answered_in_time: u64,
+}
+
+impl Goodput {
+    /// Share of the offered requests that were answered in time.
+    pub fn share(&self) -> f64 {
+        if self.offered == 0 { 1.0 } else { self.answered_in_time as f64 / self.offered as f64 }
+    }
+}
+
+/// Prompt tokens that engines took in.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct PrefillTokens {
+    /// All of them.
+    pub total: u64,
+    /// Those of runs whose answer no caller received whole within its timeout.
+    pub wasted: u64,
+}
+
+/// What became of a rollout.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct RolloutReport {
+    /// Whether the new version is really good.
+    pub truth: Truth,
+    /// `completed`, `rolled-back` or `none`.
+    pub outcome: String,
+    /// Whether the outcome was recorded by the deadline.
+    pub in_time: bool,
+    /// Requests that reached the new version.
+    pub exposed_requests: u64,
+    /// Requests that reached it later than 3 s after it was taken back.
+    pub requests_after_verdict: u64,
+    /// Whether a good version completed in time, or a bad one was taken back.
+    pub ended_well: bool,
+}
+
+/// The figures of one replay.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Report {
+    /// The policy.
+    pub policy: String,
+    /// The trace's name.
+    pub trace: String,
+    /// The seed.
+    pub seed: u64,
+    /// Goodput by tier.
+    pub goodput: BTreeMap<String, Goodput>,
+    /// Share of requests answered in time, by tier.
+    pub goodput_share: BTreeMap<String, f64>,
+    /// Prompt tokens.
+    pub prefill_tokens: PrefillTokens,
+    /// Share of the prompt tokens that was wasted.
+    pub wasted_share: f64,
+    /// Requests that ran at targets more than once.
+    pub dispatched_twice: u64,
+    /// Those of them that may not be repeated.
+    pub unrepeatable_repeated: u64,
+    /// Attempts that ended without the answer or a numbered result.
+    pub lost: u64,
+    /// Answers passed off as whole that were not the answer to the request.
+    pub wrong_answer: u64,
+    /// Requests said not to have run although they had.
+    pub false_not_run: u64,
+    /// Attempts of the most urgent tier that were shed while lower-tier work still ran.
+    pub urgent_shed_while_lower_ran: u64,
+    /// Requests that reached a target later than 3 s after it asked for no new work.
+    pub dispatched_after_leaving: u64,
+    /// Orders that did harm at a target.
+    pub harmful_orders: u64,
+    /// Numbered results other than an answer, by name.
+    pub refusals: BTreeMap<String, u64>,
+    /// Rollouts.
+    pub rollouts: BTreeMap<String, RolloutReport>,
+    /// Requests answered in time against the better baseline, by tier; empty if none was run.
+    pub versus_baseline: BTreeMap<String, f64>,
+    /// Stated outcomes that could be judged, and whether they hold.
+    pub outcomes: BTreeMap<String, bool>,
+    /// Reports of the baselines, by policy.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub baselines: BTreeMap<String, Report>,
+}
+
+/// Whether a stated outcome holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    /// It holds.
+    Held,
+    /// It doesn't.
+    NotHeld,
+    /// The run has no such measure, such as a comparison without baselines.
+    NotJudged,
+}
+
+impl Report {
+    /// A report without figures.
+    pub fn new(policy: &str, trace: &str, seed: u64) -> Self {
+        Self {
+            policy: policy.to_owned(),
+            trace: trace.to_owned(),
+            seed,
+            goodput: BTreeMap::new(),
+            goodput_share: BTreeMap::new(),
+            prefill_tokens: PrefillTokens::default(),
+            wasted_share: 0.0,
+            dispatched_twice: 0,
+            unrepeatable_repeated: 0,
+            lost: 0,
+            wrong_answer: 0,
+            false_not_run: 0,
+            urgent_shed_while_lower_ran: 0,
+            dispatched_after_leaving: 0,
+            harmful_orders: 0,
+            refusals: BTreeMap::new(),
+            rollouts: BTreeMap::new(),
+            versus_baseline: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            baselines: BTreeMap::new(),
+        }
+    }
+
+    /// Works out shares and comparisons, and judges the stated outcomes.
+    pub fn judge(&mut self, baselines: Vec<Report>, plans: &[OutcomePlan]) {
+        self.versus_baseline = self.versus(&baselines);
+        self.goodput_share =
+            self.goodput.iter().map(|(tier, goodput)| (tier.clone(), goodput.share())).collect();
+        self.wasted_share = self.prefill_tokens.wasted_share();
+        for plan in plans {
+            match self.held(plan) {
+                Held::Held => self.outcomes.insert(plan.name.clone(), true),
+                Held::NotHeld => self.outcomes.insert(plan.name.clone(), false),
+                Held::NotJudged => None,
+            };
+        }
+        let named = |report: Report| (report.policy.clone(), report);
+        self.baselines = baselines.into_iter().map(named).collect();
+    }
+
+    /// Whether every outcome that could be judged holds.
+    pub fn all_held(&self) -> bool {
+        self.outcomes.values().all(|held| *held)
+    }
+
+    fn versus(&self, baselines: &[Report]) -> BTreeMap<String, f64> {
+        let mut versus = BTreeMap::new();
+        for (tier, goodput) in &self.goodput {
+            let of_tier = baselines.iter().filter_map(|report| report.goodput.get(tier));
+            let Some(best) = of_tier.map(|goodput| goodput.answered_in_time).max() else {
+                continue;
+            };
+            let ratio = goodput.answered_in_time as f64 / best.max(1) as f64;
+            versus.insert(tier.clone(), ratio);
+        }
+        versus
+    }
+
+    /// Holds `plan` against the report.
+    pub fn held(&self, plan: &OutcomePlan) -> Held {
+        let Some(value) = self.measure(&plan.measure) else { return Held::NotJudged };
+        let number = match &value {
+            Value::Bool(flag) => Some(f64::from(u8::from(*flag))),
+            other => other.as_f64(),
+        };
+        let least = plan.at_least.is_none_or(|least| number.is_some_and(|n| n >= least));
+        let most = plan.at_most.is_none_or(|most| number.is_some_and(|n| n <= most));
+        let equal = plan.equals.as_deref().is_none_or(|text| value.as_str() == Some(text));
+        if least && most && equal { Held::Held } else { Held::NotHeld }
+    }
+
+    /// The measure at a path such as `goodput_share.urgent`.
+    pub fn measure(&self, path: &str) -> Option<Value> {
+        let mut value = serde_json::to_value(self).ok()?;
+        for step in path.split('.') {
+            value = value.get_mut(step)?.take();
+        }
+        Some(value)
+    }
+
+    /// The table for people: one column for each policy, then the stated outcomes.
+    pub fn table(&self, plans: &[OutcomePlan]) -> String {
+        let reports: Vec<&Report> = std::iter::once(self).chain(self.baselines.values()).collect();
+        let mut text = format!("trace {}, seed {}\n\n", self.trace, self.seed);
+        row(&mut text, "", reports.iter().map(|report| report.policy.clone()));
+        for tier in self.goodput.keys() {
+            let label = format!("goodput {tier}");
+            row(&mut text, &label, reports.iter().map(|report| report.goodput_cell(tier)));
+        }
+        row(&mut text, "prefill tokens", reports.iter().map(|r| r.prefill_tokens.total.to_string()));
+        row(&mut text, "wasted prefill", reports.iter().map(|r| percent(r.prefill_tokens.wasted_share())));
+        for (label, count) in COUNTS {
+            row(&mut text, label, reports.iter().map(|report| count(report).to_string()));
+        }
+        for id in self.rollouts.keys() {
+            let label = format!("rollout {id}");
+            row(&mut text, &label, reports.iter().map(|report| report.rollout_cell(id)));
+            let exposed = |r: &&Report| r.rollouts.get(id).map_or(0, |r| r.exposed_requests);
+            row(&mut text, "  exposed requests", reports.iter().map(|r| exposed(r).to_string()));
+        }
+        for code in self.refusal_names(&reports) {
+            let count = |r: &&Report| r.refusals.get(&code).copied().unwrap_or(0);
+            let label = format!("refused {code}");
+            row(&mut text, &label, reports.iter().map(|report| count(report).to_string()));
+        }
+        text.push('\n');
+        for plan in plans {
+            let value = self.measure(&plan.measure).map_or("-".to_owned(), |value| shown(&value));
+            let verdict = match self.held(plan) {
+                Held::Held => "held",
+                Held::NotHeld => "NOT HELD",
+                Held::NotJudged => "not judged",
+            };
+            let _ = writeln!(text, "{verdict:<10}  {} ({} = {value})", plan.name, plan.measure);
+        }
+        text
+    }
+
+    fn goodput_cell(&self, tier: &str) -> String {
+        let Some(goodput) = self.goodput.get(tier) else { return "-".to_owned() };
+        format!("{}/{} {}", goodput.answered_in_time, goodput.offered, percent(goodput.share()))
+    }
+
+    fn rollout_cell(&self, id: &str) -> String {
+        let Some(rollout) = self.rollouts.get(id) else { return "-".to_owned() };
+        let when = if rollout.in_time { " in time" } else { "" };
+        format!("{}{when}", rollout.outcome)
+    }
+
+    fn refusal_names(&self, reports: &[&Report]) -> Vec<String> {
+        let mut names: Vec<String> =
+            reports.iter().flat_map(|report| report.refusals.keys().cloned()).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+}
+
+/// Reads one count of a report.
+type Count = fn(&Report) -> u64;
+
+/// Counts of the table.
+const COUNTS: [(&str, Count); 8] = [
+    ("dispatched twice", |report| report.dispatched_twice),
+    ("  not repeatable", |report| report.unrepeatable_repeated),
+    ("lost", |report| report.lost),
+    ("wrong answers", |report| report.wrong_answer),
+    ("false not-run", |report| report.false_not_run),
+    ("urgent shed early", |report| report.urgent_shed_while_lower_ran),
+    ("sent to leaving", |report| report.dispatched_after_leaving),
+    ("harmful orders", |report| report.harmful_orders),
+];
+
+fn row(text: &mut String, label: &str, cells: impl Iterator<Item = String>) {
+    let _ = write!(text, "{label:<26}");
+    for cell in cells {
+        let _ = write!(text, "{cell:>22}");
+    }
+    text.push('\n');
+}
+
+fn percent(share: f64) -> String {
+    const HUNDRED: f64 = 100.0;
+    format!("{:.1}%", share * HUNDRED)
+}
+
+fn shown(value: &Value) -> String {
+    match value {
+        Value::Number(number) if number.is_f64() => format!("{:.3}", number.as_f64().unwrap_or(0.0)),
+        other => other.to_string(),
+    }
+}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use serde_json::Value;
 
-pub use state::{CallEntry, CallKind, InstanceEntry, Listing, Row, TargetEntry};
+pub use state::{CallEntry, CallKind, InstanceEntry, Listing, Row, TargetEntry, WriteEntry};
 
 use crate::proxy::FaultProxy;
 use crate::server::Server;
@@ -138,6 +138,11 @@
         self.core.state().objects.get(hash).cloned()
     }
 
+    /// Every write to the table that took effect, in order.
+    pub fn writes(&self) -> Vec<WriteEntry> {
+        self.core.state().writes.clone()
+    }
+
     /// Every call since the start.
     pub fn calls(&self) -> Vec<CallEntry> {
         self.core.state().calls.clone()
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::PlatformOptions;
+use crate::clock::wall_now;
 
 const KEPT_LISTINGS: usize = 1_000;
 const RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -59,6 +60,17 @@
     pub value: Value,
 }
 
+/// A write to the table that took effect.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WriteEntry {
+    /// When it took effect.
+    pub at: Wall,
+    /// The row's key.
+    pub key: String,
+    /// The row as it was left.
+    pub row: Row,
+}
+
 /// What a call asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -95,6 +107,7 @@
     pub(crate) rows: BTreeMap<String, Row>,
     pub(crate) objects: HashMap<String, Bytes>,
     pub(crate) calls: Vec<CallEntry>,
+    pub(crate) writes: Vec<WriteEntry>,
     pub(crate) down: bool,
     pub(crate) delay: Duration,
     /// Writes whose answer is to be lost yet.
@@ -107,7 +120,9 @@
     /// Writes a row without conditions.
     pub(crate) fn put(&mut self, key: &str, value: Value) -> u64 {
         let revision = self.rows.get(key).map_or(0, |row| row.revision) + 1;
-        self.rows.insert(key.to_owned(), Row { revision, value });
+        let row = Row { revision, value };
+        self.writes.push(WriteEntry { at: wall_now(), key: key.to_owned(), row: row.clone() });
+        self.rows.insert(key.to_owned(), row);
         revision
     }
 
@@ -146,6 +161,7 @@
             rows: BTreeMap::new(),
             objects: HashMap::new(),
             calls: Vec::new(),
+            writes: Vec::new(),
             down: false,
             delay: Duration::ZERO,
             lose: 0,
