Add the operators' command-line tool

Cause: operators need to check, submit and follow the sheet, and to see rollouts, targets, instances and refusals, from a desk and from scripts. Change: crates/cli holds the tool, src/bin/sesamewind.rs only starts it. A submission has an identifier that every attempt repeats, so a lost answer is settled by asking again; after a lost answer neither an outage nor a conflict is taken as "not accepted". submit waits until the sheet is in force on all known instances and names those without it. Exit codes 0 to 6 are in the help. Ruled out: reqwest's query builder, whose feature is not in the workspace; identifiers are limited to characters that need no escape instead.

--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,205 @@
+//! Carries out one command.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sesamewind_protocol::operator::{
+    INSTANCES_PATH, REFUSALS_PATH, ROLLOUTS_PATH, SHEET_PATH, STATUS_PATH, SheetBody, TARGETS_PATH,
+};
+use sesamewind_sheet::Sheet;
+
+use crate::client::Client;
+use crate::console::Console;
+use crate::flags::{Diff, Sesamewind, SesamewindCmd, SheetCmd, Submit};
+use crate::{Exit, Failure, Submission, submit, views};
+
+/// Inner listener of an instance on this machine with the settings of the example.
+const DEFAULT_ADDRESS: &str = "127.0.0.1:8081";
+/// Time to wait for a sheet to be in force everywhere.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+
+type Env<'a> = &'a dyn Fn(&str) -> Option<String>;
+type Outcome = Result<Exit, Report<Failure>>;
+
+/// Carries out the command of `flags`.
+pub(crate) async fn run(flags: Sesamewind, env: Env<'_>, console: &mut Console<'_>) -> Outcome {
+    if let SesamewindCmd::Sheet(sheet) = &flags.subcommand
+        && let SheetCmd::Check(check) = &sheet.subcommand
+    {
+        return check_sheet(&check.file, console);
+    }
+    let client = &mut client(&flags, env)?;
+    match flags.subcommand {
+        SesamewindCmd::Sheet(sheet) => match sheet.subcommand {
+            SheetCmd::Check(check) => check_sheet(&check.file, console),
+            SheetCmd::Submit(flags) => submit_sheet(flags, client, console).await,
+            SheetCmd::Show(_) => show_sheet(client, console).await,
+            SheetCmd::Diff(flags) => diff_sheet(flags, client, console).await,
+        },
+        SesamewindCmd::Rollouts(_) => show(ROLLOUTS_PATH, views::rollouts, client, console).await,
+        SesamewindCmd::Targets(_) => show(TARGETS_PATH, views::targets, client, console).await,
+        SesamewindCmd::Instances(_) => {
+            show(INSTANCES_PATH, views::instances, client, console).await
+        }
+        SesamewindCmd::Refusals(_) => show(REFUSALS_PATH, views::refusals, client, console).await,
+        SesamewindCmd::Status(_) => show(STATUS_PATH, views::status, client, console).await,
+    }
+}
+
+fn client(flags: &Sesamewind, env: Env<'_>) -> Result<Client, Report<Failure>> {
+    let addresses = match (flags.address.as_slice(), env("SESAMEWIND_ADDRESS")) {
+        ([], Some(list)) => list.split(',').map(|address| address.trim().to_owned()).collect(),
+        ([], None) => vec![DEFAULT_ADDRESS.to_owned()],
+        (given, _) => given.to_vec(),
+    };
+    let addresses: Result<Vec<SocketAddr>, Report<Failure>> =
+        addresses.iter().map(|address| parse_address(address)).collect();
+    Client::new(addresses?, token(flags.token_file.as_deref(), env)?)
+}
+
+fn parse_address(address: &str) -> Result<SocketAddr, Report<Failure>> {
+    address.parse().change_context_lazy(|| {
+        Failure::Usage(format!("address {address:?} is not of the form IP:PORT"))
+    })
+}
+
+fn token(file: Option<&Path>, env: Env<'_>) -> Result<String, Report<Failure>> {
+    let token = match file {
+        Some(path) => String::from_utf8_lossy(&read_file(path)?).into_owned(),
+        None => env("SESAMEWIND_TOKEN").ok_or_else(|| {
+            let message = "no token: give --token-file or set SESAMEWIND_TOKEN";
+            Report::new(Failure::Usage(message.to_owned()))
+        })?,
+    };
+    let token = token.trim();
+    if token.is_empty() || !token.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let message = "the token is empty or has other than printable ASCII characters";
+        return Err(Report::new(Failure::Usage(message.to_owned())));
+    }
+    Ok(token.to_owned())
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>, Report<Failure>> {
+    let failure = || Failure::Usage(format!("could not read {}", path.display()));
+    std::fs::read(path).change_context_lazy(failure)
+}
+
+/// Reads and checks a sheet. One with faults is told and gives `None`.
+fn checked_sheet(bytes: &[u8], console: &mut Console<'_>) -> Option<Sheet> {
+    match sesamewind_sheet::read(bytes) {
+        Ok(sheet) => Some(sheet),
+        Err(faults) => {
+            console.result(&submit::faulty(&faults), views::faulty);
+            None
+        }
+    }
+}
+
+/// Size of a sheet without faults.
+#[derive(Debug, Serialize)]
+struct Sound {
+    tiers: usize,
+    accounts: usize,
+    services: usize,
+    targets: usize,
+    rollouts: usize,
+    hash: String,
+}
+
+fn check_sheet(file: &Path, console: &mut Console<'_>) -> Outcome {
+    let bytes = read_file(file)?;
+    let Some(sheet) = checked_sheet(&bytes, console) else { return Ok(Exit::Refused) };
+    let sound = Sound {
+        tiers: sheet.tiers.len(),
+        accounts: sheet.accounts.len(),
+        services: sheet.services.len(),
+        targets: sheet.targets.len(),
+        rollouts: sheet.rollouts.len(),
+        hash: sesamewind_sheet::hash(&bytes),
+    };
+    console.result(&sound, |sound| {
+        let Sound { tiers, accounts, services, targets, rollouts, .. } = sound;
+        format!(
+            "no faults: {tiers} tiers, {accounts} accounts, {services} services, \
+             {targets} targets, {rollouts} rollouts"
+        )
+    });
+    Ok(Exit::Ok)
+}
+
+async fn submit_sheet(flags: Submit, client: &mut Client, console: &mut Console<'_>) -> Outcome {
+    let bytes = read_file(&flags.file)?;
+    if checked_sheet(&bytes, console).is_none() {
+        return Ok(Exit::Refused);
+    }
+    let base = match flags.base {
+        Some(base) => base,
+        None => client.get::<SheetBody>(SHEET_PATH).await?.revision,
+    };
+    let submission = match flags.submission {
+        Some(id) => Submission::resumed(checked_id(id)?, base),
+        None => Submission::new(format!("{:032x}", rand::random::<u128>()), base),
+    };
+    let wait = flags.wait.map_or(DEFAULT_WAIT, Duration::from_secs);
+    submit::submit(submission, &bytes, wait, client, console).await
+}
+
+/// An identifier stands in a URL, so its characters are limited.
+fn checked_id(id: String) -> Result<String, Report<Failure>> {
+    let valid = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
+    if id.is_empty() || !id.bytes().all(valid) {
+        let message = format!("submission {id:?} is not an identifier that the tool gave");
+        return Err(Report::new(Failure::Usage(message)));
+    }
+    Ok(id)
+}
+
+async fn show_sheet(client: &mut Client, console: &mut Console<'_>) -> Outcome {
+    let body: SheetBody = client.get(SHEET_PATH).await?;
+    console.note(&format!("revision {}, hash {}", body.revision, body.hash));
+    console.result(&body, |body| body.csv.clone());
+    Ok(Exit::Ok)
+}
+
+/// What a sheet would change, as `--json` prints it.
+#[derive(Debug, Serialize)]
+struct Difference {
+    revision: u64,
+    changes: Vec<String>,
+}
+
+async fn diff_sheet(flags: Diff, client: &mut Client, console: &mut Console<'_>) -> Outcome {
+    let bytes = read_file(&flags.file)?;
+    let Some(new) = checked_sheet(&bytes, console) else { return Ok(Exit::Refused) };
+    let body: SheetBody = client.get(SHEET_PATH).await?;
+    let old = match body.revision {
+        0 => Sheet::default(),
+        _ => sesamewind_sheet::read(body.csv.as_bytes()).map_err(|faults| {
+            let message = format!("the instance, whose sheet has {} faults here", faults.len());
+            Report::new(Failure::Garbled(message))
+        })?,
+    };
+    let changes = sesamewind_sheet::diff(&old, &new).iter().map(ToString::to_string).collect();
+    let difference = Difference { revision: body.revision, changes };
+    console.result(&difference, |difference| match difference.changes.as_slice() {
+        [] => format!("no change against revision {}", difference.revision),
+        changes => changes.join("\n"),
+    });
+    Ok(Exit::Ok)
+}
+
+/// Gets a body and prints it.
+async fn show<T: DeserializeOwned + Serialize>(
+    path: &str,
+    text: fn(&T) -> String,
+    client: &mut Client,
+    console: &mut Console<'_>,
+) -> Outcome {
+    let body: T = client.get(path).await?;
+    console.result(&body, text);
+    Ok(Exit::Ok)
+}
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,75 @@
+//! Exit codes for scripts, and the failures behind them.
+
+use std::process::ExitCode;
+
+/// The exit codes as the help lists them.
+pub(crate) const HELP: &str = "\
+EXIT CODES:
+    0  done; for `sheet submit`: accepted and in force on every known instance
+    1  refused: the sheet has faults, another sheet was accepted since, or the token is wrong
+    2  usage: an argument, file or variable is missing or wrong
+    3  unreachable: no instance or no store could be reached; nothing was accepted
+    4  accepted, but not in force on every known instance in time
+    5  unknown: the answer to a submission was lost; ask again with its --submission
+    6  the answer was not understood
+
+ENVIRONMENT:
+    SESAMEWIND_ADDRESS  addresses as for --address, separated by commas
+    SESAMEWIND_TOKEN    the operators' token, unless --token-file is given";
+
+/// How the tool ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// Done.
+    Ok = 0,
+    /// Refused: a faulty sheet, a conflict, a wrong token.
+    Refused = 1,
+    /// An argument, file or variable is missing or wrong.
+    Usage = 2,
+    /// No instance, or no store, could be reached; nothing was accepted.
+    Unreachable = 3,
+    /// Accepted, but not in force everywhere in time.
+    NotEverywhere = 4,
+    /// The answer to a submission was lost.
+    Unknown = 5,
+    /// The answer was not understood.
+    Garbled = 6,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// An argument, file or variable is missing or wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// The instance refused.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// No connection came about.
+    #[error("no instance could be reached at {0}")]
+    Unreachable(String),
+    /// The connection broke, or nothing came in time, after the request was sent.
+    #[error("no whole answer from {0}")]
+    Lost(String),
+    /// The answer was not understood.
+    #[error("answer of {0} was not understood")]
+    Garbled(String),
+}
+
+impl Failure {
+    /// The exit code of the failure.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Usage(_) => Exit::Usage,
+            Self::Refused(_) => Exit::Refused,
+            Self::Unreachable(_) | Self::Lost(_) => Exit::Unreachable,
+            Self::Garbled(_) => Exit::Garbled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,76 @@
+//! The operators' command-line tool: checks and submits the sheet, and shows what the system does.
+//!
+//! [`run`] is the whole tool but for the process around it. It talks to the inner listener of any
+//! instance; commands and exit codes are listed in its help and in `docs/OPERATING.md`.
+
+mod client;
+mod commands;
+mod console;
+mod exit;
+mod flags;
+mod submission;
+mod submit;
+mod views;
+
+use std::ffi::OsString;
+use std::io::Write;
+use std::process::ExitCode;
+
+use console::Console;
+pub use exit::{Exit, Failure};
+pub use submission::{Reply, Step, Submission};
+
+/// What the tool has of its surroundings.
+pub struct Surroundings<'a> {
+    /// Looks up environment variables.
+    pub env: &'a dyn Fn(&str) -> Option<String>,
+    /// Where results go.
+    pub out: &'a mut dyn Write,
+    /// Where problems and progress go.
+    pub err: &'a mut dyn Write,
+}
+
+/// Runs the tool with `args`, the program's name left out.
+pub async fn run(args: Vec<OsString>, surroundings: Surroundings<'_>) -> Exit {
+    let Surroundings { env, out, err } = surroundings;
+    let flags = match flags::Sesamewind::from_vec(args) {
+        Ok(flags) => flags,
+        Err(help) if help.is_help() => {
+            let mut console = Console::new(false, out, err);
+            console.line(&format!("{help}\n\n{}", exit::HELP));
+            return Exit::Ok;
+        }
+        Err(fault) => {
+            let mut console = Console::new(false, out, err);
+            console.note(&format!("{fault}\nsesamewind --help lists commands and exit codes"));
+            return Exit::Usage;
+        }
+    };
+    let mut console = Console::new(flags.json, out, err);
+    match commands::run(flags, env, &mut console).await {
+        Ok(exit) => exit,
+        Err(report) => {
+            let exit = report.current_context().exit();
+            console.failure(exit, &format!("{report:#}"));
+            exit
+        }
+    }
+}
+
+/// Runs the tool as a process: arguments, variables and streams are the process's own.
+pub fn run_process() -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            eprintln!("could not start: {err}");
+            return Exit::Garbled.into();
+        }
+    };
+    let surroundings = Surroundings {
+        env: &|name| std::env::var(name).ok(),
+        out: &mut std::io::stdout(),
+        err: &mut std::io::stderr(),
+    };
+    let args = std::env::args_os().skip(1).collect();
+    runtime.block_on(run(args, surroundings)).into()
+}
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the operators' tool against a fake instance on the loopback interface.
+
+mod commands;
+mod fake;
+mod submission;
+mod submit;
--- a/src/bin/sesamewind.rs
+++ b/src/bin/sesamewind.rs
@@ -1,3 +1,7 @@
-//! Placeholder entry point.
+//! The operators' command-line tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sesamewind_cli::run_process()
+}
