Match no route for paths that a target could read as another one

Cause: GET /x/../charges, //charges, /charges%2Fopen and /%63harges all fell to the shorter route "/", whose answer to "may it be repeated" may differ from that of the route which a target would reach after normalizing the path. Ruled out: normalizing here, since targets differ in how they do it.

--- a/crates/sheet/src/draft.rs
+++ b/crates/sheet/src/draft.rs
@@ -7,6 +7,7 @@
     AccountId, RolloutId, RouteId, ServiceId, TargetId, VersionId, Wall, ZoneId,
 };
 
+use crate::model::is_ambiguous;
 use crate::row::{Row, shown};
 use crate::{FaultCode, ServiceClass};
 
@@ -178,7 +179,8 @@
 fn is_method_path(route: &str) -> bool {
     let Some((method, path)) = route.split_once(' ') else { return false };
     let method_fits = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
-    method_fits && path.starts_with('/') && !path.contains([' ', '?', '#'])
+    let path_fits = path.starts_with('/') && !path.contains([' ', '?', '#']);
+    method_fits && path_fits && !is_ambiguous(route)
 }
 
 fn tier_row(row: &mut Row<'_>) -> TierRow {
--- a/crates/sheet/src/model.rs
+++ b/crates/sheet/src/model.rs
@@ -73,12 +73,15 @@
     ///
     /// A model service's routes match by name. A plain service's routes have the form
     /// `METHOD /path` and match by method and the longest path prefix that ends at a path segment;
-    /// a query in `route` is ignored.
+    /// a query in `route` is ignored. A path that a target could read as another one matches none.
     pub fn route(&self, route: &str) -> Option<&Route> {
         match self.class {
             ServiceClass::Model => self.routes.iter().find(|known| known.name.as_str() == route),
             ServiceClass::Plain => {
                 let route = route.split(['?', '#']).next().unwrap_or(route);
+                if is_ambiguous(route) {
+                    return None;
+                }
                 let covering = self.routes.iter().filter(|known| covers(known, route));
                 covering.max_by_key(|known| known.name.as_str().len())
             }
@@ -93,6 +96,23 @@
     rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
 }
 
+/// Whether a target could normalize the path of `route` to another one, which another route with
+/// another answer to "may it be repeated" would cover: empty and dot segments, backslashes, and
+/// escapes of characters that need none.
+pub(crate) fn is_ambiguous(route: &str) -> bool {
+    let path = route.split_once(' ').map_or(route, |(_, path)| path);
+    let inner = path.strip_prefix('/').unwrap_or(path);
+    let inner = inner.strip_suffix('/').unwrap_or(inner);
+    let odd_segment = |segment: &str| matches!(segment, "" | "." | "..");
+    if path.contains('\\') || (!inner.is_empty() && inner.split('/').any(odd_segment)) {
+        return true;
+    }
+    path.split('%').skip(1).any(|rest| {
+        let digits = rest.get(..2).and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        digits.is_none_or(|byte| byte.is_ascii_alphanumeric() || b"-._~/\\".contains(&byte))
+    })
+}
+
 /// A route of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
--- a/crates/sheet/tests/sheet/lookup.rs
+++ b/crates/sheet/tests/sheet/lookup.rs
@@ -61,6 +61,16 @@
         Case { service: "booking", route: "GET /charges", want: Some("GET /") },
         Case { service: "booking", route: "get /charges", want: None },
         Case { service: "absent", route: "GET /", want: None },
+        Case { service: "booking", route: "GET /", want: Some("GET /") },
+        Case { service: "booking", route: "GET /a/", want: Some("GET /") },
+        Case { service: "booking", route: "GET /a%20b/%C3%A9", want: Some("GET /") },
+        Case { service: "booking", route: "GET /x/../charges/open", want: None },
+        Case { service: "booking", route: "GET //charges/open", want: None },
+        Case { service: "booking", route: "GET /./charges/open", want: None },
+        Case { service: "booking", route: "GET /charges%2fopen", want: None },
+        Case { service: "booking", route: "GET /%63harges/open", want: None },
+        Case { service: "booking", route: "GET /charges\\open", want: None },
+        Case { service: "booking", route: "GET /%", want: None },
     ];
     let sheet = sound();
     for case in cases {
--- a/crates/sheet/tests/sheet/read.rs
+++ b/crates/sheet/tests/sheet/read.rs
@@ -113,6 +113,11 @@
             with(10, "service name=booking route=charges tier=night idempotent=yes"),
             &[(10, "route", BadRoute)],
         ),
+        case(
+            "route that stands for another path",
+            with(10, "service name=booking route=GET_/a/../charges tier=night idempotent=yes"),
+            &[(10, "route", BadRoute)],
+        ),
         case(
             "deadline without time zone",
             with(
