--- a/crates/cli/src/views.rs
+++ b/crates/cli/src/views.rs
@@ -99,11 +99,11 @@
                 state(row),
                 format!("{:.1}%", row.share * 100.0),
                 time(row.at),
-                why(row),
+                reason(row),
             ]
         })
         .collect();
-    table(["rollout", "service", "versions", "state", "share", "since", "why"], &rows)
+    table(["rollout", "service", "versions", "state", "share", "since", "reason or wait"], &rows)
 }
 
 fn state(row: &RolloutRow) -> String {
@@ -114,10 +114,11 @@
     }
 }
 
-fn why(row: &RolloutRow) -> String {
+/// The reason of the outcome or, before that, what the stage waits for.
+fn reason(row: &RolloutRow) -> String {
     match row.outcome {
         Some(_) => row.reason.clone(),
-        None => format!("waits for {}", row.waits_for),
+        None => row.waits_for.clone(),
     }
 }
 
--- a/crates/cli/tests/cli/commands.rs
+++ b/crates/cli/tests/cli/commands.rs
@@ -32,9 +32,9 @@
                 rollout("r3", json!("completed")),
             ]}),
             want: &[
-                "rollout  service    versions  state        share  since                 why",
+                "rollout  service    versions  state        share  since                 reason or wait",
                 "r1       assistant  v1 -> v2  stage 2      25.0%  2026-12-04T06:00:00Z  \
-                 waits for 200 more requests on quote",
+                 200 more requests on quote",
                 "r2       assistant  v1 -> v2  rolled back  25.0%  2026-12-04T06:00:00Z  \
                  quote failed 7 of 9",
                 "r3       assistant  v1 -> v2  completed    25.0%  2026-12-04T06:00:00Z  \
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -127,7 +127,7 @@
     SheetFaulty = 1401, "sheet-faulty", 422;
     /// Another sheet was accepted since the revision that this one was based on.
     SheetConflict = 1402, "sheet-conflict", 409;
-    /// The platform's store could not be reached; the sheet was not accepted.
+    /// The platform's store could not be reached; the answer says whether the sheet was accepted.
     StoreUnavailable = 1403, "store-unavailable", 503;
     /// The token is missing or wrong.
     Forbidden = 1501, "forbidden", 403;
--- a/crates/sheet/tests/sheet/read.rs
+++ b/crates/sheet/tests/sheet/read.rs
@@ -402,3 +402,15 @@
     let message = "expected tier, account, service, target or rollout, got \"tyre\"".to_owned();
     assert_eq!(fault, SheetFault { row: 15, column: "kind".to_owned(), code: 2109, message });
 }
+
+#[test]
+fn the_example_is_sound_and_has_every_kind() {
+    let bytes = include_bytes!("../../../../docs/sheet.example.csv");
+    let sheet = read(bytes).expect("sound");
+    let counts =
+        [sheet.tiers.len(), sheet.accounts.len(), sheet.services.len(), sheet.targets.len()];
+    assert_eq!(counts, [3, 2, 2, 3]);
+    assert_eq!(sheet.rollouts.len(), 1);
+    let key = sesamewind_sheet::key_hash("example-key-east");
+    assert!(sheet.account_by_key_hash(&key).is_some());
+}
