Prove at most one dispatch with real processes under kills, freezes and cuts

Cause: two of the new tests failed: a resend right after the start was ended as "earlier attempt, unknown" although nobody had seen the request. A peer that the platform lists before it was ever heard stands under incarnation zero; when its real life answered, the stand-in life stayed in the set that a lookup must cover, for as long as records are kept. Ruled out: lost lookups (both peers had answered) and a join still under way (all were ready). Change: a life that is heard takes the place of the one that was only listed; earlier lives are named by the peers that met them. The fault proxy can cut one source address off, and daemons connect from their own address, so that tests cut zones apart.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -73,7 +73,7 @@
         Self {
             clock,
             incarnation,
-            targets: Targets::default(),
+            targets: Targets::new(settings.listen.source(), settings.traffic.connect_timeout),
             peers,
             platform: Platform::new(&settings.platform.url, options),
             metrics: Metrics::default(),
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,6 +1,5 @@
 //! Client for other instances.
 
-use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -48,7 +47,7 @@
     pub fn new(settings: &Settings) -> Self {
         let http = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
-            .local_address(own_address(settings))
+            .local_address(settings.listen.source())
             .tcp_nodelay(true)
             .retry(reqwest::retry::never())
             .no_proxy()
@@ -170,8 +169,3 @@
         Ok(response.bytes().await?)
     }
 }
-
-/// The address that connections to peers come from, so that a peer's network can tell who calls.
-fn own_address(settings: &Settings) -> Option<IpAddr> {
-    Some(settings.listen.inner.ip()).filter(|address| !address.is_unspecified())
-}
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -4,6 +4,7 @@
 //! can be dropped as a whole without touching another target's.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -29,9 +30,6 @@
 /// The data of an event that ends a model stream.
 const DONE: &str = "[DONE]";
 
-/// Longest time to connect to a target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Longest time that an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -127,12 +125,19 @@
 }
 
 /// Clients of all targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Targets {
     pools: Mutex<HashMap<TargetId, Client>>,
+    own: Option<IpAddr>,
+    connect_timeout: Duration,
 }
 
 impl Targets {
+    /// Clients whose connections come from the address `own`.
+    pub fn new(own: Option<IpAddr>, connect_timeout: Duration) -> Self {
+        Self { pools: Mutex::default(), own, connect_timeout }
+    }
+
     /// Forgets the target's connections; the next call opens a new one.
     pub fn drop_connections(&self, target: &TargetId) {
         self.lock().remove(target);
@@ -168,7 +173,8 @@
         from: u64,
     ) -> Result<ModelStream, StartError> {
         let url = at.url(&format!("/v1/streams/{stream}?from={from}"));
-        let response = fresh_client().get(url).send().await.map_err(|error| classify(&error))?;
+        let response =
+            self.fresh_client().get(url).send().await.map_err(|error| classify(&error))?;
         let mut resumed = into_stream(check(response)?);
         resumed.id.get_or_insert_with(|| stream.to_owned());
         Ok(resumed)
@@ -237,7 +243,7 @@
         at: &TargetAddress,
         timeout: Duration,
     ) -> reqwest::Result<LoadReport> {
-        let request = fresh_client().get(at.url("/load")).timeout(timeout);
+        let request = self.fresh_client().get(at.url("/load")).timeout(timeout);
         request.send().await?.error_for_status()?.json().await
     }
 
@@ -274,7 +280,22 @@
     }
 
     fn pool(&self, target: &TargetId) -> Client {
-        self.lock().entry(target.clone()).or_insert_with(fresh_client).clone()
+        self.lock().entry(target.clone()).or_insert_with(|| self.fresh_client()).clone()
+    }
+
+    /// A client with an empty pool. Retries of the library are off: dispatch is repeated only where
+    /// the deciding code allows it.
+    fn fresh_client(&self) -> Client {
+        Client::builder()
+            .connect_timeout(self.connect_timeout)
+            .local_address(self.own)
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .tcp_nodelay(true)
+            .retry(reqwest::retry::never())
+            .redirect(reqwest::redirect::Policy::none())
+            .no_proxy()
+            .build()
+            .unwrap_or_default()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<TargetId, Client>> {
@@ -282,20 +303,6 @@
     }
 }
 
-/// A client with an empty pool. Retries of the library are off: dispatch is repeated only where the
-/// deciding code allows it.
-fn fresh_client() -> Client {
-    Client::builder()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .tcp_nodelay(true)
-        .retry(reqwest::retry::never())
-        .redirect(reqwest::redirect::Policy::none())
-        .no_proxy()
-        .build()
-        .unwrap_or_default()
-}
-
 fn classify(error: &reqwest::Error) -> StartError {
     if error.is_connect() { StartError::Connect } else { StartError::Broken }
 }
--- a/crates/node/src/requests.rs
+++ b/crates/node/src/requests.rs
@@ -21,6 +21,7 @@
 struct Sent {
     version: VersionId,
     at: Time,
+    wall: Wall,
     /// From dispatch to the first token or byte.
     first: Option<Duration>,
 }
@@ -65,7 +66,8 @@
         match action {
             Action::Dispatch { ticket, version, .. } => {
                 if let Some(request) = self.0.get_mut(ticket) {
-                    request.sent = Some(Sent { version: version.clone(), at: now, first: None });
+                    request.sent =
+                        Some(Sent { version: version.clone(), at: now, wall, first: None });
                 }
             }
             Action::Refuse(refusal) | Action::Cancel { refusal, .. } => {
@@ -153,6 +155,7 @@
             prompt_tokens: request.tokens,
             outcome,
             duration: sent.first.unwrap_or_else(|| now.since(sent.at)),
+            sent: sent.wall,
             wall,
         });
     }
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use sesamewind_protocol::record::Life;
-use sesamewind_protocol::{InstanceId, Time};
+use sesamewind_protocol::{Incarnation, InstanceId, Time};
 
 #[derive(Debug)]
 struct Member {
@@ -46,6 +46,7 @@
             if *life == self.me {
                 continue;
             }
+            self.met(life);
             let member = self.entry(life, now);
             member.listed = true;
             member.reachable = reachable.contains(&life.instance);
@@ -57,6 +58,7 @@
     /// Notes that `life` spoke to this instance.
     pub(crate) fn heard(&mut self, life: &Life, now: Time) {
         if *life != self.me {
+            self.met(life);
             self.entry(life, now);
         }
     }
@@ -94,6 +96,13 @@
         self.lives.iter().filter(|(_, member)| member.reachable).map(|(life, _)| life)
     }
 
+    /// Drops the stand-in of an instance that was listed and not heard, once it has been.
+    fn met(&mut self, life: &Life) {
+        if life.incarnation != Incarnation::default() {
+            self.lives.remove(&unheard(life));
+        }
+    }
+
     fn entry(&mut self, life: &Life, now: Time) -> &mut Member {
         let member = self.lives.entry(life.clone()).or_insert(Member {
             listed: false,
@@ -105,3 +114,10 @@
         member
     }
 }
+
+/// The life under which an instance is listed that was never heard from. It stands for whichever
+/// life answers first, so it must not be waited for beside that one. Earlier lives are named by the
+/// peers that met them.
+fn unheard(life: &Life) -> Life {
+    Life { instance: life.instance.clone(), incarnation: Incarnation::default() }
+}
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,7 +1,7 @@
 //! The settings as typed structs, with the defaults of each section.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use log::LevelFilter;
@@ -56,6 +56,14 @@
     pub advertise: Option<SocketAddr>,
 }
 
+impl Listen {
+    /// The address that the instance's own connections come from, if the inner listener has one of
+    /// its own; by it the network tells who calls.
+    pub fn source(&self) -> Option<IpAddr> {
+        Some(self.inner.ip()).filter(|address| !address.is_unspecified())
+    }
+}
+
 /// The platform's service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Platform {
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,9 +1,9 @@
 //! A TCP proxy on loopback that can cut, silence, freeze and delay what passes through it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::pending;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -71,6 +71,7 @@
 
 #[derive(Debug)]
 struct Open {
+    source: IpAddr,
     mode: watch::Sender<Mode>,
     task: JoinHandle<()>,
 }
@@ -78,11 +79,26 @@
 #[derive(Debug, Default)]
 struct Table {
     fresh: Mode,
+    blocked: HashSet<IpAddr>,
     open: HashMap<u64, Open>,
     by_peer: HashMap<SocketAddr, u64>,
     accepted: u64,
 }
 
+impl Table {
+    fn set_source(&self, source: IpAddr, flow: Flow) {
+        for open in self.open.values().filter(|open| open.source == source) {
+            open.mode.send_modify(|mode| *mode = mode.with(Side::Both, flow));
+        }
+    }
+
+    /// Treatment of a new connection from `source`.
+    fn mode_for(&self, source: IpAddr) -> Mode {
+        let is_blocked = self.blocked.contains(&source);
+        if is_blocked { self.fresh.with(Side::Both, Flow::Freeze) } else { self.fresh }
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     upstream: SocketAddr,
@@ -171,6 +187,21 @@
         }
     }
 
+    /// Cuts the network between `source` and the upstream: bytes on its open and new connections
+    /// are held back until [`FaultProxy::unblock`], as by lost and repeated packets.
+    pub fn block(&self, source: IpAddr) {
+        let mut table = self.shared.table();
+        table.blocked.insert(source);
+        table.set_source(source, Flow::Freeze);
+    }
+
+    /// Ends a [`FaultProxy::block`].
+    pub fn unblock(&self, source: IpAddr) {
+        let mut table = self.shared.table();
+        table.blocked.remove(&source);
+        table.set_source(source, Flow::Pass);
+    }
+
     /// Closes every open connection; new ones are served.
     pub async fn close_open(&self) {
         let open: Vec<Open> = {
@@ -255,16 +286,17 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        let Ok((client, _)) = listener.accept().await else {
+        let Ok((client, from)) = listener.accept().await else {
             sleep(REBIND_PAUSE).await;
             continue;
         };
         let mut table = shared.table();
         let id = table.accepted;
         table.accepted += 1;
-        let (mode, modes) = watch::channel(table.fresh);
+        let source = from.ip();
+        let (mode, modes) = watch::channel(table.mode_for(source));
         let task = tokio::spawn(connection(Arc::clone(&shared), id, client, modes));
-        table.open.insert(id, Open { mode, task });
+        table.open.insert(id, Open { source, mode, task });
     }
 }
 
--- a/tests/all/deployment.rs
+++ b/tests/all/deployment.rs
@@ -6,8 +6,8 @@
 
 use sesamewind_standins::platform::PlatformOptions;
 use sesamewind_standins::{
-    Engine, EngineOptions, FaultProxy, InstanceEntry, Platform, Service, ServiceOptions,
-    TargetEntry,
+    Engine, EngineOptions, FaultProxy, Flow, InstanceEntry, Platform, Service, ServiceOptions,
+    Side, TargetEntry,
 };
 
 use crate::daemon::{Daemon, DaemonOptions, next_address};
@@ -69,6 +69,8 @@
     pub options: Vec<DaemonOptions>,
     /// The proxy before each daemon's inner listener.
     pub proxies: Vec<FaultProxy>,
+    /// The proxy between each daemon and the platform.
+    pub links: Vec<FaultProxy>,
     /// The sheet in force at the start.
     pub sheet: String,
 }
@@ -102,23 +104,26 @@
         accept(&platform, &sheet, 1);
         let mut options = Vec::new();
         let mut proxies = Vec::new();
+        let mut links = Vec::new();
         for (index, zone) in plan.zones.iter().enumerate() {
             let address = next_address();
+            let link = FaultProxy::start(platform.addr()).await;
             let mut option = DaemonOptions {
                 name: format!("i{}", index + 1),
                 zone: (*zone).to_owned(),
                 address,
                 advertise: SocketAddr::new(address, 0),
-                platform: platform.addr(),
+                platform: link.addr(),
                 extra: plan.settings.clone(),
             };
             let proxy = FaultProxy::start(option.inner()).await;
             option.advertise = proxy.addr();
             options.push(option);
             proxies.push(proxy);
+            links.push(link);
         }
-        let this =
-            Self { platform, engines, services, daemons: Vec::new(), options, proxies, sheet };
+        let daemons = Vec::new();
+        let this = Self { platform, engines, services, daemons, options, proxies, links, sheet };
         this.list("live");
         this
     }
@@ -133,6 +138,30 @@
         }
     }
 
+    /// Cuts the daemons of `zone` off from all others and from the platform.
+    pub fn cut_zone(&self, zone: &str) {
+        for (index, option) in self.options.iter().enumerate() {
+            if option.zone == zone {
+                self.links[index].set(Side::Both, Flow::Freeze);
+            }
+            for other in self.options.iter().filter(|other| other.zone != option.zone) {
+                if option.zone == zone || other.zone == zone {
+                    self.proxies[index].block(other.address);
+                }
+            }
+        }
+    }
+
+    /// Ends every cut between the daemons and the platform.
+    pub fn heal(&self) {
+        for (proxy, link) in self.proxies.iter().zip(&self.links) {
+            link.set(Side::Both, Flow::Pass);
+            for option in &self.options {
+                proxy.unblock(option.address);
+            }
+        }
+    }
+
     /// Lets the platform list every daemon and target in this state.
     pub fn list(&self, state: &str) {
         let instances = self.options.iter().map(|option| InstanceEntry {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,5 +9,6 @@
 mod caller;
 mod daemon;
 mod deployment;
+mod once;
 mod path;
 mod programs;
--- /dev/null
+++ b/tests/all/once.rs
@@ -0,0 +1,153 @@
+//! At most one dispatch of a request over all instances, under lost answers, kills, freezes and
+//! cuts. The stand-ins count.
+
+use std::time::Duration;
+
+use reqwest::{Client, Method};
+use sesamewind_standins::answer;
+
+use crate::caller::{Ask, Got, call};
+use crate::deployment::{Deployment, Plan, wait_for};
+
+/// Records must be given up soon in these tests, so that an unreachable peer shows.
+const SETTINGS: &str = "";
+
+fn plan(zones: Vec<&'static str>) -> Plan {
+    Plan { zones, settings: SETTINGS.to_owned(), ..Plan::default() }
+}
+
+fn ask(key: &str, attempt: Option<u32>) -> Ask {
+    Ask { key: Some(key.to_owned()), attempt, output: 40, ..Ask::default() }
+}
+
+/// Sends a request and drops the connection once the stand-in has seen it.
+async fn send_and_hang_up(deployment: &Deployment, ask: &Ask, daemon: usize) {
+    let before = dispatches(deployment);
+    let request = ask.request(&Client::new(), deployment.daemons[daemon].callers);
+    let sending = tokio::spawn(request.send());
+    wait_for("the stand-in sees the request", async || dispatches(deployment) > before).await;
+    sending.abort();
+}
+
+fn dispatches(deployment: &Deployment) -> usize {
+    deployment.engines.iter().map(|engine| engine.dispatches().len()).sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_to_another_instance_gets_the_whole_answer_of_the_holder() {
+    struct Case {
+        name: &'static str,
+        attempt: Option<u32>,
+        to: usize,
+    }
+    let cases = [
+        Case { name: "counted, other instance", attempt: Some(1), to: 1 },
+        Case { name: "not counted, other instance", attempt: None, to: 2 },
+        Case { name: "counted, same instance", attempt: Some(1), to: 0 },
+    ];
+    let deployment = Deployment::start(plan(vec!["a", "a", "b"])).await;
+    for (index, case) in cases.iter().enumerate() {
+        let key = format!("k{index}");
+        let seen = dispatches(&deployment);
+        send_and_hang_up(&deployment, &ask(&key, Some(0)), 0).await;
+        let got = ask(&key, case.attempt).send(deployment.daemons[case.to].callers).await;
+        got.assert_whole(40);
+        assert_eq!(deployment.times_seen(&got.id), 1, "{}: {got:?}", case.name);
+        assert_eq!(dispatches(&deployment), seen + 1, "{}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resend_after_the_holder_was_killed_is_not_run_again() {
+    let mut deployment = Deployment::start(plan(vec!["a", "a", "a"])).await;
+    send_and_hang_up(&deployment, &ask("k", Some(0)), 0).await;
+    deployment.daemons[0].kill();
+    let got = ask("k", Some(1)).send(deployment.daemons[1].callers).await;
+    assert_eq!(got.code(), Some(1305), "{got:?}");
+    assert_eq!(got.run(), Some("unknown"), "{got:?}");
+    assert_eq!(dispatches(&deployment), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_holder_that_wakes_does_not_run_the_request_again() {
+    let deployment = Deployment::start(plan(vec!["a", "a", "a"])).await;
+    send_and_hang_up(&deployment, &ask("k", Some(0)), 0).await;
+    deployment.daemons[0].freeze();
+    let got = ask("k", Some(1)).send(deployment.daemons[1].callers).await;
+    assert_eq!(got.run(), Some("unknown"), "{got:?}");
+    deployment.daemons[0].thaw();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(dispatches(&deployment), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn first_attempt_that_arrives_after_its_resend_is_refused() {
+    let deployment = Deployment::start(plan(vec!["a", "a", "a"])).await;
+    let resent = ask("k", Some(1)).send(deployment.daemons[1].callers).await;
+    resent.assert_whole(40);
+    let late = ask("k", Some(0)).send(deployment.daemons[0].callers).await;
+    assert_ne!(late.run(), Some("not-run"), "{late:?}");
+    assert_eq!(dispatches(&deployment), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_off_zone_serves_first_attempts_and_clears_no_resend() {
+    let deployment = Deployment::start(plan(vec!["a", "a", "b"])).await;
+    send_and_hang_up(&deployment, &ask("k", Some(0)), 0).await;
+    deployment.cut_zone("b");
+    let first = ask("new", Some(0)).send(deployment.daemons[2].callers).await;
+    first.assert_whole(40);
+    let resent = ask("k", Some(1)).send(deployment.daemons[2].callers).await;
+    assert_eq!(resent.run(), Some("unknown"), "{resent:?}");
+    assert_eq!(dispatches(&deployment), 2);
+    deployment.heal();
+    wait_for("the holder is found again", async || {
+        let got = ask("k", Some(2)).send(deployment.daemons[2].callers).await;
+        got.whole || got.code() == Some(1306)
+    })
+    .await;
+    assert_eq!(dispatches(&deployment), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replaced_instance_refuses_what_was_voided_before_it_came() {
+    let mut deployment = Deployment::start(plan(vec!["a", "a", "a"])).await;
+    let resent = ask("k", Some(1)).send(deployment.daemons[1].callers).await;
+    resent.assert_whole(40);
+    deployment.daemons[0].kill();
+    deployment.start_daemon(0);
+    crate::deployment::wait_ready(deployment.daemons[0].inner).await;
+    let late = ask("k", Some(0)).send(deployment.daemons[0].callers).await;
+    assert_ne!(late.run(), Some("not-run"), "{late:?}");
+    assert_eq!(dispatches(&deployment), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deposit_whose_answer_is_lost_is_never_run_again() {
+    struct Case {
+        name: &'static str,
+        attempt: Option<u32>,
+        to: usize,
+    }
+    let cases = [
+        Case { name: "same instance", attempt: Some(1), to: 0 },
+        Case { name: "other instance", attempt: Some(1), to: 1 },
+        Case { name: "not counted", attempt: None, to: 1 },
+    ];
+    let deployment = Deployment::start(plan(vec!["a", "a"])).await;
+    let send = async |to: usize, key: &str, attempt: Option<u32>| -> Got {
+        let callers = deployment.daemons[to].callers;
+        call(callers, Method::POST, "/deposits", Some(key), attempt).await
+    };
+    for (index, case) in cases.iter().enumerate() {
+        let key = format!("d{index}");
+        deployment.services[0].lose_answers(1);
+        let lost = send(0, &key, Some(0)).await;
+        assert_eq!(lost.run(), Some("unknown"), "{}: {lost:?}", case.name);
+        let again = send(case.to, &key, case.attempt).await;
+        assert_ne!(again.run(), Some("not-run"), "{}: {again:?}", case.name);
+        assert_eq!(deployment.times_seen(&lost.id), 1, "{}", case.name);
+    }
+    let fine = send(1, "fine", Some(0)).await;
+    assert_eq!(fine.text, answer::service_body(&fine.id, "POST", "/deposits"));
+}
