Cancel in doubling rounds and share learned speeds

A floor now tells how many requests wait, each instance cancels its part of that and doubles it per round. The speed of prefill was thrown off by prompts cached unexpectedly or standing behind others'; it now moves a bounded step per first token, weighted by how sure the work is, and peers exchange it. Long prompts are told to peers at once.

--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -103,4 +103,7 @@
     },
     /// A tier floor or an acknowledgement changed; exchange with peers at once.
     FloorChanged,
+    /// A long prompt went to a target; exchange with peers at once, so that they don't send short
+    /// ones behind it.
+    LoadChanged,
 }
--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -24,6 +24,8 @@
 /// Load over the mean that a target with the prefix cached, or meant for it, may have.
 const AFFINITY_BOUND: f64 = 1.25;
 const AFFINITY_SLACK: f64 = 2.0;
+/// Delay that a saved second of prefill is worth, since it is saved for others too.
+const SAVED_FACTOR: f64 = 3.0;
 
 /// What a request needs of a target.
 #[derive(Debug)]
@@ -89,6 +91,8 @@
     /// Predicted seconds to the end.
     end: f64,
     requests: f64,
+    /// Seconds of prefill that the cache likely saves.
+    saved: f64,
     fits: bool,
 }
 
@@ -145,7 +149,7 @@
     let requests = target.load(need.now).requests;
     let first = (requests + 1.0) * target.speed.call();
     let pick = Pick { target: index, uncached: 0.0, work: 0.0, first, cached: false };
-    Candidate { pick, end: first, requests, fits: true }
+    Candidate { pick, end: first, requests, saved: 0.0, fits: true }
 }
 
 /// Predicts a model engine's times; tells also whether an idle one of its kind would be in time.
@@ -175,7 +179,8 @@
     let unknown = !speed.known(need.now);
     let pick = Pick { target: index, uncached, work, first, cached: cached > 0.0 };
     let fits = unknown || within(first, end);
-    let candidate = Candidate { pick, end, requests: load.requests, fits };
+    let saved = cached / prefill;
+    let candidate = Candidate { pick, end, requests: load.requests, saved, fits };
     (candidate, unknown || within(idle_first, idle_end))
 }
 
@@ -214,7 +219,8 @@
     let least = candidates.iter().map(|c| c.end).fold(f64::INFINITY, f64::min);
     if let Some(prefix) = need.prefix {
         let light = candidates.iter().filter(|c| c.requests <= bound);
-        let worth = |c: &&Candidate| c.pick.cached && c.end <= least * 2.0 + NEAR_SPAN;
+        let worth =
+            |c: &&Candidate| c.saved > 0.0 && c.end <= least + SAVED_FACTOR * c.saved + NEAR_SPAN;
         let holders = light.clone().filter(worth);
         if let Some(holder) = holders.min_by(|a, b| a.end.total_cmp(&b.end)) {
             return holder.pick;
--- a/crates/policy/src/floor.rs
+++ b/crates/policy/src/floor.rs
@@ -17,15 +17,23 @@
     seq: u64,
     until: Time,
     pressing_until: Time,
+    waiting: u32,
     acks: HashMap<InstanceId, Time>,
 }
 
+impl Own {
+    /// Requests that wait for room now.
+    fn waiting_at(&self, now: Time) -> u32 {
+        if now < self.pressing_until { self.waiting } else { 0 }
+    }
+}
+
 #[derive(Debug)]
 struct Other {
     rank: u8,
     seq: u64,
     until: Time,
-    pressing: bool,
+    waiting: u32,
     acked: bool,
 }
 
@@ -60,13 +68,15 @@
     }
 
     /// Raises or renews the floor; returns whether peers should hear of it at once.
-    pub(crate) fn press(&mut self, service: &ServiceId, rank: u8, now: Time) -> bool {
+    /// `waiting` requests wait for room.
+    pub(crate) fn press(&mut self, service: &ServiceId, rank: u8, waiting: u32, now: Time) -> bool {
         let floors = entry(&mut self.services, service);
         let pressing_until = now + self.hold / 4;
         if let Some(own) = floors.own.as_mut().filter(|own| now < own.until && own.rank <= rank) {
             let was_pressing = now < own.pressing_until;
             own.until = now + self.hold;
             own.pressing_until = pressing_until;
+            own.waiting = waiting;
             return !was_pressing;
         }
         self.seq += 1;
@@ -75,6 +85,7 @@
             seq: self.seq,
             until: now + self.hold,
             pressing_until,
+            waiting,
             acks: HashMap::new(),
         });
         true
@@ -96,21 +107,27 @@
         self.in_force(service, now).map(|(rank, _)| rank).min()
     }
 
-    /// Rank of the lowest tier that may go on running.
-    pub(crate) fn pressing_rank(&self, service: &ServiceId, now: Time) -> Option<u8> {
-        let pressing = self.in_force(service, now).filter(|(_, pressing)| *pressing);
-        pressing.map(|(rank, _)| rank).min()
+    /// Rank of the lowest tier that may go on running, and how many requests wait for room.
+    pub(crate) fn pressing(&self, service: &ServiceId, now: Time) -> Option<(u8, u32)> {
+        let pressing = self.in_force(service, now).filter(|(_, waiting)| *waiting > 0);
+        pressing.reduce(|a, b| (a.0.min(b.0), a.1.saturating_add(b.1)))
+    }
+
+    /// Instances that share in making room, this one included.
+    pub(crate) fn instances(&self) -> u32 {
+        u32::try_from(self.reachable.len()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
-    fn in_force(&self, service: &ServiceId, now: Time) -> impl Iterator<Item = (u8, bool)> {
+    /// Ranks of the floors in force and the requests that wait for each.
+    fn in_force(&self, service: &ServiceId, now: Time) -> impl Iterator<Item = (u8, u32)> {
         let floors = self.services.get(service);
         let own = floors
             .and_then(|floors| floors.own.as_ref())
             .filter(move |own| now < own.until)
-            .map(move |own| (own.rank, now < own.pressing_until));
+            .map(move |own| (own.rank, own.waiting_at(now)));
         let others = floors.into_iter().flat_map(move |floors| {
             let live = floors.others.values().filter(move |other| now < other.until);
-            live.map(|other| (other.rank, other.pressing))
+            live.map(|other| (other.rank, other.waiting))
         });
         own.into_iter().chain(others)
     }
@@ -141,7 +158,7 @@
     ) {
         for floors in self.services.values_mut() {
             if let Some(other) = floors.others.get_mut(from) {
-                other.pressing = false;
+                other.waiting = 0;
             }
         }
         for raise in raises.iter().filter(|raise| raise.origin == *from) {
@@ -149,8 +166,8 @@
             let floors = entry(&mut self.services, &raise.service);
             let old = floors.others.get(from);
             let acked = old.is_some_and(|old| old.seq == raise.seq && old.acked);
-            let (rank, seq, pressing) = (raise.rank, raise.seq, raise.pressing);
-            let other = Other { rank, seq, until, pressing, acked };
+            let (rank, seq, waiting) = (raise.rank, raise.seq, raise.waiting);
+            let other = Other { rank, seq, until, waiting, acked };
             floors.others.insert(from.clone(), other);
         }
         for ack in acks.iter().filter(|ack| ack.origin == self.me) {
@@ -194,7 +211,7 @@
                 origin: self.me.clone(),
                 seq: own.seq,
                 until: wall + own.until.since(now),
-                pressing: now < own.pressing_until,
+                waiting: own.waiting_at(now),
             });
         }
         digest
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -120,6 +120,11 @@
         waiting.map(|(rank, tier)| (*rank, tier.len)).collect()
     }
 
+    /// Requests of tier `rank` or a more urgent one that wait.
+    pub(crate) fn waiting_to(&self, rank: u8) -> usize {
+        self.tiers.range(..=rank).map(|(_, tier)| tier.len).sum()
+    }
+
     /// Ranks that have waiting requests, the most urgent first, from `from` on.
     pub(crate) fn next_rank(&self, from: u8) -> Option<u8> {
         self.tiers.range(from..).find(|(_, tier)| tier.len > 0).map(|(rank, _)| *rank)
--- a/crates/policy/src/scheduler/flight.rs
+++ b/crates/policy/src/scheduler/flight.rs
@@ -1,5 +1,7 @@
 //! Requests in flight: write check, progress, end.
 
+use std::time::Duration;
+
 use sesamewind_protocol::{Code, TargetId, Time};
 
 use crate::action::Action;
@@ -13,8 +15,8 @@
 
 /// Dispatches of one request that may fail to connect before it is refused.
 const MAX_TRIES: u32 = 4;
-/// Prompts below this say little of the speed of prefill, in tokens.
-const MIN_OBSERVED: f64 = 1.0;
+/// Time to a first token over a resumed connection from which it was not ready before.
+const RESUMED_GAP: Duration = Duration::from_millis(100);
 
 impl Scheduler {
     /// Decides right before the write. An attempt that was given up, or whose time is over, must
@@ -83,8 +85,10 @@
         flight.patience = 1;
         if first {
             target.prefilled(flight.uncached, cx.now);
-            if flight.work >= MIN_OBSERVED && flight.resumes == 0 {
-                target.speed.saw_prefill(flight.work, cx.now.since(flight.sent), cx.now);
+            // What comes at once over a resumed connection was ready before.
+            if flight.resumes == 0 || gap >= RESUMED_GAP {
+                let took = cx.now.since(flight.sent);
+                target.speed.saw_prefill(flight.work, flight.certainty, took, cx.now);
             }
             if let Some(Prefix { hash, tokens }) = prefix {
                 target.hint(hash, tokens, cx.now);
@@ -239,7 +243,7 @@
         for (ticket, request) in &self.requests {
             if let Stage::Streaming(_, flight) = &request.stage
                 && flight.target == target
-                && (flight.silent || flight.last <= quiet_since)
+                && (flight.silent || flight.produced > 0 && flight.last <= quiet_since)
                 && self.services[request.service].kind == Kind::Model
             {
                 tickets.push(*ticket);
--- a/crates/policy/src/scheduler/peers.rs
+++ b/crates/policy/src/scheduler/peers.rs
@@ -54,6 +54,7 @@
             requests: target.own.requests as u32,
             prefill: target.own.prefill as u64,
             tokens: target.own.tokens as u64,
+            prefill_speed: target.speed.prefill_news(),
         })
         .collect()
     }
--- a/crates/policy/src/scheduler/pump.rs
+++ b/crates/policy/src/scheduler/pump.rs
@@ -7,7 +7,7 @@
 use crate::action::Action;
 use crate::choose::{Bounds, Choice, Need, Pick, choose};
 use crate::config::Kind;
-use crate::event::Ticket;
+use crate::event::{Arrival, Ticket};
 use crate::queue::Class;
 
 use super::request::{Flight, Stage};
@@ -15,6 +15,8 @@
 
 /// Part of the most urgent tier's time to first token that prompts may wait inside a target.
 const WINDOW_SHARE: f64 = 0.5;
+/// Part of its time in the queue after which a request asks for lower work to be cancelled.
+const PRESS_SHARE: u32 = 3;
 const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
 
 /// How far a class of a tier got.
@@ -62,6 +64,7 @@
                 continue;
             };
             let waited = cx.now.since(request.queued);
+            let patience = request.expires().since(request.queued) / PRESS_SHARE;
             if cx.now >= request.expires() {
                 self.drop_head(ticket, Code::DeadlinePassed, cx);
                 continue;
@@ -69,13 +72,12 @@
             match self.choose_for(ticket, cx) {
                 Choice::Target(pick) => self.dispatch(ticket, &pick, cx),
                 Choice::Wait => {
-                    self.press(service, rank, waited, cx);
+                    if waited >= patience.max(self.limits.floor_delay) {
+                        self.press(service, rank, cx);
+                    }
                     return Progress::Blocked;
                 }
-                Choice::WaitLong => {
-                    self.press(service, rank, waited, cx);
-                    return Progress::BlockedLong;
-                }
+                Choice::WaitLong => return Progress::BlockedLong,
                 Choice::Miss if self.may_shed(service, rank, cx) => {
                     self.drop_head(ticket, Code::DeadlineUnreachable, cx);
                 }
@@ -145,6 +147,7 @@
             uncached: pick.uncached,
             output,
             work: pick.work,
+            certainty: certainty(arrival, pick),
             predicted: Duration::from_secs_f64(pick.first.clamp(0.0, 3_600.0)),
             produced: 0,
             last: cx.now,
@@ -159,8 +162,12 @@
         let action = Action::Dispatch { ticket, target: target.id.clone(), version };
         request.stage = Stage::Dispatching(queued.dispatch(), Box::new(flight));
         request.tries += 1;
+        let long = request.class == Class::Long;
         self.requests.insert(ticket, request);
         self.out.push(action);
+        if long {
+            self.out.push(Action::LoadChanged);
+        }
     }
 
     fn drop_head(&mut self, ticket: Ticket, code: Code, cx: Context<'_>) {
@@ -207,16 +214,17 @@
     }
 
     /// Raises the tier floor for a request that has waited too long for room.
-    fn press(&mut self, service: usize, rank: u8, waited: Duration, cx: Context<'_>) {
+    fn press(&mut self, service: usize, rank: u8, cx: Context<'_>) {
         let lowest = self.is_lowest(rank) || self.services[service].kind == Kind::Plain;
-        if !lowest && waited >= self.limits.floor_delay {
+        if !lowest {
             self.raise_floor(service, rank, cx);
         }
     }
 
     fn raise_floor(&mut self, service: usize, rank: u8, cx: Context<'_>) {
-        let id = &self.services[service].id;
-        if self.floors.press(id, rank, cx.now) {
+        let state = &self.services[service];
+        let waiting = u32::try_from(state.queue.waiting_to(rank)).unwrap_or(u32::MAX);
+        if self.floors.press(&state.id, rank, waiting.max(1), cx.now) {
             self.counters.floors_raised += 1;
             self.out.push(Action::FloorChanged);
         }
@@ -231,3 +239,11 @@
         }
     }
 }
+
+/// How sure it is what has to be prefilled before the first token: a prompt's own fresh part is,
+/// what stands before it and what may be cached is not.
+fn certainty(arrival: &Arrival, pick: &Pick) -> f64 {
+    let shared = arrival.prefix.map_or(0, |prefix| prefix.tokens);
+    let fresh = f64::from(arrival.prompt_tokens.saturating_sub(shared));
+    (fresh / pick.work.max(1.0)).min(1.0)
+}
--- a/crates/policy/src/scheduler/request.rs
+++ b/crates/policy/src/scheduler/request.rs
@@ -65,6 +65,8 @@
     pub(super) output: f64,
     /// Tokens that had to be prefilled before and with this prompt.
     pub(super) work: f64,
+    /// How sure `work` is, from 0 to 1.
+    pub(super) certainty: f64,
     /// Predicted time to the first token.
     pub(super) predicted: Duration,
     pub(super) produced: u32,
--- a/crates/policy/src/scheduler/service.rs
+++ b/crates/policy/src/scheduler/service.rs
@@ -37,6 +37,8 @@
     /// Output tokens of the most urgent tier's answers.
     pub(super) urgent_output: Option<f64>,
     pub(super) last_cancel: Time,
+    /// Rounds of cancelling since the tier floor began to press.
+    pub(super) cancel_rounds: u32,
     /// Prompt tokens asked for lately, by class.
     demand: [f64; 2],
     demand_at: Time,
@@ -57,6 +59,7 @@
             output_ratio: 1.0,
             urgent_output: None,
             last_cancel: Time::ZERO,
+            cancel_rounds: 0,
             demand: [0.0; 2],
             demand_at: Time::ZERO,
         }
--- a/crates/policy/src/scheduler/timer.rs
+++ b/crates/policy/src/scheduler/timer.rs
@@ -14,8 +14,10 @@
 
 /// Time between two rounds of the less pressing work.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Most times that the number of requests cancelled in a round is doubled.
+const MAX_DOUBLINGS: u32 = 10;
 /// Multiple of the predicted time to first token from which a target counts as slower.
-const OVERDUE_FACTOR: u32 = 2;
+const OVERDUE_FACTOR: u32 = 4;
 
 impl Scheduler {
     pub(super) fn run_timers(&mut self, cx: Context<'_>) {
@@ -106,15 +108,24 @@
         }
     }
 
-    /// Under a pressing tier floor, cancels half of what runs below it, least work lost first.
+    /// Under a pressing tier floor, cancels work below it, least work lost first. Each round
+    /// cancels this instance's part of what waits, and twice as much as the round before, so that
+    /// little is lost if little is needed and all is gone soon if much is.
     fn make_room(&mut self, service: usize, cx: Context<'_>) {
-        let state = &self.services[service];
-        let Some(floor) = self.floors.pressing_rank(&state.id, cx.now) else { return };
+        let state = &mut self.services[service];
+        let Some((floor, waiting)) = self.floors.pressing(&state.id, cx.now) else {
+            state.cancel_rounds = 0;
+            return;
+        };
         let step = cx.now.since(state.last_cancel) >= self.limits.floor_step;
         let runs_lower = state.lowest_running().is_some_and(|lowest| lowest > floor);
         if state.kind == Kind::Plain || !step || !runs_lower {
             return;
         }
+        state.last_cancel = cx.now;
+        let part = waiting.div_ceil(self.floors.instances()).max(1);
+        let number = (part as usize) << state.cancel_rounds.min(MAX_DOUBLINGS);
+        state.cancel_rounds += 1;
         let mut lower: Vec<(u64, Ticket)> = Vec::new();
         for (ticket, request) in &self.requests {
             if request.service != service || request.arrival.rank <= floor {
@@ -125,10 +136,9 @@
             lower.push((flight.done(prefill, cx.now) as u64, *ticket));
         }
         lower.sort_unstable();
-        for (_, ticket) in &lower[..lower.len().div_ceil(2)] {
+        for (_, ticket) in lower.iter().take(number) {
             self.preempt(*ticket, cx);
         }
-        self.services[service].last_cancel = cx.now;
         self.settle_floors(cx);
     }
 
@@ -145,7 +155,7 @@
             }
             flight.overdue *= OVERDUE_FACTOR;
             let speed = &mut self.targets[flight.target].speed;
-            speed.saw_prefill(flight.work, waited, cx.now);
+            speed.saw_prefill(flight.work, flight.certainty, waited, cx.now);
         }
     }
 
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -1,8 +1,10 @@
 //! What a target can do, learned from what it does.
 //!
-//! Time to the first token is fitted as a line over the tokens that had to be prefilled, and time
-//! per output token as a line over the number of streams, since engines that batch slow down with
-//! each. Both follow the target when it speeds up or slows down; no setting describes an engine.
+//! The speed of prefill moves a bounded step with each first token, up or down by whether it came
+//! sooner or later than predicted, and so settles at the median: a prompt that was cached
+//! unexpectedly, or that stood behind work of others, can't throw it off. Time per output token is
+//! a line over the number of streams, since engines that batch slow down with each. Both follow
+//! the target when it speeds up or slows down; no setting describes an engine.
 
 use std::time::Duration;
 
@@ -10,11 +12,19 @@
 
 const DEFAULT_PREFILL: f64 = 5_000.0;
 const DEFAULT_STEP: f64 = 0.03;
-const PREFILL_DECAY: f64 = 0.94;
+/// Share of the deviation, in logarithms, by which one observation moves the speed of prefill.
+const PREFILL_GAIN: f64 = 0.25;
+/// The same for a peer's view of the speed.
+const PEER_GAIN: f64 = 0.05;
+/// Greatest deviation that counts, in logarithms.
+const PREFILL_CLIP: f64 = 0.5;
+/// Prefill that is shorter tells of the overhead rather than of the speed, in seconds.
+const SHORT_PREFILL: f64 = 0.02;
+const DEFAULT_OVERHEAD: f64 = 0.005;
 const STEP_DECAY: f64 = 0.995;
 /// Spread of the observed points, over the square of their mean, that determines a slope.
 const MIN_SPREAD: f64 = 0.05;
-const MAX_OVERHEAD: f64 = 0.5;
+const OVERHEAD_RANGE: (f64, f64) = (0.001, 0.5);
 const PLAIN_GAIN: f64 = 0.1;
 /// How long an observation of prefill counts as current.
 const CURRENT: Duration = Duration::from_secs(10);
@@ -22,7 +32,10 @@
 /// Learned speeds of one target.
 #[derive(Debug, Clone)]
 pub(crate) struct Speed {
-    fit: Fit,
+    /// Prompt tokens a second, once seen.
+    prefill: Option<f64>,
+    /// Seconds to the first token apart from prefill.
+    overhead: f64,
     seen: Option<Time>,
     /// Seconds per output token over streams beyond the first.
     steps: Fit,
@@ -93,7 +106,8 @@
 impl Speed {
     pub(crate) fn new(prior: Prior) -> Self {
         Self {
-            fit: Fit::new(PREFILL_DECAY),
+            prefill: None,
+            overhead: DEFAULT_OVERHEAD,
             seen: None,
             steps: Fit::new(STEP_DECAY),
             crowd: 0.0,
@@ -112,10 +126,46 @@
         self.seen.is_some_and(|seen| now.since(seen) < CURRENT)
     }
 
-    /// Notes that `tokens` were prefilled in `elapsed`.
-    pub(crate) fn saw_prefill(&mut self, tokens: f64, elapsed: Duration, now: Time) {
+    /// Notes that `tokens` were prefilled in `elapsed`. `certainty`, from 0 to 1, tells how sure it
+    /// is that just these tokens were.
+    pub(crate) fn saw_prefill(
+        &mut self,
+        tokens: f64,
+        certainty: f64,
+        elapsed: Duration,
+        now: Time,
+    ) {
         self.seen = Some(now);
-        self.fit.add(tokens.max(1.0), elapsed.as_secs_f64());
+        let seen = elapsed.as_secs_f64().max(1e-4);
+        let Some(speed) = self.prefill else {
+            let own = (seen - self.overhead).max(seen / 2.0);
+            // A short prompt at first says too little to start from.
+            let start = if own >= SHORT_PREFILL { tokens / own } else { self.prior.prefill };
+            self.prefill = Some(start);
+            return;
+        };
+        let own = tokens / speed;
+        let deviation = ((self.overhead + own) / seen).ln().clamp(-PREFILL_CLIP, PREFILL_CLIP);
+        if own >= SHORT_PREFILL.max(self.overhead) {
+            self.prefill = Some(speed * (PREFILL_GAIN * certainty * deviation).exp());
+        } else {
+            let moved = self.overhead * (-PREFILL_GAIN * certainty * deviation).exp();
+            self.overhead = moved.clamp(OVERHEAD_RANGE.0, OVERHEAD_RANGE.1);
+        }
+    }
+
+    /// Takes a peer's view of the speed of prefill into account.
+    pub(crate) fn heard_prefill(&mut self, peer: f64) {
+        if peer <= 0.0 {
+            return;
+        }
+        let own = self.prefill.unwrap_or(peer);
+        self.prefill = Some(own * (PEER_GAIN * (peer / own).ln()).exp());
+    }
+
+    /// Speed of prefill for peers, once learned here.
+    pub(crate) fn prefill_news(&self) -> f32 {
+        self.prefill.filter(|_| self.seen.is_some()).unwrap_or(0.0) as f32
     }
 
     /// Notes the time per output token while `streams` streams ran.
@@ -140,17 +190,12 @@
 
     /// Seconds from dispatch to the first token apart from prefill.
     pub(crate) fn overhead(&self) -> f64 {
-        self.fit.line().map_or(0.0, |line| line.0.min(MAX_OVERHEAD))
+        self.overhead
     }
 
     /// Prompt tokens a second.
     pub(crate) fn prefill(&self) -> f64 {
-        let slope = match (self.fit.line(), self.fit.mean()) {
-            (Some((_, slope)), _) => slope,
-            (None, Some((tokens, seconds))) => seconds / tokens.max(1.0),
-            (None, None) => return self.prior.prefill,
-        };
-        1.0 / slope.max(1e-7)
+        self.prefill.unwrap_or(self.prior.prefill)
     }
 
     /// Seconds per output token of one stream beside others, `streams` in all.
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -203,6 +203,7 @@
                     tokens: usage.tokens as f64,
                 };
                 self.peers.insert(from.clone(), (now, load));
+                self.speed.heard_prefill(f64::from(usage.prefill_speed));
             }
             None if self.peers.remove(from).is_none() => return,
             None => {}
--- a/crates/protocol/src/traffic.rs
+++ b/crates/protocol/src/traffic.rs
@@ -15,6 +15,8 @@
     pub prefill: u64,
     /// Prompt and output tokens in flight that are not done yet.
     pub tokens: u64,
+    /// Speed of prefill that the sender learned, in tokens a second; zero if none.
+    pub prefill_speed: f32,
 }
 
 /// What a client account asks of one instance, refused requests counted too.
@@ -41,8 +43,9 @@
     pub seq: u64,
     /// When the floor ends unless renewed, by the origin's wall clock.
     pub until: Wall,
-    /// Whether urgent requests wait at the origin now, so that running lower work must end.
-    pub pressing: bool,
+    /// Urgent requests that wait at the origin now, for which running lower work has to end; zero
+    /// if only the start of lower work is to be put off.
+    pub waiting: u32,
 }
 
 /// Says that nothing below a floor runs at the sender any more.
