Write the documents for users, callers, operators and contributors

Cause: a newcomer needs to know what the program is, how its parts fit, how to run it and what its answers mean. Change: README with the two commands and the path, docs/CALLERS, ARCHITECTURE, OPERATING, GLOSSARY and CONTRIBUTING. Tests hold the exit codes and metric names in OPERATING.md to the programs.

--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -10,7 +10,7 @@
     2  usage: an argument, file or variable is missing or wrong
     3  unreachable: no instance or no store could be reached; nothing was accepted
     4  accepted, but not in force on every known instance in time
-    5  unknown: the answer to a submission was lost; ask again with its --submission
+    5  unknown: the answer to a submission was lost; ask again with its `--submission`
     6  the answer was not understood
 
 ENVIRONMENT:
--- a/crates/cli/tests/cli/commands.rs
+++ b/crates/cli/tests/cli/commands.rs
@@ -182,6 +182,16 @@
     for part in ["sheet", "rollouts", "targets", "instances", "refusals", "EXIT CODES", "--json"] {
         assert!(ran.out.contains(part), "no {part} in {}", ran.out);
     }
+
+    // The operators' page lists the same exit codes.
+    let page = include_str!("../../../../docs/OPERATING.md");
+    let codes = ran.out.lines().filter_map(|line| line.strip_prefix("    ")?.split_once("  "));
+    let codes: Vec<_> = codes.filter(|(code, _)| code.parse::<u8>().is_ok()).collect();
+    assert_eq!(codes.len(), 7);
+    for (code, meaning) in codes {
+        let row = format!("| {code} | {meaning} |");
+        assert!(page.contains(&row), "no {row}");
+    }
 }
 
 #[tokio::test]
--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -120,3 +120,26 @@
     assert_eq!(body.refusals, [refusal]);
     assert_eq!(body.retries, [RetryRow { reason: "stream-silent".to_owned(), count: 1 }]);
 }
+
+#[test]
+fn the_operators_page_names_only_metrics_that_exist() {
+    let page = include_str!("../../../docs/OPERATING.md");
+    let metrics = Metrics::new();
+    let (service, version) = (ServiceId::new("chat"), VersionId::new("v2"));
+    metrics.dispatched(&service, &version);
+    metrics.rollout_changed(&service, "completed");
+    metrics.control(Flow::Sent, 1);
+    for observe in [Metrics::first_token, Metrics::between_tokens, Metrics::queue_wait] {
+        observe(&metrics, "urgent", Duration::ZERO);
+    }
+    let text = metrics.encode();
+    let names: Vec<&str> = page
+        .split('`')
+        .filter(|code| code.starts_with("sesamewind_") && !code.contains(' '))
+        .map(|code| code.split('{').next().unwrap_or(code))
+        .collect();
+    assert!(names.len() >= 13, "{names:?}");
+    for name in names {
+        assert!(text.contains(&format!("\n{name}")), "no {name} in\n{text}");
+    }
+}
