Prove stops, configuration, silence, callers' faults and rollouts in processes

(1) With the store down right after an acceptance no instance put the sheet into force: the accepting instance only noted the pointer and went to the store for content that it had itself submitted. Ruled out: the fetch between peers, which works once one has it. (2) The rollout test took a share of zero for a verdict; an instance that has not heard of the first step shows the same, so the test could go on too early and then counted rightful requests. Ruled out: requests after the verdict, as the log shows none. Change: an accepted sheet is installed from the submission itself; the test waits for the verdict in words, which is the stricter condition. Daemons' logs go to files. Conclusion: peers alone carry an accepted sheet.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -164,7 +164,7 @@
             }
             // Answers to peers are picked out by the handlers of the peers' questions; the node has
             // hastened its next exchange already.
-            Do::Reply { .. } | Do::FloorChanged => {}
+            Do::Reply { .. } | Do::FloorChanged | Do::LoadChanged => {}
         }
     }
 
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -17,8 +17,8 @@
 use warp::Reply;
 use warp::reply::Response;
 
-use crate::context::Context;
-use crate::message::Pointer;
+use crate::context::{Context, Installed};
+use crate::message::Fetched;
 use crate::problem::Problem;
 use crate::views::{Instances, Refusals, Rollouts, Status, Targets};
 
@@ -68,13 +68,14 @@
 
 async fn submit(context: &Arc<Context>, query: &str, body: Bytes) -> Result<Response, Problem> {
     let request = read_request(query, &body)?;
-    if let Err(faults) = sesamewind_sheet::read(&body) {
-        let faults = faults.into_iter().map(fault).collect();
-        return Ok(json(
-            StatusCode::UNPROCESSABLE_ENTITY,
-            &Faulty { code: Code::SheetFaulty, faults },
-        ));
-    }
+    let sheet = match sesamewind_sheet::read(&body) {
+        Ok(sheet) => sheet,
+        Err(faults) => {
+            let faults = faults.into_iter().map(fault).collect();
+            let faulty = Faulty { code: Code::SheetFaulty, faults };
+            return Ok(json(StatusCode::UNPROCESSABLE_ENTITY, &faulty));
+        }
+    };
     let submission = request.submission.clone();
     let hash = request.hash.clone();
     // The submission goes on when the operator's connection breaks, so that asking again with the
@@ -83,7 +84,8 @@
     let outcome = running.await.unwrap_or(Outcome::Unknown);
     match outcome {
         Outcome::Accepted(revision) => {
-            context.tell(Pointer(ConfigRow { revision: revision.0, hash, ..ConfigRow::default() }));
+            // Peers learn of it from here even if the store goes down at this moment.
+            context.tell(Fetched(Installed { revision, hash, content: body, sheet }));
             Ok(json(StatusCode::OK, &Accepted { revision: revision.0, submission }))
         }
         Outcome::Conflict { current } => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -247,7 +247,7 @@
     ) {
         for action in wanted {
             self.requests.after(&action, &mut self.rollouts, now, wall);
-            if matches!(action, policy::Action::FloorChanged) {
+            if matches!(action, policy::Action::FloorChanged | policy::Action::LoadChanged) {
                 self.members.hasten();
             }
             actions.push(Action::Traffic(action));
--- a/tests/all/daemon.rs
+++ b/tests/all/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon process under test.
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -96,6 +97,7 @@
             .env("TEST_OPERATOR", OPERATOR_TOKEN)
             .env("TEST_PEER", PEER_TOKEN)
             .stdout(Stdio::piped())
+            .stderr(File::create(path.with_extension("log")).expect("log file is made"))
             .spawn()
             .expect("daemon starts");
         let stdout = child.stdout.take().expect("stdout is piped");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,8 +7,13 @@
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
 mod caller;
+mod callers;
+mod config;
 mod daemon;
 mod deployment;
 mod once;
 mod path;
 mod programs;
+mod rollouts;
+mod silent;
+mod stops;
--- /dev/null
+++ b/tests/all/rollouts.rs
@@ -0,0 +1,129 @@
+//! Rollouts through real daemons: from the sheet to the outcome, and the brake without the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+use sesamewind_standins::{Bad, EngineOptions, wall_now};
+
+use crate::caller::Ask;
+use crate::daemon::OPERATOR_TOKEN;
+use crate::deployment::{Deployment, Plan, accept, wait_for};
+
+/// Time from now to the deadline of the rollouts here.
+const DEADLINE: Duration = Duration::from_secs(45);
+
+async fn rollout(inner: SocketAddr) -> Value {
+    let url = format!("http://{inner}/operator/rollouts");
+    let request = reqwest::Client::new().get(url).bearer_auth(OPERATOR_TOKEN);
+    let Ok(response) = request.send().await else { return Value::Null };
+    let body: Value = response.json().await.unwrap_or_default();
+    body["rollouts"][0].clone()
+}
+
+/// Whether the rollout is taken back in the view of the instance, recorded or not. A share of zero
+/// alone may also mean that the first step has not been heard of yet.
+fn is_judged(rollout: &Value) -> bool {
+    let waits = rollout["waits_for"].as_str().unwrap_or_default();
+    rollout["outcome"] == "rolled-back" || waits.starts_with("taken back")
+}
+
+/// Accepts a sheet with a rollout of the assistant from `v1` to `v2`.
+fn begin(deployment: &Deployment, deadline: Duration, share: &str) {
+    let deadline = wall_now().0 + u64::try_from(deadline.as_millis()).expect("fits");
+    let row = format!("rollout,move,assistant,,,,,,,,,,,,,v1,v2,{deadline},{share},\n");
+    accept(&deployment.platform, &(deployment.sheet.clone() + &row), 2);
+}
+
+async fn plan_of_three() -> Deployment {
+    let engine = |name: &str| EngineOptions { name: name.to_owned(), ..EngineOptions::default() };
+    Deployment::start(Plan {
+        zones: vec!["a", "a", "b"],
+        engines: vec![engine("e1"), engine("e2"), engine("e3")],
+        ..Plan::default()
+    })
+    .await
+}
+
+fn dispatched(deployment: &Deployment, version: &str) -> usize {
+    let all = deployment.engines.iter().flat_map(sesamewind_standins::Engine::dispatches);
+    all.filter(|dispatch| dispatch.version == version).count()
+}
+
+/// Sends requests to every daemon in turn until `done`.
+async fn drive(deployment: &Deployment, mut done: impl AsyncFnMut() -> bool) {
+    let mut turn = 0;
+    while !done().await {
+        let daemon = &deployment.daemons[turn % deployment.daemons.len()];
+        let mut batch = Vec::new();
+        for _ in 0..8 {
+            let callers = daemon.callers;
+            batch.push(tokio::spawn(async move { Ask::default().send(callers).await }));
+        }
+        for one in batch {
+            let _ = one.await;
+        }
+        turn += 1;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn good_version_is_loaded_staged_and_completed_before_its_deadline() {
+    let deployment = plan_of_three().await;
+    begin(&deployment, DEADLINE, "0.2");
+    let inner = deployment.daemons[2].inner;
+    drive(&deployment, async || rollout(inner).await["outcome"].is_string()).await;
+    for daemon in &deployment.daemons {
+        let at = daemon.inner;
+        wait_for("every instance tells the outcome", async || {
+            rollout(at).await["outcome"] == "completed"
+        })
+        .await;
+    }
+    assert!(dispatched(&deployment, "v2") > 0);
+    for engine in &deployment.engines {
+        assert_eq!(engine.log().harmful_orders(), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_version_is_taken_back_unasked_also_while_the_store_is_down() {
+    struct Case {
+        name: &'static str,
+        store_down: bool,
+    }
+    let cases = [
+        Case { name: "store up", store_down: false },
+        Case { name: "store down from the first request on", store_down: true },
+    ];
+    for case in cases {
+        let deployment = plan_of_three().await;
+        let bad = Bad { fail_share: 1.0, ..Bad::default() };
+        for engine in &deployment.engines {
+            engine.misbehave("v2", Some(bad.clone()));
+        }
+        begin(&deployment, DEADLINE, "0.2");
+        drive(&deployment, async || dispatched(&deployment, "v2") > 0).await;
+        deployment.platform.down(case.store_down);
+        let inner = deployment.daemons[1].inner;
+        drive(&deployment, async || is_judged(&rollout(inner).await)).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let exposed = dispatched(&deployment, "v2");
+        let mut rounds = 0;
+        drive(&deployment, async || {
+            rounds += 1;
+            rounds > 12
+        })
+        .await;
+        assert_eq!(dispatched(&deployment, "v2"), exposed, "{}", case.name);
+        deployment.platform.down(false);
+        for daemon in &deployment.daemons {
+            let at = daemon.inner;
+            wait_for("the outcome is recorded and told", async || {
+                rollout(at).await["outcome"] == "rolled-back"
+            })
+            .await;
+        }
+        println!("{}: {exposed} requests reached the bad version", case.name);
+    }
+}
--- /dev/null
+++ b/tests/all/stops.rs
@@ -0,0 +1,106 @@
+//! Planned stops under load: nothing is cut, nothing is lost.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use sesamewind_standins::EngineOptions;
+
+use crate::caller::{Ask, Got};
+use crate::deployment::{Deployment, Plan, wait_for, wait_ready};
+
+/// Pause between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// A slow engine, so that requests are in flight whenever a stop begins.
+fn engine(name: &str) -> EngineOptions {
+    EngineOptions { name: name.to_owned(), decode_tokens_per_s: 100.0, ..EngineOptions::default() }
+}
+
+/// Sends requests to ready daemons, as a balancer does, until told to stop.
+async fn load(daemons: Vec<(SocketAddr, SocketAddr)>, stop: Arc<AtomicBool>) -> Vec<Got> {
+    let client = reqwest::Client::new();
+    let mut running = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        for (callers, inner) in &daemons {
+            let ready = client.get(format!("http://{inner}/readyz")).send().await;
+            if ready.is_ok_and(|ready| ready.status().is_success()) {
+                let callers = *callers;
+                let ask = Ask { output: 60, ..Ask::default() };
+                running.push(tokio::spawn(async move { ask.send(callers).await }));
+            }
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let mut got = Vec::new();
+    for one in running {
+        got.push(one.await.expect("caller ends"));
+    }
+    got
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rolling_replacement_under_load_cuts_and_loses_nothing() {
+    let settings = "[stop]\nbalancer_lag = \"300ms\"\ndrain_limit = \"40s\"\n";
+    let mut deployment = Deployment::start(Plan {
+        zones: vec!["a", "a", "a"],
+        engines: vec![engine("e1"), engine("e2")],
+        settings: settings.to_owned(),
+        ..Plan::default()
+    })
+    .await;
+    let daemons = deployment.daemons.iter().map(|daemon| (daemon.callers, daemon.inner)).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let loading = tokio::spawn(load(daemons, Arc::clone(&stop)));
+    for index in 0..deployment.daemons.len() {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        deployment.daemons[index].terminate();
+        let status = deployment.daemons[index].ended().await;
+        assert_eq!(status.code(), Some(0), "i{} ends cleanly", index + 1);
+        deployment.start_daemon(index);
+        wait_ready(deployment.daemons[index].inner).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let got = loading.await.expect("load ends");
+    assert!(!got.is_empty());
+    for one in &got {
+        assert_eq!(one.status, 200, "{one:?}");
+        one.assert_whole(60);
+        assert_eq!(deployment.times_seen(&one.id), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_that_runs_out_of_time_or_is_hurried_says_so() {
+    struct Case {
+        name: &'static str,
+        drain: &'static str,
+        second_signal: bool,
+        code: i32,
+    }
+    let cases = [
+        Case { name: "limit", drain: "200ms", second_signal: false, code: 3 },
+        Case { name: "second signal", drain: "60s", second_signal: true, code: 4 },
+    ];
+    for case in cases {
+        let drain = case.drain;
+        let settings = format!("[stop]\nbalancer_lag = \"50ms\"\ndrain_limit = \"{drain}\"\n");
+        let slow = EngineOptions { decode_tokens_per_s: 1.0, ..engine("e1") };
+        let mut deployment =
+            Deployment::start(Plan { engines: vec![slow], settings, ..Plan::default() }).await;
+        let callers = deployment.daemons[0].callers;
+        let ask = Ask { output: 1_000, timeout_ms: Some(600_000), ..Ask::default() };
+        let running = tokio::spawn(async move { ask.send(callers).await });
+        wait_for("the request runs", async || deployment.engines[0].in_flight() == 1).await;
+        deployment.daemons[0].terminate();
+        if case.second_signal {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            deployment.daemons[0].terminate();
+        }
+        let status = deployment.daemons[0].ended().await;
+        assert_eq!(status.code(), Some(case.code), "{}", case.name);
+        let got = running.await.expect("caller ends");
+        assert!(!got.whole, "a cut answer is not taken as whole: {}", case.name);
+    }
+}
