Estimate what is ahead at a target over time, and keep headroom for short requests

What is ahead is now kept as one figure that passing time reduces and that first tokens correct. Instances' views are ordered maps, so equal runs give equal figures. Lower tiers start to be cancelled gently, and a share of targets as large as the headroom stays free of long prompts while short ones come.

--- a/crates/policy/src/accounts.rs
+++ b/crates/policy/src/accounts.rs
@@ -5,7 +5,7 @@
 //! ones don't, and the parts add up to the limit. What is asked for does not change with what is
 //! granted, so the parts don't swing. Idle accounts have no state.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use sesamewind_protocol::traffic::AccountUse;
@@ -93,7 +93,7 @@
 pub(crate) struct Accounts {
     limits: HashMap<AccountId, AccountLimits>,
     active: HashMap<AccountId, Active>,
-    peers: HashMap<InstanceId, PeerUse>,
+    peers: BTreeMap<InstanceId, PeerUse>,
     reachable: usize,
 }
 
--- a/crates/policy/src/floor.rs
+++ b/crates/policy/src/floor.rs
@@ -41,7 +41,7 @@
 #[derive(Debug, Default)]
 struct ServiceFloors {
     own: Option<Own>,
-    others: HashMap<InstanceId, Other>,
+    others: BTreeMap<InstanceId, Other>,
 }
 
 /// Tier floors that this instance knows.
--- a/crates/policy/src/scheduler/end.rs
+++ b/crates/policy/src/scheduler/end.rs
@@ -16,8 +16,8 @@
 
 impl Scheduler {
     /// Sets a request's work at its target off.
-    pub(super) fn leave_target(&mut self, service: usize, rank: u8, flight: &Flight) {
-        self.targets[flight.target].left(flight.prompt_left(), flight.output_left());
+    pub(super) fn leave_target(&mut self, service: usize, rank: u8, flight: &Flight, cx: Context<'_>) {
+        self.targets[flight.target].left(flight.prompt_left(), flight.output_left(), cx.now);
         self.services[service].ended(rank);
     }
 
@@ -65,7 +65,7 @@
             queue.remove(arrival.rank, class, &arrival.account, arrival.ticket);
         }
         if let Some(flight) = stage.flight() {
-            self.leave_target(service, arrival.rank, flight);
+            self.leave_target(service, arrival.rank, flight, cx);
         }
         let refusal = stage.give_up(code, retry_after);
         self.close_record(&arrival, &refusal, cx);
--- a/crates/policy/src/scheduler/flight.rs
+++ b/crates/policy/src/scheduler/flight.rs
@@ -34,7 +34,7 @@
             }
         };
         if cx.now >= request.arrival.deadline {
-            self.leave_target(request.service, request.arrival.rank, &flight);
+            self.leave_target(request.service, request.arrival.rank, &flight, cx);
             let queued = dispatching.withdraw(NotSent::write_denied());
             let refusal = queued.refuse(Code::DeadlinePassed, None);
             self.close_record(&request.arrival, &refusal, cx);
@@ -84,10 +84,10 @@
         flight.proved = false;
         flight.patience = 1;
         if first {
-            target.prefilled(flight.uncached, cx.now);
+            let took = cx.now.since(flight.sent);
+            target.prefilled(flight.uncached, flight.work, took, cx.now);
             // What comes at once over a resumed connection was ready before.
             if flight.resumes == 0 || gap >= RESUMED_GAP {
-                let took = cx.now.since(flight.sent);
                 target.speed.saw_prefill(flight.work, flight.certainty, took, cx.now);
             }
             if let Some(Prefix { hash, tokens }) = prefix {
@@ -126,7 +126,7 @@
 
     fn completed(&mut self, request: Request, cx: Context<'_>) {
         let Some(flight) = request.stage.flight() else { return };
-        self.leave_target(request.service, request.arrival.rank, flight);
+        self.leave_target(request.service, request.arrival.rank, flight, cx);
         let urgent = self.is_urgent(request.arrival.rank);
         let state = &mut self.services[request.service];
         state.retries.success();
@@ -155,7 +155,7 @@
             Stage::Received(_) | Stage::Queued(_) => return,
         };
         request.stage = Stage::Queued(queued);
-        self.leave_target(request.service, request.arrival.rank, &flight);
+        self.leave_target(request.service, request.arrival.rank, &flight, cx);
         request.avoid = Some(flight.target);
         let state = &mut self.services[request.service];
         // A failed connection costs targets nothing; refusals draw on the budget.
@@ -232,7 +232,7 @@
             Stage::Streaming(stage, flight) => (stage.fail(Code::TargetFailed), flight),
             Stage::Received(_) | Stage::Queued(_) => return,
         };
-        self.leave_target(request.service, request.arrival.rank, &flight);
+        self.leave_target(request.service, request.arrival.rank, &flight, cx);
         self.close_record(&request.arrival, &refusal, cx);
         self.refuse(refusal);
     }
--- a/crates/policy/src/scheduler/service.rs
+++ b/crates/policy/src/scheduler/service.rs
@@ -13,8 +13,6 @@
 const OUTPUT_GAIN: f64 = 0.05;
 /// Room kept for short requests over their share of the demand.
 const SHORT_MARGIN: f64 = 1.5;
-/// Least share of targets kept for short requests while there are any.
-const MIN_SHORT_SHARE: f64 = 0.1;
 
 /// A service, its queue and what was learned of its traffic.
 #[derive(Debug)]
@@ -99,8 +97,9 @@
         self.demand[class as usize] += f64::from(tokens);
     }
 
-    /// Keeps targets free of long prompts in proportion to the short demand.
-    pub(super) fn divide(&mut self, long_share: f64, now: Time) {
+    /// Keeps targets free of long prompts in proportion to the short demand, a share of `headroom`
+    /// at least and no more than `long_share` leaves.
+    pub(super) fn divide(&mut self, long_share: f64, headroom: f64, now: Time) {
         let n = self.targets.len();
         let [short, long] = self.demand;
         let quiet = short < 1.0 || now.since(self.demand_at) > 2 * DEMAND_WINDOW;
@@ -109,8 +108,7 @@
             return;
         }
         let share = short / (short + long);
-        let most = (1.0 - long_share).max(MIN_SHORT_SHARE);
-        let kept = (SHORT_MARGIN * share).clamp(MIN_SHORT_SHARE, most);
+        let kept = (SHORT_MARGIN * share).max(headroom).min(1.0 - long_share);
         let kept = ((kept * n as f64).ceil() as usize).clamp(1, n - 1);
         self.long_targets = n - kept;
     }
--- a/crates/policy/src/scheduler/timer.rs
+++ b/crates/policy/src/scheduler/timer.rs
@@ -14,6 +14,8 @@
 
 /// Time between two rounds of the less pressing work.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Requests that wait for each one that the first round cancels.
+const FIRST_ROUND: u32 = 4;
 /// Most times that the number of requests cancelled in a round is doubled.
 const MAX_DOUBLINGS: u32 = 10;
 /// Multiple of the predicted time to first token from which a target counts as slower.
@@ -52,7 +54,7 @@
         }
         for service in 0..self.services.len() {
             self.services[service].queue.prune();
-            self.services[service].divide(self.limits.long_share, cx.now);
+            self.services[service].divide(self.limits.long_share, self.limits.headroom, cx.now);
             self.share_speeds(service);
         }
     }
@@ -123,7 +125,7 @@
             return;
         }
         state.last_cancel = cx.now;
-        let part = waiting.div_ceil(self.floors.instances()).max(1);
+        let part = waiting.div_ceil(self.floors.instances() * FIRST_ROUND).max(1);
         let number = (part as usize) << state.cancel_rounds.min(MAX_DOUBLINGS);
         state.cancel_rounds += 1;
         let mut lower: Vec<(u64, Ticket)> = Vec::new();
@@ -144,7 +146,8 @@
 
     /// Holds a first token that is long overdue against its target's speed before it comes.
     fn hold_overdue(&mut self, cx: Context<'_>) {
-        for request in self.requests.values_mut() {
+        let mut overdue: Vec<(Ticket, usize, f64, f64, Duration)> = Vec::new();
+        for (ticket, request) in &mut self.requests {
             let (Stage::Sent(_, flight) | Stage::Streaming(_, flight)) = &mut request.stage else {
                 continue;
             };
@@ -154,8 +157,12 @@
                 continue;
             }
             flight.overdue *= OVERDUE_FACTOR;
-            let speed = &mut self.targets[flight.target].speed;
-            speed.saw_prefill(flight.work, flight.certainty, waited, cx.now);
+            overdue.push((*ticket, flight.target, flight.work, flight.certainty, waited));
+        }
+        // In the order of arrival, so that equal runs learn the same.
+        overdue.sort_unstable_by_key(|late| late.0);
+        for (_, target, work, certainty, waited) in overdue {
+            self.targets[target].speed.saw_prefill(work, certainty, waited, cx.now);
         }
     }
 
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -16,14 +16,23 @@
 const PREFILL_GAIN: f64 = 0.25;
 /// The same for a peer's view of the speed.
 const PEER_GAIN: f64 = 0.05;
-/// Greatest deviation that counts, in logarithms.
+/// Greatest deviation that counts, in logarithms, at first and later.
+const FIRST_CLIP: f64 = 2.0;
 const PREFILL_CLIP: f64 = 0.5;
+/// Observations, by their certainty, after which the speed of prefill counts as learned.
+const LEARNED: f64 = 2.0;
 /// Prefill that is shorter tells of the overhead rather than of the speed, in seconds.
 const SHORT_PREFILL: f64 = 0.02;
 const DEFAULT_OVERHEAD: f64 = 0.005;
-const STEP_DECAY: f64 = 0.995;
-/// Spread of the observed points, over the square of their mean, that determines a slope.
-const MIN_SPREAD: f64 = 0.05;
+const STEP_GAIN: f64 = 0.02;
+const CROWD_DECAY: f64 = 0.9995;
+/// Share by which a stream slows the others down until it is learned.
+const DEFAULT_CROWD: f64 = 0.05;
+const CROWD_RANGE: (f64, f64) = (0.002, 1.0);
+/// Weight of that share, as a variance of the number of streams.
+const CROWD_WEIGHT: f64 = 2.0;
+/// Greatest ratio of an observed time per token to the expected one that counts.
+const MAX_STEP_RATIO: f64 = 4.0;
 const OVERHEAD_RANGE: (f64, f64) = (0.001, 0.5);
 const PLAIN_GAIN: f64 = 0.1;
 /// How long an observation of prefill counts as current.
@@ -34,9 +43,13 @@
 pub(crate) struct Speed {
     /// Prompt tokens a second, once seen.
     prefill: Option<f64>,
+    /// Observations behind it, by their certainty.
+    sure: f64,
     /// Seconds to the first token apart from prefill.
     overhead: f64,
     seen: Option<Time>,
+    /// Seconds per output token of a stream alone, once seen.
+    solo: Option<f64>,
     /// Seconds per output token over streams beyond the first.
     steps: Fit,
     /// Share by which each further stream slows all down.
@@ -62,10 +75,9 @@
     }
 }
 
-/// Decaying least squares of seconds over a load.
-#[derive(Debug, Clone, Copy)]
+/// Decaying moments of seconds over a load.
+#[derive(Debug, Clone, Copy, Default)]
 struct Fit {
-    decay: f64,
     n: f64,
     x: f64,
     y: f64,
@@ -74,32 +86,24 @@
 }
 
 impl Fit {
-    fn new(decay: f64) -> Self {
-        Self { decay, n: 0.0, x: 0.0, y: 0.0, xx: 0.0, xy: 0.0 }
-    }
-
     fn add(&mut self, x: f64, y: f64) {
-        self.n = self.n * self.decay + 1.0;
-        self.x = self.x * self.decay + x;
-        self.y = self.y * self.decay + y;
-        self.xx = self.xx * self.decay + x * x;
-        self.xy = self.xy * self.decay + x * y;
-    }
-
-    fn mean(&self) -> Option<(f64, f64)> {
-        (self.n >= 1.0).then(|| (self.x / self.n, self.y / self.n))
-    }
-
-    /// Intercept and slope, if the points lie far enough apart and both are sound.
-    fn line(&self) -> Option<(f64, f64)> {
-        let (mean_x, mean_y) = self.mean()?;
-        let spread = self.xx / self.n - mean_x * mean_x;
-        if spread < MIN_SPREAD * mean_x * mean_x || spread <= 0.0 {
-            return None;
-        }
-        let slope = (self.xy / self.n - mean_x * mean_y) / spread;
-        let intercept = mean_y - slope * mean_x;
-        (slope > 0.0 && intercept >= 0.0).then_some((intercept, slope))
+        self.n = self.n * CROWD_DECAY + 1.0;
+        self.x = self.x * CROWD_DECAY + x;
+        self.y = self.y * CROWD_DECAY + y;
+        self.xx = self.xx * CROWD_DECAY + x * x;
+        self.xy = self.xy * CROWD_DECAY + x * y;
+    }
+
+    /// Slope over intercept, drawn towards the default as long as the loads hardly differ.
+    fn crowd(&self) -> f64 {
+        let (mean_x, mean_y) = (self.x / self.n, self.y / self.n);
+        let variance = self.xx / self.n - mean_x * mean_x;
+        let covariance = self.xy / self.n - mean_x * mean_y;
+        let slope = covariance / variance.max(1e-9);
+        let solo = (mean_y - slope * mean_x).max(mean_y / (1.0 + mean_x));
+        let seen = covariance / solo.max(1e-6);
+        let crowd = (seen + CROWD_WEIGHT * DEFAULT_CROWD) / (variance + CROWD_WEIGHT);
+        crowd.clamp(CROWD_RANGE.0, CROWD_RANGE.1)
     }
 }
 
@@ -107,10 +111,12 @@
     pub(crate) fn new(prior: Prior) -> Self {
         Self {
             prefill: None,
+            sure: 0.0,
             overhead: DEFAULT_OVERHEAD,
             seen: None,
-            steps: Fit::new(STEP_DECAY),
-            crowd: 0.0,
+            solo: None,
+            steps: Fit::default(),
+            crowd: DEFAULT_CROWD,
             call: None,
             prior,
         }
@@ -137,21 +143,19 @@
     ) {
         self.seen = Some(now);
         let seen = elapsed.as_secs_f64().max(1e-4);
-        let Some(speed) = self.prefill else {
-            let own = (seen - self.overhead).max(seen / 2.0);
-            // A short prompt at first says too little to start from.
-            let start = if own >= SHORT_PREFILL { tokens / own } else { self.prior.prefill };
-            self.prefill = Some(start);
-            return;
-        };
+        let speed = self.prefill();
         let own = tokens / speed;
-        let deviation = ((self.overhead + own) / seen).ln().clamp(-PREFILL_CLIP, PREFILL_CLIP);
-        if own >= SHORT_PREFILL.max(self.overhead) {
-            self.prefill = Some(speed * (PREFILL_GAIN * certainty * deviation).exp());
-        } else {
+        let clip = if self.sure < LEARNED { FIRST_CLIP } else { PREFILL_CLIP };
+        let deviation = ((self.overhead + own) / seen).ln().clamp(-clip, clip);
+        if own < SHORT_PREFILL.max(self.overhead) {
             let moved = self.overhead * (-PREFILL_GAIN * certainty * deviation).exp();
             self.overhead = moved.clamp(OVERHEAD_RANGE.0, OVERHEAD_RANGE.1);
+            return;
         }
+        // The first observations move it most.
+        let gain = PREFILL_GAIN.max(1.0 / (1.0 + self.sure));
+        self.prefill = Some(speed * (gain * certainty * deviation).exp());
+        self.sure += certainty;
     }
 
     /// Takes a peer's view of the speed of prefill into account.
@@ -159,21 +163,30 @@
         if peer <= 0.0 {
             return;
         }
-        let own = self.prefill.unwrap_or(peer);
+        if self.sure < LEARNED {
+            self.prefill = Some(peer);
+            return;
+        }
+        let own = self.prefill();
         self.prefill = Some(own * (PEER_GAIN * (peer / own).ln()).exp());
     }
 
     /// Speed of prefill for peers, once learned here.
     pub(crate) fn prefill_news(&self) -> f32 {
-        self.prefill.filter(|_| self.seen.is_some()).unwrap_or(0.0) as f32
+        self.prefill.filter(|_| self.sure >= LEARNED).unwrap_or(0.0) as f32
     }
 
     /// Notes the time per output token while `streams` streams ran.
     pub(crate) fn saw_step(&mut self, streams: f64, seconds: f64) {
-        self.steps.add((streams - 1.0).max(0.0), seconds);
-        if let Some((solo, slope)) = self.steps.line() {
-            self.crowd = slope / solo.max(1e-6);
-        }
+        let others = (streams - 1.0).max(0.0);
+        let expected = self.step(streams);
+        let most = expected * MAX_STEP_RATIO;
+        let seen = if self.solo.is_some() { seconds.min(most) } else { seconds };
+        self.steps.add(others, seen);
+        self.crowd = self.steps.crowd();
+        let solo = seen / (1.0 + self.crowd * others);
+        let old = self.solo.unwrap_or(solo);
+        self.solo = Some(old + STEP_GAIN * (solo - old));
     }
 
     /// Notes how long a call of a plain service took.
@@ -199,11 +212,8 @@
     }
 
     /// Seconds per output token of one stream beside others, `streams` in all.
-    ///
-    /// Until a slope was seen, more streams are taken to be as fast as few, so that they are tried.
     pub(crate) fn step(&self, streams: f64) -> f64 {
-        let Some((others, seconds)) = self.steps.mean() else { return self.prior.step };
-        let solo = seconds / (1.0 + self.crowd * others);
+        let solo = self.solo.unwrap_or(self.prior.step);
         solo * (1.0 + self.crowd * (streams - 1.0).max(0.0))
     }
 
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -1,6 +1,6 @@
 //! A target as this instance sees it: state, load, speed and cached prefixes.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use sesamewind_protocol::target::LoadReport;
@@ -14,6 +14,8 @@
 const HISTORY_SPAN: Duration = Duration::from_secs(5);
 const EXTRA_HALF_LIFE: f64 = 2.0;
 const MAX_HINTS: usize = 512;
+/// Least share of the prompts without a first token that counts as not prefilled.
+const UNDONE_SHARE: f64 = 0.1;
 /// Time after which half of a prefix is taken to be evicted.
 const HINT_HALF_LIFE: f64 = 60.0;
 
@@ -90,9 +92,10 @@
     pub(crate) suspicion: Option<Suspicion>,
     pub(crate) probing: Option<Time>,
     pub(crate) own: Load,
-    /// When the prompts in flight were last accounted for.
-    prefill_since: Time,
-    peers: HashMap<InstanceId, (Time, Load)>,
+    /// Prompt tokens of this instance and its peers still to be prefilled at `ahead_at`.
+    ahead: f64,
+    ahead_at: Time,
+    peers: BTreeMap<InstanceId, (Time, Load)>,
     peer_sum: Load,
     /// Load that neither this instance nor its peers account for.
     extra: Load,
@@ -115,8 +118,9 @@
             suspicion: None,
             probing: None,
             own: Load::default(),
-            prefill_since: Time::ZERO,
-            peers: HashMap::new(),
+            ahead: 0.0,
+            ahead_at: Time::ZERO,
+            peers: BTreeMap::new(),
             peer_sum: Load::default(),
             extra: Load::default(),
             extra_at: Time::ZERO,
@@ -195,6 +199,7 @@
 
     /// Takes a peer's work in flight.
     pub(crate) fn peer_use(&mut self, from: &InstanceId, usage: Option<&TargetUse>, now: Time) {
+        let before = self.peers.get(from).map_or(0.0, |peer| peer.1.prefill);
         match usage {
             Some(usage) => {
                 let load = Load {
@@ -204,14 +209,27 @@
                 };
                 self.peers.insert(from.clone(), (now, load));
                 self.speed.heard_prefill(f64::from(usage.prefill_speed));
+                // What became less was prefilled meanwhile, which the passing time accounts for.
+                self.add_ahead((load.prefill - before).max(0.0), now);
             }
             None if self.peers.remove(from).is_none() => return,
             None => {}
         }
         self.sum_peers();
-        if self.own.prefill <= 0.0 {
-            self.prefill_since = now;
-        }
+    }
+
+    /// Prompt tokens still to be prefilled, as far as this instance and its peers account for them.
+    fn ahead(&self, now: Time) -> f64 {
+        let done = now.since(self.ahead_at).as_secs_f64() * self.speed.prefill();
+        let most = self.own.prefill + self.peer_sum.prefill;
+        // Prompts without a first token are not done, however long they take.
+        let least = self.own.prefill * UNDONE_SHARE;
+        (self.ahead - done).min(most).max(least)
+    }
+
+    fn add_ahead(&mut self, tokens: f64, now: Time) {
+        self.ahead = self.ahead(now).max(0.0) + tokens;
+        self.ahead_at = now;
     }
 
     /// Drops what silent peers said.
@@ -229,19 +247,20 @@
 
     /// Notes work sent.
     pub(crate) fn sent(&mut self, prompt: f64, output: f64, now: Time) {
-        if self.own.prefill <= 0.0 {
-            self.prefill_since = now;
-        }
+        self.add_ahead(prompt, now);
         self.own.requests += 1.0;
         self.own.prefill += prompt;
         self.own.tokens += prompt + output;
     }
 
-    /// Notes that a prompt was prefilled.
-    pub(crate) fn prefilled(&mut self, prompt: f64, now: Time) {
+    /// Notes that a prompt was prefilled after `took`, of which `work` tokens were to be prefilled
+    /// up to its end when it was sent. What the estimate still has before it is done as well.
+    pub(crate) fn prefilled(&mut self, prompt: f64, work: f64, took: Duration, now: Time) {
+        let early = (work - took.as_secs_f64() * self.speed.prefill()).max(0.0);
+        self.ahead = (self.ahead(now) - early).max(0.0);
+        self.ahead_at = now;
         self.own.prefill = (self.own.prefill - prompt).max(0.0);
         self.own.tokens = (self.own.tokens - prompt).max(0.0);
-        self.prefill_since = now;
     }
 
     /// Notes that output tokens came.
@@ -250,7 +269,9 @@
     }
 
     /// Notes that a request left the target with `prompt` and `output` tokens undone.
-    pub(crate) fn left(&mut self, prompt: f64, output: f64) {
+    pub(crate) fn left(&mut self, prompt: f64, output: f64, now: Time) {
+        self.ahead = (self.ahead(now) - prompt).max(0.0);
+        self.ahead_at = now;
         self.own.requests = (self.own.requests - 1.0).max(0.0);
         self.own.prefill = (self.own.prefill - prompt).max(0.0);
         self.own.tokens = (self.own.tokens - prompt - output).max(0.0);
@@ -264,11 +285,7 @@
         let age = now.since(self.extra_at).as_secs_f64();
         let extra = self.extra.scaled((-age / EXTRA_HALF_LIFE).exp2());
         let mut load = self.own.plus(self.peer_sum).plus(extra);
-        // Prefill goes on between one first token and the next.
-        if load.prefill > 0.0 {
-            let done = now.since(self.prefill_since).as_secs_f64() * self.speed.prefill();
-            load.prefill -= done.min(load.prefill * 0.9);
-        }
+        load.prefill = self.ahead(now) + extra.prefill;
         load
     }
 
@@ -296,7 +313,7 @@
     pub(crate) fn expire_hints(&mut self, keep: Duration, now: Time) {
         self.hints.retain(|_, hint| now.since(hint.at) < keep);
         while self.hints.len() > MAX_HINTS {
-            let oldest = self.hints.iter().min_by_key(|(_, hint)| hint.at).map(|(hash, _)| *hash);
+            let oldest = self.hints.iter().min_by_key(|(hash, hint)| (hint.at, **hash)).map(|(hash, _)| *hash);
             oldest.and_then(|hash| self.hints.remove(&hash));
         }
     }
