--- a/crates/platform/src/breaker.rs
+++ b/crates/platform/src/breaker.rs
@@ -66,13 +66,21 @@
         self.state
     }
 
+    /// Whether no call passes at `now`.
+    pub fn is_open(&self, now: Time) -> bool {
+        match self.state {
+            BreakerState::Closed | BreakerState::Ramping(_) => false,
+            BreakerState::Open(until) | BreakerState::Probing(until) => now < until,
+        }
+    }
+
     /// Whether a call may pass at `now`. A probe that has no result after `patience` is taken as
     /// failed.
     pub fn admit(&mut self, now: Time, patience: Duration, rng: &mut impl Rng) -> bool {
         match self.state {
             BreakerState::Closed => true,
             BreakerState::Ramping(since) => self.admit_ramping(now, since, rng),
-            BreakerState::Open(until) | BreakerState::Probing(until) if now < until => false,
+            BreakerState::Open(_) | BreakerState::Probing(_) if self.is_open(now) => false,
             BreakerState::Open(_) | BreakerState::Probing(_) => {
                 self.state = BreakerState::Probing(now + patience);
                 true
--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -4,6 +4,9 @@
 
 use sesamewind_protocol::Time;
 
+/// Shortest wait for a token; a wait rounded down to nothing would be repeated without end.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// Rate and burst of a [`Budget`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetRate {
@@ -15,7 +18,7 @@
 
 impl Default for BudgetRate {
     fn default() -> Self {
-        Self { per_s: 20.0, burst: 20.0 }
+        Self { per_s: 3.5, burst: 4.0 }
     }
 }
 
@@ -33,19 +36,21 @@
         Self { rate, tokens: rate.burst, updated: now }
     }
 
-    /// Takes one token, or returns the time until there is one.
-    ///
-    /// # Errors
-    ///
-    /// Returns the wait when the bucket is empty.
-    pub fn take(&mut self, now: Time) -> Result<(), Duration> {
+    /// Time until there is a token; `None` if there is one.
+    pub fn wait(&mut self, now: Time) -> Option<Duration> {
         self.refill(now);
-        if self.tokens >= 1.0 {
+        let missing = 1.0 - self.tokens;
+        (missing > 0.0)
+            .then(|| Duration::from_secs_f64(missing / self.rate.per_s).max(SHORTEST_WAIT))
+    }
+
+    /// Takes a token if there is one.
+    pub fn take(&mut self, now: Time) -> bool {
+        let has_token = self.wait(now).is_none();
+        if has_token {
             self.tokens -= 1.0;
-            return Ok(());
         }
-        let missing = 1.0 - self.tokens;
-        Err(Duration::from_secs_f64(missing / self.rate.per_s))
+        has_token
     }
 
     fn refill(&mut self, now: Time) {
--- a/crates/platform/src/guard.rs
+++ b/crates/platform/src/guard.rs
@@ -36,15 +36,16 @@
         }
     }
 
-    /// Asks for a call at `now`.
+    /// Asks for a call at `now`. Calls that the breaker stops take nothing from the budget, and a
+    /// probe is let through only if the budget has room to send it.
     pub fn ask(&mut self, now: Time, rng: &mut impl Rng) -> Permit {
-        // The budget comes first, so that a probe that the breaker lets through is really sent.
-        if let Err(wait) = self.budget.take(now) {
-            return Permit::Wait(wait);
+        if let Some(wait) = self.budget.wait(now) {
+            return if self.breaker.is_open(now) { Permit::Open } else { Permit::Wait(wait) };
         }
         if !self.breaker.admit(now, self.patience, rng) {
             return Permit::Open;
         }
+        self.budget.take(now);
         Permit::Go
     }
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -27,6 +27,7 @@
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .pool_idle_timeout(IDLE_TIMEOUT)
             .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
             .build()
             .unwrap_or_default();
         Self { base: base_url.trim_end_matches('/').to_owned(), client }
