Let random lease orders find what they are there to find

With the watching or the holder's own expiry switched off the random test still passed: one event in eight was a planned stop, so every keeper was out of the game after a few steps. Stops are rare now and are followed by another life, and four calls in five succeed.

Switching off the separate read after a lost answer failed no test: the next conditional write expects the same revision and is refused with the row as it stands, which is the reading back.

--- a/crates/membership/src/lease/keeper.rs
+++ b/crates/membership/src/lease/keeper.rs
@@ -28,8 +28,6 @@
     pending: Option<Time>,
     next: Time,
     stopped: bool,
-    /// Whether the row must be read before the next write.
-    settle: bool,
 }
 
 impl LeaseKeeper {
@@ -44,7 +42,6 @@
             pending: None,
             next: Time::ZERO,
             stopped: false,
-            settle: false,
         }
     }
 
@@ -66,10 +63,7 @@
         self.stopped = true;
         self.next = now;
         self.phase = match self.phase.take() {
-            Some(Phase::Held(lease)) => {
-                self.settle |= lease.state.unsettled.is_some();
-                Some(Phase::Releasing(lease.release()))
-            }
+            Some(Phase::Held(lease)) => Some(Phase::Releasing(lease.release())),
             other => other,
         };
         if self.pending.is_none() {
@@ -94,7 +88,7 @@
     }
 
     fn start_take_over(&mut self, now: Time) {
-        if self.stopped || self.settle {
+        if self.stopped {
             return;
         }
         self.phase = match self.phase.take() {
@@ -108,11 +102,10 @@
 
     fn call(&self) -> Option<LeaseCall> {
         let key = self.key.clone();
-        if self.settle {
-            return Some(LeaseCall::Read { key });
-        }
         Some(match self.phase.as_ref()? {
             Phase::Free(_) => LeaseCall::Read { key },
+            // Nothing is taken any more, but a lost write must be known before it can be undone.
+            Phase::Acquiring(_) if self.stopped => LeaseCall::Read { key },
             Phase::Acquiring(lease) => {
                 let Acquiring { seen, fence, .. } = &lease.state;
                 LeaseCall::Write { key, expected: seen.revision, row: self.row(true, *fence) }
@@ -152,7 +145,6 @@
     }
 
     fn on_stored(&mut self, call: &LeaseCall, revision: u64, sent: Time, now: Time) {
-        self.settle = false;
         self.phase = match self.phase.take() {
             // Earlier writes expected the same revision, so that they took no effect and take none.
             Some(Phase::Acquiring(lease)) => Some(self.take(lease, revision, sent, now)),
@@ -198,12 +190,13 @@
         Phase::Held(lease)
     }
 
+    /// The next write expects the same revision. If the lost one took effect, it is refused with the
+    /// row as it stands, by which the lost one is settled.
     fn on_unknown(&mut self, call: &LeaseCall, sent: Time, now: Time) {
         self.next = now + self.timing.retry;
         if matches!(call, LeaseCall::Read { .. }) {
             return;
         }
-        self.settle = true;
         match &mut self.phase {
             Some(Phase::Acquiring(lease)) => {
                 lease.state.unsettled.get_or_insert(sent);
@@ -217,7 +210,6 @@
 
     /// The row as it stands: read, or told by a refused write.
     fn on_row(&mut self, revision: u64, row: Option<LeaseRow>, now: Time) {
-        self.settle = false;
         self.next = now;
         self.phase = match self.phase.take() {
             Some(Phase::Free(mut lease)) => {
--- a/crates/membership/tests/lease.rs
+++ b/crates/membership/tests/lease.rs
@@ -7,7 +7,7 @@
 use sesamewind_protocol::{Incarnation, InstanceId, Time};
 
 /// What the table service does with a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, TypeGenerator)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fate {
     /// Carries it out and answers.
     Done,
@@ -225,6 +225,29 @@
     assert_eq!(table.row.as_ref().and_then(|row| row.holder.clone()), None);
 }
 
+#[test]
+fn a_release_undoes_a_take_over_whose_answer_was_lost() {
+    struct Case {
+        name: &'static str,
+        fate: Fate,
+        want_fence: Option<u64>,
+    }
+    let cases = [
+        Case { name: "done", fate: Fate::AnswerLost, want_fence: Some(1) },
+        Case { name: "not done", fate: Fate::CallLost, want_fence: None },
+    ];
+    for case in cases {
+        let (mut a, mut table) = (keeper("a"), Table::default());
+        run(&mut a, &mut table, 0, 100, Fate::Done);
+        run(&mut a, &mut table, 100, 200, case.fate);
+        a.release(at(200));
+        run(&mut a, &mut table, 200, 3_000, Fate::Done);
+        assert!(a.is_released(), "{}", case.name);
+        assert_eq!(table.row.as_ref().map(|row| row.fence), case.want_fence, "{}", case.name);
+        assert_eq!(table.row.and_then(|row| row.holder), None, "{}", case.name);
+    }
+}
+
 #[test]
 fn another_life_of_the_holder_waits_as_others_do() {
     let (mut a, mut table) = (keeper("a"), Table::default());
@@ -258,23 +281,37 @@
 /// Clock rates of the instances, in thousandths of the true rate.
 const RATES: [u64; KEEPERS] = [990, 1_000, 1_010];
 
+/// Releases out of 256 that are acted on.
+const STOPS: u8 = 24;
+
+/// Four calls in five are carried out and answered.
+fn draw(fate: u8) -> Fate {
+    match fate % 20 {
+        0 => Fate::AnswerLost,
+        1 => Fate::CallLost,
+        2 => Fate::Down,
+        3 => Fate::Late,
+        _ => Fate::Done,
+    }
+}
+
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Event {
     /// Time passes, in units of 100 ms.
     Pass(u8),
     /// An instance runs; one that does not is frozen.
-    Run { keeper: u8, fate: Fate },
+    Run { keeper: u8, fate: u8 },
     /// An instance's call stays on its way for a while.
     Send { keeper: u8 },
     /// The call on its way is decided on.
-    Arrive { keeper: u8, fate: Fate },
+    Arrive { keeper: u8, fate: u8 },
     /// Late writes take effect.
     Late,
     /// A writer reads the record and checks its grant.
     Check { keeper: u8 },
     /// A writer makes the conditional write that it has checked for.
     Use { keeper: u8 },
-    /// A planned stop.
+    /// A planned stop, or the start of another life after one.
     Release { keeper: u8 },
 }
 
@@ -288,6 +325,7 @@
 #[derive(Debug)]
 struct Actor {
     keeper: LeaseKeeper,
+    life: u64,
     call: Option<LeaseCall>,
     /// Revision of the record and fencing counter of a write that has been checked for.
     checked: Option<(u64, u64)>,
@@ -295,6 +333,7 @@
 
 struct World {
     now_ms: u64,
+    timing: LeaseTiming,
     table: Table,
     record: Record,
     actors: Vec<Actor>,
@@ -304,11 +343,12 @@
     fn new(timing: LeaseTiming) -> Self {
         let actor = |index: usize| Actor {
             keeper: LeaseKeeper::new("x", holder(&index.to_string(), 1), timing),
+            life: 1,
             call: None,
             checked: None,
         };
         let actors = (0..KEEPERS).map(actor).collect();
-        Self { now_ms: 0, table: Table::default(), record: Record::default(), actors }
+        Self { now_ms: 0, timing, table: Table::default(), record: Record::default(), actors }
     }
 
     /// The clock of an instance: it has its own zero and its own rate.
@@ -318,21 +358,32 @@
 
     fn step(&mut self, event: Event) {
         match event {
-            Event::Pass(units) => self.now_ms += u64::from(units) * 100,
+            Event::Pass(units) => self.now_ms += u64::from(units % 40) * 100,
             Event::Run { keeper, fate } => {
                 self.send(usize::from(keeper) % KEEPERS);
-                self.arrive(usize::from(keeper) % KEEPERS, fate);
+                self.arrive(usize::from(keeper) % KEEPERS, draw(fate));
             }
             Event::Send { keeper } => self.send(usize::from(keeper) % KEEPERS),
-            Event::Arrive { keeper, fate } => self.arrive(usize::from(keeper) % KEEPERS, fate),
+            Event::Arrive { keeper, fate } => {
+                self.arrive(usize::from(keeper) % KEEPERS, draw(fate));
+            }
             Event::Late => self.table.settle_late(),
             Event::Check { keeper } => self.check(usize::from(keeper) % KEEPERS),
             Event::Use { keeper } => self.use_grant(usize::from(keeper) % KEEPERS),
-            Event::Release { keeper } => {
-                let index = usize::from(keeper) % KEEPERS;
-                let now = self.clock(index);
-                self.actors[index].keeper.release(now);
-            }
+            Event::Release { keeper } if keeper < STOPS => self.stop(usize::from(keeper) % KEEPERS),
+            Event::Release { .. } => {}
+        }
+    }
+
+    fn stop(&mut self, index: usize) {
+        let now = self.clock(index);
+        let actor = &mut self.actors[index];
+        if actor.keeper.is_released() {
+            actor.life += 1;
+            let me = holder(&index.to_string(), actor.life);
+            actor.keeper = LeaseKeeper::new("x", me, self.timing);
+        } else {
+            actor.keeper.release(now);
         }
     }
 
@@ -402,14 +453,10 @@
 /// The margin is what covers clocks of different rates: without it the same world has two holders.
 #[test]
 fn without_the_margin_two_clocks_overlap() {
-    let run = |keeper, fate| Event::Run { keeper, fate };
-    let events = [
-        run(0, Fate::Done),
-        run(0, Fate::Done),
-        run(2, Fate::Done),
-        Event::Pass(90),
-        run(2, Fate::Done),
-    ];
+    const DONE: u8 = 19;
+    let run = |keeper| Event::Run { keeper, fate: DONE };
+    let events =
+        [run(0), run(0), run(2), Event::Pass(30), Event::Pass(30), Event::Pass(30), run(2)];
     let timing = LeaseTiming { margin: Duration::ZERO, ..LeaseTiming::default() };
     assert_eq!(most_holders(&events, timing), 2);
     assert_eq!(most_holders(&events, LeaseTiming::default()), 1);
