--- a/crates/replay/src/count.rs
+++ b/crates/replay/src/count.rs
@@ -164,7 +164,8 @@
         let repeatable = self.repeatable(request.entry);
         report.unrepeatable_repeated += u64::from(request.dispatches.len() > 1 && !repeatable);
         report.lost += request.attempts.iter().filter(|a| a.answer == Answer::Lost).count() as u64;
-        report.wrong_answer += request.attempts.iter().filter(|a| a.answer == Answer::Wrong).count() as u64;
+        report.wrong_answer +=
+            request.attempts.iter().filter(|a| a.answer == Answer::Wrong).count() as u64;
         report.false_not_run += u64::from(request.false_not_run());
         if tier.rank == 0 {
             let shed = request.attempts.iter().filter(|a| self.shed_too_early(request.entry, a));
@@ -188,7 +189,8 @@
         if !is_shed(refusal) {
             return false;
         }
-        let told = Wall(attempt.at.0.saturating_sub(self.scenario.client_delay().as_millis() as u64));
+        let told =
+            Wall(attempt.at.0.saturating_sub(self.scenario.client_delay().as_millis() as u64));
         self.dispatches.iter().any(|dispatch| {
             let runs = dispatch.at < told && dispatch.ended.is_some_and(|ended| ended > told);
             runs && dispatch.service == entry.service && self.is_lower(&dispatch.request)
@@ -205,8 +207,7 @@
     fn rollout(&self, rollout: &RolloutPlan) -> RolloutReport {
         let deadline = self.start + Duration::from_secs_f64(rollout.deadline_s);
         let recorded = self.recorded.iter().find(|recorded| recorded.rollout == rollout.id);
-        let of_version =
-            |d: &&Dispatch| d.service == rollout.service && d.version == rollout.to;
+        let of_version = |d: &&Dispatch| d.service == rollout.service && d.version == rollout.to;
         let exposed = self.dispatches.iter().filter(of_version);
         let taken_back = recorded.filter(|recorded| recorded.outcome == "rolled-back");
         let after = exposed.clone().filter(|dispatch| {
@@ -294,7 +295,8 @@
     /// without being sent again.
     fn false_not_run(&self) -> bool {
         let told = self.attempts.iter().filter(|attempt| says_not_run(&attempt.answer));
-        told.into_iter().any(|told| self.dispatches.iter().any(|dispatch| self.denies(told, dispatch)))
+        told.into_iter()
+            .any(|told| self.dispatches.iter().any(|dispatch| self.denies(told, dispatch)))
     }
 
     fn denies(&self, told: &Received, dispatch: &Dispatch) -> bool {
--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -104,7 +104,8 @@
 /// The morning of the dispatch desk: replies, quotes over long histories, tagging, a burst.
 pub fn bomba() -> Workload {
     const END_S: f64 = 60.0;
-    let reply = Kind { prefixes: 12, prefix_share: 0.5, ..model("urgent", "reply", (40, 120), (30, 60)) };
+    let reply =
+        Kind { prefixes: 12, prefix_share: 0.5, ..model("urgent", "reply", (40, 120), (30, 60)) };
     let quote = Kind {
         prefixes: 40,
         prefix_share: 0.9,
@@ -112,7 +113,8 @@
         ..model("standard", "quote", (4_000, 10_000), (80, 160))
     };
     let tag = Kind { timeout_ms: 30_000, ..model("overnight", "tag", (100, 200), (6, 12)) };
-    let digest = Kind { timeout_ms: 40_000, ..model("overnight", "digest", (800, 2_000), (200, 400)) };
+    let digest =
+        Kind { timeout_ms: 40_000, ..model("overnight", "digest", (800, 2_000), (200, 400)) };
     let booking = plain("bookings", "POST /bookings");
     let deposit = plain("bookings", "POST /deposits");
     let roster = plain("bookings", "GET /roster");
@@ -142,7 +144,8 @@
 /// A week of the diaries, shortened: client answers, weekly summaries, sorting of notes, a burst.
 pub fn derwent() -> Workload {
     const END_S: f64 = 60.0;
-    let reply = Kind { prefixes: 20, prefix_share: 0.5, ..model("urgent", "answer", (30, 100), (25, 60)) };
+    let reply =
+        Kind { prefixes: 20, prefix_share: 0.5, ..model("urgent", "answer", (30, 100), (25, 60)) };
     let summary = Kind {
         prefixes: 60,
         prefix_share: 0.8,
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,3 +1,113 @@
-//! Placeholder entry point.
+//! Replays a trace and prints the report; fails if a stated outcome is not held.
 
-fn main() {}
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use sesamewind_replay::count::Facts;
+use sesamewind_replay::replay::{Policy, replay};
+use sesamewind_replay::report::Report;
+use sesamewind_replay::scenario::Scenario;
+use sesamewind_replay::trace::{self, Entry};
+
+/// Exit code for an outcome that is not held.
+const EXIT_NOT_HELD: u8 = 1;
+/// Exit code for input that is refused.
+const EXIT_INPUT: u8 = 2;
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub, reason = "generated from the help texts")]
+
+    use std::path::PathBuf;
+
+    use sesamewind_replay::replay::Policy;
+
+    xflags::xflags! {
+        /// Replays a trace in real time and reports each stated outcome.
+        ///
+        /// Without --policy, both baselines run as well, for comparison.
+        cmd sesamewind-replay {
+            /// The trace, a CSV file; the scenario stands beside it as a TOML file.
+            required trace: PathBuf
+            /// Run this policy only: sesamewind, round-robin or least-inflight.
+            optional --policy policy: Policy
+            /// Seed of the balancer and the stand-ins.
+            optional --seed seed: u64
+            /// Write the report as JSON to this file.
+            optional --json file: PathBuf
+        }
+    }
+}
+
+/// What is replayed.
+struct Input {
+    name: String,
+    scenario: Scenario,
+    entries: Arc<Vec<Entry>>,
+    seed: u64,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = flags::SesamewindReplay::from_env_or_exit();
+    let input = match read(&flags.trace, flags.seed.unwrap_or(1)) {
+        Ok(input) => input,
+        Err(reason) => return refuse(&reason),
+    };
+    let policy = flags.policy.unwrap_or(Policy::Sesamewind);
+    let mut baselines = Vec::new();
+    if flags.policy.is_none() {
+        for baseline in Policy::BASELINES {
+            match run(&input, baseline).await {
+                Ok(report) => baselines.push(report),
+                Err(reason) => return refuse(&reason),
+            }
+        }
+    }
+    let mut report = match run(&input, policy).await {
+        Ok(report) => report,
+        Err(reason) => return refuse(&reason),
+    };
+    let plans = &input.scenario.outcomes;
+    for baseline in &mut baselines {
+        baseline.judge(Vec::new(), plans);
+    }
+    report.judge(baselines, plans);
+    println!("{}", report.table(plans));
+    if let Some(file) = flags.json
+        && let Err(error) = write_json(&file, &report)
+    {
+        return refuse(&format!("{}: {error}", file.display()));
+    }
+    if report.all_held() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_NOT_HELD) }
+}
+
+fn refuse(reason: &str) -> ExitCode {
+    eprintln!("{reason}");
+    ExitCode::from(EXIT_INPUT)
+}
+
+fn read(path: &Path, seed: u64) -> Result<Input, String> {
+    let bytes = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let entries = trace::read(&bytes).map_err(|fault| format!("{}: {fault}", path.display()))?;
+    let beside: PathBuf = path.with_extension("toml");
+    let of_scenario = |error: &dyn std::fmt::Display| format!("{}: {error}", beside.display());
+    let text = std::fs::read_to_string(&beside).map_err(|error| of_scenario(&error))?;
+    let scenario = Scenario::parse(&text).map_err(|error| of_scenario(&error))?;
+    scenario.check_trace(&entries).map_err(|error| of_scenario(&error))?;
+    let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    Ok(Input { name, scenario, entries: Arc::new(entries), seed })
+}
+
+async fn run(input: &Input, policy: Policy) -> Result<Report, String> {
+    eprintln!("replaying {} with {}", input.name, policy.as_str());
+    let outcome = replay(&input.scenario, &input.entries, policy, input.seed).await;
+    let outcome = outcome.map_err(|fault| fault.to_string())?;
+    let facts = Facts::gather(&input.scenario, &input.entries, &outcome);
+    Ok(facts.report(policy.as_str(), &input.name, input.seed))
+}
+
+fn write_json(file: &Path, report: &Report) -> std::io::Result<()> {
+    let text = serde_json::to_string_pretty(report).map_err(std::io::Error::other)?;
+    std::fs::write(file, text)
+}
--- a/crates/replay/src/replay.rs
+++ b/crates/replay/src/replay.rs
@@ -1,5 +1,6 @@
 //! Replays a trace in real time under one policy.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -126,8 +127,7 @@
         let start = Instant::now();
         sleep(self.client_delay).await;
         let before = start.elapsed();
-        let mut exchange =
-            Exchange { first_token: None, answer: Answer::Lost, untouched: false };
+        let mut exchange = Exchange { first_token: None, answer: Answer::Lost, untouched: false };
         for instance in self.balancer.order(entry) {
             exchange = self.entrance.send(instance, entry).await;
             // A balancer tries the next instance where the connection was refused.
@@ -171,7 +171,7 @@
     let run = Arc::new(Run { entrance, balancer, client_delay: scenario.client_delay() });
     let received = tokio::select! {
         received = send_all(&run, entries, begin) => received,
-        () = faults(scenario, &world, &run, begin) => unreachable!("faults never end"),
+        never = faults(scenario, &world, &run, begin) => match never {},
     };
     if policy == Policy::Sesamewind {
         until_settled(scenario, &world, begin).await;
@@ -183,11 +183,7 @@
     Ok(Outcome { start, received, world })
 }
 
-async fn baseline(
-    choice: Choice,
-    scenario: &Scenario,
-    world: &World,
-) -> (Entrance, Instant, Wall) {
+async fn baseline(choice: Choice, scenario: &Scenario, world: &World) -> (Entrance, Instant, Wall) {
     for rollout in &scenario.rollouts {
         load_everywhere(scenario, world, &rollout.service, &rollout.to).await;
     }
@@ -224,15 +220,15 @@
 }
 
 /// Carries out the scenario's faults at their times; never ends.
-async fn faults(scenario: &Scenario, world: &World, run: &Run, begin: Instant) {
+async fn faults(scenario: &Scenario, world: &World, run: &Run, begin: Instant) -> Infallible {
     let mut plans: Vec<_> = scenario.faults.iter().collect();
     plans.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     for plan in plans {
         sleep_until(begin + Duration::from_secs_f64(plan.at_s)).await;
-        if world.control(&plan.on, plan.control.clone()).await {
+        if world.control(&plan.node, plan.control.clone()).await {
             continue;
         }
-        let instance = scenario.instances.iter().position(|instance| instance.name == plan.on);
+        let instance = scenario.instances.iter().position(|instance| instance.name == plan.node);
         if let (Some(index), Entrance::Daemons(daemons)) = (instance, &run.entrance) {
             daemons.stop(index);
             watch_readiness(run, daemons, index).await;
@@ -254,7 +250,10 @@
     let last = scenario.rollouts.iter().map(|rollout| rollout.deadline_s).fold(0.0, f64::max);
     let until = (begin + Duration::from_secs_f64(last)).max(Instant::now()) + ROLLOUT_PATIENCE;
     let settled = |id: &str| {
-        world.platform.row(&format!("rollout.{id}")).is_some_and(|row| !row.value["outcome"].is_null())
+        world
+            .platform
+            .row(&format!("rollout.{id}"))
+            .is_some_and(|row| !row.value["outcome"].is_null())
     };
     while Instant::now() < until && !scenario.rollouts.iter().all(|rollout| settled(&rollout.id)) {
         sleep(ROLLOUT_POLL).await;
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -200,8 +200,16 @@
             let label = format!("goodput {tier}");
             row(&mut text, &label, reports.iter().map(|report| report.goodput_cell(tier)));
         }
-        row(&mut text, "prefill tokens", reports.iter().map(|r| r.prefill_tokens.total.to_string()));
-        row(&mut text, "wasted prefill", reports.iter().map(|r| percent(r.prefill_tokens.wasted_share())));
+        row(
+            &mut text,
+            "prefill tokens",
+            reports.iter().map(|r| r.prefill_tokens.total.to_string()),
+        );
+        row(
+            &mut text,
+            "wasted prefill",
+            reports.iter().map(|r| percent(r.prefill_tokens.wasted_share())),
+        );
         for (label, count) in COUNTS {
             row(&mut text, label, reports.iter().map(|report| count(report).to_string()));
         }
@@ -279,7 +287,9 @@
 
 fn shown(value: &Value) -> String {
     match value {
-        Value::Number(number) if number.is_f64() => format!("{:.3}", number.as_f64().unwrap_or(0.0)),
+        Value::Number(number) if number.is_f64() => {
+            format!("{:.3}", number.as_f64().unwrap_or(0.0))
+        }
         other => other.to_string(),
     }
 }
--- a/crates/replay/src/scenario.rs
+++ b/crates/replay/src/scenario.rs
@@ -228,7 +228,7 @@
     /// When, in seconds since the start.
     pub at_s: f64,
     /// A target, an instance, or `platform`.
-    pub on: String,
+    pub node: String,
     /// What happens. Instances know `kill` as their planned stop only.
     #[serde(flatten)]
     pub control: Control,
@@ -344,7 +344,7 @@
             want(known, format!("rollout {}: unknown service", rollout.id));
         }
         for fault in &self.faults {
-            let on = &fault.on;
+            let on = &fault.node;
             let target = self.targets.iter().any(|target| &target.name == on);
             let instance = self.instances.iter().any(|instance| &instance.name == on);
             want(target || instance || on == "platform", format!("fault on {on}: unknown name"));
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -86,8 +86,7 @@
 ///
 /// Returns the first fault of a malformed trace.
 pub fn read(bytes: &[u8]) -> Result<Vec<Entry>, TraceFault> {
-    let mut reader =
-        csv::ReaderBuilder::new().has_headers(false).flexible(true).from_reader(bytes);
+    let mut reader = csv::ReaderBuilder::new().has_headers(false).flexible(true).from_reader(bytes);
     let mut records = reader.records();
     let header = records.next().ok_or_else(|| fault(1, 1, "the trace is empty"))?;
     check_header(&header.map_err(|error| of_csv(&error))?)?;
@@ -146,8 +145,7 @@
     fn entry(&self) -> Result<Entry, TraceFault> {
         if self.record.len() != COLUMNS.len() {
             let column = self.record.len().min(COLUMNS.len()) + 1;
-            let message =
-                format!("expected {} cells, got {}", COLUMNS.len(), self.record.len());
+            let message = format!("expected {} cells, got {}", COLUMNS.len(), self.record.len());
             return Err(fault(self.line, column, message));
         }
         let entry = Entry {
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -7,8 +7,7 @@
 use serde_json::json;
 use sesamewind_protocol::Wall;
 use sesamewind_standins::{
-    Control, Engine, EngineOptions, Platform, PlatformOptions, Service, ServiceOptions,
-    TargetEntry,
+    Control, Engine, EngineOptions, Platform, PlatformOptions, Service, ServiceOptions, TargetEntry,
 };
 
 use crate::scenario::{Class, Scenario, TargetPlan};
@@ -16,6 +15,9 @@
 /// Revision of the sheet that the replay begins with.
 const FIRST_REVISION: u64 = 1;
 
+/// Time after which an engine gives up a stream that nobody reads.
+const ABANDON_AFTER: Duration = Duration::from_secs(3);
+
 /// The stand-ins of a replay.
 #[derive(Debug)]
 pub struct World {
@@ -80,6 +82,7 @@
             event_loss: target.event_loss,
             checks_fence: target.checks_fence,
             load_time: Duration::from_millis(target.load_ms),
+            abandon_after: ABANDON_AFTER,
             seed,
             ..EngineOptions::default()
         };
@@ -112,12 +115,12 @@
     }
 
     /// Carries out a fault on a target or the platform; returns whether one was meant.
-    pub async fn control(&self, on: &str, control: Control) -> bool {
-        let done = if let Some(engine) = self.engines.get(on) {
+    pub async fn control(&self, node: &str, control: Control) -> bool {
+        let done = if let Some(engine) = self.engines.get(node) {
             engine.control(control).await
-        } else if let Some(service) = self.services.get(on) {
+        } else if let Some(service) = self.services.get(node) {
             service.control(control).await
-        } else if on == "platform" {
+        } else if node == "platform" {
             self.platform.control(control).await
         } else {
             return false;
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -75,8 +75,9 @@
     task: JoinHandle<()>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Table {
+    upstream: SocketAddr,
     fresh: Mode,
     open: HashMap<u64, Open>,
     by_peer: HashMap<SocketAddr, u64>,
@@ -85,7 +86,6 @@
 
 #[derive(Debug)]
 struct Shared {
-    upstream: SocketAddr,
     table: Mutex<Table>,
 }
 
@@ -121,7 +121,14 @@
     pub async fn bind(listen: SocketAddr, upstream: SocketAddr) -> Self {
         let listener = bind(listen).expect("proxy address can be bound");
         let addr = listener.local_addr().expect("bound socket has an address");
-        let shared = Arc::new(Shared { upstream, table: Mutex::default() });
+        let table = Table {
+            upstream,
+            fresh: Mode::default(),
+            open: HashMap::new(),
+            by_peer: HashMap::new(),
+            accepted: 0,
+        };
+        let shared = Arc::new(Shared { table: Mutex::new(table) });
         let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
         Self { addr, shared, listener: Mutex::new(Some(task)) }
     }
@@ -131,6 +138,11 @@
         self.addr
     }
 
+    /// Leads connections made from now on to `upstream`.
+    pub fn set_upstream(&self, upstream: SocketAddr) {
+        self.shared.table().upstream = upstream;
+    }
+
     /// Number of connections accepted since the start.
     pub fn accepted(&self) -> u64 {
         self.shared.table().accepted
@@ -283,7 +295,8 @@
     client: TcpStream,
     modes: watch::Receiver<Mode>,
 ) -> io::Result<SocketAddr> {
-    let upstream = TcpStream::connect(shared.upstream).await?;
+    let upstream = shared.table().upstream;
+    let upstream = TcpStream::connect(upstream).await?;
     upstream.set_nodelay(true)?;
     let peer = upstream.local_addr()?;
     shared.table().by_peer.insert(peer, id);
