--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -14,8 +14,8 @@
 const SAFETY: f64 = 1.1;
 /// Streams that no target is given more of.
 const MAX_STREAMS: f64 = 512.0;
-/// Slow-down of streams that the most urgent tier bears if nothing is known of its answers.
-const DEFAULT_SLOWDOWN: f64 = 3.0;
+/// Slow-down of streams from which more of them add little to an engine's output.
+const MAX_SLOWDOWN: f64 = 3.0;
 /// Slow-down that is always borne.
 const MIN_SLOWDOWN: f64 = 1.5;
 /// Targets within this factor and span of the best predicted time count as equally good.
@@ -24,6 +24,8 @@
 /// Load over the mean that a target with the prefix cached, or meant for it, may have.
 const AFFINITY_BOUND: f64 = 1.25;
 const AFFINITY_SLACK: f64 = 2.0;
+/// Delay that a saved second of prefill is worth, since it is saved for others too.
+const SAVED_FACTOR: f64 = 3.0;
 
 /// What a request needs of a target.
 #[derive(Debug)]
@@ -89,6 +91,8 @@
     /// Predicted seconds to the end.
     end: f64,
     requests: f64,
+    /// Seconds of prefill that the cache likely saves.
+    saved: f64,
     fits: bool,
 }
 
@@ -145,7 +149,7 @@
     let requests = target.load(need.now).requests;
     let first = (requests + 1.0) * target.speed.call();
     let pick = Pick { target: index, uncached: 0.0, work: 0.0, first, cached: false };
-    Candidate { pick, end: first, requests, fits: true }
+    Candidate { pick, end: first, requests, saved: 0.0, fits: true }
 }
 
 /// Predicts a model engine's times; tells also whether an idle one of its kind would be in time.
@@ -163,13 +167,8 @@
     let prefill = speed.prefill();
     let idle_first = speed.overhead() + uncached / prefill;
     let work = load.prefill + uncached;
-    let mut first = speed.overhead() + work / prefill;
+    let first = speed.overhead() + work / prefill;
     let step = speed.step(load.requests + 1.0);
-    if let Some(batch) = target.batch(need.now).filter(|batch| load.requests >= *batch) {
-        // A slot frees up as the streams that run come to their end.
-        let per_slot = need.output * step / batch;
-        first += per_slot * (load.requests - batch + 1.0);
-    }
     let end = first + need.output * step;
     let idle_end = idle_first + need.output * speed.step(1.0);
     let within = |first: f64, end: f64| {
@@ -180,7 +179,8 @@
     let unknown = !speed.known(need.now);
     let pick = Pick { target: index, uncached, work, first, cached: cached > 0.0 };
     let fits = unknown || within(first, end);
-    let candidate = Candidate { pick, end, requests: load.requests, fits };
+    let saved = cached / prefill;
+    let candidate = Candidate { pick, end, requests: load.requests, saved, fits };
     (candidate, unknown || within(idle_first, idle_end))
 }
 
@@ -191,13 +191,10 @@
     }
     let streams = candidate.requests + 1.0;
     let share = if need.urgent { 1.0 } else { 1.0 - bounds.headroom };
-    let most = target.batch(need.now).map_or(MAX_STREAMS, |batch| (batch * share).max(1.0));
-    if streams > most {
-        return false;
-    }
     let solo = target.speed.step(1.0);
-    let budget = bounds.step_budget.unwrap_or(solo * DEFAULT_SLOWDOWN);
-    if target.speed.step(streams) > (budget * share).max(solo * MIN_SLOWDOWN) {
+    let budget = bounds.step_budget.unwrap_or(f64::INFINITY);
+    let most = (budget * share).max(solo * MIN_SLOWDOWN).min(solo * MAX_SLOWDOWN * share);
+    if streams > MAX_STREAMS * share || target.speed.step(streams) > most {
         return false;
     }
     let prefill = target.speed.prefill();
@@ -222,7 +219,8 @@
     let least = candidates.iter().map(|c| c.end).fold(f64::INFINITY, f64::min);
     if let Some(prefix) = need.prefix {
         let light = candidates.iter().filter(|c| c.requests <= bound);
-        let worth = |c: &&Candidate| c.pick.cached && c.end <= least * 2.0 + NEAR_SPAN;
+        let worth =
+            |c: &&Candidate| c.saved > 0.0 && c.end <= least + SAVED_FACTOR * c.saved + NEAR_SPAN;
         let holders = light.clone().filter(worth);
         if let Some(holder) = holders.min_by(|a, b| a.end.total_cmp(&b.end)) {
             return holder.pick;
