--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -1,23 +1,19 @@
 //! A TCP proxy on loopback that can cut, silence, freeze and delay what passes through it.
 
+mod relay;
+
 use std::collections::{HashMap, HashSet};
-use std::future::pending;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
-const BUFFER_BYTES: usize = 16 << 10;
-const QUEUED_BUFFERS: usize = 256;
 const LISTEN_BACKLOG: u32 = 1024;
 const REBIND_TRIES: u32 = 100;
 const REBIND_PAUSE: Duration = Duration::from_millis(20);
@@ -140,6 +136,7 @@
         let table = Table {
             upstream,
             fresh: Mode::default(),
+            blocked: HashSet::new(),
             open: HashMap::new(),
             by_peer: HashMap::new(),
             accepted: 0,
@@ -307,88 +304,7 @@
         table.accepted += 1;
         let source = from.ip();
         let (mode, modes) = watch::channel(table.mode_for(source));
-        let task = tokio::spawn(connection(Arc::clone(&shared), id, client, modes));
+        let task = tokio::spawn(relay::connection(Arc::clone(&shared), id, client, modes));
         table.open.insert(id, Open { source, mode, task });
     }
 }
-
-async fn connection(shared: Arc<Shared>, id: u64, client: TcpStream, modes: watch::Receiver<Mode>) {
-    let peer = relay(&shared, id, client, modes).await.ok();
-    let mut table = shared.table();
-    table.open.remove(&id);
-    if let Some(peer) = peer {
-        table.by_peer.remove(&peer);
-    }
-}
-
-async fn relay(
-    shared: &Shared,
-    id: u64,
-    client: TcpStream,
-    modes: watch::Receiver<Mode>,
-) -> io::Result<SocketAddr> {
-    let upstream = shared.table().upstream;
-    let upstream = TcpStream::connect(upstream).await?;
-    upstream.set_nodelay(true)?;
-    let peer = upstream.local_addr()?;
-    shared.table().by_peer.insert(peer, id);
-    let (client_read, client_write) = client.into_split();
-    let (upstream_read, upstream_write) = upstream.into_split();
-    let up = pump(client_read, upstream_write, modes.clone(), |mode| mode.up);
-    let down = pump(upstream_read, client_write, modes, |mode| mode.down);
-    // An error in one direction ends both; an orderly end of one leaves the other open.
-    let _ = tokio::try_join!(up, down);
-    Ok(peer)
-}
-
-async fn pump(
-    from: OwnedReadHalf,
-    to: OwnedWriteHalf,
-    modes: watch::Receiver<Mode>,
-    flow: impl Fn(&Mode) -> Flow,
-) -> io::Result<()> {
-    let (sender, receiver) = mpsc::channel(QUEUED_BUFFERS);
-    tokio::try_join!(read_side(from, sender, modes, flow), write_side(to, receiver))?;
-    Ok(())
-}
-
-async fn read_side(
-    mut from: OwnedReadHalf,
-    sender: mpsc::Sender<(Instant, Bytes)>,
-    mut modes: watch::Receiver<Mode>,
-    flow: impl Fn(&Mode) -> Flow,
-) -> io::Result<()> {
-    let mut buffer = BytesMut::new();
-    loop {
-        buffer.reserve(BUFFER_BYTES);
-        let count = from.read_buf(&mut buffer).await?;
-        let Ok(mode) = modes.wait_for(|mode| flow(mode) != Flow::Freeze).await.map(|mode| *mode)
-        else {
-            return Ok(());
-        };
-        match (flow(&mode), count) {
-            (Flow::Drop, 0) => return pending().await,
-            (Flow::Drop, _) => buffer.clear(),
-            (_, 0) => return Ok(()),
-            (_, _) => {
-                let due = Instant::now() + mode.delay;
-                if sender.send((due, buffer.split().freeze())).await.is_err() {
-                    return Ok(());
-                }
-            }
-        }
-    }
-}
-
-async fn write_side(
-    mut to: OwnedWriteHalf,
-    mut receiver: mpsc::Receiver<(Instant, Bytes)>,
-) -> io::Result<()> {
-    while let Some((due, bytes)) = receiver.recv().await {
-        if due > Instant::now() {
-            sleep_until(due).await;
-        }
-        to.write_all(&bytes).await?;
-    }
-    to.shutdown().await
-}
