--- a/crates/cli/tests/cli/submission.rs
+++ b/crates/cli/tests/cli/submission.rs
@@ -27,61 +27,52 @@
         doubt: bool,
     }
     let unavailable = Reply::Unavailable(Acceptance::No);
+    let case = |name, replies, want, doubt| Case { name, replies, want, doubt };
     let cases = [
-        Case {
-            name: "accepted",
-            replies: vec![Reply::Accepted(accepted())],
-            want: Want::Accepted,
-            doubt: false,
-        },
-        Case {
-            name: "accepted on asking again",
-            replies: vec![Reply::Lost, Reply::Accepted(accepted())],
-            want: Want::Accepted,
-            doubt: true,
-        },
-        Case {
-            name: "conflict",
-            replies: vec![unavailable.clone(), Reply::Conflict(conflict())],
-            want: Want::Conflict,
-            doubt: false,
-        },
-        Case {
-            name: "conflict after a lost answer may be with oneself and one more",
-            replies: vec![Reply::Lost, Reply::Conflict(conflict())],
-            want: Want::Unknown,
-            doubt: true,
-        },
-        Case {
-            name: "faults hold for every attempt",
-            replies: vec![Reply::Lost, Reply::Faulty(faulty())],
-            want: Want::Faulty,
-            doubt: true,
-        },
-        Case {
-            name: "wrong token",
-            replies: vec![Reply::Refused("1501 forbidden".to_owned())],
-            want: Want::Refused,
-            doubt: false,
-        },
-        Case {
-            name: "token changed after a lost answer",
-            replies: vec![Reply::Lost, Reply::Refused("1501 forbidden".to_owned())],
-            want: Want::Unknown,
-            doubt: true,
-        },
-        Case {
-            name: "no connection",
-            replies: vec![Reply::Unsent],
-            want: Want::Again,
-            doubt: false,
-        },
-        Case {
-            name: "a later outage does not settle a lost answer",
-            replies: vec![Reply::Unavailable(Acceptance::Unknown), unavailable],
-            want: Want::Again,
-            doubt: true,
-        },
+        case("accepted", vec![Reply::Accepted(accepted())], Want::Accepted, false),
+        case(
+            "accepted on asking again",
+            vec![Reply::Lost, Reply::Accepted(accepted())],
+            Want::Accepted,
+            true,
+        ),
+        case(
+            "conflict",
+            vec![unavailable.clone(), Reply::Conflict(conflict())],
+            Want::Conflict,
+            false,
+        ),
+        case(
+            "conflict after a lost answer may be with oneself and one more",
+            vec![Reply::Lost, Reply::Conflict(conflict())],
+            Want::Unknown,
+            true,
+        ),
+        case(
+            "faults hold for every attempt",
+            vec![Reply::Lost, Reply::Faulty(faulty())],
+            Want::Faulty,
+            true,
+        ),
+        case(
+            "wrong token",
+            vec![Reply::Refused("1501 forbidden".to_owned())],
+            Want::Refused,
+            false,
+        ),
+        case(
+            "token changed after a lost answer",
+            vec![Reply::Lost, Reply::Refused("1501 forbidden".to_owned())],
+            Want::Unknown,
+            true,
+        ),
+        case("no connection", vec![Reply::Unsent], Want::Again, false),
+        case(
+            "a later outage does not settle a lost answer",
+            vec![Reply::Unavailable(Acceptance::Unknown), unavailable],
+            Want::Again,
+            true,
+        ),
     ];
     for case in cases {
         let mut submission = Submission::new("id".to_owned(), 7);
--- a/crates/settings/tests/settings/parse.rs
+++ b/crates/settings/tests/settings/parse.rs
@@ -99,105 +99,95 @@
         edit: [&'static str; 2],
         want: &'static [&'static str],
     }
+    let case = |name, edit, want: &'static [&'static str]| Case { name, edit, want };
     let cases = [
-        Case { name: "not TOML", edit: ["deployment =", "deployment"], want: &[""] },
-        Case { name: "missing name", edit: ["name = \"i\"", ""], want: &["instance.name"] },
-        Case { name: "empty name", edit: ["\"i\"", "\" \""], want: &["instance.name"] },
-        Case { name: "name with a slash", edit: ["\"z\"", "\"a/b\""], want: &["instance.zone"] },
-        Case {
-            name: "missing section",
-            edit: ["[platform]\nurl = \"http://127.0.0.1:3/\"", ""],
-            want: &["platform"],
-        },
-        Case {
-            name: "section of another type",
-            edit: ["deployment = \"d\"", "deployment = \"d\"\ntraffic = 1"],
-            want: &["traffic"],
-        },
-        Case {
-            name: "unknown keys at both levels",
-            edit: ["deployment = \"d\"", "deployment = \"d\"\nx = 1\n[stop]\ny = 2"],
-            want: &["x", "stop.y"],
-        },
-        Case { name: "host name", edit: ["127.0.0.1:1", "host:1"], want: &["listen.callers"] },
-        Case { name: "same address twice", edit: ["0.1:2", "0.1:1"], want: &["listen.inner"] },
-        Case {
-            name: "no address for peers",
-            edit: ["\"127.0.0.1:2\"", "\"0.0.0.0:2\""],
-            want: &["listen.advertise"],
-        },
-        Case { name: "URL", edit: ["http:", "ftp:"], want: &["platform.url"] },
-        Case {
-            name: "number for a duration",
-            edit: ["[platform]", "[platform]\ncall_timeout = 5"],
-            want: &["platform.call_timeout"],
-        },
-        Case {
-            name: "duration without a unit",
-            edit: ["[platform]", "[platform]\ncall_timeout = \"5\""],
-            want: &["platform.call_timeout"],
-        },
-        Case {
-            name: "duration of nothing",
-            edit: ["[platform]", "[platform]\ncall_timeout = \"0s\""],
-            want: &["platform.call_timeout"],
-        },
-        Case {
-            name: "duration and size out of range",
-            edit: [
-                "[platform]",
-                "[records]\nkeep = \"8 days\"\nanswer_limit = \"2 GiB\"\n[platform]",
-            ],
-            want: &["records.keep", "records.answer_limit"],
-        },
-        Case {
-            name: "numbers and sizes",
-            edit: [
+        case("not TOML", ["deployment =", "deployment"], &[""]),
+        case("missing name", ["name = \"i\"", ""], &["instance.name"]),
+        case("empty name", ["\"i\"", "\" \""], &["instance.name"]),
+        case("name with a slash", ["\"z\"", "\"a/b\""], &["instance.zone"]),
+        case("missing section", ["[platform]\nurl = \"http://127.0.0.1:3/\"", ""], &["platform"]),
+        case(
+            "section of another type",
+            ["deployment = \"d\"", "deployment = \"d\"\ntraffic = 1"],
+            &["traffic"],
+        ),
+        case(
+            "unknown keys at both levels",
+            ["deployment = \"d\"", "deployment = \"d\"\nx = 1\n[stop]\ny = 2"],
+            &["x", "stop.y"],
+        ),
+        case("host name", ["127.0.0.1:1", "host:1"], &["listen.callers"]),
+        case("same address twice", ["0.1:2", "0.1:1"], &["listen.inner"]),
+        case("no address for peers", ["\"127.0.0.1:2\"", "\"0.0.0.0:2\""], &["listen.advertise"]),
+        case("URL", ["http:", "ftp:"], &["platform.url"]),
+        case(
+            "number for a duration",
+            ["[platform]", "[platform]\ncall_timeout = 5"],
+            &["platform.call_timeout"],
+        ),
+        case(
+            "duration without a unit",
+            ["[platform]", "[platform]\ncall_timeout = \"5\""],
+            &["platform.call_timeout"],
+        ),
+        case(
+            "duration of nothing",
+            ["[platform]", "[platform]\ncall_timeout = \"0s\""],
+            &["platform.call_timeout"],
+        ),
+        case(
+            "duration and size out of range",
+            ["[platform]", "[records]\nkeep = \"8 days\"\nanswer_limit = \"2 GiB\"\n[platform]"],
+            &["records.keep", "records.answer_limit"],
+        ),
+        case(
+            "numbers and sizes",
+            [
                 "[platform]",
                 "[traffic]\nthreads = 0\nqueue_limit = \"5\"\nbody_limit = \"4\"\n\
                  header_limit = \"0 KiB\"\n[platform]",
             ],
-            want: &[
+            &[
                 "traffic.threads",
                 "traffic.body_limit",
                 "traffic.header_limit",
                 "traffic.queue_limit",
             ],
-        },
-        Case {
-            name: "timeouts that contradict one another",
-            edit: ["[platform]", "[control]\nheartbeat = \"20s\"\n[platform]"],
-            want: &["control.suspect_after"],
-        },
-        Case {
-            name: "removal before suspicion",
-            edit: ["[platform]", "[control]\nremove_after = \"2s\"\n[platform]"],
-            want: &["control.remove_after"],
-        },
-        Case {
-            name: "levels",
-            edit: ["[platform]", "[log]\nlevel = \"loud\"\nmodules = {a = \"b\"}\n[platform]"],
-            want: &["log.level", "log.modules.a"],
-        },
-        Case { name: "no token", edit: ["peer_env = \"PEER\"", ""], want: &["tokens.peer"] },
-        Case {
-            name: "token in the settings themselves",
-            edit: ["peer_env", "peer"],
-            want: &["tokens.peer", "tokens.peer"],
-        },
-        Case { name: "unset variable", edit: ["\"PEER\"", "\"P\""], want: &["tokens.peer_env"] },
-        Case { name: "short token", edit: ["\"PEER\"", "\"SHORT\""], want: &["tokens.peer_env"] },
-        Case { name: "same token", edit: ["\"PEER\"", "\"OPERATOR\""], want: &["tokens.peer"] },
-        Case {
-            name: "absent file",
-            edit: ["peer_env = \"PEER\"", "peer_file = \"/absent/token\""],
-            want: &["tokens.peer_file"],
-        },
-        Case {
-            name: "file and variable",
-            edit: ["peer_env = \"PEER\"", "peer_env = \"PEER\"\npeer_file = \"/absent\""],
-            want: &["tokens.peer"],
-        },
+        ),
+        case(
+            "timeouts that contradict one another",
+            ["[platform]", "[control]\nheartbeat = \"20s\"\n[platform]"],
+            &["control.suspect_after"],
+        ),
+        case(
+            "removal before suspicion",
+            ["[platform]", "[control]\nremove_after = \"2s\"\n[platform]"],
+            &["control.remove_after"],
+        ),
+        case(
+            "levels",
+            ["[platform]", "[log]\nlevel = \"loud\"\nmodules = {a = \"b\"}\n[platform]"],
+            &["log.level", "log.modules.a"],
+        ),
+        case("no token", ["peer_env = \"PEER\"", ""], &["tokens.peer"]),
+        case(
+            "token in the settings themselves",
+            ["peer_env", "peer"],
+            &["tokens.peer", "tokens.peer"],
+        ),
+        case("unset variable", ["\"PEER\"", "\"P\""], &["tokens.peer_env"]),
+        case("short token", ["\"PEER\"", "\"SHORT\""], &["tokens.peer_env"]),
+        case("same token", ["\"PEER\"", "\"OPERATOR\""], &["tokens.peer"]),
+        case(
+            "absent file",
+            ["peer_env = \"PEER\"", "peer_file = \"/absent/token\""],
+            &["tokens.peer_file"],
+        ),
+        case(
+            "file and variable",
+            ["peer_env = \"PEER\"", "peer_env = \"PEER\"\npeer_file = \"/absent\""],
+            &["tokens.peer"],
+        ),
     ];
     for case in cases {
         let text = LEAST.replacen(case.edit[0], case.edit[1], 1);
