Follow rollouts' notion of peers by life in the node

Cause: the rollouts tell lives of one instance apart, since a restarted peer has to confirm an outcome anew. Ruled out: keeping instance names in the view. Change: the node hands lives to the rollouts.

--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use sesamewind_protocol::target::LoadReport;
-use sesamewind_protocol::{InstanceId, ServiceId, TargetId, VersionId};
-use sesamewind_rollout::Loaded;
+use sesamewind_protocol::{ServiceId, TargetId, VersionId};
+use sesamewind_rollout::{Loaded, Peer};
 
 use crate::requests::Requests;
 
@@ -68,7 +68,7 @@
     /// The targets.
     pub loads: &'a Loads,
     /// Peers that can be reached.
-    pub peers: &'a [InstanceId],
+    pub peers: &'a [Peer],
     /// The requests.
     pub requests: &'a Requests,
 }
@@ -78,7 +78,7 @@
         self.loads.versions(target)
     }
 
-    fn peers(&self) -> Vec<InstanceId> {
+    fn peers(&self) -> Vec<Peer> {
         self.peers.to_vec()
     }
 
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -2,8 +2,9 @@
 
 use sesamewind_membership::Kind;
 use sesamewind_policy as policy;
-use sesamewind_protocol::message::Exchange;
+use sesamewind_protocol::message::{Exchange, Sender};
 use sesamewind_protocol::{Time, Wall};
+use sesamewind_rollout::Peer;
 
 use crate::event::Action;
 use crate::loads::LoadedView;
@@ -22,7 +23,7 @@
         message.floor_acks = self.scheduler.floor_acks();
         message.evidence = self.rollouts.evidence();
         message.verdicts = self.rollouts.verdicts();
-        let peers = self.reachable_ids(now);
+        let peers = self.reachable_lives(now);
         let loaded = LoadedView { loads: &self.loads, peers: &peers, requests: &self.requests };
         message.records = self.rollouts.records(&loaded);
         let _ = kind;
@@ -47,7 +48,9 @@
         self.revisions.insert(message.from.instance.clone(), message.config.revision);
         self.offer_config(message, actions);
         self.rollouts.learn_verdicts(&message.verdicts);
-        self.rollouts.heard(&message.from.instance, &message.records);
+        let Sender { instance, incarnation, .. } = &message.from;
+        let peer = Peer { instance: instance.clone(), incarnation: *incarnation };
+        self.rollouts.heard(&peer, &message.records);
         self.rollouts.merge(&message.evidence);
         self.spread_leaving(now, wall, actions);
         self.schedule(policy::Event::Peer(message.into()), now, wall, actions);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 use sesamewind_protocol::record::{Life, RecordsCopy};
 use sesamewind_protocol::target::LoadReport;
 use sesamewind_protocol::{InstanceId, Revision, TargetId, Time, Wall};
-use sesamewind_rollout::{LeaseGrant, RolloutView, Rollouts};
+use sesamewind_rollout::{LeaseGrant, Peer, RolloutView, Rollouts};
 use sesamewind_sheet::Sheet;
 
 use crate::convert;
@@ -233,6 +233,14 @@
         }
     }
 
+    /// Lives of the peers that can be reached.
+    pub(crate) fn reachable_lives(&self, now: Time) -> Vec<Peer> {
+        let reachable = self.members.reachable(now).into_iter();
+        reachable
+            .map(|peer| Peer { instance: peer.instance, incarnation: peer.incarnation })
+            .collect()
+    }
+
     /// Peers that can be reached.
     pub(crate) fn reachable_ids(&self, now: Time) -> Vec<InstanceId> {
         self.members.reachable(now).into_iter().map(|peer| peer.instance).collect()
@@ -346,7 +354,7 @@
         let grant = self.lease.grant(now);
         let lease =
             grant.map(|grant| LeaseGrant { fence: grant.fence, valid_until: grant.valid_until });
-        let peers = self.reachable_ids(now);
+        let peers = self.reachable_lives(now);
         let loaded = LoadedView { loads: &self.loads, peers: &peers, requests: &self.requests };
         let wanted = self.rollouts.tick(now, wall, lease, &loaded);
         actions.extend(wanted.into_iter().map(Action::Rollout));
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -313,7 +313,11 @@
     pub(crate) fn expire_hints(&mut self, keep: Duration, now: Time) {
         self.hints.retain(|_, hint| now.since(hint.at) < keep);
         while self.hints.len() > MAX_HINTS {
-            let oldest = self.hints.iter().min_by_key(|(hash, hint)| (hint.at, **hash)).map(|(hash, _)| *hash);
+            let oldest = self
+                .hints
+                .iter()
+                .min_by_key(|(hash, hint)| (hint.at, **hash))
+                .map(|(hash, _)| *hash);
             oldest.and_then(|hash| self.hints.remove(&hash));
         }
     }
