--- a/crates/replay/src/count.rs
+++ b/crates/replay/src/count.rs
@@ -1,6 +1,6 @@
 //! Joins the stand-ins' logs with the callers' answers into a report.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use sesamewind_protocol::{Code, RunState, Wall};
@@ -109,12 +109,13 @@
     /// Counts everything that the report names.
     pub fn report(&self, policy: &str, trace: &str, seed: u64) -> Report {
         let requests = self.requests();
+        let lower = self.lower();
         let mut report = Report::new(policy, trace, seed);
         for tier in &self.scenario.tiers {
             report.goodput.insert(tier.name.clone(), Goodput::default());
         }
         for request in &requests {
-            self.count(request, &mut report);
+            self.count(request, &lower, &mut report);
         }
         for received in self.received {
             if let Answer::Refused(refusal) = &received.answer {
@@ -150,7 +151,7 @@
         requests
     }
 
-    fn count(&self, request: &Request<'_>, report: &mut Report) {
+    fn count(&self, request: &Request<'_>, lower: &HashSet<String>, report: &mut Report) {
         let Some(tier) = self.scenario.tier(&request.entry.tier) else { return };
         let first_token = Duration::from_millis(tier.first_token_ms);
         let total = Duration::from_millis(tier.total_ms);
@@ -168,7 +169,8 @@
             request.attempts.iter().filter(|a| a.answer == Answer::Wrong).count() as u64;
         report.false_not_run += u64::from(request.false_not_run());
         if tier.rank == 0 {
-            let shed = request.attempts.iter().filter(|a| self.shed_too_early(request.entry, a));
+            let shed =
+                request.attempts.iter().filter(|a| self.shed_too_early(request.entry, a, lower));
             report.urgent_shed_while_lower_ran += shed.count() as u64;
         }
     }
@@ -184,7 +186,7 @@
     }
 
     /// Whether the most urgent tier was shed while lower-tier work of its service still ran.
-    fn shed_too_early(&self, entry: &Entry, attempt: &Received) -> bool {
+    fn shed_too_early(&self, entry: &Entry, attempt: &Received, lower: &HashSet<String>) -> bool {
         let Answer::Refused(refusal) = &attempt.answer else { return false };
         if !is_shed(refusal) {
             return false;
@@ -193,15 +195,16 @@
             Wall(attempt.at.0.saturating_sub(self.scenario.client_delay().as_millis() as u64));
         self.dispatches.iter().any(|dispatch| {
             let runs = dispatch.at < told && dispatch.ended.is_some_and(|ended| ended > told);
-            runs && dispatch.service == entry.service && self.is_lower(&dispatch.request)
+            runs && dispatch.service == entry.service && lower.contains(&dispatch.request)
         })
     }
 
-    fn is_lower(&self, request: &str) -> bool {
-        let of = |entry: &&Entry| request_key(entry).to_string() == request;
-        let entry = self.entries.iter().find(of);
-        let tier = entry.and_then(|entry| self.scenario.tier(&entry.tier));
-        tier.is_some_and(|tier| tier.rank > 0)
+    /// Ids of the requests below the most urgent tier.
+    fn lower(&self) -> HashSet<String> {
+        let is_lower =
+            |entry: &&Entry| self.scenario.tier(&entry.tier).is_some_and(|tier| tier.rank > 0);
+        let lower = self.entries.iter().filter(is_lower);
+        lower.map(|entry| request_key(entry).to_string()).collect()
     }
 
     fn rollout(&self, rollout: &RolloutPlan) -> RolloutReport {
--- /dev/null
+++ b/crates/replay/tests/report.rs
@@ -0,0 +1,281 @@
+//! Arithmetic of the report: what counts as in time, twice, lost, wasted, false and shed.
+
+use std::time::Duration;
+
+use sesamewind_protocol::{Code, RunState, Wall};
+use sesamewind_replay::client::request_key;
+use sesamewind_replay::count::{Dispatch, Facts, Recorded};
+use sesamewind_replay::received::{Answer, Received, Refusal};
+use sesamewind_replay::report::{Held, Report};
+use sesamewind_replay::scenario::{OutcomePlan, Scenario};
+use sesamewind_replay::trace::{self, Entry};
+
+const START: u64 = 1_000_000;
+
+fn scenario() -> Scenario {
+    let text = r#"
+region = "r"
+zones = ["z"]
+zone_delay_ms = 0
+client_delay_ms = 0
+instances = [{ name = "i1", zone = "z" }]
+tiers = [
+  { name = "urgent", rank = 0, first_token_ms = 500, total_ms = 2000 },
+  { name = "low", rank = 1, first_token_ms = 9000, total_ms = 9000 },
+]
+accounts = [{ name = "a", tier = "urgent" }]
+generations = {}
+targets = []
+rollouts = [{ id = "r1", service = "s", from = "v1", to = "v2", deadline_s = 9, share = 0.1, truth = "bad" }]
+outcomes = []
+
+[[services]]
+name = "s"
+class = "model"
+version = "v1"
+routes = [{ route = "reply", tier = "urgent", idempotent = false }]
+
+[[services]]
+name = "p"
+class = "plain"
+version = "v1"
+routes = [
+  { route = "GET /", tier = "urgent", idempotent = true },
+  { route = "GET /pay", tier = "urgent", idempotent = false },
+]
+"#;
+    Scenario::parse(text).unwrap()
+}
+
+/// Two urgent requests (the first with a resend), a low one and two plain ones.
+fn entries() -> Vec<Entry> {
+    let lines = [
+        "0,a,urgent,s,reply,k1,0,,0,100,5,4000",
+        "0,a,urgent,s,reply,k2,0,,0,100,5,4000",
+        "0,a,low,s,reply,k3,0,,0,100,5,4000",
+        "0,a,urgent,p,GET /x,k4,0,,0,0,0,4000",
+        "0,a,urgent,p,GET /pay/7,k5,0,,0,0,0,4000",
+        "400,a,urgent,s,reply,k1,1,,0,100,5,4000",
+    ];
+    trace::read((trace::COLUMNS.join(",") + "\n" + &lines.join("\n")).as_bytes()).unwrap()
+}
+
+fn received(entry: usize, sent: u64, first_token: u64, total: u64, answer: Answer) -> Received {
+    let first_token = (first_token > 0).then(|| Duration::from_millis(first_token));
+    let (sent, at) = (Wall(START + sent), Wall(START + sent + total));
+    Received { entry, sent, at, first_token, total: Duration::from_millis(total), answer }
+}
+
+fn refused(code: Code, run: RunState) -> Answer {
+    Answer::Refused(Refusal { status: code.status(), code: code.number(), run })
+}
+
+fn dispatch(entry: &Entry, at: u64, ended: u64, prefill: u64) -> Dispatch {
+    Dispatch {
+        request: request_key(entry).to_string(),
+        service: entry.service.clone(),
+        version: "v1".to_owned(),
+        at: Wall(START + at),
+        ended: Some(Wall(START + ended)),
+        complete: true,
+        prefill,
+        late: false,
+    }
+}
+
+fn report(received: &[Received], dispatches: Vec<Dispatch>) -> Report {
+    let (scenario, entries) = (scenario(), entries());
+    let start = Wall(START);
+    let facts = Facts {
+        scenario: &scenario,
+        entries: &entries,
+        start,
+        received,
+        dispatches,
+        recorded: Vec::new(),
+        harmful_orders: 0,
+    };
+    facts.report("sesamewind", "t", 1)
+}
+
+#[test]
+fn goodput_counts_whole_answers_within_the_tiers_times() {
+    struct Case {
+        name: &'static str,
+        received: Vec<Received>,
+        in_time: u64,
+    }
+    let whole = |entry, sent, first, total| received(entry, sent, first, total, Answer::Whole);
+    let lost = || received(0, 0, 0, 300, Answer::Lost);
+    let cases = [
+        Case { name: "in time", received: vec![whole(0, 0, 500, 2_000)], in_time: 1 },
+        Case { name: "late token", received: vec![whole(0, 0, 501, 1_000)], in_time: 0 },
+        Case { name: "late end", received: vec![whole(0, 0, 100, 2_001)], in_time: 0 },
+        Case { name: "wrong", received: vec![received(0, 0, 9, 9, Answer::Wrong)], in_time: 0 },
+        Case {
+            name: "resend in time",
+            received: vec![lost(), whole(5, 400, 100, 500)],
+            in_time: 1,
+        },
+        Case { name: "resend late", received: vec![lost(), whole(5, 400, 101, 500)], in_time: 0 },
+        Case { name: "both", received: vec![whole(0, 0, 9, 9), whole(5, 400, 9, 9)], in_time: 1 },
+    ];
+    for case in cases {
+        let goodput = report(&case.received, Vec::new()).goodput["urgent"];
+        assert_eq!((goodput.offered, goodput.answered_in_time), (1, case.in_time), "{}", case.name);
+    }
+}
+
+#[test]
+fn faults_of_dispatch_and_answer_are_counted() {
+    struct Case {
+        name: &'static str,
+        received: Vec<Received>,
+        dispatches: Vec<Dispatch>,
+        /// Twice, not repeatable, lost, wrong, false not-run, shed early, wasted tokens.
+        want: [u64; 7],
+    }
+    let entries = entries();
+    let (urgent, low) = (&entries[0], &entries[2]);
+    let answer = |entry, sent, answer| received(entry, sent, 0, 100, answer);
+    let not_run = || refused(Code::QueueFull, RunState::NotRun);
+    let unknown = || refused(Code::OutcomeUnknown, RunState::Unknown);
+    let one = |at, ended| vec![dispatch(urgent, at, ended, 100)];
+    let case = |name, received, dispatches, want| Case { name, received, dispatches, want };
+    let cases = [
+        case("served", vec![answer(0, 0, Answer::Whole)], one(10, 90), [0; 7]),
+        case("wasted", vec![answer(0, 0, unknown())], one(10, 90), [0, 0, 0, 0, 0, 0, 100]),
+        case("lost", vec![answer(0, 0, Answer::Lost)], vec![], [0, 0, 1, 0, 0, 0, 0]),
+        case("wrong", vec![answer(0, 0, Answer::Wrong)], one(10, 90), [0, 0, 0, 1, 0, 0, 100]),
+        case(
+            "twice",
+            vec![answer(0, 0, Answer::Whole)],
+            vec![dispatch(urgent, 10, 90, 100), dispatch(urgent, 20, 90, 70)],
+            [1, 1, 0, 0, 0, 0, 70],
+        ),
+        case(
+            "repeatable twice",
+            vec![answer(3, 0, Answer::Whole)],
+            vec![dispatch(&entries[3], 10, 90, 0), dispatch(&entries[3], 20, 90, 0)],
+            [1, 0, 0, 0, 0, 0, 0],
+        ),
+        case(
+            "the longest route decides",
+            vec![answer(4, 0, Answer::Whole)],
+            vec![dispatch(&entries[4], 10, 90, 0), dispatch(&entries[4], 20, 90, 0)],
+            [1, 1, 0, 0, 0, 0, 0],
+        ),
+        case("true not-run", vec![answer(0, 0, not_run())], vec![], [0; 7]),
+        case("ran before", vec![answer(0, 0, not_run())], one(50, 60), [0, 0, 0, 0, 1, 0, 100]),
+        case("ran after", vec![answer(0, 0, not_run())], one(150, 160), [0, 0, 0, 0, 1, 0, 100]),
+        case(
+            "ran by its resend",
+            vec![answer(0, 0, not_run()), answer(5, 400, Answer::Whole)],
+            one(410, 450),
+            [0; 7],
+        ),
+        case(
+            "shed while lower ran",
+            vec![answer(0, 0, not_run()), answer(2, 0, Answer::Whole)],
+            vec![dispatch(low, 50, 150, 100)],
+            [0, 0, 0, 0, 0, 1, 0],
+        ),
+        case(
+            "shed after lower ran",
+            vec![answer(0, 0, not_run()), answer(2, 0, Answer::Whole)],
+            vec![dispatch(low, 50, 99, 100)],
+            [0; 7],
+        ),
+        case(
+            "lower shed while urgent ran",
+            vec![answer(2, 0, not_run()), answer(0, 0, Answer::Whole)],
+            one(50, 150),
+            [0; 7],
+        ),
+    ];
+    for case in cases {
+        let report = report(&case.received, case.dispatches);
+        let got = [
+            report.dispatched_twice,
+            report.unrepeatable_repeated,
+            report.lost,
+            report.wrong_answer,
+            report.false_not_run,
+            report.urgent_shed_while_lower_ran,
+            report.prefill_tokens.wasted,
+        ];
+        assert_eq!(got, case.want, "{}", case.name);
+    }
+}
+
+#[test]
+fn rollouts_are_judged_by_the_recorded_outcome_and_what_reached_the_version() {
+    let (scenario, entries) = (scenario(), entries());
+    let new = |at| Dispatch { version: "v2".to_owned(), ..dispatch(&entries[0], at, at, 0) };
+    let at = Wall(START + 5_000);
+    let outcome = "rolled-back".to_owned();
+    let mut facts = Facts {
+        scenario: &scenario,
+        entries: &entries,
+        start: Wall(START),
+        received: &[],
+        dispatches: vec![
+            new(1_000),
+            new(7_999),
+            new(8_001),
+            dispatch(&entries[0], 9_000, 9_000, 0),
+        ],
+        recorded: vec![Recorded { rollout: "r1".to_owned(), at, outcome }],
+        harmful_orders: 0,
+    };
+    let rollout = facts.report("p", "t", 1).rollouts["r1"].clone();
+    assert_eq!((rollout.exposed_requests, rollout.requests_after_verdict), (3, 1));
+    assert!(rollout.in_time && rollout.ended_well);
+    facts.recorded[0].at = Wall(START + 9_001);
+    assert!(!facts.report("p", "t", 1).rollouts["r1"].in_time);
+    facts.recorded[0].outcome = "completed".to_owned();
+    assert!(!facts.report("p", "t", 1).rollouts["r1"].ended_well);
+    facts.recorded.clear();
+    let rollout = facts.report("p", "t", 1).rollouts["r1"].clone();
+    assert_eq!(
+        (rollout.outcome.as_str(), rollout.in_time, rollout.ended_well),
+        ("none", false, false)
+    );
+}
+
+#[test]
+fn outcomes_hold_by_number_or_text_and_baselines_are_compared() {
+    struct Case {
+        measure: &'static str,
+        least: Option<f64>,
+        most: Option<f64>,
+        equals: Option<&'static str>,
+        want: Held,
+    }
+    let whole = [received(0, 0, 9, 9, Answer::Whole), received(1, 0, 9, 9, Answer::Whole)];
+    let half = [received(0, 0, 9, 9, Answer::Whole), received(1, 0, 9, 9, Answer::Lost)];
+    let mut judged = report(&whole, Vec::new());
+    judged.judge(vec![report(&half, Vec::new()), report(&[], Vec::new())], &[]);
+    let case = |measure, least, most, equals, want| Case { measure, least, most, equals, want };
+    let cases = [
+        case("lost", None, Some(0.0), None, Held::Held),
+        case("goodput.urgent.offered", Some(3.0), None, None, Held::NotHeld),
+        case("goodput_share.urgent", Some(1.0), None, None, Held::Held),
+        case("versus_baseline.urgent", Some(2.0), Some(2.0), None, Held::Held),
+        case("rollouts.r1.outcome", None, None, Some("none"), Held::Held),
+        case("rollouts.r1.outcome", None, None, Some("completed"), Held::NotHeld),
+        case("rollouts.r1.in_time", Some(1.0), None, None, Held::NotHeld),
+        case("rollouts.r9.outcome", None, None, Some("none"), Held::NotJudged),
+        case("lost", None, None, Some("0"), Held::NotHeld),
+    ];
+    for case in cases {
+        let plan = OutcomePlan {
+            name: "o".to_owned(),
+            measure: case.measure.to_owned(),
+            at_least: case.least,
+            at_most: case.most,
+            equals: case.equals.map(str::to_owned),
+        };
+        assert_eq!(judged.held(&plan), case.want, "{}", case.measure);
+    }
+}
