--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use sesamewind_replay::attempts;
 use sesamewind_replay::count::Facts;
 use sesamewind_replay::replay::{Policy, replay};
 use sesamewind_replay::report::Report;
@@ -35,6 +36,8 @@
             optional --seed seed: u64
             /// Write the report as JSON to this file.
             optional --json file: PathBuf
+            /// Write what became of each attempt as CSV to files of this name and the policy's.
+            optional --attempts file: PathBuf
         }
     }
 }
@@ -45,13 +48,14 @@
     scenario: Scenario,
     entries: Arc<Vec<Entry>>,
     seed: u64,
+    attempts: Option<PathBuf>,
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let flags = flags::SesamewindReplay::from_env_or_exit();
     let input = match read(&flags.trace, flags.seed.unwrap_or(1)) {
-        Ok(input) => input,
+        Ok(input) => Input { attempts: flags.attempts, ..input },
         Err(reason) => return refuse(&reason),
     };
     let policy = flags.policy.unwrap_or(Policy::Sesamewind);
@@ -96,13 +100,18 @@
     let scenario = Scenario::parse(&text).map_err(|error| of_scenario(&error))?;
     scenario.check_trace(&entries).map_err(|error| of_scenario(&error))?;
     let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
-    Ok(Input { name, scenario, entries: Arc::new(entries), seed })
+    Ok(Input { name, scenario, entries: Arc::new(entries), seed, attempts: None })
 }
 
 async fn run(input: &Input, policy: Policy) -> Result<Report, String> {
     eprintln!("replaying {} with {}", input.name, policy.as_str());
     let outcome = replay(&input.scenario, &input.entries, policy, input.seed).await;
     let outcome = outcome.map_err(|fault| fault.to_string())?;
+    if let Some(file) = &input.attempts {
+        let file = PathBuf::from(format!("{}.{}.csv", file.display(), policy.as_str()));
+        let list = attempts::list(&input.scenario, &input.entries, &outcome.received);
+        std::fs::write(&file, list).map_err(|error| format!("{}: {error}", file.display()))?;
+    }
     let facts = Facts::gather(&input.scenario, &input.entries, &outcome);
     Ok(facts.report(policy.as_str(), &input.name, input.seed))
 }
--- a/crates/replay/src/received.rs
+++ b/crates/replay/src/received.rs
@@ -33,6 +33,8 @@
 pub struct Received {
     /// Index of the attempt in the trace.
     pub entry: usize,
+    /// Index of the instance that it was sent to last.
+    pub instance: usize,
     /// When the caller sent it.
     pub sent: Wall,
     /// When the answer had come, or the caller gave up.
--- a/crates/replay/src/replay.rs
+++ b/crates/replay/src/replay.rs
@@ -128,7 +128,9 @@
         sleep(self.client_delay).await;
         let before = start.elapsed();
         let mut exchange = Exchange { first_token: None, answer: Answer::Lost, untouched: false };
-        for instance in self.balancer.order(entry) {
+        let mut instance = 0;
+        for next in self.balancer.order(entry) {
+            instance = next;
             exchange = self.entrance.send(instance, entry).await;
             // A balancer tries the next instance where the connection was refused.
             let refused = exchange.untouched && exchange.answer == Answer::Lost;
@@ -139,7 +141,8 @@
         sleep(self.client_delay).await;
         let first_token = exchange.first_token.map(|time| time + before + self.client_delay);
         let total = start.elapsed();
-        Received { entry: index, sent, at: wall_now(), first_token, total, answer: exchange.answer }
+        let (entry, at, answer) = (index, wall_now(), exchange.answer);
+        Received { entry, instance, sent, at, first_token, total, answer }
     }
 }
 
--- a/crates/replay/tests/report.rs
+++ b/crates/replay/tests/report.rs
@@ -63,7 +63,15 @@
 fn received(entry: usize, sent: u64, first_token: u64, total: u64, answer: Answer) -> Received {
     let first_token = (first_token > 0).then(|| Duration::from_millis(first_token));
     let (sent, at) = (Wall(START + sent), Wall(START + sent + total));
-    Received { entry, sent, at, first_token, total: Duration::from_millis(total), answer }
+    Received {
+        entry,
+        instance: 0,
+        sent,
+        at,
+        first_token,
+        total: Duration::from_millis(total),
+        answer,
+    }
 }
 
 fn refused(code: Code, run: RunState) -> Answer {
