Let the most urgent tier follow what a target is seen to run

The most urgent tier may now exceed the limit by a tenth of what the target was seen to run, so it grows where the target follows and stops at the batch limit of one that doesn't.

--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -16,6 +16,8 @@
 const MAX_STREAMS: f64 = 512.0;
 /// Slow-down of streams from which more of them add little to an engine's output.
 const MAX_SLOWDOWN: f64 = 3.0;
+/// Streams beyond those that a target was seen to run that the most urgent tier may try.
+const SEEN_FACTOR: f64 = 1.1;
 /// Slow-down that is always borne.
 const MIN_SLOWDOWN: f64 = 1.5;
 /// Targets within this factor and span of the best predicted time count as equally good.
@@ -193,8 +195,12 @@
     let share = if need.urgent { 1.0 } else { 1.0 - bounds.headroom };
     let solo = target.speed.step(1.0);
     let budget = bounds.step_budget.unwrap_or(f64::INFINITY);
-    let most = (budget * share).max(solo * MIN_SLOWDOWN).min(solo * MAX_SLOWDOWN * share);
-    if streams > MAX_STREAMS * share || target.speed.step(streams) > most {
+    let bearable = (budget * share).max(solo * MIN_SLOWDOWN);
+    let useful = solo * MAX_SLOWDOWN * share;
+    let step = target.speed.step(streams);
+    // The most urgent tier may go beyond what is useful as long as the target follows.
+    let follows = need.urgent && streams <= target.seen_running() * SEEN_FACTOR + 1.0;
+    if streams > MAX_STREAMS * share || step > bearable || step > useful && !follows {
         return false;
     }
     let prefill = target.speed.prefill();
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -91,7 +91,8 @@
 
     /// The longest flow's newest request.
     fn newest_of_longest(&self) -> Option<(usize, Ticket)> {
-        let length = |(account, flow): &(&AccountId, &Flow)| (flow.tickets.len(), (*account).clone());
+        let length =
+            |(account, flow): &(&AccountId, &Flow)| (flow.tickets.len(), (*account).clone());
         let (_, longest) = self.flows.iter().max_by_key(length)?;
         Some((longest.tickets.len(), *longest.tickets.back()?))
     }
--- a/crates/policy/src/scheduler/end.rs
+++ b/crates/policy/src/scheduler/end.rs
@@ -16,7 +16,13 @@
 
 impl Scheduler {
     /// Sets a request's work at its target off.
-    pub(super) fn leave_target(&mut self, service: usize, rank: u8, flight: &Flight, cx: Context<'_>) {
+    pub(super) fn leave_target(
+        &mut self,
+        service: usize,
+        rank: u8,
+        flight: &Flight,
+        cx: Context<'_>,
+    ) {
         self.targets[flight.target].left(flight.prompt_left(), flight.output_left(), cx.now);
         self.services[service].ended(rank);
     }
--- a/crates/policy/src/scheduler/pump.rs
+++ b/crates/policy/src/scheduler/pump.rs
@@ -14,7 +14,7 @@
 use super::{Context, Scheduler};
 
 /// Part of the most urgent tier's time to first token that prompts may wait inside a target.
-const WINDOW_SHARE: f64 = 0.5;
+const WINDOW_SHARE: f64 = 0.35;
 /// Part of its time in the queue after which a request asks for lower work to be cancelled.
 const PRESS_SHARE: u32 = 3;
 const DEFAULT_WINDOW: Duration = Duration::from_secs(1);
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -12,6 +12,8 @@
 
 const HISTORY_STEP: Duration = Duration::from_millis(40);
 const HISTORY_SPAN: Duration = Duration::from_secs(5);
+/// What remains of the most streams seen with each load report.
+const RUNNING_DECAY: f64 = 0.99;
 const EXTRA_HALF_LIFE: f64 = 2.0;
 const MAX_HINTS: usize = 512;
 /// Least share of the prompts without a first token that counts as not prefilled.
@@ -100,6 +102,8 @@
     /// Load that neither this instance nor its peers account for.
     extra: Load,
     extra_at: Time,
+    /// Most streams that the target was seen to run at once of late.
+    seen_running: f64,
     history: VecDeque<Sample>,
     pub(crate) speed: Speed,
     hints: HashMap<u64, Hint>,
@@ -124,6 +128,7 @@
             peer_sum: Load::default(),
             extra: Load::default(),
             extra_at: Time::ZERO,
+            seen_running: 0.0,
             history: VecDeque::new(),
             speed: Speed::new(Prior::default()),
             hints: HashMap::new(),
@@ -177,6 +182,7 @@
         };
         self.extra = reported.beyond(self.accounted(report.measured));
         self.extra_at = now;
+        self.seen_running = (self.seen_running * RUNNING_DECAY).max(f64::from(report.running));
     }
 
     /// Load that this instance and its peers accounted for at `at`.
@@ -289,6 +295,11 @@
         load
     }
 
+    /// Most streams that the target was seen to run at once of late.
+    pub(crate) fn seen_running(&self) -> f64 {
+        self.seen_running
+    }
+
     /// Tokens of `prefix` that are likely cached.
     pub(crate) fn cached(&self, prefix: &Prefix, keep: Duration, now: Time) -> f64 {
         let Some(hint) = self.hints.get(&prefix.hash) else { return 0.0 };
@@ -313,7 +324,11 @@
     pub(crate) fn expire_hints(&mut self, keep: Duration, now: Time) {
         self.hints.retain(|_, hint| now.since(hint.at) < keep);
         while self.hints.len() > MAX_HINTS {
-            let oldest = self.hints.iter().min_by_key(|(hash, hint)| (hint.at, **hash)).map(|(hash, _)| *hash);
+            let oldest = self
+                .hints
+                .iter()
+                .min_by_key(|(hash, hint)| (hint.at, **hash))
+                .map(|(hash, _)| *hash);
             oldest.and_then(|hash| self.hints.remove(&hash));
         }
     }
