Add the path-cost benchmark

The cost of the path is to be measured side by side with a direct call: added time to the first token, requests a second per core on 1, 2 and 4 traffic threads, and memory over many requests. Daemon, stand-ins and load are processes of their own, so that processor time and memory of the daemon alone can be read from /proc; threads of one process would have shared their memory.

--- /dev/null
+++ b/crates/replay/src/bin/path-cost/child.rs
@@ -0,0 +1,150 @@
+//! The stand-ins and the daemon in processes of their own.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitCode, Stdio};
+use std::time::Duration;
+
+use sesamewind_replay::daemons;
+use sesamewind_replay::replay::http_client;
+use sesamewind_replay::scenario::Scenario;
+use sesamewind_replay::world::{self, World};
+use sesamewind_settings::{Records, Settings, Stop, Traffic};
+use sesamewind_standins::wall_now;
+use tokio::runtime::Runtime;
+use tokio::time::{Instant, sleep};
+
+/// Time that the daemon keeps records, short enough that many requests outlive it.
+pub(crate) const RECORD_KEEP: Duration = Duration::from_secs(2);
+
+const READY_PATIENCE: Duration = Duration::from_secs(20);
+const READY_POLL: Duration = Duration::from_millis(50);
+const WARM_UP: Duration = Duration::from_secs(2);
+/// Engines as fast as their sockets.
+const SCENARIO: &str = include_str!("scenario.toml");
+
+/// A child process, ended when dropped.
+#[derive(Debug)]
+struct Process {
+    child: Child,
+    words: Vec<String>,
+}
+
+impl Process {
+    /// Starts this program again with `arguments` and reads the first line that it prints.
+    fn start(arguments: &[String]) -> Result<Self, String> {
+        let program = std::env::current_exe().map_err(|error| error.to_string())?;
+        let mut command = Command::new(program);
+        command.args(arguments).stdout(Stdio::piped());
+        let mut child = command.spawn().map_err(|error| error.to_string())?;
+        let output = child.stdout.take().ok_or("the child has no output")?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line).map_err(|error| error.to_string())?;
+        Ok(Self { child, words: line.split_whitespace().map(str::to_owned).collect() })
+    }
+
+    fn addr(&self, index: usize) -> Result<SocketAddr, String> {
+        let word = self.words.get(index).and_then(|word| word.parse().ok());
+        word.ok_or_else(|| "the child printed no address".to_owned())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The stand-ins.
+#[derive(Debug)]
+pub(crate) struct Standins {
+    _process: Process,
+    /// An engine.
+    pub(crate) engine: SocketAddr,
+    platform: SocketAddr,
+}
+
+impl Standins {
+    /// Starts the stand-ins.
+    pub(crate) fn start() -> Result<Self, String> {
+        let process = Process::start(&["standins".to_owned()])?;
+        let (engine, platform) = (process.addr(0)?, process.addr(1)?);
+        Ok(Self { _process: process, engine, platform })
+    }
+}
+
+/// A daemon.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    process: Process,
+    /// Address of the callers' listener.
+    pub(crate) callers: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts a daemon with `threads` for sockets and waits until it takes requests.
+    pub(crate) async fn start(threads: usize, standins: &Standins) -> Result<Self, String> {
+        let arguments = ["daemon".to_owned(), threads.to_string(), standins.platform.to_string()];
+        let process = Process::start(&arguments)?;
+        let (callers, inner) = (process.addr(0)?, process.addr(1)?);
+        until_ready(inner).await?;
+        Ok(Self { process, callers })
+    }
+
+    /// Number of the process.
+    pub(crate) fn pid(&self) -> u32 {
+        self.process.child.id()
+    }
+}
+
+async fn until_ready(inner: SocketAddr) -> Result<(), String> {
+    let http = http_client();
+    let until = Instant::now() + READY_PATIENCE;
+    let url = format!("http://{inner}/readyz");
+    while !http.get(&url).send().await.is_ok_and(|answer| answer.status().is_success()) {
+        if Instant::now() > until {
+            return Err("the daemon was not ready in time".to_owned());
+        }
+        sleep(READY_POLL).await;
+    }
+    sleep(WARM_UP).await;
+    Ok(())
+}
+
+/// Runs the stand-ins until the process is ended.
+pub(crate) fn serve_standins() -> ExitCode {
+    let runtime = Runtime::new().expect("threads can be started");
+    runtime.block_on(async {
+        let scenario = Scenario::parse(SCENARIO).expect("the scenario fits");
+        let world = World::start(&scenario, 1).await;
+        world.accept(&world::sheet(&scenario, &world, wall_now()));
+        let engine = world.engines.values().next().expect("the scenario has an engine");
+        println!("{} {}", engine.addr(), world.platform.addr());
+        std::future::pending::<()>().await;
+    });
+    ExitCode::SUCCESS
+}
+
+/// Runs a daemon until the process is ended.
+pub(crate) fn serve_daemon(threads: usize, platform: SocketAddr) -> ExitCode {
+    let scenario = Scenario::parse(SCENARIO).expect("the scenario fits");
+    let plan = &scenario.instances[0];
+    let base = daemons::settings(&scenario, plan, platform, None);
+    let settings = Settings {
+        traffic: Traffic { threads, ..Traffic::default() },
+        records: Records { keep: RECORD_KEEP, ..Records::default() },
+        stop: Stop::default(),
+        ..base
+    };
+    let instance = match sesamewind_daemon::Instance::start(settings) {
+        Ok(instance) => instance,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("{} {}", instance.callers(), instance.inner());
+    instance.block_on(std::future::pending::<()>());
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/replay/src/bin/path-cost/main.rs
@@ -0,0 +1,143 @@
+//! Measures what the daemon adds to a direct call to a stand-in engine, side by side in one run.
+//!
+//! The daemon, the stand-in and the load run in processes of their own, so that the daemon's
+//! processor time and memory can be read. The figures hold for the machine and its other load.
+
+mod child;
+mod load;
+mod usage;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use child::{Daemon, Standins};
+use load::Call;
+
+const THREADS: [usize; 3] = [1, 2, 4];
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub, reason = "generated from the help texts")]
+
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// Measures what the daemon adds to a direct call.
+        cmd path-cost {
+            /// Requests a second of the latency run, through the daemon and direct alike.
+            optional --rate per_second: u32
+            /// Length of each run in seconds.
+            optional --seconds seconds: u64
+            /// Requests of the memory run.
+            optional --requests count: u64
+
+            /// Runs the benchmark.
+            default cmd run {}
+            /// Runs the stand-ins; started by the benchmark itself.
+            cmd standins {}
+            /// Runs a daemon; started by the benchmark itself.
+            cmd daemon {
+                /// Threads for sockets.
+                required threads: usize
+                /// Address of the platform.
+                required platform: SocketAddr
+            }
+        }
+    }
+}
+
+/// What the benchmark runs with.
+struct Plan {
+    rate: u32,
+    span: Duration,
+    requests: u64,
+}
+
+fn main() -> ExitCode {
+    let flags = flags::PathCost::from_env_or_exit();
+    let plan = Plan {
+        rate: flags.rate.unwrap_or(500),
+        span: Duration::from_secs(flags.seconds.unwrap_or(20)),
+        requests: flags.requests.unwrap_or(100_000),
+    };
+    match flags.subcommand {
+        flags::PathCostCmd::Standins(_) => child::serve_standins(),
+        flags::PathCostCmd::Daemon(flags) => child::serve_daemon(flags.threads, flags.platform),
+        flags::PathCostCmd::Run(_) => {
+            let runtime = tokio::runtime::Runtime::new().expect("threads can be started");
+            match runtime.block_on(run(&plan)) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    eprintln!("{error}");
+                    ExitCode::FAILURE
+                }
+            }
+        }
+    }
+}
+
+async fn run(plan: &Plan) -> Result<(), String> {
+    let standins = Standins::start()?;
+    let engine = standins.engine;
+    latency(plan, &standins, engine).await?;
+    for threads in THREADS {
+        throughput(plan, &standins, threads).await?;
+    }
+    memory(plan, &standins).await
+}
+
+async fn latency(plan: &Plan, standins: &Standins, engine: SocketAddr) -> Result<(), String> {
+    let daemon = Daemon::start(2, standins).await?;
+    let through = load::steady(Call::Daemon(daemon.callers), plan.rate, plan.span);
+    let direct = load::steady(Call::Direct(engine), plan.rate, plan.span);
+    let (through, direct) = tokio::join!(through, direct);
+    println!("time to first token at {} requests a second each, in milliseconds", plan.rate);
+    println!("{:<10}{:>10}{:>10}{:>10}{:>10}", "", "p50", "p99", "answered", "failed");
+    for (name, result) in [("direct", &direct), ("daemon", &through)] {
+        let (p50, p99) = quantiles(&result.first_token);
+        println!("{name:<10}{p50:>10.3}{p99:>10.3}{:>10}{:>10}", result.answered, result.failed);
+    }
+    let (through, direct) = (quantiles(&through.first_token), quantiles(&direct.first_token));
+    println!("{:<10}{:>10.3}{:>10.3}\n", "added", through.0 - direct.0, through.1 - direct.1);
+    Ok(())
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> (f64, f64) {
+    const MICROS_PER_MILLI: f64 = 1_000.0;
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / MICROS_PER_MILLI;
+    (at(0.5), at(0.99))
+}
+
+async fn throughput(plan: &Plan, standins: &Standins, threads: usize) -> Result<(), String> {
+    const CALLERS: usize = 64;
+    let daemon = Daemon::start(threads, standins).await?;
+    let before = usage::of(daemon.pid())?;
+    let result = load::closed(Call::Daemon(daemon.callers), CALLERS, plan.span).await;
+    let after = usage::of(daemon.pid())?;
+    let busy = (after.cpu - before.cpu).as_secs_f64();
+    let per_s = result.answered as f64 / plan.span.as_secs_f64();
+    println!(
+        "{threads} traffic threads: {per_s:.0} requests a second on {:.2} cores, {:.0} a core, {} failed",
+        busy / plan.span.as_secs_f64(),
+        result.answered as f64 / busy,
+        result.failed,
+    );
+    Ok(())
+}
+
+async fn memory(plan: &Plan, standins: &Standins) -> Result<(), String> {
+    const PARTS: u64 = 10;
+    const CALLERS: usize = 32;
+    let daemon = Daemon::start(2, standins).await?;
+    println!("\nmemory of the daemon, records kept for {} s", child::RECORD_KEEP.as_secs());
+    println!("{:>10} requests {:>8.1} MiB", 0, usage::of(daemon.pid())?.mebibytes());
+    for part in 1..=PARTS {
+        let count = plan.requests / PARTS;
+        let result = load::counted(Call::Daemon(daemon.callers), CALLERS, count).await;
+        let used = usage::of(daemon.pid())?.mebibytes();
+        println!("{:>10} requests {used:>8.1} MiB, {} failed", part * count, result.failed);
+    }
+    Ok(())
+}
--- a/crates/replay/src/daemons.rs
+++ b/crates/replay/src/daemons.rs
@@ -85,7 +85,7 @@
         for plan in &scenario.instances {
             let link = FaultProxy::start(LOOPBACK).await;
             link.delay(scenario.zone_delay());
-            let settings = settings(scenario, plan, world, link.addr());
+            let settings = settings(scenario, plan, world.platform.addr(), Some(link.addr()));
             let instance = Instance::start(settings).map_err(|report| StartFault::Start {
                 name: plan.name.clone(),
                 reason: format!("{report:?}"),
@@ -191,11 +191,13 @@
     let _ = tokio::task::spawn_blocking(move || instance.kill()).await;
 }
 
-fn settings(
+/// Settings of the instance of `plan` with free ports, before the platform at `platform`; peers
+/// reach it at `advertise` if that is given.
+pub fn settings(
     scenario: &Scenario,
     plan: &InstancePlan,
-    world: &World,
-    advertise: SocketAddr,
+    platform: SocketAddr,
+    advertise: Option<SocketAddr>,
 ) -> Settings {
     Settings {
         deployment: scenario.region.clone(),
@@ -204,9 +206,9 @@
             zone: ZoneId::new(&plan.zone),
             region: scenario.region.clone(),
         },
-        listen: Listen { callers: LOOPBACK, inner: LOOPBACK, advertise: Some(advertise) },
+        listen: Listen { callers: LOOPBACK, inner: LOOPBACK, advertise },
         platform: Platform {
-            url: format!("http://{}", world.platform.addr()),
+            url: format!("http://{platform}"),
             call_timeout: Duration::from_secs(1),
         },
         tokens: Tokens {
