Score targets by the part of a request's times that they would use up

Short replies beside long quotes had a 95th percentile of 1.3 to 1.7 s to the first token although a quarter of the targets stays free of quotes: by predicted end alone, a target with few streams and a prompt in prefill looked better than a free one with more streams. The score now adds up the parts of the time to first token and of the total time that a target would use up. Cancelling draws lots when an instance's part is below one request, so that eight do not cancel eight.

--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -23,9 +23,9 @@
 /// Range of what an instance counts the streams at a target as.
 const LEAST_COUNT: f64 = 0.8;
 const MOST_COUNT: f64 = 1.25;
-/// Targets within this factor and span of the best predicted time count as equally good.
-const NEAR_FACTOR: f64 = 1.15;
-const NEAR_SPAN: f64 = 0.01;
+/// Targets within this factor and span of the best score count as equally good.
+const NEAR_FACTOR: f64 = 1.1;
+const NEAR_SPAN: f64 = 0.005;
 /// Load over the mean that a target with the prefix cached, or meant for it, may have.
 const AFFINITY_BOUND: f64 = 1.25;
 const AFFINITY_SLACK: f64 = 2.0;
@@ -51,6 +51,15 @@
     pub(crate) now: Time,
 }
 
+impl Need<'_> {
+    /// Part of its times that a request uses up that has its first token after `first` seconds and
+    /// its end after `end`.
+    fn score(&self, first: f64, end: f64) -> f64 {
+        let part = |seconds: f64, within: Duration| seconds / within.as_secs_f64().max(0.001);
+        part(first, self.first_within) + part(end, self.total_within)
+    }
+}
+
 /// Bounds on what is given to targets.
 #[derive(Debug)]
 pub(crate) struct Bounds {
@@ -95,10 +104,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
     pick: Pick,
-    /// Predicted seconds to the end.
-    end: f64,
+    /// Part of its time to the first token and of its total time that the request would use up.
+    score: f64,
     requests: f64,
-    /// Seconds of prefill that the cache likely saves.
+    /// The same for the prefill that the cache likely saves.
     saved: f64,
     fits: bool,
 }
@@ -156,7 +165,7 @@
     let requests = target.load(need.now).requests;
     let first = (requests + 1.0) * target.speed.call();
     let pick = Pick { target: index, uncached: 0.0, work: 0.0, first, cached: false };
-    Candidate { pick, end: first, requests, saved: 0.0, fits: true }
+    Candidate { pick, score: need.score(first, first), requests, saved: 0.0, fits: true }
 }
 
 /// Predicts a model engine's times; tells also whether an idle one of its kind would be in time.
@@ -186,8 +195,9 @@
     let unknown = !speed.known(need.now);
     let pick = Pick { target: index, uncached, work, first, cached: cached > 0.0 };
     let fits = unknown || within(first, end);
-    let saved = cached / prefill;
-    let candidate = Candidate { pick, end, requests: load.requests, saved, fits };
+    let saved = need.score(cached / prefill, cached / prefill);
+    let candidate =
+        Candidate { pick, score: need.score(first, end), requests: load.requests, saved, fits };
     (candidate, unknown || within(idle_first, idle_end))
 }
 
@@ -237,16 +247,16 @@
 ) -> Pick {
     let mean = candidates.iter().map(|c| c.requests).sum::<f64>() / candidates.len() as f64;
     let bound = mean * AFFINITY_BOUND + AFFINITY_SLACK;
-    let least = candidates.iter().map(|c| c.end).fold(f64::INFINITY, f64::min);
+    let least = candidates.iter().map(|c| c.score).fold(f64::INFINITY, f64::min);
     if let Some(prefix) = need.prefix {
         let light = candidates.iter().filter(|c| c.requests <= bound);
         let worth =
-            |c: &&Candidate| c.saved > 0.0 && c.end <= least + SAVED_FACTOR * c.saved + NEAR_SPAN;
+            |c: &&Candidate| c.saved > 0.0 && c.score <= least + SAVED_FACTOR * c.saved + NEAR_SPAN;
         let holders = light.clone().filter(worth);
-        if let Some(holder) = holders.min_by(|a, b| a.end.total_cmp(&b.end)) {
+        if let Some(holder) = holders.min_by(|a, b| a.score.total_cmp(&b.score)) {
             return holder.pick;
         }
-        let near = light.filter(|c| c.end <= least * NEAR_FACTOR * NEAR_FACTOR + NEAR_SPAN);
+        let near = light.filter(|c| c.score <= least * NEAR_FACTOR + NEAR_SPAN);
         let meant = |c: &&Candidate| rendezvous(prefix.hash, targets[c.pick.target].id.as_str());
         if let Some(home) = near.max_by_key(meant) {
             return home.pick;
@@ -260,8 +270,8 @@
         sample.swap(at, other);
     }
     sample.truncate(size);
-    let best = sample.iter().map(|c| c.end).fold(f64::INFINITY, f64::min);
-    sample.retain(|c| c.end <= best * NEAR_FACTOR + NEAR_SPAN);
+    let best = sample.iter().map(|c| c.score).fold(f64::INFINITY, f64::min);
+    sample.retain(|c| c.score <= best * NEAR_FACTOR + NEAR_SPAN);
     let at = rng.random_range(0..sample.len());
     sample[at].pick
 }
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -116,7 +116,7 @@
         self.configure_services(config);
         self.configure_targets(config);
         for service in &mut self.services {
-            service.divide(config.limits.long_share, config.limits.headroom, now);
+            service.divide(&config.limits, now);
         }
     }
 
--- a/crates/policy/src/scheduler/service.rs
+++ b/crates/policy/src/scheduler/service.rs
@@ -100,17 +100,18 @@
     }
 
     /// Keeps targets free of long prompts in proportion to the short demand, a share of `headroom`
-    /// at least and no more than `long_share` leaves.
-    pub(super) fn divide(&mut self, long_share: f64, headroom: f64, now: Time) {
+    /// at least and no more than `long_share` leaves. Counted by targets and not by their speeds,
+    /// so that instances draw the line at the same target.
+    pub(super) fn divide(&mut self, limits: &Limits, now: Time) {
         let n = self.targets.len();
         let [short, long] = self.demand;
-        let quiet = short < 1.0 || now.since(self.demand_at) > 2 * DEMAND_WINDOW;
-        if n < 2 || quiet {
+        let age = now.since(self.demand_at).as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        if n < 2 || short * (-age).exp() < 1.0 {
             self.long_targets = n;
             return;
         }
         let share = short / (short + long);
-        let kept = (SHORT_MARGIN * share).max(headroom).min(1.0 - long_share);
+        let kept = (SHORT_MARGIN * share).max(limits.headroom).min(1.0 - limits.long_share);
         let kept = ((kept * n as f64).ceil() as usize).clamp(1, n - 1);
         self.long_targets = n - kept;
     }
--- a/crates/policy/src/scheduler/timer.rs
+++ b/crates/policy/src/scheduler/timer.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use rand::RngExt;
 use sesamewind_protocol::Code;
 
 use crate::config::Kind;
@@ -55,7 +56,7 @@
         }
         for service in 0..self.services.len() {
             self.services[service].queue.prune();
-            self.services[service].divide(self.limits.long_share, self.limits.headroom, cx.now);
+            self.services[service].divide(&self.limits, cx.now);
             self.share_speeds(service);
         }
     }
@@ -126,8 +127,10 @@
             return;
         }
         state.last_cancel = cx.now;
-        let part = waiting.div_ceil(self.floors.instances() * FIRST_ROUND).max(1);
-        let number = (part as usize) << state.cancel_rounds.min(MAX_DOUBLINGS);
+        let first = f64::from(waiting) / f64::from(self.floors.instances() * FIRST_ROUND);
+        let part = first * f64::from(1 << state.cancel_rounds.min(MAX_DOUBLINGS));
+        // Instances whose part is below one draw lots, so that all together cancel the right number.
+        let number = part as usize + usize::from(self.rng.random::<f64>() < part.fract());
         state.cancel_rounds += 1;
         let mut lower: Vec<(u64, Ticket)> = Vec::new();
         for (ticket, request) in &self.requests {
