--- a/crates/policy/src/scheduler/flight.rs
+++ b/crates/policy/src/scheduler/flight.rs
@@ -76,6 +76,7 @@
         }
         let target = &mut self.targets[flight.target];
         let first = flight.produced == 0;
+        let streams = target.load(cx.now).requests;
         let gap = cx.now.since(flight.last);
         // After a pause of the connection the gap says nothing of the target's speed.
         let steady = !flight.silent && !flight.proved;
@@ -94,9 +95,10 @@
                 target.hint(hash, tokens, cx.now);
             }
         } else if steady {
-            let streams = target.load(cx.now).requests;
+            let streams = 0.5 * (streams + flight.beside);
             target.speed.saw_step(streams, gap.as_secs_f64() / f64::from(n));
         }
+        flight.beside = streams;
         flight.produced += n;
         target.generated(f64::from(n));
         if first && self.services[service].blocked.is_some() {
--- a/crates/policy/src/scheduler/pump.rs
+++ b/crates/policy/src/scheduler/pump.rs
@@ -152,6 +152,7 @@
             predicted: Duration::from_secs_f64(pick.first.clamp(0.0, 3_600.0)),
             produced: 0,
             last: cx.now,
+            beside: 1.0,
             resumes: 0,
             silent: false,
             proved: false,
--- a/crates/policy/src/scheduler/request.rs
+++ b/crates/policy/src/scheduler/request.rs
@@ -71,6 +71,8 @@
     pub(super) predicted: Duration,
     pub(super) produced: u32,
     pub(super) last: Time,
+    /// Streams at the target when it last made progress.
+    pub(super) beside: f64,
     pub(super) resumes: u32,
     /// Whether the connection is taken for silent or broken.
     pub(super) silent: bool,
--- a/crates/policy/tests/support/bus.rs
+++ b/crates/policy/tests/support/bus.rs
@@ -115,10 +115,10 @@
         self.event(name, Event::Arrive(arrival));
     }
 
-    /// Lets time pass for every instance that is not cut off, 50 ms at a time.
+    /// Lets time pass for every instance that is not cut off, 10 ms at a time.
     pub fn pass(&mut self, millis: u64) {
-        for _ in 0..millis.div_ceil(50) {
-            self.now = self.now + std::time::Duration::from_millis(50);
+        for _ in 0..millis.div_ceil(10) {
+            self.now = self.now + std::time::Duration::from_millis(10);
             let names: Vec<String> = self.nodes.keys().cloned().collect();
             for name in
                 names.iter().filter(|name| !self.cut.contains(*name)).cloned().collect::<Vec<_>>()
