Tell the numbered problem before an answer's connection breaks

The body stream gave the event and failed at the next poll, and the HTTP library drops what it has not written when a body fails. Change: the stream waits before it fails, so that the event is written. Figures: the new test fails before (no problem told) and passes after.

--- a/crates/daemon/src/render.rs
+++ b/crates/daemon/src/render.rs
@@ -1,6 +1,7 @@
 //! Answers in the form that callers read them.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, stream};
@@ -17,6 +18,9 @@
 /// The event that ends a whole stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
+/// Time for the last event of a broken answer to be written before its connection is broken.
+const FLUSH: Duration = Duration::from_millis(50);
+
 /// Where a reader of an answer stands.
 enum Place {
     /// Chunks may follow.
@@ -42,7 +46,11 @@
                     Some((Ok(event), Place::Broken(problem)))
                 }
             },
-            Place::Broken(problem) => Some((Err(broken(&problem)), Place::Ended)),
+            Place::Broken(problem) => {
+                // The HTTP library drops what it has not written when the body fails.
+                tokio::time::sleep(FLUSH).await;
+                Some((Err(broken(&problem)), Place::Ended))
+            }
             Place::Ended => None,
         }
     });
--- a/tests/all/callers.rs
+++ b/tests/all/callers.rs
@@ -156,3 +156,24 @@
         assert_eq!(last.end, End::Cancelled, "{}", case.name);
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_that_breaks_off_tells_its_numbered_problem() {
+    let engine = EngineOptions { decode_tokens_per_s: 40.0, ..EngineOptions::default() };
+    let plan = Plan { engines: vec![engine], ..Plan::default() };
+    let deployment = Deployment::start(plan).await;
+    let callers = deployment.daemons[0].callers;
+    let mut running = Vec::new();
+    for _ in 0..8 {
+        let ask = Ask { output: 400, timeout_ms: Some(60_000), ..Ask::default() };
+        running.push(tokio::spawn(async move { ask.send(callers).await }));
+    }
+    wait_for("the requests run", async || deployment.engines[0].in_flight() == 8).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.engines[0].kill().await;
+    for one in running {
+        let got = one.await.expect("caller ends");
+        assert!(!got.whole);
+        assert!(got.code().is_some(), "no problem was told: {got:?}");
+    }
+}
