--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -288,10 +288,12 @@
 
     /// Load at the target from all instances, estimated.
     pub(crate) fn load(&self, now: Time) -> Load {
-        let age = now.since(self.extra_at).as_secs_f64();
-        let extra = self.extra.scaled((-age / EXTRA_HALF_LIFE).exp2());
-        let mut load = self.own.plus(self.peer_sum).plus(extra);
-        load.prefill = self.ahead(now) + extra.prefill;
+        let mut load = self.own.plus(self.peer_sum);
+        load.prefill = self.ahead(now);
+        if self.extra.requests > 0.0 || self.extra.prefill > 0.0 {
+            let age = now.since(self.extra_at).as_secs_f64();
+            load = load.plus(self.extra.scaled((-age / EXTRA_HALF_LIFE).exp2()));
+        }
         load
     }
 
