--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,362 @@
+//! The state machine of one instance.
+
+use std::collections::HashMap;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewind_membership::{
+    ConfigState, Holder, Identity, Installed, LeaseKeeper, LeaseTiming, Members, Source, Timing,
+};
+use sesamewind_policy as policy;
+use sesamewind_policy::{QueueView, Scheduler, TargetView};
+use sesamewind_protocol::message::{ConfigDigest, LeavingNote};
+use sesamewind_protocol::record::{Life, RecordsCopy};
+use sesamewind_protocol::target::LoadReport;
+use sesamewind_protocol::{InstanceId, Revision, TargetId, Time, Wall};
+use sesamewind_rollout::{LeaseGrant, Peer, RolloutView, Rollouts};
+use sesamewind_sheet::Sheet;
+
+use crate::convert;
+use crate::event::{Action, Event};
+use crate::loads::{LoadedView, Loads, Reach};
+use crate::requests::Requests;
+use crate::versions::{Chooser, InUse};
+
+/// Name of the lease of the one instance that writes rollout records.
+const STEWARD_LEASE: &str = "steward";
+
+/// What a node is made with.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Who the instance is.
+    pub identity: Identity,
+    /// Limits of the scheduler.
+    pub limits: policy::Limits,
+    /// Intervals of membership.
+    pub members: Timing,
+    /// Spans of the steward's lease.
+    pub lease: LeaseTiming,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// All decisions of one instance.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) limits: policy::Limits,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) rollouts: Rollouts,
+    pub(crate) members: Members,
+    pub(crate) config: ConfigState,
+    pub(crate) loads: Loads,
+    pub(crate) requests: Requests,
+    lease: LeaseKeeper,
+    in_use: InUse,
+    told_leaving: Vec<LeavingNote>,
+    told_peers: Option<(Vec<Life>, Vec<InstanceId>)>,
+    /// Whether the platform's list or a peer has spoken; before that the members are not known.
+    pub(crate) informed: bool,
+    pub(crate) revisions: HashMap<InstanceId, Revision>,
+    has_rollouts: bool,
+    rng: ChaCha8Rng,
+}
+
+impl Node {
+    /// A node without a configuration.
+    pub fn new(options: Options) -> Self {
+        let config = policy::Config { limits: options.limits.clone(), ..Default::default() };
+        let identity = options.identity;
+        let (instance, incarnation) = (identity.instance.clone(), identity.incarnation);
+        let me = Life { instance: instance.clone(), incarnation };
+        let holder = Holder { instance: instance.clone(), incarnation };
+        Self {
+            limits: options.limits,
+            scheduler: Scheduler::new(&config, me, options.seed),
+            rollouts: Rollouts::new(instance, incarnation),
+            members: Members::new(identity, options.members),
+            config: ConfigState::new(),
+            loads: Loads::default(),
+            requests: Requests::default(),
+            lease: LeaseKeeper::new(STEWARD_LEASE, holder, options.lease),
+            in_use: InUse::default(),
+            told_leaving: Vec::new(),
+            told_peers: None,
+            informed: false,
+            revisions: HashMap::new(),
+            has_rollouts: false,
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+        }
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn handle(&mut self, event: Event<'_>, now: Time, wall: Wall) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Traffic(event) => self.schedule(event, now, wall, &mut actions),
+            Event::Closed(ticket) => self.requests.close(ticket),
+            Event::Polled { target, report } => {
+                self.polled(target, report, now, wall, &mut actions);
+            }
+            Event::Listed { instances, targets } => {
+                self.informed = true;
+                self.members.on_list(instances, targets, now);
+                self.spread_leaving(now, wall, &mut actions);
+            }
+            Event::Pointer { revision, hash } => {
+                let fetch = self.config.offer(revision, hash, Source::Store);
+                actions.extend(fetch.map(Action::Fetch));
+            }
+            Event::Sheet { revision, hash, sheet } => {
+                self.install(revision, hash, sheet, now, wall, &mut actions);
+            }
+            Event::FetchFailed(fetch) => {
+                actions.extend(self.config.failed(fetch).map(Action::Fetch));
+            }
+            Event::Exchange(message) => {
+                if self.members.on_exchange(message, now) {
+                    self.members.hasten();
+                }
+                self.take_news(message, now, wall, &mut actions);
+            }
+            Event::Answered(message) => {
+                if self.members.on_reply(message, now) {
+                    self.members.hasten();
+                }
+                self.take_news(message, now, wall, &mut actions);
+            }
+            Event::Unanswered(instance) => self.members.on_failure(instance, now),
+            Event::Lease { call, answer } => self.lease.on_result(call, answer, now),
+            Event::RecordWritten { rollout, result } => self.rollouts.on_write(rollout, result),
+            Event::RecordsRead(result) => self.rollouts.on_read(result),
+            Event::RecordsSeen(notes) => {
+                for note in notes {
+                    self.rollouts.on_record(&note.rollout, note.revision, note.record.clone());
+                }
+            }
+            Event::Ordered { target, result } => self.rollouts.on_order(target, result),
+            Event::Leave => {
+                self.lease.release(now);
+                self.members.stop();
+                self.members.hasten();
+            }
+            Event::Stop => self.schedule(policy::Event::Stop, now, wall, &mut actions),
+            Event::Tick => self.tick(now, wall, &mut actions),
+        }
+        actions
+    }
+
+    /// The configuration in force.
+    pub fn in_force(&self) -> &ConfigDigest {
+        self.config.in_force()
+    }
+
+    /// Revision in force at a peer, as last heard; zero if none.
+    pub fn revision_at(&self, peer: &InstanceId) -> Revision {
+        self.revisions.get(peer).copied().unwrap_or_default()
+    }
+
+    /// The members, for views.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The scheduler's counts since the start.
+    pub fn counters(&self) -> &policy::Counters {
+        self.scheduler.counters()
+    }
+
+    /// The targets as this instance sees them.
+    pub fn targets(&self) -> Vec<TargetView> {
+        self.scheduler.targets_view()
+    }
+
+    /// The queues of every service.
+    pub fn queues(&self, now: Time) -> Vec<QueueView> {
+        self.scheduler.queue_view(now)
+    }
+
+    /// The rollouts as operators see them.
+    pub fn rollouts(&self, wall: Wall) -> Vec<RolloutView> {
+        self.rollouts.view(wall)
+    }
+
+    /// Requests under way.
+    pub fn under_way(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// This instance's records for its peers, once it takes no requests any more.
+    pub fn hand_over(&self, now: Time) -> RecordsCopy {
+        self.scheduler.hand_over(now)
+    }
+
+    /// Whether the lease, if it was held, has been given up.
+    pub fn is_released(&self) -> bool {
+        self.lease.is_released()
+    }
+
+    /// Whether this instance takes first attempts by itself.
+    pub fn is_joined(&self) -> bool {
+        self.scheduler.joined()
+    }
+
+    /// Hands an event to the scheduler and follows what comes of it.
+    pub(crate) fn schedule(
+        &mut self,
+        event: policy::Event<'_>,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        self.requests.before(&event, &mut self.rollouts, now, wall);
+        let chooser = Chooser { rollouts: &self.rollouts, in_use: &self.in_use };
+        let wanted = self.scheduler.handle(event, &chooser, now, wall);
+        self.follow(wanted, now, wall, actions);
+    }
+
+    /// Tells the scheduler of targets that have begun to leave.
+    pub(crate) fn spread_leaving(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        let notes = self.members.leaving().notes();
+        if notes == self.told_leaving {
+            return;
+        }
+        let is_new = |note: &&LeavingNote| !self.told_leaving.contains(note);
+        let fresh: Vec<LeavingNote> = notes.iter().filter(is_new).cloned().collect();
+        self.told_leaving = notes;
+        if fresh.is_empty() {
+            return;
+        }
+        self.members.hasten();
+        for LeavingNote { target, incarnation } in &fresh {
+            let event = policy::Event::TargetLeaving { target, incarnation: *incarnation };
+            self.schedule(event, now, wall, actions);
+        }
+    }
+
+    /// Lives of the peers that can be reached.
+    pub(crate) fn reachable_lives(&self, now: Time) -> Vec<Peer> {
+        let reachable = self.members.reachable(now).into_iter();
+        reachable
+            .map(|peer| Peer { instance: peer.instance, incarnation: peer.incarnation })
+            .collect()
+    }
+
+    /// Peers that can be reached.
+    pub(crate) fn reachable_ids(&self, now: Time) -> Vec<InstanceId> {
+        self.members.reachable(now).into_iter().map(|peer| peer.instance).collect()
+    }
+
+    fn follow(
+        &mut self,
+        wanted: Vec<policy::Action>,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        for action in wanted {
+            self.requests.after(&action, &mut self.rollouts, now, wall);
+            if matches!(action, policy::Action::FloorChanged | policy::Action::LoadChanged) {
+                self.members.hasten();
+            }
+            actions.push(Action::Traffic(action));
+        }
+    }
+
+    fn polled(
+        &mut self,
+        target: &TargetId,
+        report: Option<&LoadReport>,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.loads.on_poll(target, report) {
+            Reach::Same => {}
+            Reach::Lost => {
+                self.schedule(policy::Event::TargetDown { target }, now, wall, actions);
+            }
+            Reach::Back => {
+                self.schedule(policy::Event::TargetBack { target }, now, wall, actions);
+            }
+        }
+        let Some(report) = report else { return };
+        let (incarnation, leaving) = (report.incarnation, report.leaving);
+        self.members.leaving_mut().on_report(target, incarnation, leaving, now);
+        self.schedule(policy::Event::TargetReport(report), now, wall, actions);
+        self.spread_leaving(now, wall, actions);
+    }
+
+    /// Puts a sheet into force unless it is older than what is in force.
+    fn install(
+        &mut self,
+        revision: Revision,
+        hash: &str,
+        sheet: &Sheet,
+        now: Time,
+        wall: Wall,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.config.installed(revision, hash) == Installed::Stale {
+            return;
+        }
+        let known = |target: &TargetId| sheet.targets.iter().any(|row| row.name == *target);
+        self.loads.retain(known);
+        self.in_use = InUse::new(sheet);
+        let specs = convert::rollouts(sheet);
+        self.has_rollouts |= !specs.is_empty();
+        self.rollouts.configure(&specs, revision, wall);
+        self.scheduler.configure(&convert::scheduler(sheet, &self.limits), now);
+        actions.push(Action::Installed(revision));
+        for target in &sheet.targets {
+            let versions = std::slice::from_ref(&target.version);
+            let event = policy::Event::TargetAssumed { target: &target.name, versions };
+            self.schedule(event, now, wall, actions);
+        }
+        self.members.hasten();
+    }
+
+    fn tick(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        let changes = self.members.tick(now);
+        actions.extend(changes.into_iter().map(Action::Member));
+        self.tell_peers(now, wall, actions);
+        self.tend_rollouts(now, wall, actions);
+        let chooser = Chooser { rollouts: &self.rollouts, in_use: &self.in_use };
+        let wanted = self.scheduler.tick(&chooser, now, wall);
+        self.follow(wanted, now, wall, actions);
+        for partner in self.members.partners(now, &mut self.rng) {
+            let message = Box::new(self.message(partner.kind, now, wall));
+            actions.push(Action::Send { partner, message });
+        }
+    }
+
+    /// Tells the scheduler which instances there are, when that has changed.
+    fn tell_peers(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        let known = self.members.all_known(now).into_iter();
+        let peers: Vec<Life> = known
+            .map(|peer| Life { instance: peer.instance, incarnation: peer.incarnation })
+            .collect();
+        let reachable = self.reachable_ids(now);
+        let current = Some((peers, reachable));
+        if !self.informed || self.told_peers == current {
+            return;
+        }
+        self.told_peers = current;
+        let Some((peers, reachable)) = self.told_peers.clone() else { return };
+        let event = policy::Event::PeerSet { peers: &peers, reachable: &reachable };
+        self.schedule(event, now, wall, actions);
+    }
+
+    /// Moves the rollouts on; the lease is sought only while the sheet has had a rollout.
+    fn tend_rollouts(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
+        if self.has_rollouts {
+            actions.extend(self.lease.tick(now).map(Action::Lease));
+        }
+        let grant = self.lease.grant(now);
+        let lease =
+            grant.map(|grant| LeaseGrant { fence: grant.fence, valid_until: grant.valid_until });
+        let peers = self.reachable_lives(now);
+        let loaded = LoadedView { loads: &self.loads, peers: &peers, requests: &self.requests };
+        let wanted = self.rollouts.tick(now, wall, lease, &loaded);
+        actions.extend(wanted.into_iter().map(Action::Rollout));
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/settings/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the settings' reader.
+
+mod fuzz;
+mod parse;
+mod seeded;
