Learn how many streams an engine runs, and keep urgent work out of its queue

Cause: with overnight requests sent to every engine at once, urgent requests waited inside the engines until their deadline. An engine admits what comes and queues it in order; the scheduler knew no number of places, and took the waits for slow prefill, so that urgent requests were then refused as unreachable. Ruled out: the tier floor (lower work was cancelled as soon as urgent requests waited in the scheduler's own queue) and lost cancellations. Change: reports in which requests wait while nothing is prefilled or begun tell the number of places; no more than one beyond it is sent; first tokens of requests that may have waited there teach no speed. Conclusion: 0 of 16 urgent requests shed while overnight work filled two engines behind three daemons.

--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -212,6 +212,10 @@
     let budget = bounds.step_budget.unwrap_or(f64::INFINITY);
     let bearable = (budget * share).max(solo * MIN_SLOWDOWN);
     let useful = solo * MAX_SLOWDOWN * share;
+    // One beyond the places that were seen shows whether there are more by now.
+    if target.places().is_some_and(|places| streams > places * share + 1.0) {
+        return false;
+    }
     let step = target.speed.step(streams);
     // The most urgent tier may go beyond what is useful as long as the target follows.
     let follows = need.urgent && streams <= target.seen_running() * SEEN_FACTOR + 1.0;
--- a/crates/policy/src/scheduler/flight.rs
+++ b/crates/policy/src/scheduler/flight.rs
@@ -88,7 +88,8 @@
             let took = cx.now.since(flight.sent);
             target.prefilled(flight.uncached, flight.work, took, cx.now);
             // What comes at once over a resumed connection was ready before.
-            if flight.resumes == 0 || gap >= RESUMED_GAP {
+            let fresh = flight.resumes == 0 || gap >= RESUMED_GAP;
+            if fresh && !target.may_have_queued(flight.sent) {
                 target.speed.saw_prefill(flight.work, flight.certainty, took, cx.now);
             }
             if let Some(Prefix { hash, tokens }) = prefix {
--- a/crates/policy/src/scheduler/timer.rs
+++ b/crates/policy/src/scheduler/timer.rs
@@ -160,6 +160,9 @@
             if flight.produced > 0 || flight.predicted.is_zero() || waited < due {
                 continue;
             }
+            if self.targets[flight.target].may_have_queued(flight.sent) {
+                continue;
+            }
             flight.overdue *= OVERDUE_FACTOR;
             overdue.push((*ticket, flight.target, flight.work, flight.certainty, waited));
         }
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -158,6 +158,14 @@
         self.sure += certainty;
     }
 
+    /// Forgets what was learned of prefill, when it turns out that something else was seen.
+    pub(crate) fn forget_prefill(&mut self) {
+        self.prefill = None;
+        self.sure = 0.0;
+        self.overhead = DEFAULT_OVERHEAD;
+        self.seen = None;
+    }
+
     /// Takes a peer's view of the speed of prefill into account.
     pub(crate) fn heard_prefill(&mut self, peer: f64) {
         if peer <= 0.0 {
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -16,6 +16,8 @@
 const RUNNING_DECAY: f64 = 0.99;
 const EXTRA_HALF_LIFE: f64 = 2.0;
 const MAX_HINTS: usize = 512;
+/// Reports in a row without movement after which waiting requests wait for a place.
+const STUCK_REPORTS: u32 = 2;
 /// Least share of the prompts without a first token that counts as not prefilled.
 const UNDONE_SHARE: f64 = 0.1;
 /// Time after which half of a prefix is taken to be evicted.
@@ -72,6 +74,37 @@
     at: Time,
 }
 
+/// What a report says of requests inside the target.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    measured: Wall,
+    waiting: u32,
+    running: u32,
+    prefill: u64,
+}
+
+impl Waiting {
+    fn of(report: &LoadReport) -> Self {
+        Self {
+            measured: report.measured,
+            waiting: report.waiting,
+            running: report.running,
+            prefill: report.prefill_tokens,
+        }
+    }
+
+    /// Whether requests wait in `later` without any having been prefilled or begun since: they do
+    /// not wait for prefill, which would go on.
+    fn is_stuck(self, later: &LoadReport) -> bool {
+        later.measured > self.measured
+            && self.waiting > 0
+            && later.waiting >= self.waiting
+            && later.running == self.running
+            && later.running > 0
+            && later.prefill_tokens >= self.prefill
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Sample {
     at: Wall,
@@ -104,6 +137,13 @@
     extra_at: Time,
     /// Most streams that the target was seen to run at once of late.
     seen_running: f64,
+    /// Streams that the target runs at once at most, known once requests were seen to wait in it.
+    places: Option<f64>,
+    /// When requests were last reported to wait inside the target.
+    queueing: Option<Time>,
+    last_report: Option<Waiting>,
+    /// Reports in a row in which requests waited and nothing moved.
+    stuck: u32,
     history: VecDeque<Sample>,
     pub(crate) speed: Speed,
     hints: HashMap<u64, Hint>,
@@ -129,6 +169,10 @@
             extra: Load::default(),
             extra_at: Time::ZERO,
             seen_running: 0.0,
+            places: None,
+            queueing: None,
+            last_report: None,
+            stuck: 0,
             history: VecDeque::new(),
             speed: Speed::new(Prior::default()),
             hints: HashMap::new(),
@@ -182,9 +226,40 @@
         };
         self.extra = reported.beyond(self.accounted(report.measured));
         self.extra_at = now;
+        self.learn_places(report, now);
         self.seen_running = (self.seen_running * RUNNING_DECAY).max(f64::from(report.running));
     }
 
+    /// Requests that wait inside the target while nothing moves there tell how many it runs at
+    /// once. It knows no tiers, so whatever waits there stands before urgent work that comes later.
+    fn learn_places(&mut self, report: &LoadReport, now: Time) {
+        let running = f64::from(report.running);
+        let stands = self.last_report.is_some_and(|last| last.is_stuck(report));
+        self.stuck = if stands { self.stuck + 1 } else { 0 };
+        self.last_report = Some(Waiting::of(report));
+        if self.stuck >= STUCK_REPORTS {
+            if self.places.is_none() {
+                // The waits so far were taken for slow prefill.
+                self.speed.forget_prefill();
+            }
+            self.places = Some(running);
+            self.queueing = Some(now);
+        } else if self.places.is_some_and(|places| running > places) {
+            self.places = Some(running);
+        }
+    }
+
+    /// Whether a request sent at `sent` may have waited inside the target, so that its first token
+    /// tells nothing of the speed of prefill.
+    pub(crate) fn may_have_queued(&self, sent: Time) -> bool {
+        self.queueing.is_some_and(|seen| sent <= seen)
+    }
+
+    /// Streams that the target runs at once at most, if that was seen.
+    pub(crate) fn places(&self) -> Option<f64> {
+        self.places
+    }
+
     /// Load that this instance and its peers accounted for at `at`.
     fn accounted(&self, at: Wall) -> Load {
         let earlier = self.history.iter().rev().find(|sample| sample.at <= at);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,3 +17,4 @@
 mod rollouts;
 mod silent;
 mod stops;
+mod tiers;
--- /dev/null
+++ b/tests/all/tiers.rs
@@ -0,0 +1,73 @@
+//! Urgent work goes before lower tiers, over all instances.
+
+use std::time::Duration;
+
+use sesamewind_standins::{End, EngineOptions};
+use tokio::task::JoinHandle;
+
+use crate::caller::{Ask, Got};
+use crate::deployment::{Deployment, NIGHT_KEY, Plan, wait_for};
+
+/// Requests that one engine runs at the same time.
+const PLACES: usize = 4;
+
+fn engine(name: &str) -> EngineOptions {
+    EngineOptions {
+        name: name.to_owned(),
+        decode_tokens_per_s: 40.0,
+        max_batch: PLACES,
+        ..EngineOptions::default()
+    }
+}
+
+fn spawn(deployment: &Deployment, index: usize, ask: Ask) -> JoinHandle<Got> {
+    let callers = deployment.daemons[index % deployment.daemons.len()].callers;
+    tokio::spawn(async move { ask.send(callers).await })
+}
+
+fn running(deployment: &Deployment) -> usize {
+    deployment.engines.iter().map(sesamewind_standins::Engine::in_flight).sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn urgent_burst_is_served_at_once_while_overnight_work_fills_every_engine() {
+    let deployment = Deployment::start(Plan {
+        zones: vec!["a", "a", "b"],
+        engines: vec![engine("e1"), engine("e2")],
+        ..Plan::default()
+    })
+    .await;
+    // Overnight work that would run for half a minute fills whatever the engines give it.
+    let night = Ask {
+        account: NIGHT_KEY,
+        route: "tag",
+        output: 1_200,
+        timeout_ms: Some(110_000),
+        ..Ask::default()
+    };
+    let overnight: Vec<_> = (0..30).map(|index| spawn(&deployment, index, night.clone())).collect();
+    wait_for("overnight work runs", async || running(&deployment) >= PLACES).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let urgent = Ask { output: 20, timeout_ms: Some(20_000), ..Ask::default() };
+    let burst: Vec<_> = (0..16).map(|index| spawn(&deployment, index, urgent.clone())).collect();
+    for one in burst {
+        let got = one.await.expect("caller ends");
+        got.assert_whole(20);
+    }
+    // The lower tier comes back once the burst is over. What was cancelled is not sent again, so
+    // new requests come in.
+    let fresh: Vec<_> = (0..12).map(|index| spawn(&deployment, index, night.clone())).collect();
+    let tags = |deployment: &Deployment| {
+        let all = deployment.engines.iter().flat_map(sesamewind_standins::Engine::dispatches);
+        all.filter(|dispatch| dispatch.route == "tag").collect::<Vec<_>>()
+    };
+    wait_for("overnight work runs again", async || {
+        tags(&deployment).iter().filter(|one| one.end == End::Running).count() >= PLACES
+    })
+    .await;
+    let cancelled = tags(&deployment).iter().filter(|one| one.end == End::Cancelled).count();
+    println!("{cancelled} overnight requests were cancelled for a burst of 16");
+    for one in overnight.into_iter().chain(fresh) {
+        one.abort();
+    }
+}
