Measure and log each attempt, and test the tool against real daemons

Cause: the histograms by tier, the dispatch and retry counters and the gauges were registered but nothing fed them; no log line carried an account, and a served request left no line. The tool's timeout for a submission equalled the time that an instance tries the store, so that an outage ended as "unknown" in place of "not accepted". Change: daemon::meter measures an attempt and writes its line at the end of its job; refusals are counted there once for each attempt, those without a job at the listener. /metrics asks the control thread for load and retries. Ruled out: counting retries beside the scheduler's own counters, which would be a second truth.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -13,8 +13,10 @@
 
 /// Timeout for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout of a whole call.
+/// Timeout of a call that shows something.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout of a submission; longer than an instance tries to reach the store.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest part of an answer that a message repeats, in characters.
 const MAX_SHOWN_CHARS: usize = 200;
 
@@ -80,7 +82,8 @@
         // Identifiers hold only characters that need no escape in a URL.
         let Submission { id, base, .. } = submission;
         let url = format!("{}?base={base}&submission={id}", self.url(SHEET_PATH));
-        let request = self.http.post(url).header("content-type", "text/csv").body(csv.to_vec());
+        let request = self.http.post(url).timeout(SUBMIT_TIMEOUT);
+        let request = request.header("content-type", "text/csv").body(csv.to_vec());
         let response = match self.send(request).await {
             Ok(response) => response,
             Err(report) => {
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -16,6 +16,8 @@
 
 /// Attempts at a submission before the tool gives up.
 const MAX_ATTEMPTS: u32 = 6;
+/// Time after which no further attempt is made.
+const ATTEMPT_SPAN: Duration = Duration::from_secs(25);
 /// Pause after the first attempt; it doubles after each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Interval of asking which instances have the sheet in force.
@@ -83,11 +85,12 @@
     console: &mut Console<'_>,
 ) -> Result<Step, Report<Failure>> {
     let mut pause = FIRST_PAUSE;
+    let last_start = Instant::now() + ATTEMPT_SPAN;
     for attempt in 1.. {
         let reply: Reply = client.submit(submission, csv).await?;
         let step = submission.judge(reply);
         let Step::Again(reason) = step else { return Ok(step) };
-        if attempt == MAX_ATTEMPTS {
+        if attempt == MAX_ATTEMPTS || Instant::now() > last_start {
             return Ok(step);
         }
         console.note(&format!("{reason}; asking again"));
@@ -153,7 +156,7 @@
         "not accepted: {code}: the sheet is based on revision {base}, revision {current} is in force"
     );
     for change in changes {
-        text.push_str(&format!("\nchanged since: {change}"));
+        text.push_str(&format!("\nthe sheet in force differs: {change}"));
     }
     text
 }
--- a/crates/cli/src/views.rs
+++ b/crates/cli/src/views.rs
@@ -147,7 +147,11 @@
     )
 }
 
+/// A time in UTC; zero says that it is not known.
 fn time(at: Wall) -> String {
+    if at == Wall::default() {
+        return "-".to_owned();
+    }
     let time = UNIX_EPOCH + Duration::from_millis(at.0.min(LAST_MS));
     humantime::format_rfc3339_seconds(time).to_string()
 }
--- a/crates/cli/tests/cli/submit.rs
+++ b/crates/cli/tests/cli/submit.rs
@@ -75,7 +75,11 @@
             name: "conflict",
             posts: &[CONFLICT],
             exit: Exit::Refused,
-            out: &["1402", "revision 9 is in force", "changed since: added account north"],
+            out: &[
+                "1402",
+                "revision 9 is in force",
+                "the sheet in force differs: added account north",
+            ],
             attempts: 1,
         },
         Case {
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -19,6 +19,7 @@
 use crate::context::{Context, Installed};
 use crate::job::{Job, Outgoing};
 use crate::message::Arrive;
+use crate::meter::Meter;
 use crate::model::{Interface, ModelRequest, number_header};
 use crate::problem::Problem;
 use crate::render;
@@ -43,6 +44,15 @@
     headers: HeaderMap,
 }
 
+/// What is known of a request, for the answer and the log.
+#[derive(Default)]
+struct Known {
+    request: String,
+    account: String,
+    /// Whether the request has a job.
+    started: bool,
+}
+
 /// What every request needs to know of its caller.
 struct Caller<'a> {
     account: &'a Account,
@@ -84,19 +94,23 @@
     S: Stream<Item = Result<B, warp::Error>> + Send + Sync + 'static,
     B: Buf,
 {
-    let mut request = String::new();
-    match route(&context, &inbound, stream, &mut request).await {
+    let mut known = Known::default();
+    match route(&context, &inbound, stream, &mut known).await {
         Ok(mut response) => {
-            if let Ok(value) = HeaderValue::from_str(&request) {
+            if let Ok(value) = HeaderValue::from_str(&known.request) {
                 response.headers_mut().insert(REQUEST_ID, value);
             }
             response
         }
         Err(problem) => {
-            context.metrics.refused(problem.code);
-            let code = problem.code.number();
-            log::debug!(request:% = request, code; "refused: {}", problem.detail);
-            problem.to_response(&request)
+            // An attempt with a job is counted and logged at the job's end.
+            if !known.started {
+                context.metrics.refused(problem.code);
+                let Known { request, account, .. } = &known;
+                let code = problem.code.number();
+                log::debug!(request, account, code; "refused: {}", problem.detail);
+            }
+            problem.to_response(&known.request)
         }
     }
 }
@@ -105,7 +119,7 @@
     context: &Arc<Context>,
     inbound: &Inbound,
     stream: S,
-    request: &mut String,
+    known: &mut Known,
 ) -> Result<Response, Problem>
 where
     S: Stream<Item = Result<B, warp::Error>> + Send + Sync + 'static,
@@ -115,7 +129,8 @@
         return Err(Problem::before_dispatch(Code::NotReady, "no configuration is in force yet"));
     };
     let caller = identify(&installed.sheet, &inbound.headers)?;
-    *request = caller.key.to_string();
+    known.request = caller.key.to_string();
+    known.account = caller.account.name.to_string();
     let traffic = &context.settings.traffic;
     let length: Option<u64> = number_header(&inbound.headers, "content-length")?;
     if length.is_some_and(|length| length > traffic.body_limit) {
@@ -132,12 +147,12 @@
             return Err(Problem::before_dispatch(Code::UnknownRoute, "use POST"));
         }
         let bytes = body::collect(stream).await?;
-        return complete(context, &installed, inbound, &caller, interface, &bytes).await;
+        return complete(context, &installed, inbound, &caller, interface, &bytes, known).await;
     }
     let Some(rest) = inbound.path.strip_prefix(SERVICE_PREFIX) else {
         return Err(Problem::before_dispatch(Code::UnknownRoute, "no such path"));
     };
-    call(context, &installed, inbound, &caller, rest, SharedBody::new(stream)).await
+    call(context, &installed, inbound, &caller, rest, SharedBody::new(stream), known).await
 }
 
 fn identify<'a>(sheet: &'a Sheet, headers: &HeaderMap) -> Result<Caller<'a>, Problem> {
@@ -188,6 +203,7 @@
     caller: &Caller<'_>,
     interface: Interface,
     bytes: &[u8],
+    known: &mut Known,
 ) -> Result<Response, Problem> {
     let model = ModelRequest::read(interface, bytes)?;
     let headers = &inbound.headers;
@@ -221,6 +237,7 @@
         body: model.body.clone(),
     };
     let mut reader = start(context, caller, &asked, headers, outgoing)?;
+    known.started = true;
     reader.head().await?;
     if model.stream {
         return Ok(render::events(reader, caller.key));
@@ -252,6 +269,7 @@
     caller: &Caller<'_>,
     rest: &str,
     body: SharedBody,
+    known: &mut Known,
 ) -> Result<Response, Problem> {
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let sheet = &installed.sheet;
@@ -285,6 +303,7 @@
         body,
     };
     let mut reader = start(context, caller, &asked, &inbound.headers, outgoing)?;
+    known.started = true;
     let head = reader.head().await?;
     let mut response = warp::reply::stream(render::bytes(reader)).into_response();
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -343,8 +362,9 @@
         idempotent: asked.idempotent,
     };
     context.tell(Arrive { arrival, steps: sender, answer: Arc::clone(&answer) });
-    let job =
-        Job { ticket, key: caller.key, outgoing, answer, steps, context: Arc::clone(context) };
+    let meter = Meter::new(caller.key, &caller.account.name, asked.service, &asked.tier.name, now);
+    let context = Arc::clone(context);
+    let job = Job { ticket, key: caller.key, outgoing, answer, steps, meter, context };
     tokio::spawn(job.run());
     Ok(reader)
 }
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -22,11 +22,14 @@
 use crate::metrics::Flow;
 use crate::operators;
 use crate::problem::Problem;
-use crate::views::Status;
+use crate::views::{Refusals, Status};
 
 /// Longest time that a reader of a kept answer waits for something new.
 const ANSWER_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest time that the metrics wait for the control thread's counts.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Media type of the inner protocol.
 const MSGPACK: &str = "application/msgpack";
 
@@ -65,7 +68,7 @@
 async fn serve(context: &Arc<Context>, inbound: &Inbound) -> Result<Response, Problem> {
     match inbound.path.as_str() {
         "/healthz" => Ok("ok".into_response()),
-        "/metrics" => Ok(context.metrics.encode().into_response()),
+        "/metrics" => Ok(metrics(context).await),
         "/readyz" => ready(context).await,
         "/status" => Ok(json(&status(context).await?)),
         path => {
@@ -92,6 +95,16 @@
     Err(Problem::before_dispatch(Code::Forbidden, "the token is missing or wrong"))
 }
 
+/// The metrics, with what the control thread counts as of now if it answers in time.
+async fn metrics(context: &Context) -> Response {
+    let asked = async { (context.ask(Status).await, context.ask(Refusals).await) };
+    if let Ok((Some(status), Some(body))) = tokio::time::timeout(ASK_TIMEOUT, asked).await {
+        context.metrics.set_load(status.queued, status.in_flight);
+        context.metrics.set_retries(&body.retries);
+    }
+    context.metrics.encode().into_response()
+}
+
 async fn status(context: &Context) -> Result<StatusBody, Problem> {
     context.ask(Status).await.ok_or_else(stopped)
 }
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -15,6 +15,7 @@
 use crate::body::SharedBody;
 use crate::context::Context;
 use crate::message::Signal;
+use crate::meter::Meter;
 use crate::problem::Problem;
 use crate::step::Step;
 use crate::targets::{
@@ -65,6 +66,8 @@
     pub answer: Arc<Answer>,
     /// Steps of the control thread.
     pub steps: UnboundedReceiver<Step>,
+    /// What is measured of the attempt.
+    pub meter: Meter,
     /// The instance's shared parts.
     pub context: Arc<Context>,
 }
@@ -93,6 +96,7 @@
     /// Runs the request to its end.
     pub async fn run(mut self) {
         let ending = self.follow().await;
+        self.meter.ended(&ending, &self.context.metrics);
         self.answer.finish(ending);
         self.context.signal(self.ticket, Signal::Closed);
     }
@@ -141,6 +145,7 @@
                 _ => {}
             }
         }
+        self.meter.dispatched(version, &self.context.metrics, self.context.clock.now());
         match &self.outgoing {
             Outgoing::Model { .. } => self.dispatch_model(at, version).await,
             Outgoing::Plain { .. } => self.dispatch_plain(at, version).await,
@@ -215,7 +220,7 @@
     }
 
     /// Takes a chunk unless the answer has its tokens already.
-    fn take_chunk(&self, relay: &mut Relay, chunk: Bytes, next: Option<u64>) {
+    fn take_chunk(&mut self, relay: &mut Relay, chunk: Bytes, next: Option<u64>) {
         let count = match next {
             Some(next) if next <= relay.next => return,
             Some(next) => {
@@ -226,6 +231,7 @@
             None => 1,
         };
         self.answer.push(chunk);
+        self.meter.tokens(count, &self.context.metrics, self.context.clock.now());
         let first = relay.unreported == 0 && relay.next <= u64::from(count);
         relay.unreported += count;
         if first || relay.reported.elapsed() >= PROGRESS_INTERVAL {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod job;
 pub mod logging;
 pub mod message;
+pub mod meter;
 pub mod metrics;
 pub mod model;
 pub mod operators;
--- /dev/null
+++ b/crates/daemon/src/meter.rs
@@ -0,0 +1,73 @@
+//! Measures one attempt at a request for the metrics, and writes its line in the log.
+
+use sesamewind_protocol::{AccountId, Code, RequestKey, ServiceId, Time, VersionId};
+
+use crate::answer::Ending;
+use crate::metrics::Metrics;
+
+/// What is measured of one attempt.
+#[derive(Debug)]
+pub struct Meter {
+    key: RequestKey,
+    account: AccountId,
+    service: ServiceId,
+    tier: String,
+    arrived: Time,
+    dispatched: bool,
+    /// When the last tokens arrived.
+    tokens: Option<Time>,
+}
+
+impl Meter {
+    /// Starts with an attempt that arrived at `arrived`.
+    pub fn new(
+        key: RequestKey,
+        account: &AccountId,
+        service: &ServiceId,
+        tier: &str,
+        arrived: Time,
+    ) -> Self {
+        Self {
+            key,
+            account: account.clone(),
+            service: service.clone(),
+            tier: tier.to_owned(),
+            arrived,
+            dispatched: false,
+            tokens: None,
+        }
+    }
+
+    /// The request is written to a target. Only the first time ends its wait in the queue.
+    pub fn dispatched(&mut self, version: &VersionId, metrics: &Metrics, now: Time) {
+        metrics.dispatched(&self.service, version);
+        if !self.dispatched {
+            metrics.queue_wait(&self.tier, now.since(self.arrived));
+        }
+        self.dispatched = true;
+    }
+
+    /// This many new tokens arrived together; zero is not measured.
+    pub fn tokens(&mut self, count: u32, metrics: &Metrics, now: Time) {
+        if count == 0 {
+            return;
+        }
+        match self.tokens {
+            None => metrics.first_token(&self.tier, now.since(self.arrived)),
+            Some(last) => metrics.between_tokens(&self.tier, now.since(last) / count),
+        }
+        self.tokens = Some(now);
+    }
+
+    /// The attempt ended.
+    pub fn ended(&self, ending: &Ending, metrics: &Metrics) {
+        let code = match ending {
+            Ending::Complete => Code::Ok,
+            Ending::Problem(problem) => problem.code,
+        };
+        metrics.refused(code);
+        let Self { key, account, .. } = self;
+        let (number, reason) = (code.number(), code.slug());
+        log::debug!(request:% = key, account:%, code = number; "request ended: {reason}");
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 //! the number of series does not grow with them.
 
 use std::fmt::{self, Display, Write};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prometheus_client::encoding::text;
@@ -192,9 +193,15 @@
         }
     }
 
-    /// Counts a retry or resume; `reason` should be one of [`RETRY_REASONS`].
-    pub fn retried(&self, reason: &'static str) {
-        self.retries.get_or_create(&ReasonLabels { reason }).inc();
+    /// Sets the counts of retries and resumes, which only rise. Rows with a reason that is not one
+    /// of [`RETRY_REASONS`] are left out.
+    pub fn set_retries(&self, rows: &[RetryRow]) {
+        for row in rows {
+            let reason = RETRY_REASONS.iter().find(|reason| **reason == row.reason);
+            let Some(reason) = reason else { continue };
+            let counter = self.retries.get_or_create(&ReasonLabels { reason });
+            counter.inner().fetch_max(row.count, Ordering::Relaxed);
+        }
     }
 
     /// Counts a dispatch.
@@ -238,7 +245,7 @@
     }
 
     /// Sets how many requests wait and how many are in flight.
-    pub fn set_load(&self, queued: usize, in_flight: usize) {
+    pub fn set_load(&self, queued: u64, in_flight: u64) {
         self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
         self.in_flight.set(i64::try_from(in_flight).unwrap_or(i64::MAX));
     }
--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -6,6 +6,10 @@
 use sesamewind_protocol::operator::{RefusalRow, RetryRow};
 use sesamewind_protocol::{Code, Revision, ServiceId, VersionId};
 
+fn retry(reason: &str, count: u64) -> RetryRow {
+    RetryRow { reason: reason.to_owned(), count }
+}
+
 #[test]
 fn every_update_shows_in_the_text() {
     struct Case {
@@ -26,8 +30,11 @@
         },
         Case {
             name: "retry",
-            update: |metrics| metrics.retried(RETRY_REASONS[0]),
-            want: &["sesamewind_retries_total{reason=\"target-refused\"} 1"],
+            update: |metrics| {
+                metrics.set_retries(&[retry("target-refused", 2), retry("unheard-of", 5)]);
+                metrics.set_retries(&[retry("target-refused", 1)]);
+            },
+            want: &["sesamewind_retries_total{reason=\"target-refused\"} 2"],
         },
         Case {
             name: "dispatch",
@@ -114,11 +121,11 @@
     let metrics = Metrics::new();
     metrics.refused(Code::Forbidden);
     metrics.refused(Code::Forbidden);
-    metrics.retried("stream-silent");
+    metrics.set_retries(&[retry("stream-silent", 1)]);
     let body = metrics.refusals();
     let refusal = RefusalRow { code: Code::Forbidden, reason: "forbidden".to_owned(), count: 2 };
     assert_eq!(body.refusals, [refusal]);
-    assert_eq!(body.retries, [RetryRow { reason: "stream-silent".to_owned(), count: 1 }]);
+    assert_eq!(body.retries, [retry("stream-silent", 1)]);
 }
 
 #[test]
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -85,7 +85,7 @@
     pub code: Code,
     /// Revision in force.
     pub current: u64,
-    /// What changed between the base and the revision in force.
+    /// How the sheet in force differs from the submitted one, as far as it can be had.
     pub changes: Vec<String>,
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,3 +17,5 @@
 mod rollouts;
 mod silent;
 mod stops;
+mod tool;
+mod watch;
