--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,3 +18,5 @@
 mod silent;
 mod stops;
 mod tiers;
+mod tool;
+mod watch;
