--- a/crates/rollout/tests/all/brake.rs
+++ b/crates/rollout/tests/all/brake.rs
@@ -232,3 +232,34 @@
     forward.nodes[0].rollouts.merge(&cells);
     assert_eq!(forward.nodes[0].rollouts.evidence_since(mark).1, []);
 }
+
+#[test]
+fn requests_count_for_the_stage_of_their_dispatch() {
+    let mut world = World::new(1, &[spec(60, 0.05)]);
+    while !matches!(world.stage(), Some(Stage::Full(_))) {
+        world.run(1, 4, good);
+    }
+    // Dispatched at full share, ending after a recheck began: no request of the old version could
+    // end beside them.
+    let sent = world.wall();
+    while !matches!(world.stage(), Some(Stage::Recheck(_))) {
+        world.run_with_old(1, 8, slow, slow);
+    }
+    world.run(5, 8, good);
+    for number in 0..60 {
+        world.end(0, "v2", sent, slow("reply", number));
+    }
+    world.run(20, 8, good);
+    assert_eq!(world.nodes[0].rollouts.verdicts(), []);
+}
+
+#[test]
+fn completed_rollout_counts_no_more() {
+    let mut world = World::new(1, &[spec(12, 0.05)]);
+    until_ended(&mut world, 800, good);
+    let before = world.nodes[0].rollouts.evidence().len();
+    world.run(20, 8, failing);
+    assert_eq!(world.nodes[0].rollouts.evidence().len(), before);
+    assert_eq!(world.nodes[0].rollouts.verdicts(), []);
+    assert_eq!(world.sent_new(0, 100), 100);
+}
--- a/crates/rollout/tests/all/world.rs
+++ b/crates/rollout/tests/all/world.rs
@@ -457,6 +457,21 @@
         exposed
     }
 
+    /// Ends a request at an instance that was dispatched to `version` at `sent`.
+    pub(crate) fn end(&mut self, number: usize, version: &str, sent: Wall, end: (EndState, u64)) {
+        let wall = self.wall_of(number);
+        self.nodes[number].rollouts.observe(Observation {
+            service: &ServiceId::from(SERVICE),
+            version: &VersionId::from(version),
+            route: &RouteId::from(ROUTES[1]),
+            prompt_tokens: 50,
+            outcome: end.0,
+            duration: Duration::from_millis(end.1),
+            sent,
+            wall,
+        });
+    }
+
     /// Advances by `seconds`, once a second: requests, exchange, lease and ticks.
     pub(crate) fn run(&mut self, seconds: u64, per_second: u64, new: Behaviour) -> u64 {
         self.run_with_old(seconds, per_second, good, new)
