Keep serving when a verdict arrives after the old version was unloaded

Cause: a verdict of an instance that was cut off sent every request to the old version, also when it was no longer loaded anywhere after the completion. Change: such a verdict changes nothing once fewer than half of the reachable targets hold the old version; the view shows it beside the completion; it still stops an unload that has not happened. The number of loads at a time can be set; too few requests at a recheck are told as such.

--- a/crates/rollout/src/duty.rs
+++ b/crates/rollout/src/duty.rs
@@ -274,18 +274,25 @@
         })
     }
 
+    /// Notes which reachable targets lack the new version, and whether most lack the old one.
     fn note_targets(&mut self, loaded: &dyn Loaded) {
         for entry in self.entries.values_mut() {
             entry.missing.clear();
             entry.unreachable.clear();
             let Some(spec) = &entry.spec else { continue };
+            let (mut reachable, mut old) = (0, 0);
             for target in &spec.targets {
-                match loaded.versions(target) {
-                    Some(versions) if versions.contains(&spec.to) => {}
-                    Some(_) => entry.missing.push(target.clone()),
-                    None => entry.unreachable.push(target.clone()),
+                let Some(versions) = loaded.versions(target) else {
+                    entry.unreachable.push(target.clone());
+                    continue;
+                };
+                reachable += 1;
+                old += usize::from(versions.contains(&spec.from));
+                if !versions.contains(&spec.to) {
+                    entry.missing.push(target.clone());
                 }
             }
+            entry.old_gone = reachable > 2 * old;
         }
     }
 }
--- a/crates/rollout/src/entry.rs
+++ b/crates/rollout/src/entry.rs
@@ -42,6 +42,8 @@
     changes: Vec<(Wall, u8)>,
     /// Reachable targets that lack the new version, as of the last tick.
     pub(crate) missing: Vec<TargetId>,
+    /// Whether fewer than half of the reachable targets held the old version at the last tick.
+    pub(crate) old_gone: bool,
     /// Targets of the row that could not be reached at the last tick.
     pub(crate) unreachable: Vec<TargetId>,
 }
@@ -106,23 +108,27 @@
 
     /// Share of requests that go to the new version at `wall`.
     ///
-    /// A verdict goes before everything else. After the deadline only a known completion gives
+    /// A verdict goes before everything else, but for one that arrives after the completion, when
+    /// the old version may be loaded no longer. After the deadline only a known completion gives
     /// the new version requests.
     pub(crate) fn share(&self, wall: Wall) -> f64 {
         let (Some(spec), Some(record)) = (&self.spec, &self.record) else { return 0.0 };
-        if self.verdict.is_some() || !self.matches() {
+        let completed = matches!(record.outcome, Some(Outcome::Completed { .. }));
+        let judged = self.verdict.is_some() && !(completed && self.old_gone);
+        if judged || !self.matches() {
             return 0.0;
         }
-        match record.outcome {
-            Some(Outcome::Completed { .. }) => return 1.0,
-            Some(Outcome::RolledBack { .. }) => return 0.0,
-            None => {}
+        if completed {
+            return 1.0;
         }
-        if wall >= spec.deadline {
+        if record.outcome.is_some() || wall >= spec.deadline {
             return 0.0;
         }
-        let held = self.plan().map_or(0.0, |plan| plan.share(self.stage()));
-        record.share.min(held)
+        let stage = self.stage();
+        if stage == record.stage {
+            return record.share;
+        }
+        self.plan().map_or(0.0, |plan| plan.share(stage).min(record.share))
     }
 
     /// The version that lost, once the outcome is recorded.
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -9,7 +9,7 @@
 use crate::input::OrderResult;
 use crate::steward::ORDER_TIMEOUT;
 
-/// Loads that may run at the same time over all rollouts; the weight store bears no more.
+/// Loads that may run at the same time over all rollouts unless another number is set.
 const MAX_LOADS: usize = 2;
 /// Time between two load orders.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
@@ -56,13 +56,25 @@
 }
 
 /// Orders that may still have an effect.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Orders {
     open: BTreeMap<TargetId, Order>,
     loaded_at: Option<Time>,
+    limit: usize,
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Self { open: BTreeMap::new(), loaded_at: None, limit: MAX_LOADS }
+    }
 }
 
 impl Orders {
+    /// Sets how many loads may run at the same time.
+    pub(crate) fn limit(&mut self, loads: usize) {
+        self.limit = loads.max(1);
+    }
+
     /// Forgets all orders; they were another steward's or an earlier lease's.
     pub(crate) fn clear(&mut self) {
         self.open.clear();
@@ -97,7 +109,7 @@
     pub(crate) fn may_load(&self, target: &TargetId, now: Time) -> bool {
         let running = self.open.values().filter(|order| order.loads() && order.open(now)).count();
         let paced = self.loaded_at.is_none_or(|at| now.since(at) >= LOAD_INTERVAL);
-        running < MAX_LOADS && paced && self.free(target, now)
+        running < self.limit && paced && self.free(target, now)
     }
 
     /// Whether no order to `target` is open.
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Sets how many loads may run at the same time, as the weight store bears.
+    pub fn limit_loads(&mut self, loads: usize) {
+        self.orders.limit(loads);
+    }
+
     /// Takes the rollout rows of the accepted sheet; an older revision changes nothing.
     ///
     /// A rollout that the sheet no longer holds gets no requests any more; its record is ended by
@@ -137,9 +142,11 @@
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.changed = true;
         }
+        if arm == Arm::Old {
+            return;
+        }
         let failed = observation.outcome == EndState::Failed;
-        let due = self.evidence.requests(&id, Arm::New).is_multiple_of(JUDGE_EVERY);
-        if arm == Arm::New && (failed || due) {
+        if failed || self.evidence.requests(&id, arm).is_multiple_of(JUDGE_EVERY) {
             self.judge_changed();
         }
     }
--- a/crates/rollout/src/steward.rs
+++ b/crates/rollout/src/steward.rs
@@ -191,7 +191,12 @@
     fn late_reason(&self, record: &RolloutRecord) -> Reason {
         match record.stage {
             Stage::Loading => Reason::NotLoaded,
-            Stage::Step(_) if self.judged_requests() < MIN_JUDGED => Reason::TooLittleTraffic,
+            Stage::Step(_) | Stage::Full(_) if self.judged_requests() < MIN_JUDGED => {
+                Reason::TooLittleTraffic
+            }
+            Stage::Recheck(_) if self.stage_requests(record.stage) < MIN_JUDGED => {
+                Reason::TooLittleTraffic
+            }
             _ => Reason::DeadlinePassed,
         }
     }
--- a/crates/rollout/src/view.rs
+++ b/crates/rollout/src/view.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use sesamewind_protocol::evidence::{Arm, Counts, Outcome, Reason, Stage};
+use sesamewind_protocol::evidence::{Arm, Counts, Outcome, Reason, Stage, VerdictNote};
 use sesamewind_protocol::{RolloutId, RouteId, ServiceId, TargetId, VersionId, Wall};
 
 use crate::entry::Entry;
@@ -31,6 +31,9 @@
     pub requests: u64,
     /// The state.
     pub state: ViewState,
+    /// The verdict that is known here, recorded or not. Beside a completion it says that an
+    /// instance which was cut off judged the version bad before it learned of the completion.
+    pub verdict: Option<VerdictNote>,
 }
 
 /// State of a rollout as operators see it.
@@ -103,6 +106,7 @@
                 share: entry.share(wall),
                 requests,
                 state: self.state(id, entry, spec, requests, wall),
+                verdict: entry.verdict.clone(),
             })
         });
         views.collect()
--- a/crates/rollout/tests/all/brake.rs
+++ b/crates/rollout/tests/all/brake.rs
@@ -1,7 +1,7 @@
 //! The brake: a bad version gets no more requests, with or without the store.
 
-use crate::world::{Behaviour, StoreMode, World, failing, good, slow, spec};
-use sesamewind_protocol::evidence::{Outcome, Reason, Stage};
+use crate::world::{Behaviour, StoreMode, World, failing, good, id, instance, slow, spec, target};
+use sesamewind_protocol::evidence::{Counts, Outcome, Reason, Stage, VerdictNote};
 use sesamewind_protocol::{RouteId, VersionId};
 use sesamewind_rollout::{EndState, RolloutEvent};
 
@@ -263,3 +263,33 @@
     assert_eq!(world.nodes[0].rollouts.verdicts(), []);
     assert_eq!(world.sent_new(0, 100), 100);
 }
+
+#[test]
+fn verdict_after_the_completion_never_sends_to_an_unloaded_version() {
+    for unloaded in [false, true] {
+        let mut world = World::new(3, &[spec(12, 0.05)]);
+        until_ended(&mut world, 800, good);
+        world.in_flight_old = u32::from(!unloaded);
+        world.run(120, 4, good);
+        let holds_old = world.engines[&target(0)].versions.contains(&VersionId::from("v1"));
+        assert_eq!(holds_old, !unloaded);
+        let late = VerdictNote {
+            rollout: id(),
+            instance: instance(9),
+            reason: Reason::Failing,
+            route: None,
+            counts: Counts::default(),
+            at: world.wall(),
+        };
+        world.nodes[0].rollouts.learn_verdicts(std::slice::from_ref(&late));
+        world.in_flight_old = 0;
+        world.run(120, 4, good);
+        assert_eq!(world.engines[&target(0)].versions.contains(&VersionId::from("v1")), !unloaded);
+        let expected = if unloaded { 100 } else { 0 };
+        for number in 0..3 {
+            assert_eq!(world.sent_new(number, 100), expected, "unloaded {unloaded}");
+            let view = world.nodes[number].rollouts.view(world.wall());
+            assert_eq!(view[0].verdict, Some(late.clone()));
+        }
+    }
+}
