Judge the most recent requests by themselves; test each unload condition alone

Change: failures since an earlier mark are compared as well; rules want five bad requests, since a crashing engine fails a few on one arm by chance; a recheck may end with ten requests.

--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -92,7 +92,8 @@
     route: Option<RouteId>,
 }
 
-#[derive(Debug, Default)]
+/// Counts of one arm in one stratum.
+#[derive(Debug, Clone, Default)]
 struct ArmSum {
     requests: u64,
     failures: u64,
@@ -106,12 +107,20 @@
         histogram::add(&mut self.durations, &tally.durations);
     }
 
+    fn subtract(&mut self, earlier: &Self) {
+        self.requests = self.requests.saturating_sub(earlier.requests);
+        self.failures = self.failures.saturating_sub(earlier.failures);
+        for (count, before) in self.durations.iter_mut().zip(&earlier.durations) {
+            *count = count.saturating_sub(*before);
+        }
+    }
+
     fn served(&self) -> u64 {
         self.durations.iter().sum()
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Arms {
     old: ArmSum,
     new: ArmSum,
@@ -126,31 +135,85 @@
     }
 }
 
-/// Compares the arms of `rollout`: each route by itself and all together.
+/// Counts of both arms per stratum, over all instances.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Strata {
+    arms: BTreeMap<Stratum, Arms>,
+}
+
+impl Strata {
+    /// The counts of `rollout`.
+    pub(crate) fn of(evidence: &Evidence, rollout: &RolloutId) -> Self {
+        let mut arms: BTreeMap<Stratum, Arms> = BTreeMap::new();
+        for (key, tally) in evidence.cells_of(rollout) {
+            let stratum = Stratum { stage: key.stage, route: key.route.clone(), class: key.class };
+            arms.entry(stratum).or_default().add(key.arm, tally);
+        }
+        Self { arms }
+    }
+
+    /// What was counted since `earlier`.
+    pub(crate) fn since(&self, earlier: &Self) -> Self {
+        let mut recent = self.clone();
+        for (stratum, arms) in &mut recent.arms {
+            if let Some(before) = earlier.arms.get(stratum) {
+                arms.old.subtract(&before.old);
+                arms.new.subtract(&before.new);
+            }
+        }
+        recent
+    }
+
+    /// Requests of the new version.
+    pub(crate) fn new_requests(&self) -> u64 {
+        self.arms.values().map(|arms| arms.new.requests).sum()
+    }
+
+    /// The old version's counts over all stages, per route and class and together.
+    fn history(&self) -> History {
+        let mut history = History::default();
+        for (stratum, arms) in &self.arms {
+            let key = (stratum.route.clone(), stratum.class);
+            history.routes.entry(key).or_default().join(&arms.old);
+            history.all.join(&arms.old);
+        }
+        history
+    }
+}
+
+impl ArmSum {
+    fn join(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.failures += other.failures;
+        if self.durations.len() < other.durations.len() {
+            self.durations.resize(other.durations.len(), 0);
+        }
+        for (sum, part) in self.durations.iter_mut().zip(&other.durations) {
+            *sum += part;
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct History {
+    routes: BTreeMap<(RouteId, u8), ArmSum>,
+    all: ArmSum,
+}
+
+/// Compares the arms over `part` of `whole`: each route by itself and all together.
 ///
 /// `current` is the number of the present stage: requests at an earlier full stage count no longer,
 /// as a recheck has dealt with them.
-pub(crate) fn compare(evidence: &Evidence, rollout: &RolloutId, current: u8) -> Vec<Comparison> {
-    let mut strata: BTreeMap<Stratum, Arms> = BTreeMap::new();
-    let mut routes: BTreeMap<(RouteId, u8), ArmSum> = BTreeMap::new();
-    let mut all = ArmSum::default();
-    for (key, tally) in evidence.cells_of(rollout) {
-        let stratum = Stratum { stage: key.stage, route: key.route.clone(), class: key.class };
-        strata.entry(stratum).or_default().add(key.arm, tally);
-        if key.arm == Arm::Old {
-            routes.entry((key.route.clone(), key.class)).or_default().add(tally);
-            all.add(tally);
-        }
-    }
-    let prior = failure_rate(&all, PRIOR_FAILURES, PRIOR_REQUESTS);
+pub(crate) fn compare(part: &Strata, whole: &Strata, current: u8) -> Vec<Comparison> {
+    let history = whole.history();
+    let prior = failure_rate(&history.all, PRIOR_FAILURES, PRIOR_REQUESTS);
     let mut sums: BTreeMap<Scope, Sum> = BTreeMap::new();
-    for (stratum, arms) in &strata {
+    for (stratum, arms) in &part.arms {
         let dealt_with = is_full(stratum.stage) && stratum.stage != current;
         if arms.new.requests == 0 || dealt_with {
             continue;
         }
-        let Some(history) = routes.get(&(stratum.route.clone(), stratum.class)) else {
-            add_failures(&mut sums, stratum, arms, prior, &ArmSum::default());
+        let Some(history) = history.routes.get(&(stratum.route.clone(), stratum.class)) else {
             continue;
         };
         let pooled = failure_rate(history, prior * POOL_WEIGHT, POOL_WEIGHT);
--- a/crates/rollout/src/entry.rs
+++ b/crates/rollout/src/entry.rs
@@ -6,6 +6,7 @@
 use sesamewind_protocol::{TargetId, VersionId, Wall};
 
 use crate::input::Peer;
+use crate::judge::Marks;
 use crate::plan::{Plan, stage_number};
 use crate::spec::RolloutSpec;
 
@@ -40,6 +41,8 @@
     pub(crate) changed: bool,
     /// Stage numbers in force here and since when, oldest first.
     changes: Vec<(Wall, u8)>,
+    /// Counts at earlier judgements.
+    pub(crate) marks: Marks,
     /// Reachable targets that lack the new version, as of the last tick.
     pub(crate) missing: Vec<TargetId>,
     /// Whether fewer than half of the reachable targets held the old version at the last tick.
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -3,7 +3,7 @@
 use sesamewind_protocol::evidence::{Reason, Stage, VerdictNote};
 use sesamewind_protocol::{InstanceId, RolloutId, Wall};
 
-use crate::compare::{Comparison, compare};
+use crate::compare::{Comparison, Strata, compare};
 use crate::entry::Entry;
 use crate::evidence::Evidence;
 use crate::plan::stage_number;
@@ -26,10 +26,17 @@
         return false;
     }
     let stage = entry.stage();
-    let comparisons = compare(evidence, rollout, stage_number(stage));
-    let decided: Vec<&Comparison> =
-        comparisons.iter().filter(|comparison| rule.decides(comparison)).collect();
-    if let Some(worst) = decisive(&comparisons, &decided) {
+    let whole = Strata::of(evidence, rollout);
+    let recent = entry.marks.recent(&whole);
+    let number = stage_number(stage);
+    let mut comparisons = vec![compare(&whole, &whole, number)];
+    if let Some(recent) = recent {
+        let mut turned = compare(&recent, &whole, number);
+        // An engine that is slow for a while tilts a few dozen requests, but not all of them.
+        turned.retain(|comparison| comparison.reason == Reason::Failing);
+        comparisons.push(turned);
+    }
+    if let Some(worst) = comparisons.iter().find_map(|all| decisive(all, rule)) {
         entry.verdict = Some(VerdictNote {
             rollout: rollout.clone(),
             instance: me.clone(),
@@ -41,7 +48,7 @@
         return true;
     }
     let Stage::Full(round) = stage else { return false };
-    if decided.is_empty() {
+    if !comparisons.iter().flatten().any(|comparison| rule.decides(comparison)) {
         return false;
     }
     entry.suspect = Some(round);
@@ -50,8 +57,9 @@
 
 /// The comparison that the verdict rests on: failures before slowness, and a single route before
 /// all together if nearly all bad requests are its own.
-fn decisive<'a>(all: &'a [Comparison], decided: &[&'a Comparison]) -> Option<&'a Comparison> {
-    let concurrent = || decided.iter().copied().filter(|comparison| comparison.concurrent);
+fn decisive<'a>(all: &'a [Comparison], rule: &dyn Rule) -> Option<&'a Comparison> {
+    let concurrent =
+        || all.iter().filter(|comparison| comparison.concurrent && rule.decides(comparison));
     let reason = [Reason::Failing, Reason::Slow]
         .into_iter()
         .find(|reason| concurrent().any(|comparison| comparison.reason == *reason))?;
@@ -71,3 +79,24 @@
         .or_else(|| of_reason().find(|found| found.route.is_none()))
         .or_else(|| of_reason().next())
 }
+
+/// Requests of the new version between two marks.
+const MARK_REQUESTS: u64 = 64;
+
+/// Earlier counts, so that the most recent requests are judged by themselves as well: a version
+/// that turns bad is not excused by the many requests that it served before.
+#[derive(Debug, Default)]
+pub(crate) struct Marks {
+    last: Strata,
+    before: Strata,
+}
+
+impl Marks {
+    /// What was counted since the mark before the last one; `None` if that is everything.
+    fn recent(&mut self, whole: &Strata) -> Option<Strata> {
+        if whole.new_requests() >= self.last.new_requests() + MARK_REQUESTS {
+            self.before = std::mem::replace(&mut self.last, whole.clone());
+        }
+        (self.before.new_requests() > 0).then(|| whole.since(&self.before))
+    }
+}
--- a/crates/rollout/src/rule.rs
+++ b/crates/rollout/src/rule.rs
@@ -26,7 +26,7 @@
 
 impl Default for FixedThresholds {
     fn default() -> Self {
-        Self { min_bad: 4.0, requests: 10, ratio: 4.0 }
+        Self { min_bad: 5.0, requests: 10, ratio: 4.0 }
     }
 }
 
@@ -51,7 +51,7 @@
 
 impl Default for MaxSprt {
     fn default() -> Self {
-        Self { min_bad: 4.0, critical: 4.5, tolerated: 1.3 }
+        Self { min_bad: 5.0, critical: 4.5, tolerated: 1.3 }
     }
 }
 
@@ -91,7 +91,7 @@
 
 impl Default for GammaPoisson {
     fn default() -> Self {
-        Self { min_bad: 4.0, shape: 2.618, rate: 1.618, tolerated: 1.3, doubt: 0.001 }
+        Self { min_bad: 5.0, shape: 2.618, rate: 1.618, tolerated: 1.3, doubt: 0.001 }
     }
 }
 
--- a/crates/rollout/src/steward.rs
+++ b/crates/rollout/src/steward.rs
@@ -24,6 +24,8 @@
 
 /// Requests of the new version at a recheck after which full share is given again.
 const RECHECK_REQUESTS: u64 = 60;
+/// Requests of the new version at a recheck without which the rollout is not completed from it.
+const MIN_RECHECKED: u64 = 10;
 /// Returns to full share after a recheck.
 const MAX_ROUNDS: u8 = 3;
 
@@ -138,7 +140,7 @@
         let early = self.wall + COMPLETION_MARGIN < spec.deadline;
         let judged = match self.entry.stage() {
             Stage::Full(_) => self.judged_requests() >= MIN_JUDGED,
-            Stage::Recheck(round) => self.stage_requests(Stage::Recheck(round)) >= MIN_JUDGED,
+            Stage::Recheck(round) => self.stage_requests(Stage::Recheck(round)) >= MIN_RECHECKED,
             Stage::Loading | Stage::Step(_) => false,
         };
         due && early && judged && self.dwelt(plan, record)
@@ -194,7 +196,7 @@
             Stage::Step(_) | Stage::Full(_) if self.judged_requests() < MIN_JUDGED => {
                 Reason::TooLittleTraffic
             }
-            Stage::Recheck(_) if self.stage_requests(record.stage) < MIN_JUDGED => {
+            Stage::Recheck(_) if self.stage_requests(record.stage) < MIN_RECHECKED => {
                 Reason::TooLittleTraffic
             }
             _ => Reason::DeadlinePassed,
--- a/crates/rollout/tests/all/brake.rs
+++ b/crates/rollout/tests/all/brake.rs
@@ -164,13 +164,13 @@
         exposed: u64,
     }
     let cases = [
-        Case { name: "fails", bad: failing, store: StoreMode::Up, reason: "failing", exposed: 40 },
+        Case { name: "fails", bad: failing, store: StoreMode::Up, reason: "failing", exposed: 25 },
         Case {
             name: "fails without store",
             bad: failing,
             store: StoreMode::Down,
             reason: "failing",
-            exposed: 40,
+            exposed: 25,
         },
         Case { name: "slow", bad: slow, store: StoreMode::Up, reason: "slow", exposed: 400 },
     ];
@@ -269,7 +269,7 @@
     for unloaded in [false, true] {
         let mut world = World::new(3, &[spec(12, 0.05)]);
         until_ended(&mut world, 800, good);
-        world.in_flight_old = u32::from(!unloaded);
+        world.draining = (!unloaded).then_some(1);
         world.run(120, 4, good);
         let holds_old = world.engines[&target(0)].versions.contains(&VersionId::from("v1"));
         assert_eq!(holds_old, !unloaded);
@@ -282,7 +282,7 @@
             at: world.wall(),
         };
         world.nodes[0].rollouts.learn_verdicts(std::slice::from_ref(&late));
-        world.in_flight_old = 0;
+        world.draining = None;
         world.run(120, 4, good);
         assert_eq!(world.engines[&target(0)].versions.contains(&VersionId::from("v1")), !unloaded);
         let expected = if unloaded { 100 } else { 0 };
--- a/crates/rollout/tests/all/deadline.rs
+++ b/crates/rollout/tests/all/deadline.rs
@@ -2,7 +2,7 @@
 
 use sesamewind_protocol::evidence::{Outcome, Reason};
 use sesamewind_protocol::{VersionId, Wall};
-use sesamewind_rollout::{RolloutSpec, ViewState};
+use sesamewind_rollout::{Action, RolloutSpec, ViewState};
 
 use crate::world::{START, StoreMode, World, good, id, spec};
 
@@ -204,3 +204,22 @@
     assert!(counts.new_requests < 20);
     assert_eq!(world.nodes[0].rollouts.view(world.wall())[0].id, id());
 }
+
+#[test]
+fn no_completion_is_begun_close_to_the_deadline() {
+    let mut world = World::new(1, &[spec(DEADLINE, 0.1)]);
+    run_to(&mut world, 600);
+    world.store = StoreMode::Down;
+    run_to(&mut world, DEADLINE * MINUTE - 2);
+    world.nodes[0].holds = true;
+    world.store = StoreMode::Up;
+    world.ms += 999;
+    world.tick(0);
+    let begun = world.nodes[0].held.iter().any(
+        |action| matches!(action, Action::WriteRecord { record, .. } if record.outcome.is_some()),
+    );
+    assert!(!begun, "{:?}", world.nodes[0].held);
+    world.wake(0, false);
+    run_to(&mut world, DEADLINE * MINUTE + 30);
+    check(&mut world, "close", "deadline-passed");
+}
--- a/crates/rollout/tests/all/model.rs
+++ b/crates/rollout/tests/all/model.rs
@@ -109,7 +109,7 @@
         let judged = seen.judged.entry(life).or_default();
         assert!(verdicts >= *judged, "{life:?} unlearned its verdict");
         *judged = verdicts;
-        let records = node.rollouts.records(&world.sight());
+        let records = node.rollouts.records(&world.sight(number));
         let old = VersionId::from("v1");
         let gone = world.engines.values().all(|engine| !engine.versions.contains(&old));
         assert!(verdicts == 0 || sent == 0 || gone, "{life:?} sends {sent} after the verdict");
@@ -163,8 +163,8 @@
     }
     let Some(record) = world.record() else { return };
     assert!(record.outcome.is_some(), "no outcome: {record:?}");
-    for node in &world.nodes {
-        let records = node.rollouts.records(&world.sight());
+    for (number, node) in world.nodes.iter().enumerate() {
+        let records = node.rollouts.records(&world.sight(number));
         let known = records.first().map(|note| &note.record);
         assert_eq!(known, Some(record));
     }
--- a/crates/rollout/tests/all/steward.rs
+++ b/crates/rollout/tests/all/steward.rs
@@ -147,27 +147,94 @@
 }
 
 #[test]
-fn old_version_stays_until_all_reachable_instances_know() {
+fn old_version_stays_until_it_drained_and_all_reachable_instances_know() {
     let old = VersionId::from("v1");
+    let holding = |world: &World| {
+        world.engines.values().filter(|engine| engine.versions.contains(&old)).count()
+    };
+    for own in [true, false] {
+        let mut world = World::new(3, &[spec(12, 0.1)]);
+        while world.outcome().is_none() {
+            world.run(1, 4, good);
+        }
+        let holder = world.lease.map_or(0, |(holder, _)| holder);
+        let other = (holder + 1) % 3;
+        world.draining = Some(if own { holder } else { other });
+        world.run(120, 4, good);
+        assert_eq!(holding(&world), 4, "own {own}");
+        // A new life of a reachable instance has not said yet what it knows; the former life had.
+        world.draining = None;
+        world.gossip(holder, other);
+        world.restart((holder + 2) % 3);
+        for _ in 0..60 {
+            world.ms += 1000;
+            world.renew();
+            world.tick(holder);
+        }
+        assert_eq!(holding(&world), 4, "own {own}");
+        world.run(60, 4, good);
+        assert_eq!(holding(&world), 0, "own {own}");
+        assert_eq!(world.harmful, 0, "own {own}");
+    }
+}
+
+#[test]
+fn old_version_stays_while_a_counting_instance_is_cut_off() {
     let mut world = World::new(3, &[spec(12, 0.1)]);
-    while world.outcome().is_none() {
+    world.run(300, 4, good);
+    world.cut = Some(2);
+    world.run(600, 4, good);
+    assert_eq!(world.ended(), "completed");
+    let old = VersionId::from("v1");
+    assert!(world.engines.values().all(|engine| engine.versions.contains(&old)));
+    world.ms += 1800 * 1000;
+    world.run(120, 4, good);
+    assert!(!world.engines.values().any(|engine| engine.versions.contains(&old)));
+}
+
+#[test]
+fn former_holder_writes_nothing_after_a_later_one_wrote() {
+    let mut world = World::new(2, &[spec(12, 0.1)]);
+    world.run(20, 4, good);
+    assert_eq!(world.stage(), Some(Stage::Step(0)));
+    let valid_until = world.now() + 100 * LEASE_LENGTH;
+    let fence = world.fence;
+    world.fence += 1;
+    world.nodes[1].lease = Some(LeaseGrant { fence: world.fence, valid_until });
+    // The later holder alone reaches the next step, and the former one hears of it.
+    world.nodes[0].alive = false;
+    while world.stage() != Some(Stage::Step(1)) {
         world.run(1, 4, good);
     }
-    world.in_flight_old = 1;
-    world.run(120, 4, good);
-    assert!(world.engines.values().all(|engine| engine.versions.contains(&old)));
-    world.in_flight_old = 0;
-    // A new life of a reachable instance has not said yet what it knows; the former life had.
-    world.restart(2);
-    for _ in 0..60 {
+    world.nodes[0].alive = true;
+    world.gossip(0, 1);
+    world.nodes[0].lease = Some(LeaseGrant { fence, valid_until });
+    world.nodes[1].alive = false;
+    let written = world.history.len();
+    world.lease = None;
+    for _ in 0..800 {
         world.ms += 1000;
-        world.renew();
+        world.traffic(4, good, good);
         world.tick(0);
     }
-    assert!(world.engines.values().all(|engine| engine.versions.contains(&old)));
-    world.run(60, 4, good);
-    assert!(!world.engines.values().any(|engine| engine.versions.contains(&old)));
-    assert_eq!(world.harmful, 0);
+    assert_eq!(world.history.len(), written);
+}
+
+#[test]
+fn winner_is_loaded_before_the_loser_is_unloaded() {
+    let mut world = World::new(3, &[spec(12, 0.1)]);
+    let lacking = target(3);
+    world.engines.get_mut(&lacking).expect("four targets").reachable = false;
+    while world.outcome().is_none() {
+        world.run(1, 4, good);
+    }
+    world.engines.get_mut(&lacking).expect("four targets").reachable = true;
+    world.run(120, 4, good);
+    for (name, engine) in &world.engines {
+        assert_eq!(engine.versions.len(), 1, "{name}");
+        let old = engine.versions.contains(&VersionId::from("v1"));
+        assert_eq!(old, *name == lacking, "{name}");
+    }
 }
 
 #[test]
@@ -179,11 +246,11 @@
     let unloads = |world: &World| {
         world.orders.iter().filter(|(_, _, order)| *order == OrderKind::Unload).count()
     };
-    world.in_flight_old = 1;
+    world.draining = Some(0);
     world.run(5, 4, good);
     let holder = world.lease.map_or(0, |(holder, _)| holder);
     world.nodes[holder].alive = false;
-    world.in_flight_old = 0;
+    world.draining = None;
     while world.lease.is_none_or(|(now, _)| now == holder) {
         world.run(1, 4, good);
     }
--- a/crates/rollout/tests/all/world.rs
+++ b/crates/rollout/tests/all/world.rs
@@ -109,7 +109,8 @@
     pub(crate) revision: u64,
     pub(crate) requests: u64,
     pub(crate) restarts: u64,
-    pub(crate) in_flight_old: u32,
+    /// The instance with a request in flight to the old version.
+    pub(crate) draining: Option<usize>,
 }
 
 /// One instance's view of the world.
@@ -162,7 +163,7 @@
             revision: 0,
             requests: 0,
             restarts: 0,
-            in_flight_old: 0,
+            draining: None,
         };
         for number in 0..nodes {
             let node = Node { ready: true, ..world.fresh(number) };
@@ -261,7 +262,8 @@
         let peers = peers.into_iter().map(|peer| self.nodes[peer].peer.clone()).collect();
         let (now, wall) = (self.now(), self.wall_of(number));
         let node = &mut self.nodes[number];
-        let sight = Sight { world: &self.engines, peers, old: self.in_flight_old };
+        let old = u32::from(self.draining == Some(number));
+        let sight = Sight { world: &self.engines, peers, old };
         let actions = node.rollouts.tick(now, wall, node.lease, &sight);
         for action in actions {
             if self.nodes[number].holds && !matches!(action, Action::Event(_)) {
@@ -386,13 +388,14 @@
                 node.rollouts.version_for(&service, &route, &key(number), wall)
             })
         });
-        let draining = version.as_str() == "v1" && self.in_flight_old > 0;
+        let draining = version.as_str() == "v1" && self.draining.is_some();
         draining || sent.any(|sent| sent == *version)
     }
 
     /// What an instance without peers sees.
-    pub(crate) fn sight(&self) -> impl Loaded + '_ {
-        Sight { world: &self.engines, peers: Vec::new(), old: self.in_flight_old }
+    pub(crate) fn sight(&self, number: usize) -> impl Loaded + '_ {
+        let old = u32::from(self.draining == Some(number));
+        Sight { world: &self.engines, peers: Vec::new(), old }
     }
 
     /// Exchanges everything between two connected instances, both ways.
@@ -403,7 +406,7 @@
         for (from, to) in [(a, b), (b, a)] {
             let sender = &self.nodes[from].rollouts;
             let (cells, verdicts) = (sender.evidence(), sender.verdicts());
-            let records = sender.records(&self.sight());
+            let records = sender.records(&self.sight(from));
             let peer = self.nodes[from].peer.clone();
             self.nodes[to].ready = true;
             let receiver = &mut self.nodes[to].rollouts;
