--- a/crates/rollout/tests/all/deadline.rs
+++ b/crates/rollout/tests/all/deadline.rs
@@ -2,7 +2,7 @@
 
 use sesamewind_protocol::evidence::{Outcome, Reason};
 use sesamewind_protocol::{VersionId, Wall};
-use sesamewind_rollout::{Action, RolloutSpec, ViewState};
+use sesamewind_rollout::{Action, LEASE_LENGTH, LeaseGrant, RolloutSpec, ViewState};
 
 use crate::world::{START, StoreMode, World, good, id, spec};
 
@@ -208,12 +208,11 @@
 #[test]
 fn no_completion_is_begun_close_to_the_deadline() {
     let mut world = World::new(1, &[spec(DEADLINE, 0.1)]);
-    run_to(&mut world, 600);
-    world.store = StoreMode::Down;
-    run_to(&mut world, DEADLINE * MINUTE - 2);
+    run_to(&mut world, 640);
     world.nodes[0].holds = true;
-    world.store = StoreMode::Up;
-    world.ms += 999;
+    world.ms = START + DEADLINE * MINUTE * 1000 - 1_999;
+    let valid_until = world.now() + LEASE_LENGTH;
+    world.nodes[0].lease = Some(LeaseGrant { fence: world.fence, valid_until });
     world.tick(0);
     let begun = world.nodes[0].held.iter().any(
         |action| matches!(action, Action::WriteRecord { record, .. } if record.outcome.is_some()),
