Bound how long a former unload holds up a later rollout

Cause: an unload order to a target that was never heard of again held up every later rollout to that version while the same steward held the lease. Change: it counts for the order timeout and as long as its answer is waited for, and no longer. Ruled out: forgetting it at the order's answer; the target's report lags behind it.

--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -107,6 +107,17 @@
         histogram::add(&mut self.durations, &tally.durations);
     }
 
+    fn join(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.failures += other.failures;
+        if self.durations.len() < other.durations.len() {
+            self.durations.resize(other.durations.len(), 0);
+        }
+        for (sum, part) in self.durations.iter_mut().zip(&other.durations) {
+            *sum += part;
+        }
+    }
+
     fn subtract(&mut self, earlier: &Self) {
         self.requests = self.requests.saturating_sub(earlier.requests);
         self.failures = self.failures.saturating_sub(earlier.failures);
@@ -181,19 +192,6 @@
     }
 }
 
-impl ArmSum {
-    fn join(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.failures += other.failures;
-        if self.durations.len() < other.durations.len() {
-            self.durations.resize(other.durations.len(), 0);
-        }
-        for (sum, part) in self.durations.iter_mut().zip(&other.durations) {
-            *sum += part;
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct History {
     routes: BTreeMap<(RouteId, u8), ArmSum>,
--- a/crates/rollout/src/duty.rs
+++ b/crates/rollout/src/duty.rs
@@ -110,7 +110,7 @@
             if busy {
                 continue;
             }
-            let Some(action) = self.next_write(&id, lease, loaded, quiet) else { continue };
+            let Some(action) = self.next_write(&id, now, lease, loaded, quiet) else { continue };
             if let Action::WriteRecord { record, .. } = &action {
                 let pending = Pending { record: record.clone(), sent: now, open: true };
                 self.pending.insert(id, pending);
@@ -122,12 +122,13 @@
     fn next_write(
         &self,
         id: &RolloutId,
+        now: Time,
         lease: LeaseGrant,
         loaded: &dyn Loaded,
         quiet: bool,
     ) -> Option<Action> {
         let entry = self.entries.get(id)?;
-        let unloading = entry.spec.as_ref().is_some_and(|spec| self.unloading(spec, quiet));
+        let unloading = entry.spec.as_ref().is_some_and(|spec| self.unloading(spec, now, quiet));
         let context = Context {
             id,
             entry,
@@ -158,12 +159,12 @@
     }
 
     /// Whether an unload of the new version may still be on its way to a target.
-    fn unloading(&self, spec: &RolloutSpec, quiet: bool) -> bool {
+    fn unloading(&self, spec: &RolloutSpec, now: Time, quiet: bool) -> bool {
         let lost_before = self.entries.values().any(|entry| {
             let same = entry.record.as_ref().is_some_and(|record| record.service == spec.service);
             same && entry.losing() == Some(&spec.to)
         });
-        self.orders.unloads(&spec.to) || lost_before && !quiet
+        self.orders.unloads(&spec.to, now) || lost_before && !quiet
     }
 
     fn order_loads(
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -99,10 +99,14 @@
         }
     }
 
-    /// Whether an unload of `version` may still have an effect on some target.
-    pub(crate) fn unloads(&self, version: &VersionId) -> bool {
+    /// Whether an unload of `version` may still have an effect on some target, or had one that the
+    /// target's report does not show yet.
+    pub(crate) fn unloads(&self, version: &VersionId, now: Time) -> bool {
         let mut orders = self.open.values();
-        orders.any(|order| order.kind == OrderKind::Unload && order.version == *version)
+        orders.any(|order| {
+            let late = now.since(order.sent) < ORDER_TIMEOUT || order.open(now);
+            order.kind == OrderKind::Unload && order.version == *version && late
+        })
     }
 
     /// Whether a load may be ordered from `target` now.
