--- a/crates/rollout/src/duty.rs
+++ b/crates/rollout/src/duty.rs
@@ -110,7 +110,7 @@
             if busy {
                 continue;
             }
-            let Some(action) = self.next_write(&id, lease, loaded, quiet) else { continue };
+            let Some(action) = self.next_write(&id, now, lease, loaded, quiet) else { continue };
             if let Action::WriteRecord { record, .. } = &action {
                 let pending = Pending { record: record.clone(), sent: now, open: true };
                 self.pending.insert(id, pending);
@@ -122,12 +122,13 @@
     fn next_write(
         &self,
         id: &RolloutId,
+        now: Time,
         lease: LeaseGrant,
         loaded: &dyn Loaded,
         quiet: bool,
     ) -> Option<Action> {
         let entry = self.entries.get(id)?;
-        let unloading = entry.spec.as_ref().is_some_and(|spec| self.unloading(spec, quiet));
+        let unloading = entry.spec.as_ref().is_some_and(|spec| self.unloading(spec, now, quiet));
         let context = Context {
             id,
             entry,
@@ -158,12 +159,12 @@
     }
 
     /// Whether an unload of the new version may still be on its way to a target.
-    fn unloading(&self, spec: &RolloutSpec, quiet: bool) -> bool {
+    fn unloading(&self, spec: &RolloutSpec, now: Time, quiet: bool) -> bool {
         let lost_before = self.entries.values().any(|entry| {
             let same = entry.record.as_ref().is_some_and(|record| record.service == spec.service);
             same && entry.losing() == Some(&spec.to)
         });
-        self.orders.unloads(&spec.to) || lost_before && !quiet
+        self.orders.unloads(&spec.to, now) || lost_before && !quiet
     }
 
     fn order_loads(
@@ -274,18 +275,25 @@
         })
     }
 
+    /// Notes which reachable targets lack the new version, and whether most lack the old one.
     fn note_targets(&mut self, loaded: &dyn Loaded) {
         for entry in self.entries.values_mut() {
             entry.missing.clear();
             entry.unreachable.clear();
             let Some(spec) = &entry.spec else { continue };
+            let (mut reachable, mut old) = (0, 0);
             for target in &spec.targets {
-                match loaded.versions(target) {
-                    Some(versions) if versions.contains(&spec.to) => {}
-                    Some(_) => entry.missing.push(target.clone()),
-                    None => entry.unreachable.push(target.clone()),
+                let Some(versions) = loaded.versions(target) else {
+                    entry.unreachable.push(target.clone());
+                    continue;
+                };
+                reachable += 1;
+                old += usize::from(versions.contains(&spec.from));
+                if !versions.contains(&spec.to) {
+                    entry.missing.push(target.clone());
                 }
             }
+            entry.old_gone = reachable > 2 * old;
         }
     }
 }
