--- a/crates/membership/src/delta/outbox.rs
+++ b/crates/membership/src/delta/outbox.rs
@@ -13,6 +13,12 @@
 /// Share of the last value within which a use has not changed enough to be sent.
 const TOLERANCE: f64 = 0.25;
 
+/// Share of the counts last sent within which evidence has not changed enough to be sent.
+const EVIDENCE_SHARE: u64 = 8;
+
+/// Growth of a count that is sent whatever its share.
+const EVIDENCE_STEP: u64 = 32;
+
 type CellKey = (RolloutId, InstanceId, Incarnation, Arm, RouteId, u8);
 
 #[derive(Debug)]
@@ -74,7 +80,7 @@
         self.leaving.publish(seq, leaving.into_iter().map(|note| (note, ())), |(), ()| true);
         let evidence = std::mem::take(&mut exchange.evidence);
         let evidence = evidence.into_iter().map(|cell| (cell_key(&cell), cell));
-        self.evidence.publish(seq, evidence, |old, new| old == new);
+        self.evidence.publish(seq, evidence, close_cells);
         let verdicts = std::mem::take(&mut exchange.verdicts);
         let verdicts = verdicts.into_iter().map(|note| (note.rollout.clone(), note));
         self.verdicts.publish(seq, verdicts, |_, _| true);
@@ -141,6 +147,15 @@
         && is_close(f64::from(old.tokens_per_s), f64::from(new.tokens_per_s))
 }
 
+/// Counts that only grow: the first ones are sent at once, later ones as they add up.
+fn close_cells(old: &EvidenceCell, new: &EvidenceCell) -> bool {
+    let is_close = |old: u64, new: u64| {
+        let growth = new.saturating_sub(old);
+        growth * EVIDENCE_SHARE <= old && growth < EVIDENCE_STEP
+    };
+    is_close(old.requests, new.requests) && is_close(old.failures, new.failures)
+}
+
 /// No use at all is close to nothing but itself.
 fn is_close(old: f64, new: f64) -> bool {
     if old == 0.0 || new == 0.0 {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -59,8 +59,10 @@
     stopping: bool,
     round: Option<Time>,
     urgent: bool,
-    /// Time beyond the heartbeat timeout that an instance beyond the zone may be silent.
-    gap: Duration,
+    /// Time beyond the heartbeat timeout that an instance of the own zone may be silent.
+    near_gap: Duration,
+    /// The same for an instance beyond the zone.
+    beyond_gap: Duration,
 }
 
 impl Members {
@@ -76,7 +78,8 @@
             stopping: false,
             round: None,
             urgent: false,
-            gap: Duration::ZERO,
+            near_gap: Duration::ZERO,
+            beyond_gap: Duration::ZERO,
         }
     }
 
@@ -230,7 +233,7 @@
             }
             return;
         }
-        let gap = if peer.zone == self.me.zone { Duration::ZERO } else { self.gap };
+        let gap = if peer.zone == self.me.zone { self.near_gap } else { self.beyond_gap };
         if now.since(peer.heard) > self.timing.suspect + gap {
             peer.steady = now;
             if !peer.is_up() {
@@ -307,12 +310,12 @@
     /// Judges silence and returns the changes since the last call.
     pub fn tick(&mut self, now: Time) -> Vec<MemberEvent> {
         self.leaving.tick(now);
-        self.gap = self.beyond_gap();
-        let beyond = self.gap;
+        self.beyond_gap = self.count_beyond_gap();
+        self.near_gap = self.count_near_gap();
         let mut forgotten = Vec::new();
         for peer in self.peers.values_mut() {
             let is_near = peer.zone == self.me.zone;
-            let gap = if is_near { Duration::ZERO } else { beyond };
+            let gap = if is_near { self.near_gap } else { self.beyond_gap };
             if let Some(event) = judge(peer, gap, &self.timing, now) {
                 self.events.push(event);
             }
@@ -329,13 +332,20 @@
 
     /// Time beyond the heartbeat timeout that an instance beyond the zone may be silent, since a
     /// round reaches a few of them only.
-    fn beyond_gap(&self) -> Duration {
+    fn count_beyond_gap(&self) -> Duration {
         let beyond = self.peers.values().filter(|peer| peer.zone != self.me.zone).count();
         // Each is called and calls once in this many rounds.
         let rounds = beyond.div_ceil(self.timing.fan_out.max(1)).saturating_sub(1);
         self.timing.interval * u32::try_from(rounds).unwrap_or(u32::MAX)
     }
 
+    /// Time beyond the heartbeat timeout that an instance of the own zone may be silent: three times
+    /// what a crowded zone adds to the interval.
+    fn count_near_gap(&self) -> Duration {
+        let near = self.peers.values().filter(|peer| peer.zone == self.me.zone).count();
+        (self.timing.near_interval(near) - self.timing.interval) * 3
+    }
+
     /// The instances to exchange with now: those of the own zone that are due, and once an interval
     /// a few beyond it. Called several times an interval.
     pub fn partners(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Partner> {
@@ -348,7 +358,8 @@
         let me = &self.me;
         let peers = self.peers.values().filter(|peer| peer.is_callable());
         let (near, beyond): (Vec<_>, Vec<_>) = peers.partition(|peer| peer.zone == me.zone);
-        let near = near.into_iter().filter(|peer| is_urgent || is_due(peer, now, &self.timing));
+        let interval = self.timing.near_interval(near.len());
+        let near = near.into_iter().filter(|peer| is_urgent || is_due(peer, now, interval));
         let mut chosen: Vec<Partner> = near.map(|peer| partner(peer, Kind::Full)).collect();
         let kind = if self.peers.len() < self.timing.small { Kind::Full } else { Kind::Summary };
         if is_round {
@@ -424,7 +435,7 @@
     }
 
     fn reach_timeout(&self) -> Duration {
-        self.timing.suspect + self.timing.interval
+        self.timing.suspect + self.timing.interval + self.near_gap
     }
 }
 
--- a/crates/membership/src/partners.rs
+++ b/crates/membership/src/partners.rs
@@ -1,10 +1,11 @@
 //! Choice of the instances that a round of exchanges reaches.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand::seq::SliceRandom;
 use sesamewind_protocol::{InstanceId, Time};
 
-use crate::Timing;
 use crate::peer::Peer;
 
 /// How much an exchange carries.
@@ -34,16 +35,15 @@
 
 /// Whether an exchange with an instance of the own zone is due: one a round in either direction is
 /// enough, but each side calls the other now and then, to learn of cuts in one direction.
-pub(crate) fn is_due(peer: &Peer, now: Time, timing: &Timing) -> bool {
+pub(crate) fn is_due(peer: &Peer, now: Time, interval: Duration) -> bool {
     let sent_ago = peer.sent.map(|sent| now.since(sent));
-    if sent_ago.is_some_and(|ago| ago < timing.interval) {
+    if sent_ago.is_some_and(|ago| ago < interval) {
         return false;
     }
     let Some(last) = peer.last_exchange() else {
         return true;
     };
-    now.since(last) >= timing.interval
-        || sent_ago.is_none_or(|ago| ago >= timing.interval * (1 + PASSIVE_ROUNDS))
+    now.since(last) >= interval || sent_ago.is_none_or(|ago| ago >= interval * (1 + PASSIVE_ROUNDS))
 }
 
 /// Chooses `count` of `candidates`: most from the own region, one from another if there are others.
--- a/crates/membership/src/timing.rs
+++ b/crates/membership/src/timing.rs
@@ -8,6 +8,9 @@
     /// Time between two exchanges with one instance of the own zone, and between two rounds of
     /// exchanges beyond it.
     pub interval: Duration,
+    /// Other instances of the own zone up to which the interval holds. With more of them it grows in
+    /// proportion, up to twice its length.
+    pub crowd: usize,
     /// Instances beyond the own zone that a round reaches.
     pub fan_out: usize,
     /// Number of instances below which summaries carry everything.
@@ -39,7 +42,8 @@
     fn default() -> Self {
         Self {
             interval: Duration::from_millis(1_000),
-            fan_out: 4,
+            crowd: 8,
+            fan_out: 3,
             small: 16,
             suspect: Duration::from_millis(3_000),
             remove: Duration::from_secs(5),
@@ -54,3 +58,14 @@
         }
     }
 }
+
+impl Timing {
+    /// Largest factor by which the interval grows.
+    const SLOWEST: f64 = 2.0;
+
+    /// Time between two exchanges with one of `near` other instances of the own zone.
+    pub fn near_interval(&self, near: usize) -> Duration {
+        let factor = near as f64 / self.crowd.max(1) as f64;
+        self.interval.mul_f64(factor.clamp(1.0, Self::SLOWEST))
+    }
+}
