--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,470 @@
+//! The actor that owns every decision of the instance, on the control thread.
+//!
+//! It hands events to the [`Node`] with the present time and carries out the node's actions: steps
+//! go to the requests' jobs, calls to other processes are started on the traffic threads, whose
+//! results come back as messages.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamewind_membership::Source;
+use sesamewind_node::{Action, Event, Node};
+use sesamewind_policy as policy;
+use sesamewind_policy::{End, Ticket};
+use sesamewind_protocol::message::Exchange;
+use sesamewind_protocol::record::{LookupReply, RecordsCopy};
+use sesamewind_protocol::{
+    InstanceId, RequestKey, Revision, RolloutId, ServiceId, TargetId, Time, VersionId,
+};
+use sesamewind_rollout as rollout;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::UnboundedSender;
+use xtra::{Context as ActorContext, Handler};
+
+use crate::answer::Answer;
+use crate::context::Context;
+use crate::effects::{self, WriteLimits};
+use crate::message::*;
+use crate::problem::Problem;
+use crate::step::Step;
+use crate::targets::TargetAddress;
+
+/// How long an ended request's answer can be read again.
+const ANSWER_KEEP: Duration = Duration::from_secs(30);
+
+/// A request that has a job or whose answer is kept.
+#[derive(Debug)]
+struct Held {
+    key: RequestKey,
+    steps: UnboundedSender<Step>,
+    answer: Arc<Answer>,
+}
+
+/// The actor of the control thread.
+#[derive(Debug, xtra::Actor)]
+pub struct Control {
+    node: Node,
+    context: Arc<Context>,
+    traffic: Handle,
+    held: HashMap<Ticket, Held>,
+    by_key: HashMap<RequestKey, Ticket>,
+    ended: VecDeque<(Time, Ticket)>,
+}
+
+impl Control {
+    /// Puts the actor together; `traffic` runs what needs sockets.
+    pub fn new(node: Node, context: Arc<Context>, traffic: Handle) -> Self {
+        Self {
+            node,
+            context,
+            traffic,
+            held: HashMap::new(),
+            by_key: HashMap::new(),
+            ended: VecDeque::new(),
+        }
+    }
+
+    /// The node, for views.
+    pub(crate) fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// Why the instance is not ready; empty if it is.
+    pub(crate) fn unready(&self) -> &'static str {
+        if self.context.is_stopping() {
+            return "the instance stops";
+        }
+        if self.node.in_force().revision == Revision(0) {
+            return "no configuration: neither the store nor a peer has given one yet";
+        }
+        if !self.node.is_joined() {
+            return "records of requests have not been copied from the peers yet";
+        }
+        ""
+    }
+
+    /// What the instance's parts share.
+    pub(crate) fn context(&self) -> &Context {
+        &self.context
+    }
+
+    fn actions(&mut self, event: Event<'_>) -> Vec<Action> {
+        self.node.handle(event, self.context.clock.now(), self.context.clock.wall())
+    }
+
+    fn decide(&mut self, event: Event<'_>) {
+        for action in self.actions(event) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let context = Arc::clone(&self.context);
+        match action {
+            Action::Traffic(action) => self.carry_out_traffic(action),
+            Action::Installed(revision) => {
+                context.metrics.set_revision(revision);
+                log::info!(revision = revision.0; "configuration in force");
+            }
+            Action::Fetch(fetch) => {
+                let address = match &fetch.source {
+                    Source::Store => None,
+                    Source::Peer(peer) => self.peer_address(peer),
+                };
+                self.spawn(effects::fetch(context, fetch, address));
+            }
+            Action::Send { partner, message } => {
+                self.spawn(effects::exchange(context, partner, message));
+            }
+            Action::Lease(call) => self.spawn(effects::lease(context, call)),
+            Action::Rollout(action) => self.carry_out_rollout(action),
+            Action::Member(event) => log::info!("members changed: {event:?}"),
+        }
+    }
+
+    fn carry_out_traffic(&mut self, action: policy::Action) {
+        use policy::Action as Do;
+        let context = Arc::clone(&self.context);
+        match action {
+            Do::Dispatch { ticket, target, version } => self.dispatch(ticket, &target, version),
+            Do::Go { ticket } => self.step(ticket, Step::Go),
+            Do::Resume { ticket, .. } => self.step(ticket, Step::Resume),
+            Do::NoGo { ticket, refusal: Some(refusal) } => {
+                self.step(ticket, Step::Refuse(problem(&refusal)));
+            }
+            // The attempt was answered before; its job has the step that ends it.
+            Do::NoGo { refusal: None, .. } => {}
+            Do::Refuse(refusal) => self.step(refusal.ticket(), Step::Refuse(problem(&refusal))),
+            Do::Cancel { ticket, refusal } => self.step(ticket, Step::Cancel(problem(&refusal))),
+            Do::Probe { target } => {
+                if let Some(at) = self.address_of(&target) {
+                    self.spawn(effects::probe(context, at));
+                }
+            }
+            Do::DropConnections { target } => context.targets.drop_connections(&target),
+            Do::AttachLocal { ticket, to } => self.attach_local(ticket, to),
+            Do::Attach { ticket, holder } => self.attach(ticket, &holder),
+            Do::AskPeers { lookup, peers, .. } => {
+                for address in self.peer_addresses(&peers) {
+                    let lookup = lookup.clone();
+                    self.spawn(effects::lookup(Arc::clone(&context), address, lookup));
+                }
+            }
+            Do::AskRecords { request, peers } => {
+                for address in self.peer_addresses(&peers) {
+                    let request = request.clone();
+                    self.spawn(effects::ask_records(Arc::clone(&context), address, request));
+                }
+            }
+            Do::SendRecords { to, copy } => {
+                if let Some(address) = self.peer_address(&to) {
+                    self.spawn(effects::hand_over(context, address, copy));
+                }
+            }
+            // Answers to peers are picked out by the handlers of the peers' questions; the node has
+            // hastened its next exchange already.
+            Do::Reply { .. } | Do::FloorChanged | Do::LoadChanged => {}
+        }
+    }
+
+    fn carry_out_rollout(&self, action: rollout::Action) {
+        use rollout::Action as Do;
+        let context = Arc::clone(&self.context);
+        match action {
+            Do::WriteRecord { rollout, expected, record, before, lease_until } => {
+                let limits = WriteLimits { before, lease_until };
+                self.spawn(effects::write_record(context, rollout, expected, record, limits));
+            }
+            Do::ReadRecords => self.spawn(effects::read_records(context)),
+            Do::Order { target, fence, order, version, lease_until } => {
+                let at = self.address_of(&target);
+                let order = (fence, order.as_str(), version);
+                self.spawn(effects::order(context, at, target, order, lease_until));
+            }
+            Do::Event(event) => {
+                let service = self.service_of(event.rollout());
+                context.metrics.rollout_changed(&service, event.kind());
+                log::info!(rollout:% = event.rollout(), kind = event.kind(); "{event}");
+            }
+        }
+    }
+
+    fn spawn(&self, effect: impl Future<Output = ()> + Send + 'static) {
+        self.traffic.spawn(effect);
+    }
+
+    fn dispatch(&mut self, ticket: Ticket, target: &TargetId, version: VersionId) {
+        let Some(at) = self.address_of(target) else {
+            let end = End::ConnectFailed;
+            self.decide(Event::Traffic(policy::Event::Finished { ticket, end }));
+            return;
+        };
+        self.step(ticket, Step::Dispatch { at, version });
+    }
+
+    fn address_of(&self, target: &TargetId) -> Option<TargetAddress> {
+        let installed = self.context.configuration()?;
+        let row = installed.sheet.targets.iter().find(|row| row.name == *target)?;
+        Some(TargetAddress { target: target.clone(), address: row.address.to_string() })
+    }
+
+    fn service_of(&self, rollout: &RolloutId) -> ServiceId {
+        let installed = self.context.configuration();
+        let row = installed
+            .as_ref()
+            .and_then(|installed| installed.sheet.rollouts.iter().find(|row| row.name == *rollout));
+        row.map_or_else(|| ServiceId::new(""), |row| row.service.clone())
+    }
+
+    fn peer_address(&self, peer: &InstanceId) -> Option<String> {
+        let now = self.context.clock.now();
+        Some(self.node.members().known(peer, now)?.address)
+    }
+
+    fn peer_addresses(&self, peers: &[InstanceId]) -> Vec<String> {
+        peers.iter().filter_map(|peer| self.peer_address(peer)).collect()
+    }
+
+    fn attach(&mut self, ticket: Ticket, holder: &InstanceId) {
+        match self.peer_address(holder) {
+            Some(address) => self.step(ticket, Step::Attach { address }),
+            None => self.decide(Event::Traffic(policy::Event::HolderLost { ticket })),
+        }
+    }
+
+    fn attach_local(&mut self, ticket: Ticket, to: Ticket) {
+        match self.held.get(&to) {
+            Some(held) => {
+                let answer = Arc::clone(&held.answer);
+                self.step(ticket, Step::AttachLocal(answer));
+            }
+            None => self.decide(Event::Traffic(policy::Event::HolderLost { ticket })),
+        }
+    }
+
+    fn step(&self, ticket: Ticket, step: Step) {
+        // A job that has ended takes no steps.
+        if let Some(held) = self.held.get(&ticket) {
+            let _ = held.steps.send(step);
+        }
+    }
+
+    /// Forgets answers that were kept long enough.
+    fn forget(&mut self, now: Time) {
+        while let Some((_, ticket)) =
+            self.ended.pop_front_if(|(ended, _)| now.since(*ended) > ANSWER_KEEP)
+        {
+            let Some(held) = self.held.remove(&ticket) else { continue };
+            if self.by_key.get(&held.key) == Some(&ticket) {
+                self.by_key.remove(&held.key);
+            }
+        }
+    }
+}
+
+fn problem(refusal: &policy::Refusal) -> Problem {
+    Problem {
+        code: refusal.code(),
+        run: refusal.run(),
+        retry_after: refusal.retry_after(),
+        detail: String::new(),
+    }
+}
+
+impl Handler<Arrive> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: Arrive, _: &mut ActorContext<Self>) {
+        let Arrive { arrival, steps, answer } = message;
+        let (ticket, key) = (arrival.ticket, arrival.key);
+        self.held.insert(ticket, Held { key, steps, answer });
+        self.by_key.entry(key).or_insert(ticket);
+        self.decide(Event::Traffic(policy::Event::Arrive(arrival)));
+    }
+}
+
+impl Handler<Told> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: Told, _: &mut ActorContext<Self>) {
+        use policy::Event as Happened;
+        let Told { ticket, signal } = message;
+        let event = match signal {
+            Signal::WriteCheck => Happened::WriteCheck { ticket },
+            Signal::Accepted => Happened::Accepted { ticket },
+            Signal::Tokens(n) => Happened::Tokens { ticket, n },
+            Signal::Finished(end) => Happened::Finished { ticket, end },
+            Signal::Silent => Happened::Silent { ticket },
+            Signal::CallerGone => Happened::CallerGone { ticket },
+            Signal::CallerBack => Happened::CallerBack { ticket },
+            Signal::HolderLost => Happened::HolderLost { ticket },
+            Signal::Closed => {
+                self.ended.push_back((self.context.clock.now(), ticket));
+                return self.decide(Event::Closed(ticket));
+            }
+        };
+        self.decide(Event::Traffic(event));
+    }
+}
+
+impl Handler<Tick> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut ActorContext<Self>) {
+        self.decide(Event::Tick);
+        self.forget(self.context.clock.now());
+    }
+}
+
+impl Handler<Fetched> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: Fetched, _: &mut ActorContext<Self>) {
+        let installed = Arc::new(message.0);
+        if installed.revision <= self.node.in_force().revision {
+            return;
+        }
+        // Jobs read addresses from the snapshot, so it must be there before the first dispatch.
+        self.context.installed.store(Some(Arc::clone(&installed)));
+        let (revision, hash) = (installed.revision, installed.hash.as_str());
+        self.decide(Event::Sheet { revision, hash, sheet: &installed.sheet });
+    }
+}
+
+impl Handler<Probed> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: Probed, _: &mut ActorContext<Self>) {
+        let Probed { target, report } = message;
+        let ok = report.is_some();
+        if report.is_some() {
+            self.decide(Event::Polled { target: &target, report: report.as_ref() });
+        }
+        self.decide(Event::Traffic(policy::Event::ProbeResult { target: &target, ok }));
+    }
+}
+
+impl Handler<CacheChanged> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, message: CacheChanged, _: &mut ActorContext<Self>) {
+        let target = &message.target;
+        for event in &message.events {
+            self.decide(Event::Traffic(policy::Event::CacheEvent { target, event }));
+        }
+    }
+}
+
+impl Handler<PeerMessage> for Control {
+    type Return = Exchange;
+
+    async fn handle(&mut self, message: PeerMessage, _: &mut ActorContext<Self>) -> Exchange {
+        self.decide(Event::Exchange(&message.0));
+        let now = self.context.clock.now();
+        self.node.answer(&message.0, now, self.context.clock.wall())
+    }
+}
+
+impl Handler<PeerLookup> for Control {
+    type Return = Option<LookupReply>;
+
+    async fn handle(&mut self, message: PeerLookup, _: &mut ActorContext<Self>) -> Self::Return {
+        let event = Event::Traffic(policy::Event::Lookup(&message.0));
+        let mut answer = None;
+        for action in self.actions(event) {
+            match action {
+                Action::Traffic(policy::Action::Reply { reply, .. }) => answer = Some(reply),
+                action => self.carry_out(action),
+            }
+        }
+        answer
+    }
+}
+
+impl Handler<PeerRecords> for Control {
+    type Return = Option<RecordsCopy>;
+
+    async fn handle(&mut self, message: PeerRecords, _: &mut ActorContext<Self>) -> Self::Return {
+        let event = Event::Traffic(policy::Event::RecordsRequest(&message.0));
+        let mut answer = None;
+        for action in self.actions(event) {
+            match action {
+                Action::Traffic(policy::Action::SendRecords { copy, .. }) => answer = Some(copy),
+                action => self.carry_out(action),
+            }
+        }
+        answer
+    }
+}
+
+impl Handler<FindAnswer> for Control {
+    type Return = Option<Arc<Answer>>;
+
+    async fn handle(&mut self, message: FindAnswer, _: &mut ActorContext<Self>) -> Self::Return {
+        let ticket = self.by_key.get(&message.0)?;
+        self.held.get(ticket).map(|held| Arc::clone(&held.answer))
+    }
+}
+
+impl Handler<Remaining> for Control {
+    type Return = Left;
+
+    async fn handle(&mut self, _: Remaining, _: &mut ActorContext<Self>) -> Left {
+        Left { requests: self.node.under_way(), lease: !self.node.is_released() }
+    }
+}
+
+impl Handler<HandOver> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _: HandOver, _: &mut ActorContext<Self>) {
+        let now = self.context.clock.now();
+        let copy = self.node.hand_over(now);
+        let peers: Vec<String> =
+            self.node.members().reachable(now).into_iter().map(|peer| peer.address).collect();
+        let sends = peers
+            .into_iter()
+            .map(|address| effects::hand_over(Arc::clone(&self.context), address, copy.clone()));
+        for send in sends {
+            self.traffic.spawn(send);
+        }
+    }
+}
+
+/// Implements messages that are one event of the node and want no answer.
+macro_rules! one_event {
+    ($($message:ty, $given:ident => $event:expr;)*) => {
+        $(impl Handler<$message> for Control {
+            type Return = ();
+
+            async fn handle(&mut self, $given: $message, _: &mut ActorContext<Self>) {
+                self.decide($event);
+            }
+        })*
+    };
+}
+
+one_event! {
+    FetchFailed, given => Event::FetchFailed(&given.0);
+    Pointer, given => Event::Pointer { revision: Revision(given.0.revision), hash: &given.0.hash };
+    Listed, given => Event::Listed {
+        instances: &given.0.instances,
+        targets: &given.0.targets,
+    };
+    Polled, given => Event::Polled { target: &given.target, report: given.report.as_ref() };
+    Answered, given => Event::Answered(&given.0);
+    Unanswered, given => Event::Unanswered(&given.0);
+    Replied, given => Event::Traffic(policy::Event::LookupReply(&given.0));
+    RecordsCopied, given => Event::Traffic(policy::Event::RecordsCopy(&given.0));
+    LeaseAnswered, given => Event::Lease { call: &given.call, answer: given.answer.clone() };
+    RecordWritten, given => Event::RecordWritten {
+        rollout: &given.rollout,
+        result: given.result.clone(),
+    };
+    RecordsRead, given => Event::RecordsRead(given.0);
+    RecordsSeen, given => Event::RecordsSeen(&given.0);
+    Ordered, given => Event::Ordered { target: &given.target, result: given.result };
+    Leave, _given => Event::Leave;
+    Refuse, _given => Event::Stop;
+}
