Trim rollout records, and keep evidence of stages apart

Without the stage in the key, cells of two stages would have taken each other's place in `Deltas`; the key holds it now. Records are sent when they have changed. Use that has only a learned speed left to tell is kept. Considered and left out: shorter names for targets on the wire.

--- a/crates/membership/examples/control_cost.rs
+++ b/crates/membership/examples/control_cost.rs
@@ -68,6 +68,8 @@
     accounts: usize,
     /// Evidence cells that an instance counts in; zero while no rollout runs.
     cells: usize,
+    /// Seconds for which a use stays as it is.
+    hold_s: u64,
 }
 
 /// What a shape costs an instance.
@@ -85,26 +87,28 @@
     }
 }
 
-/// Uses of targets wander: every second a tenth of them is redrawn.
+/// Uses of targets and accounts wander: each is redrawn when its time is over.
 fn fill(shape: Shape) -> world::Fill {
     Box::new(move |index, now: Time, exchange: &mut Exchange| {
         let second = now.as_micros() / 1_000_000;
         let zone = index % shape.zones;
         exchange.targets = (0..shape.targets)
             .map(|target| {
-                let level = level(index, target, second);
+                let level = level(index, target, second, shape.hold_s);
                 let name = format!("engine-{zone:02}-{target:03}");
                 TargetUse {
                     target: TargetId::new(name),
                     requests: level,
                     tokens: u64::from(level) * 600,
+                    prefill: u64::from(level) * 200,
+                    prefill_speed: 8_000.0,
                 }
             })
             .filter(|used| used.requests > 0)
             .collect();
         exchange.accounts = (0..shape.accounts)
             .map(|account| {
-                let level = level(index + 7, account + 1_000, second);
+                let level = level(index + 7, account + 1_000, second, shape.hold_s);
                 AccountUse {
                     account: AccountId::new(format!("account-{account:05}")),
                     tokens_per_s: level as f32 * 50.0,
@@ -117,10 +121,10 @@
     })
 }
 
-/// A level that is redrawn every ten seconds, at another second for each pair.
-fn level(index: usize, item: usize, second: u64) -> u32 {
+/// A level that is redrawn every `hold_s` seconds, at another second for each pair.
+fn level(index: usize, item: usize, second: u64, hold_s: u64) -> u32 {
     let phase = (index * 3 + item * 7) as u64;
-    let epoch = (second + phase) / 10;
+    let epoch = (second + phase) / hold_s;
     let seed = (index as u64) << 40 | (item as u64) << 20 | epoch & 0xf_ffff;
     ChaCha8Rng::seed_from_u64(seed).random_range(0..8)
 }
@@ -131,6 +135,7 @@
     EvidenceCell {
         instance: name(index),
         incarnation: Incarnation(1),
+        stage: 1,
         rollout: "assistant-2026-12-03".into(),
         arm: if cell.is_multiple_of(2) { Arm::Old } else { Arm::New },
         route: "chat".into(),
@@ -167,7 +172,7 @@
 
 fn print(shape: &Shape, cost: &Cost) {
     println!(
-        "{:<28} {:>5} {:>5} {:>8} {:>8} {:>6} {:>8.1} {:>9.0} {:>9.0} {:>7.3}% {:>9.0}",
+        "{:<30} {:>5} {:>5} {:>8} {:>8} {:>6} {:>8.1} {:>9.0} {:>9.0} {:>7.3}% {:>9.0}",
         shape.name,
         shape.instances,
         shape.zones,
@@ -208,7 +213,7 @@
 fn main() {
     println!("per instance, sent and received; bytes/s with {HTTP_BYTES} bytes of HTTP a message");
     println!(
-        "{:<28} {:>5} {:>5} {:>8} {:>8} {:>6} {:>8} {:>9} {:>9} {:>8} {:>9}",
+        "{:<30} {:>5} {:>5} {:>8} {:>8} {:>6} {:>8} {:>9} {:>9} {:>8} {:>9}",
         "shape",
         "inst",
         "zones",
@@ -229,6 +234,7 @@
         targets: 12,
         accounts: 10,
         cells: 0,
+        hold_s: 10,
     };
     let shape = |instances, zones, targets| Shape { instances, zones, targets, ..base };
     let today = run(Shape { name: "today", ..shape(8, 4, 5) });
@@ -250,8 +256,10 @@
         targets: 104,
         accounts: 50,
         cells: 0,
+        hold_s: 10,
     };
     let quiet = run(two_years);
+    let churn = run(Shape { name: "two years, use redrawn in 2 s", hold_s: 2, ..two_years });
     let busy = run(Shape { name: "two years, a rollout", cells: 10, ..two_years });
     println!();
     print_slope("an instance of the own zone", &zone_8, &zone_16, 8);
@@ -260,7 +268,8 @@
     print_slope("an active account", &zone_16, &accounts, 50);
     print_slope("an evidence cell", &zone_16, &cells, 10);
     println!();
-    for (name, cost) in [("no rollout", quiet), ("a rollout", busy)] {
+    for (name, cost) in [("no rollout", quiet), ("use redrawn in 2 s", churn), ("a rollout", busy)]
+    {
         verdict(&format!("bytes/s, {name}"), cost.bytes_s(), BUDGET_BYTES_S);
         verdict(&format!("processor, {name}"), cost.cpu, BUDGET_CPU);
         verdict(&format!("state, {name}"), cost.state, BUDGET_STATE);
--- a/crates/membership/src/delta/inbox.rs
+++ b/crates/membership/src/delta/inbox.rs
@@ -63,7 +63,7 @@
         self.seq = if has_base { exchange.from.seq } else { 0 };
         self.config.clone_from(&exchange.config);
         for used in &exchange.targets {
-            if used.requests == 0 && used.tokens == 0 {
+            if is_none(used) {
                 self.targets.remove(&used.target);
             } else {
                 self.targets.insert(used.target.clone(), used.clone());
@@ -78,3 +78,8 @@
         }
     }
 }
+
+/// Whether the sender has no use of a target any more, and nothing to tell of it.
+fn is_none(used: &TargetUse) -> bool {
+    used.requests == 0 && used.tokens == 0 && used.prefill == 0 && used.prefill_speed == 0.0
+}
--- a/crates/membership/src/delta/outbox.rs
+++ b/crates/membership/src/delta/outbox.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use sesamewind_protocol::evidence::{Arm, EvidenceCell, VerdictNote};
+use sesamewind_protocol::evidence::{Arm, EvidenceCell, RecordNote, VerdictNote};
 use sesamewind_protocol::message::{Exchange, LeavingNote, Sender};
 use sesamewind_protocol::traffic::{AccountUse, TargetUse};
 use sesamewind_protocol::{AccountId, Incarnation, InstanceId, RolloutId, RouteId, TargetId};
@@ -19,7 +19,7 @@
 /// Growth of a count that is sent whatever its share.
 const EVIDENCE_STEP: u64 = 32;
 
-type CellKey = (RolloutId, InstanceId, Incarnation, Arm, RouteId, u8);
+type CellKey = (RolloutId, InstanceId, Incarnation, u8, Arm, RouteId, u8);
 
 #[derive(Debug)]
 struct Receiver {
@@ -40,6 +40,7 @@
     leaving: Section<LeavingNote, ()>,
     evidence: Section<CellKey, EvidenceCell>,
     verdicts: Section<RolloutId, VerdictNote>,
+    records: Section<RolloutId, RecordNote>,
     receivers: BTreeMap<InstanceId, Receiver>,
 }
 
@@ -65,6 +66,7 @@
             self.evidence.since(base).filter_map(|(_, cell)| cell.cloned()).collect();
         exchange.verdicts =
             self.verdicts.since(base).filter_map(|(_, note)| note.cloned()).collect();
+        exchange.records = self.records.since(base).filter_map(|(_, note)| note.cloned()).collect();
         base
     }
 
@@ -84,6 +86,9 @@
         let verdicts = std::mem::take(&mut exchange.verdicts);
         let verdicts = verdicts.into_iter().map(|note| (note.rollout.clone(), note));
         self.verdicts.publish(seq, verdicts, |_, _| true);
+        let records = std::mem::take(&mut exchange.records);
+        let records = records.into_iter().map(|note| (note.rollout.clone(), note));
+        self.records.publish(seq, records, |old, new| old == new);
     }
 
     fn base(&mut self, receiver: &InstanceId, kind: Kind, seq: u64) -> u64 {
@@ -98,7 +103,8 @@
             && self.accounts.reaches(base)
             && self.leaving.reaches(base)
             && self.evidence.reaches(base)
-            && self.verdicts.reaches(base);
+            && self.verdicts.reaches(base)
+            && self.records.reaches(base);
         if is_reached { base } else { 0 }
     }
 
@@ -122,13 +128,19 @@
 }
 
 fn cell_key(cell: &EvidenceCell) -> CellKey {
-    let EvidenceCell { rollout, instance, incarnation, arm, route, class, .. } = cell;
-    (rollout.clone(), instance.clone(), *incarnation, *arm, route.clone(), *class)
+    let EvidenceCell { rollout, instance, incarnation, stage, arm, route, class, .. } = cell;
+    (rollout.clone(), instance.clone(), *incarnation, *stage, *arm, route.clone(), *class)
 }
 
 /// A removed entry is sent as no use.
 fn target_use(target: &TargetId, value: Option<&TargetUse>) -> TargetUse {
-    let none = || TargetUse { target: target.clone(), requests: 0, tokens: 0 };
+    let none = || TargetUse {
+        target: target.clone(),
+        requests: 0,
+        tokens: 0,
+        prefill: 0,
+        prefill_speed: 0.0,
+    };
     value.cloned().unwrap_or_else(none)
 }
 
@@ -140,6 +152,8 @@
 fn close_targets(old: &TargetUse, new: &TargetUse) -> bool {
     is_close(f64::from(old.requests), f64::from(new.requests))
         && is_close(old.tokens as f64, new.tokens as f64)
+        && is_close(old.prefill as f64, new.prefill as f64)
+        && is_close(f64::from(old.prefill_speed), f64::from(new.prefill_speed))
 }
 
 fn close_accounts(old: &AccountUse, new: &AccountUse) -> bool {
--- a/crates/membership/tests/deltas.rs
+++ b/crates/membership/tests/deltas.rs
@@ -32,6 +32,8 @@
             target: TargetId::new(format!("engine-{index}")),
             requests: *requests,
             tokens: u64::from(*requests) * 100,
+            prefill: 0,
+            prefill_speed: 0.0,
         })
         .collect()
     }
@@ -241,6 +243,7 @@
         instance: "a".into(),
         incarnation: Incarnation(1),
         rollout: "r".into(),
+        stage: 0,
         arm: Arm::New,
         route: "chat".into(),
         class: 0,
--- a/crates/protocol/tests/decoder.rs
+++ b/crates/protocol/tests/decoder.rs
@@ -17,7 +17,13 @@
     };
     let mut exchange = Exchange::new(from, Wall(1_000));
     exchange.config = ConfigDigest { revision: Revision(4), hash: "00ff".to_owned() };
-    let target = TargetUse { target: "engine-1".into(), requests: 3, tokens: 900 };
+    let target = TargetUse {
+        target: "engine-1".into(),
+        requests: 3,
+        tokens: 900,
+        prefill: 100,
+        prefill_speed: 8_000.0,
+    };
     exchange.targets = vec![target; 5];
     exchange.leaving = vec![LeavingNote { target: "engine-2".into(), incarnation: Incarnation(1) }];
     exchange
