--- a/crates/membership/src/delta/outbox.rs
+++ b/crates/membership/src/delta/outbox.rs
@@ -11,7 +11,13 @@
 use crate::Kind;
 
 /// Share of the last value within which a use has not changed enough to be sent.
-const TOLERANCE: f64 = 0.25;
+const FINE: f64 = 0.125;
+
+/// The same with many receivers, over whose number the errors of a sum even out.
+const COARSE: f64 = 0.5;
+
+/// Receivers from which on the coarse share holds.
+const MANY_RECEIVERS: usize = 12;
 
 /// Share of the counts last sent within which evidence has not changed enough to be sent.
 const EVIDENCE_SHARE: u64 = 8;
@@ -72,12 +78,13 @@
 
     fn publish(&mut self, exchange: &mut Exchange) {
         let seq = exchange.from.seq;
+        let share = if self.receivers.len() < MANY_RECEIVERS { FINE } else { COARSE };
         let targets = std::mem::take(&mut exchange.targets);
         let targets = targets.into_iter().map(|used| (used.target.clone(), used));
-        self.targets.publish(seq, targets, close_targets);
+        self.targets.publish(seq, targets, |old, new| close_targets(old, new, share));
         let accounts = std::mem::take(&mut exchange.accounts);
         let accounts = accounts.into_iter().map(|used| (used.account.clone(), used));
-        self.accounts.publish(seq, accounts, close_accounts);
+        self.accounts.publish(seq, accounts, |old, new| close_accounts(old, new, share));
         let leaving = std::mem::take(&mut exchange.leaving);
         self.leaving.publish(seq, leaving.into_iter().map(|note| (note, ())), |(), ()| true);
         let evidence = std::mem::take(&mut exchange.evidence);
@@ -149,14 +156,16 @@
     value.cloned().unwrap_or_else(none)
 }
 
-fn close_targets(old: &TargetUse, new: &TargetUse) -> bool {
+fn close_targets(old: &TargetUse, new: &TargetUse, share: f64) -> bool {
+    let is_close = |old, new| is_close(old, new, share);
     is_close(f64::from(old.requests), f64::from(new.requests))
         && is_close(old.tokens as f64, new.tokens as f64)
         && is_close(old.prefill as f64, new.prefill as f64)
         && is_close(f64::from(old.prefill_speed), f64::from(new.prefill_speed))
 }
 
-fn close_accounts(old: &AccountUse, new: &AccountUse) -> bool {
+fn close_accounts(old: &AccountUse, new: &AccountUse, share: f64) -> bool {
+    let is_close = |old, new| is_close(old, new, share);
     is_close(f64::from(old.requests_per_s), f64::from(new.requests_per_s))
         && is_close(f64::from(old.tokens_per_s), f64::from(new.tokens_per_s))
 }
@@ -171,9 +180,9 @@
 }
 
 /// No use at all is close to nothing but itself.
-fn is_close(old: f64, new: f64) -> bool {
+fn is_close(old: f64, new: f64, share: f64) -> bool {
     if old == 0.0 || new == 0.0 {
         return old == new;
     }
-    (old - new).abs() <= TOLERANCE * old
+    (old - new).abs() <= share * old
 }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -335,7 +335,7 @@
     fn count_beyond_gap(&self) -> Duration {
         let beyond = self.peers.values().filter(|peer| peer.zone != self.me.zone).count();
         // Each is called and calls once in this many rounds.
-        let rounds = beyond.div_ceil(self.timing.fan_out.max(1)).saturating_sub(1);
+        let rounds = beyond.div_ceil(self.fan_out().max(1)).saturating_sub(1);
         self.timing.interval * u32::try_from(rounds).unwrap_or(u32::MAX)
     }
 
@@ -361,9 +361,9 @@
         let interval = self.timing.near_interval(near.len());
         let near = near.into_iter().filter(|peer| is_urgent || is_due(peer, now, interval));
         let mut chosen: Vec<Partner> = near.map(|peer| partner(peer, Kind::Full)).collect();
-        let kind = if self.peers.len() < self.timing.small { Kind::Full } else { Kind::Summary };
+        let kind = if self.is_small() { Kind::Full } else { Kind::Summary };
         if is_round {
-            let beyond = choose(beyond, &me.region, self.timing.fan_out, rng);
+            let beyond = choose(beyond, &me.region, self.fan_out(), rng);
             chosen.extend(beyond.into_iter().map(|peer| partner(peer, kind)));
         }
         for partner in &chosen {
@@ -374,10 +374,18 @@
         chosen
     }
 
+    fn is_small(&self) -> bool {
+        self.peers.len() < self.timing.small
+    }
+
+    /// Instances beyond the zone that a round reaches.
+    fn fan_out(&self) -> usize {
+        if self.is_small() { self.timing.fan_out * 2 } else { self.timing.fan_out }
+    }
+
     /// How much an answer to `zone` carries. A small deployment exchanges everything everywhere.
     pub fn kind_for(&self, zone: &ZoneId) -> Kind {
-        let is_small = self.peers.len() < self.timing.small;
-        if is_small || *zone == self.me.zone { Kind::Full } else { Kind::Summary }
+        if self.is_small() || *zone == self.me.zone { Kind::Full } else { Kind::Summary }
     }
 
     /// Whether a message to `receiver` is to carry what `origin` counted. Instances of one zone hear
--- a/crates/membership/src/timing.rs
+++ b/crates/membership/src/timing.rs
@@ -13,7 +13,7 @@
     pub crowd: usize,
     /// Instances beyond the own zone that a round reaches.
     pub fan_out: usize,
-    /// Number of instances below which summaries carry everything.
+    /// Number of instances below which everything goes everywhere, with twice the fan-out.
     pub small: usize,
     /// Silence after which an instance that is heard once an interval is suspected.
     pub suspect: Duration,
@@ -43,7 +43,7 @@
         Self {
             interval: Duration::from_millis(1_000),
             crowd: 8,
-            fan_out: 3,
+            fan_out: 2,
             small: 16,
             suspect: Duration::from_millis(3_000),
             remove: Duration::from_secs(5),
