--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -59,6 +59,10 @@
     stopping: bool,
     round: Option<Time>,
     urgent: bool,
+    /// Time beyond the heartbeat timeout that an instance of the own zone may be silent.
+    near_gap: Duration,
+    /// The same for an instance beyond the zone.
+    beyond_gap: Duration,
 }
 
 impl Members {
@@ -74,6 +78,8 @@
             stopping: false,
             round: None,
             urgent: false,
+            near_gap: Duration::ZERO,
+            beyond_gap: Duration::ZERO,
         }
     }
 
@@ -227,8 +233,12 @@
             }
             return;
         }
-        if now.since(peer.heard) > self.timing.suspect {
+        let gap = if peer.zone == self.me.zone { self.near_gap } else { self.beyond_gap };
+        if now.since(peer.heard) > self.timing.suspect + gap {
             peer.steady = now;
+            if !peer.is_up() {
+                peer.charge(now, &self.timing);
+            }
         }
         peer.heard = now;
     }
@@ -300,11 +310,12 @@
     /// Judges silence and returns the changes since the last call.
     pub fn tick(&mut self, now: Time) -> Vec<MemberEvent> {
         self.leaving.tick(now);
-        let beyond = self.beyond_gap();
+        self.beyond_gap = self.count_beyond_gap();
+        self.near_gap = self.count_near_gap();
         let mut forgotten = Vec::new();
         for peer in self.peers.values_mut() {
             let is_near = peer.zone == self.me.zone;
-            let gap = if is_near { Duration::ZERO } else { beyond };
+            let gap = if is_near { self.near_gap } else { self.beyond_gap };
             if let Some(event) = judge(peer, gap, &self.timing, now) {
                 self.events.push(event);
             }
@@ -321,13 +332,20 @@
 
     /// Time beyond the heartbeat timeout that an instance beyond the zone may be silent, since a
     /// round reaches a few of them only.
-    fn beyond_gap(&self) -> Duration {
+    fn count_beyond_gap(&self) -> Duration {
         let beyond = self.peers.values().filter(|peer| peer.zone != self.me.zone).count();
         // Each is called and calls once in this many rounds.
-        let rounds = beyond.div_ceil(self.timing.fan_out.max(1)).saturating_sub(1);
+        let rounds = beyond.div_ceil(self.fan_out().max(1)).saturating_sub(1);
         self.timing.interval * u32::try_from(rounds).unwrap_or(u32::MAX)
     }
 
+    /// Time beyond the heartbeat timeout that an instance of the own zone may be silent: three times
+    /// what a crowded zone adds to the interval.
+    fn count_near_gap(&self) -> Duration {
+        let near = self.peers.values().filter(|peer| peer.zone == self.me.zone).count();
+        (self.timing.near_interval(near) - self.timing.interval) * 3
+    }
+
     /// The instances to exchange with now: those of the own zone that are due, and once an interval
     /// a few beyond it. Called several times an interval.
     pub fn partners(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Partner> {
@@ -340,11 +358,13 @@
         let me = &self.me;
         let peers = self.peers.values().filter(|peer| peer.is_callable());
         let (near, beyond): (Vec<_>, Vec<_>) = peers.partition(|peer| peer.zone == me.zone);
-        let near = near.into_iter().filter(|peer| is_urgent || is_due(peer, now, &self.timing));
+        let interval = self.timing.near_interval(near.len());
+        let near = near.into_iter().filter(|peer| is_urgent || is_due(peer, now, interval));
         let mut chosen: Vec<Partner> = near.map(|peer| partner(peer, Kind::Full)).collect();
+        let kind = if self.is_small() { Kind::Full } else { Kind::Summary };
         if is_round {
-            let beyond = choose(beyond, &me.region, self.timing.fan_out, rng);
-            chosen.extend(beyond.into_iter().map(|peer| partner(peer, Kind::Summary)));
+            let beyond = choose(beyond, &me.region, self.fan_out(), rng);
+            chosen.extend(beyond.into_iter().map(|peer| partner(peer, kind)));
         }
         for partner in &chosen {
             if let Some(peer) = self.peers.get_mut(&partner.instance) {
@@ -354,9 +374,34 @@
         chosen
     }
 
-    /// How much an answer to `zone` carries.
+    fn is_small(&self) -> bool {
+        self.peers.len() < self.timing.small
+    }
+
+    /// Instances beyond the zone that a round reaches.
+    fn fan_out(&self) -> usize {
+        if self.is_small() { self.timing.fan_out * 2 } else { self.timing.fan_out }
+    }
+
+    /// How much an answer to `zone` carries. A small deployment exchanges everything everywhere.
     pub fn kind_for(&self, zone: &ZoneId) -> Kind {
-        if *zone == self.me.zone { Kind::Full } else { Kind::Summary }
+        if self.is_small() || *zone == self.me.zone { Kind::Full } else { Kind::Summary }
+    }
+
+    /// Whether a message to `receiver` is to carry what `origin` counted. Instances of one zone hear
+    /// each other, so that nobody passes their counts on among them.
+    pub fn relays(&self, origin: &InstanceId, receiver: &InstanceId) -> bool {
+        if *origin == self.me.instance {
+            return true;
+        }
+        if origin == receiver {
+            return false;
+        }
+        let zone = |instance| self.peers.get(instance).map(|peer| &peer.zone);
+        let (Some(origin), Some(receiver)) = (zone(origin), zone(receiver)) else {
+            return true;
+        };
+        origin != receiver
     }
 
     /// The own state and the changes of others that are still to be passed on.
@@ -398,7 +443,7 @@
     }
 
     fn reach_timeout(&self) -> Duration {
-        self.timing.suspect + self.timing.interval
+        self.timing.suspect + self.timing.interval + self.near_gap
     }
 }
 
@@ -413,7 +458,6 @@
     let instance = peer.instance.clone();
     match peer.state {
         MemberState::Live | MemberState::Leaving if silence > timing.suspect + gap => {
-            peer.charge(now, timing);
             peer.set_state(MemberState::Suspect, now, timing.retold);
             Some(MemberEvent::Suspected(instance))
         }
