--- a/crates/replay/src/attempts.rs
+++ b/crates/replay/src/attempts.rs
@@ -1,10 +1,11 @@
-//! The list of all attempts with what became of each, for closer study.
+//! Lists of all attempts and of all runs at targets, for closer study.
 
 use std::fmt::Write;
 
-use sesamewind_protocol::Code;
+use sesamewind_protocol::{Code, Wall};
 
 use crate::client::request_key;
+use crate::count::{Dispatch, Facts};
 use crate::received::{Answer, Received};
 use crate::scenario::Scenario;
 use crate::trace::Entry;
@@ -12,6 +13,8 @@
 const HEADER: &str = "at_ms,instance,account,tier,route,key,attempt,request,prompt_tokens,\
     output_tokens,first_token_ms,total_ms,answer\n";
 
+const RUNS_HEADER: &str = "at_ms,ended_ms,target,version,request,prefill_tokens,complete\n";
+
 /// The attempts as CSV, in the order of the trace.
 pub fn list(scenario: &Scenario, entries: &[Entry], received: &[Received]) -> String {
     let mut text = HEADER.to_owned();
@@ -40,6 +43,29 @@
     text
 }
 
+/// What reached the targets as CSV, by time since the start.
+pub fn runs(facts: &Facts<'_>) -> String {
+    let mut text = RUNS_HEADER.to_owned();
+    let mut dispatches: Vec<&Dispatch> = facts.dispatches.iter().collect();
+    dispatches.sort_by_key(|dispatch| dispatch.at);
+    for dispatch in dispatches {
+        let since = |at: Wall| at.since(facts.start).as_millis();
+        let ended = dispatch.ended.map(|at| since(at).to_string()).unwrap_or_default();
+        let _ = writeln!(
+            text,
+            "{},{},{},{},{},{},{}",
+            since(dispatch.at),
+            ended,
+            dispatch.target,
+            dispatch.version,
+            dispatch.request,
+            dispatch.prefill,
+            dispatch.complete,
+        );
+    }
+    text
+}
+
 fn word(answer: &Answer) -> String {
     match answer {
         Answer::Whole => "whole".to_owned(),
--- a/crates/replay/src/bin/path-cost/load.rs
+++ b/crates/replay/src/bin/path-cost/load.rs
@@ -54,7 +54,7 @@
             return;
         };
         self.answered += 1;
-        self.first_token.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+        let _ = self.first_token.record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
     }
 }
 
--- a/crates/replay/src/count.rs
+++ b/crates/replay/src/count.rs
@@ -21,6 +21,8 @@
 pub struct Dispatch {
     /// The request's id.
     pub request: String,
+    /// The target.
+    pub target: String,
     /// The service.
     pub service: String,
     /// The version.
@@ -79,6 +81,7 @@
                 let left = log.left.map(|left| left + NO_NEW_WORK_AFTER);
                 dispatches.extend(log.dispatches.into_iter().map(|entry| Dispatch {
                     request: entry.request,
+                    target: target.name.clone(),
                     service: target.service.clone(),
                     version: entry.version,
                     at: entry.at,
@@ -91,6 +94,7 @@
             if let Some(service) = outcome.world.services.get(&target.name) {
                 dispatches.extend(service.log().runs.into_iter().map(|run| Dispatch {
                     request: run.request,
+                    target: target.name.clone(),
                     service: target.service.clone(),
                     version: run.version,
                     at: run.at,
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`world`] and several [`daemons`] over loopback sockets and sends every request of the trace at
 //! its time. Afterwards [`count`] joins the stand-ins' logs with what callers [`received`] into a
 //! [`report`], and each stated outcome is held against it. Two simple dispatchers serve as
-//! [`baseline`]s, [`attempts`] lists what became of each attempt, and [`generate`] made the traces of this repository.
+//! [`baseline`]s, [`attempts`] lists attempts and runs, and [`generate`] made the traces of this repository.
 
 pub mod attempts;
 pub mod balancer;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -36,7 +36,7 @@
             optional --seed seed: u64
             /// Write the report as JSON to this file.
             optional --json file: PathBuf
-            /// Write what became of each attempt as CSV to files of this name and the policy's.
+            /// Write attempts and runs at targets as CSV to files that begin with this name.
             optional --attempts file: PathBuf
         }
     }
@@ -107,15 +107,20 @@
     eprintln!("replaying {} with {}", input.name, policy.as_str());
     let outcome = replay(&input.scenario, &input.entries, policy, input.seed).await;
     let outcome = outcome.map_err(|fault| fault.to_string())?;
+    let facts = Facts::gather(&input.scenario, &input.entries, &outcome);
     if let Some(file) = &input.attempts {
-        let file = PathBuf::from(format!("{}.{}.csv", file.display(), policy.as_str()));
-        let list = attempts::list(&input.scenario, &input.entries, &outcome.received);
-        std::fs::write(&file, list).map_err(|error| format!("{}: {error}", file.display()))?;
+        let attempts = attempts::list(&input.scenario, &input.entries, &outcome.received);
+        write_list(file, policy, "attempts", &attempts)?;
+        write_list(file, policy, "runs", &attempts::runs(&facts))?;
     }
-    let facts = Facts::gather(&input.scenario, &input.entries, &outcome);
     Ok(facts.report(policy.as_str(), &input.name, input.seed))
 }
 
+fn write_list(file: &Path, policy: Policy, kind: &str, text: &str) -> Result<(), String> {
+    let name = format!("{}.{}.{kind}.csv", file.display(), policy.as_str());
+    std::fs::write(&name, text).map_err(|error| format!("{name}: {error}"))
+}
+
 fn write_json(file: &Path, report: &Report) -> std::io::Result<()> {
     let text = serde_json::to_string_pretty(report).map_err(std::io::Error::other)?;
     std::fs::write(file, text)
--- a/crates/replay/tests/report.rs
+++ b/crates/replay/tests/report.rs
@@ -81,6 +81,7 @@
 fn dispatch(entry: &Entry, at: u64, ended: u64, prefill: u64) -> Dispatch {
     Dispatch {
         request: request_key(entry).to_string(),
+        target: "e1".to_owned(),
         service: entry.service.clone(),
         version: "v1".to_owned(),
         at: Wall(START + at),
