Send only what a peer lacks in the exchange between instances

Cause: the node sent every section whole in every message, though membership can trim messages by what the receiver acknowledged; at the two-year size the budget of 17 KB a second would not hold. Ruled out: trimming in the daemon, since a message must be trimmed and restored where its sections are made and taken. Change: every message passes the deltas last when it goes out and first when it comes in; evidence is relayed only where the receiver does not hear its origin.

--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -3,7 +3,7 @@
 use sesamewind_membership::Kind;
 use sesamewind_policy as policy;
 use sesamewind_protocol::message::{Exchange, Sender};
-use sesamewind_protocol::{Time, Wall};
+use sesamewind_protocol::{InstanceId, Time, Wall};
 use sesamewind_rollout::Peer;
 
 use crate::event::Action;
@@ -11,8 +11,14 @@
 use crate::node::Node;
 
 impl Node {
-    /// The message for a peer, or the answer to a peer's message.
-    pub fn message(&mut self, kind: Kind, now: Time, wall: Wall) -> Exchange {
+    /// The message for `receiver`, or the answer to its message.
+    pub fn message(
+        &mut self,
+        receiver: &InstanceId,
+        kind: Kind,
+        now: Time,
+        wall: Wall,
+    ) -> Exchange {
         let mut message = Exchange::new(self.members.next_sender(), wall);
         message.config = self.config.in_force().clone();
         message.members = self.members.notes();
@@ -22,28 +28,42 @@
         message.floors = self.scheduler.floors(now);
         message.floor_acks = self.scheduler.floor_acks();
         message.evidence = self.rollouts.evidence();
+        message.evidence.retain(|cell| self.members.relays(&cell.instance, receiver));
         message.verdicts = self.rollouts.verdicts();
         let peers = self.reachable_lives(now);
         let loaded = LoadedView { loads: &self.loads, peers: &peers, requests: &self.requests };
         message.records = self.rollouts.records(&loaded);
-        let _ = kind;
-        message
+        self.deltas.outgoing(receiver, kind, message)
     }
 
     /// The answer to a peer's message that was taken.
     pub fn answer(&mut self, message: &Exchange, now: Time, wall: Wall) -> Exchange {
         let kind = self.members.kind_for(&message.from.zone);
-        self.message(kind, now, wall)
+        self.message(&message.from.instance, kind, now, wall)
     }
 
-    /// Takes what a peer says, in a message of its own or in an answer.
-    pub(crate) fn take_news(
+    /// Takes a peer's message or its answer to this instance's message.
+    pub(crate) fn take(
         &mut self,
         message: &Exchange,
+        is_answer: bool,
         now: Time,
         wall: Wall,
         actions: &mut Vec<Action>,
     ) {
+        let message = self.deltas.incoming(message.clone());
+        let is_new = if is_answer {
+            self.members.on_reply(&message, now)
+        } else {
+            self.members.on_exchange(&message, now)
+        };
+        if is_new {
+            self.members.hasten();
+        }
+        self.take_news(&message, now, wall, actions);
+    }
+
+    fn take_news(&mut self, message: &Exchange, now: Time, wall: Wall, actions: &mut Vec<Action>) {
         self.informed = true;
         self.revisions.insert(message.from.instance.clone(), message.config.revision);
         self.offer_config(message, actions);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sesamewind_membership::{
-    ConfigState, Holder, Identity, Installed, LeaseKeeper, LeaseTiming, Members, Source, Timing,
+    ConfigState, Deltas, Holder, Identity, Installed, LeaseKeeper, LeaseTiming, MemberEvent,
+    Members, Source, Timing,
 };
 use sesamewind_policy as policy;
 use sesamewind_policy::{QueueView, Scheduler, TargetView};
@@ -48,6 +49,7 @@
     pub(crate) rollouts: Rollouts,
     pub(crate) members: Members,
     pub(crate) config: ConfigState,
+    pub(crate) deltas: Deltas,
     pub(crate) loads: Loads,
     pub(crate) requests: Requests,
     lease: LeaseKeeper,
@@ -75,6 +77,7 @@
             rollouts: Rollouts::new(instance, incarnation),
             members: Members::new(identity, options.members),
             config: ConfigState::new(),
+            deltas: Deltas::new(incarnation),
             loads: Loads::default(),
             requests: Requests::default(),
             lease: LeaseKeeper::new(STEWARD_LEASE, holder, options.lease),
@@ -112,18 +115,8 @@
             Event::FetchFailed(fetch) => {
                 actions.extend(self.config.failed(fetch).map(Action::Fetch));
             }
-            Event::Exchange(message) => {
-                if self.members.on_exchange(message, now) {
-                    self.members.hasten();
-                }
-                self.take_news(message, now, wall, &mut actions);
-            }
-            Event::Answered(message) => {
-                if self.members.on_reply(message, now) {
-                    self.members.hasten();
-                }
-                self.take_news(message, now, wall, &mut actions);
-            }
+            Event::Exchange(message) => self.take(message, false, now, wall, &mut actions),
+            Event::Answered(message) => self.take(message, true, now, wall, &mut actions),
             Event::Unanswered(instance) => self.members.on_failure(instance, now),
             Event::Lease { call, answer } => self.lease.on_result(call, answer, now),
             Event::RecordWritten { rollout, result } => self.rollouts.on_write(rollout, result),
@@ -317,6 +310,11 @@
 
     fn tick(&mut self, now: Time, wall: Wall, actions: &mut Vec<Action>) {
         let changes = self.members.tick(now);
+        for change in &changes {
+            if let MemberEvent::Forgotten(instance) = change {
+                self.deltas.forget(instance);
+            }
+        }
         actions.extend(changes.into_iter().map(Action::Member));
         self.tell_peers(now, wall, actions);
         self.tend_rollouts(now, wall, actions);
@@ -324,7 +322,7 @@
         let wanted = self.scheduler.tick(&chooser, now, wall);
         self.follow(wanted, now, wall, actions);
         for partner in self.members.partners(now, &mut self.rng) {
-            let message = Box::new(self.message(partner.kind, now, wall));
+            let message = Box::new(self.message(&partner.instance, partner.kind, now, wall));
             actions.push(Action::Send { partner, message });
         }
     }
