--- a/crates/policy/src/records.rs
+++ b/crates/policy/src/records/mod.rs
@@ -7,10 +7,13 @@
 //! instance answers and takes records one event at a time, of two that ask at once at least one
 //! meets the other's question, and the order of attempts lets exactly one of them go on.
 
+mod chase;
+mod copy;
+
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use sesamewind_protocol::record::{Life, Lookup, LookupReply, RecordNote, RecordsCopy, Seen};
+use sesamewind_protocol::record::{Life, Lookup, LookupReply, Seen};
 use sesamewind_protocol::{Code, InstanceId, RequestKey, RunState, Time};
 
 use crate::config::Limits;
@@ -279,36 +282,6 @@
         Step::Cleared(ticket)
     }
 
-    /// Lookups to repeat for want of an answer.
-    pub(crate) fn overdue(&mut self, now: Time, after: Duration) -> Vec<(RequestKey, Ticket)> {
-        let mut overdue = Vec::new();
-        for (key, ask) in &mut self.asks {
-            if !ask.repeated && now.since(ask.since) >= after {
-                ask.repeated = true;
-                overdue.push((*key, ask.ticket));
-            }
-        }
-        overdue
-    }
-
-    /// Instances whose answer a lookup still lacks.
-    pub(crate) fn lacking(&self, key: RequestKey) -> Vec<InstanceId> {
-        self.asks.get(&key).map(|ask| instances(&ask.pending)).unwrap_or_default()
-    }
-
-    /// Gives up lookups that weren't cleared in time and returns their attempts.
-    pub(crate) fn uncleared(&mut self, now: Time, timeout: Duration) -> Vec<Ticket> {
-        let late = |ask: &Ask| now.since(ask.since) >= timeout;
-        let keys: Vec<RequestKey> =
-            self.asks.iter().filter(|(_, ask)| late(ask)).map(|(key, _)| *key).collect();
-        let mut tickets = Vec::new();
-        for key in keys {
-            tickets.extend(self.asks.get(&key).map(|ask| ask.ticket));
-            self.release(key, now);
-        }
-        tickets
-    }
-
     /// The attempt here that holds or looks for the record ended without any dispatch.
     pub(crate) fn release(&mut self, key: RequestKey, now: Time) {
         self.asks.remove(&key);
@@ -365,64 +338,6 @@
             }
         }
     }
-
-    /// A copy of the records: for a joining instance all as promises, so that it asks before it
-    /// dispatches; from a leaving one with their results, since it can't be asked later.
-    pub(crate) fn copy(&self, seq: Option<u64>, joined: bool, now: Time) -> RecordsCopy {
-        let mut notes = Vec::new();
-        for (key, record) in &self.records {
-            let seen = match record.state {
-                _ if seq.is_some() => Seen::Voided,
-                State::Void | State::Asking(_) => Seen::Voided,
-                State::Complete(..) => Seen::Ended { code: Code::Ok, run: RunState::Ran },
-                State::Ended(code, run) => Seen::Ended { code, run },
-                State::Held(_) => {
-                    Seen::Ended { code: Code::OutcomeUnknown, run: RunState::Unknown }
-                }
-            };
-            let keep = record.expires.since(now).min(self.keep);
-            let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
-            notes.push(RecordNote { key: *key, attempt: record.attempt, seen, keep_ms });
-        }
-        RecordsCopy { from: self.me.clone(), joined, seq, notes, known: self.known(now) }
-    }
-
-    /// Takes over the records of a copy. Returns attempts here that one of them settles.
-    pub(crate) fn take(&mut self, copy: &RecordsCopy, now: Time) -> Vec<(Ticket, Code, RunState)> {
-        self.members.heard(&copy.from, now);
-        if copy.seq.is_none() {
-            self.members.handed_over(&copy.from, now);
-        }
-        copy.notes.iter().filter_map(|note| self.adopt(note, now)).collect()
-    }
-
-    fn adopt(&mut self, note: &RecordNote, now: Time) -> Option<(Ticket, Code, RunState)> {
-        let state = match &note.seen {
-            Seen::Voided | Seen::Superseded => State::Void,
-            Seen::Ended { code, run } => State::Ended(*code, *run),
-            Seen::Held => State::Ended(Code::OutcomeUnknown, RunState::Unknown),
-        };
-        // Kept for the full time here, which is never shorter than at the sender.
-        let expires = now + self.keep;
-        let Some(record) = self.records.get_mut(&note.key) else {
-            let record = Record { state, attempt: note.attempt, body: 0, expires };
-            self.records.insert(note.key, record);
-            self.expiry.push_back((expires, note.key));
-            return None;
-        };
-        let settled = match (record.state, state) {
-            (State::Void, _) => None,
-            // The sender will not be asked again, so its answer has to be taken from the copy.
-            (State::Asking(ticket), State::Ended(_, run)) => Some((ticket, settling(run), run)),
-            _ => return None,
-        };
-        record.state = state;
-        record.attempt = record.attempt.max(note.attempt);
-        record.expires = expires;
-        self.expiry.push_back((expires, note.key));
-        self.asks.remove(&note.key);
-        settled
-    }
 }
 
 /// Code for an attempt that meets another one's end.
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod bus;
 pub mod fleet;
+pub mod setup;
 pub mod setups;
 pub mod traces;
 
--- /dev/null
+++ b/crates/policy/tests/support/setup.rs
@@ -0,0 +1,150 @@
+//! What a run of the fleet is given, and what it counts.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use sesamewind_policy::Config;
+use sesamewind_protocol::Code;
+
+/// A request of a trace.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub at_ms: u64,
+    pub account: &'static str,
+    pub rank: u8,
+    pub prompt: u32,
+    pub output: u32,
+    pub prefix: Option<(u64, u32)>,
+    pub first_ms: u64,
+    pub total_ms: u64,
+}
+
+/// What an engine is like.
+#[derive(Debug, Clone)]
+pub struct Spec {
+    pub prefill: f64,
+    pub decode: f64,
+    pub knee: f64,
+    pub cache: u64,
+}
+
+/// What goes wrong, and when.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    Slow { engine: usize, at_ms: u64, factor: f64 },
+    Kill { engine: usize, at_ms: u64, until_ms: u64 },
+    Refuse { at_ms: u64, until_ms: u64 },
+    Freeze { instance: usize, at_ms: u64, until_ms: u64 },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    Sesamewind,
+    RoundRobin,
+    LeastInflight,
+}
+
+/// One run.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    pub config: Config,
+    pub engines: Vec<Spec>,
+    pub instances: usize,
+    pub asks: Vec<Ask>,
+    pub faults: Vec<Fault>,
+    pub policy: Policy,
+    pub report_lag_ms: u64,
+    pub cache_loss: f64,
+    /// Instance that takes every request; spread over all if none.
+    pub entry: Option<usize>,
+    pub until_ms: u64,
+    pub seed: u64,
+}
+
+/// Counts by the engines and callers of one run.
+#[derive(Debug, Default, Clone)]
+pub struct Outcome {
+    /// By rank: offered, answered in time.
+    pub tiers: BTreeMap<u8, (u32, u32)>,
+    /// By account: offered, answered in time.
+    pub accounts: BTreeMap<&'static str, (u32, u32)>,
+    /// By account: tokens admitted to engines.
+    pub tokens: BTreeMap<&'static str, u64>,
+    pub prefill: f64,
+    pub wasted: f64,
+    pub codes: BTreeMap<(u8, Code), u32>,
+    /// Urgent requests refused for want of room while lower work ran at an engine.
+    pub shed_while_lower: u32,
+    /// Of those, refused after their time for the first token.
+    pub late_while_lower: u32,
+    pub false_not_run: u32,
+    /// Requests offered to engines.
+    pub offered: u32,
+    /// Requests by engine.
+    pub by_engine: Vec<u32>,
+    /// Mean over samples of the most loaded engine's streams against the mean engine's.
+    pub peak_to_mean: f64,
+    /// Times to first token by rank and length (long or not), in milliseconds.
+    pub first_ms: BTreeMap<(u8, bool), Vec<u64>>,
+    /// Lower-tier answers in time by 5 s of arrival.
+    pub low_by_5s: BTreeMap<u64, u32>,
+    pub preempted: u64,
+    pub resumed: u64,
+    /// Prefill speeds as the first instance learned them, by engine.
+    pub speeds: Vec<f64>,
+}
+
+impl Outcome {
+    pub fn goodput(&self, rank: u8) -> f64 {
+        share(self.tiers.get(&rank))
+    }
+
+    pub fn account(&self, name: &str) -> f64 {
+        share(self.accounts.get(name))
+    }
+
+    pub fn waste(&self) -> f64 {
+        self.wasted / self.prefill.max(1.0)
+    }
+}
+
+fn share(counts: Option<&(u32, u32)>) -> f64 {
+    counts.map_or(1.0, |(offered, good)| f64::from(*good) / f64::from((*offered).max(1)))
+}
+
+/// Requests of one kind at random times, `per_s` a second, from `from_ms` to `to_ms`.
+pub fn stream(
+    rng: &mut ChaCha8Rng,
+    kind: &Ask,
+    per_s: f64,
+    from_ms: u64,
+    to_ms: u64,
+    prefixes: u64,
+) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    let mut at = from_ms as f64;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / per_s * 1_000.0;
+        if at >= to_ms as f64 {
+            return asks;
+        }
+        let vary = |rng: &mut ChaCha8Rng, n: u32| {
+            ((f64::from(n) * rng.random_range(0.5..1.5)) as u32).max(1)
+        };
+        let mut ask = Ask { at_ms: at as u64, ..kind.clone() };
+        ask.prompt = vary(rng, kind.prompt);
+        ask.output = vary(rng, kind.output);
+        ask.prefix = kind
+            .prefix
+            .map(|(base, tokens)| (base + rng.random_range(0..prefixes), tokens.min(ask.prompt)));
+        asks.push(ask);
+    }
+}
+
+/// Merges streams of requests by time.
+pub fn merge(streams: Vec<Vec<Ask>>) -> Vec<Ask> {
+    let mut asks: Vec<Ask> = streams.into_iter().flatten().collect();
+    asks.sort_by_key(|ask| ask.at_ms);
+    asks
+}
