Expect failures of the old version's strata together as well

Cause: in a burst a crashing engine failed 4 of 76 requests of the old version and 6 of 68 of the new one, and the good version was taken back: each stratum was drawn towards the usual rate. Change: the expectation of failures is at least that of all strata together. Ruled out: counting the targets that failed; over a long rollout all of them will have.

--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -26,6 +26,8 @@
 const PRIOR_REQUESTS: f64 = 100.0;
 /// Failures assumed among [`PRIOR_REQUESTS`].
 const PRIOR_FAILURES: f64 = 0.5;
+/// Requests without failure that are added when the strata are taken together.
+const TOGETHER_WEIGHT: f64 = 10.0;
 /// Standard deviations of the expectation that are added to it.
 const EXPECTATION_MARGIN: f64 = 1.0;
 
@@ -66,13 +68,29 @@
         self.counts.new_bad += new.1;
     }
 
+    /// Failures expected from the old version's count over all strata together.
+    ///
+    /// A crashing engine fails a few requests in many strata, each of which is drawn towards the
+    /// usual rate; together they show what happened to the old version in the same time.
+    fn expected_together(&self) -> f64 {
+        let bad = self.counts.old_bad as f64;
+        let rate = (bad + EXPECTATION_MARGIN * bad.sqrt())
+            / (self.counts.old_requests as f64 + TOGETHER_WEIGHT);
+        rate * self.counts.new_requests as f64
+    }
+
     fn comparison(&self, scope: &Scope) -> Comparison {
+        let stratified = self.expected + EXPECTATION_MARGIN * self.variance.sqrt();
+        let together = match scope.reason {
+            Reason::Failing => self.expected_together(),
+            _ => 0.0,
+        };
         Comparison {
             reason: scope.reason,
             route: scope.route.clone(),
             concurrent: scope.concurrent,
             observed: self.counts.new_bad as f64,
-            expected: self.expected + EXPECTATION_MARGIN * self.variance.sqrt(),
+            expected: stratified.max(together),
             counts: self.counts,
         }
     }
