Don't take evidence that is left out for one receiver for removed

The node offers each receiver another part of the evidence (what its zone counts it hears itself). Every such message marked the cells of the others as removed, and the next one as new, so that with more than one zone evidence was sent with every message. `evidence_left_out_for_one_receiver_is_not_sent_again_to_another` failed before (sent "x" again in round 1) and passes. Filtering after trimming alone was ruled out: the base would have moved past cells that were never offered.

--- a/crates/membership/src/delta/outbox.rs
+++ b/crates/membership/src/delta/outbox.rs
@@ -1,6 +1,6 @@
 //! What has been sent, and what each receiver has acknowledged.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sesamewind_protocol::evidence::{Arm, EvidenceCell, RecordNote, VerdictNote};
 use sesamewind_protocol::message::{Exchange, LeavingNote, Sender};
@@ -58,6 +58,7 @@
         kind: Kind,
         exchange: &mut Exchange,
     ) -> u64 {
+        let offered: BTreeSet<CellKey> = exchange.evidence.iter().map(cell_key).collect();
         self.publish(exchange);
         let base = self.base(receiver, kind, exchange.from.seq);
         if kind == Kind::Full {
@@ -68,8 +69,8 @@
         }
         let changed = self.leaving.since(base).filter(|(_, value)| value.is_some());
         exchange.leaving = changed.map(|(note, _)| note.clone()).collect();
-        exchange.evidence =
-            self.evidence.since(base).filter_map(|(_, cell)| cell.cloned()).collect();
+        let changed = self.evidence.since(base).filter(|(key, _)| offered.contains(key));
+        exchange.evidence = changed.filter_map(|(_, cell)| cell.cloned()).collect();
         exchange.verdicts =
             self.verdicts.since(base).filter_map(|(_, note)| note.cloned()).collect();
         exchange.records = self.records.since(base).filter_map(|(_, note)| note.cloned()).collect();
@@ -89,7 +90,7 @@
         self.leaving.publish(seq, leaving.into_iter().map(|note| (note, ())), |(), ()| true);
         let evidence = std::mem::take(&mut exchange.evidence);
         let evidence = evidence.into_iter().map(|cell| (cell_key(&cell), cell));
-        self.evidence.publish(seq, evidence, close_cells);
+        self.evidence.merge(seq, evidence, close_cells);
         let verdicts = std::mem::take(&mut exchange.verdicts);
         let verdicts = verdicts.into_iter().map(|note| (note.rollout.clone(), note));
         self.verdicts.publish(seq, verdicts, |_, _| true);
--- a/crates/membership/src/delta/section.rs
+++ b/crates/membership/src/delta/section.rs
@@ -10,7 +10,10 @@
 struct Entry<V> {
     /// `None` once the entry is removed.
     value: Option<V>,
+    /// Message in which the entry last changed.
     changed: u64,
+    /// Newest message for which the entry was there.
+    seen: u64,
 }
 
 /// Entries by key.
@@ -28,26 +31,36 @@
 }
 
 impl<K: Clone + Ord, V: Clone> Section<K, V> {
-    /// Takes the entries as they stand when message `seq` is made. An entry that is `close` to what
-    /// was last sent of it has not changed.
+    /// Takes the entries as they stand when message `seq` is made; others are removed. An entry that
+    /// is `close` to what was last sent of it has not changed.
     pub(super) fn publish(
         &mut self,
         seq: u64,
         items: impl IntoIterator<Item = (K, V)>,
         close: impl Fn(&V, &V) -> bool,
     ) {
-        let mut present = std::collections::BTreeSet::new();
+        self.merge(seq, items, close);
+        for entry in self.entries.values_mut() {
+            if entry.value.is_some() && entry.seen < seq {
+                *entry = Entry { value: None, changed: seq, seen: seq };
+            }
+        }
+    }
+
+    /// Takes the entries that are offered to one receiver when message `seq` is made; others stay as
+    /// they are until they have not been offered to anyone for long.
+    pub(super) fn merge(
+        &mut self,
+        seq: u64,
+        items: impl IntoIterator<Item = (K, V)>,
+        close: impl Fn(&V, &V) -> bool,
+    ) {
         for (key, value) in items {
-            present.insert(key.clone());
             let entry = self.entries.entry(key);
-            let entry = entry.or_insert(Entry { value: None, changed: seq });
+            let entry = entry.or_insert(Entry { value: None, changed: seq, seen: seq });
+            entry.seen = seq;
             if entry.value.as_ref().is_none_or(|old| !close(old, &value)) {
-                *entry = Entry { value: Some(value), changed: seq };
-            }
-        }
-        for (key, entry) in &mut self.entries {
-            if entry.value.is_some() && !present.contains(key) {
-                *entry = Entry { value: None, changed: seq };
+                *entry = Entry { value: Some(value), changed: seq, seen: seq };
             }
         }
         self.purge(seq);
@@ -57,8 +70,8 @@
         let limit = seq.saturating_sub(KEPT_MESSAGES);
         let floor = &mut self.floor;
         self.entries.retain(|_, entry| {
-            let is_kept = entry.value.is_some() || entry.changed > limit;
-            if !is_kept {
+            let is_kept = entry.seen > limit || seq <= KEPT_MESSAGES;
+            if !is_kept && entry.value.is_none() {
                 *floor = (*floor).max(entry.changed);
             }
             is_kept
--- a/crates/membership/tests/deltas.rs
+++ b/crates/membership/tests/deltas.rs
@@ -248,23 +248,11 @@
         Case { name: "many more of very many", from: (1_000, 0), to: (1_032, 0), is_sent: true },
         Case { name: "first failure", from: (1_000, 0), to: (1_001, 1), is_sent: true },
     ];
-    let cell = |(requests, failures)| EvidenceCell {
-        instance: "a".into(),
-        incarnation: Incarnation(1),
-        rollout: "r".into(),
-        stage: 0,
-        arm: Arm::New,
-        route: "chat".into(),
-        class: 0,
-        requests,
-        failures,
-        durations: Vec::new(),
-    };
     for case in cases {
         let (mut a, mut b) = (Side::new("a", 1), Side::new("b", 1));
         let send = |a: &mut Side, counts| {
             let mut exchange = a.send_raw();
-            exchange.evidence = vec![cell(counts)];
+            exchange.evidence = vec![cell("a", counts)];
             a.deltas.outgoing(&"b".into(), Kind::Full, exchange)
         };
         b.deltas.incoming(send(&mut a, case.from));
@@ -273,3 +261,40 @@
         assert_eq!(!sent.evidence.is_empty(), case.is_sent, "{}", case.name);
     }
 }
+
+fn cell(origin: &str, (requests, failures): (u64, u64)) -> EvidenceCell {
+    EvidenceCell {
+        instance: origin.into(),
+        incarnation: Incarnation(1),
+        rollout: "r".into(),
+        stage: 0,
+        arm: Arm::New,
+        route: "chat".into(),
+        class: 0,
+        requests,
+        failures,
+        durations: Vec::new(),
+    }
+}
+
+/// Each receiver is offered another part of the evidence; what is left out for one has not changed
+/// for the other.
+#[test]
+fn evidence_left_out_for_one_receiver_is_not_sent_again_to_another() {
+    let mut a = Side::new("a", 1);
+    let mut others = [Side::new("b", 1), Side::new("c", 1)];
+    for round in 0..4 {
+        for (index, other) in others.iter_mut().enumerate() {
+            let mut exchange = a.send_raw();
+            let origin = ["x", "y"][index];
+            exchange.evidence = vec![cell("a", (100, 0)), cell(origin, (50, 0))];
+            let sent = a.deltas.outgoing(&other.name, Kind::Full, exchange);
+            let want: &[&str] = if round == 0 { &["a", origin] } else { &[] };
+            let origins: Vec<_> = sent.evidence.iter().map(|cell| cell.instance.as_str()).collect();
+            assert_eq!(origins, want, "round {round}");
+            other.deltas.incoming(sent);
+            let reply = other.send(&a.name, Kind::Full);
+            a.deltas.incoming(reply);
+        }
+    }
+}
