Size the rate budget for the daemon's polls; split members by job

The budget of 3.5 calls/s was under the daemon's normal rate (list, configuration and records once a second, the lease every 1.67 s: 3.6 calls/s), so that it would have throttled an undisturbed instance. A budget that follows the normal rate by itself was weighed and left for later.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members/mod.rs
@@ -1,5 +1,8 @@
 //! The instances of the deployment as one of them sees them.
 
+mod intake;
+mod silence;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -7,9 +10,10 @@
 use sesamewind_protocol::message::{Exchange, MemberNote, MemberState, Sender};
 use sesamewind_protocol::{Incarnation, InstanceId, Time, ZoneId};
 
+use self::silence::{is_over, judge};
 use crate::partners::{choose, is_due};
 use crate::peer::Peer;
-use crate::{Kind, Known, Leaving, ListedInstance, ListedState, ListedTarget, Partner, Timing};
+use crate::{Kind, Known, Leaving, ListedInstance, ListedTarget, Partner, Timing};
 
 /// Who an instance is.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -139,30 +143,6 @@
         }
     }
 
-    fn on_entry(&mut self, entry: &ListedInstance, now: Time) {
-        let retold = self.timing.retold;
-        let is_new = !self.peers.contains_key(&entry.name);
-        let peer = self
-            .peers
-            .entry(entry.name.clone())
-            .or_insert_with(|| Peer::new(&entry.name, &entry.zone, &entry.address, now));
-        peer.listed = true;
-        peer.region.clone_from(&entry.region);
-        // The list is the only one to name the address of an instance that was never heard.
-        if peer.incarnation == Incarnation::default() {
-            peer.address.clone_from(&entry.address);
-        }
-        if is_new {
-            self.events.push(MemberEvent::Joined(entry.name.clone()));
-        }
-        // The list names no life: its "leaving" may speak of the one before.
-        let is_old = now.since(peer.since) > self.timing.list_lag || is_new;
-        let is_leaving = entry.state == ListedState::Leaving && peer.state == MemberState::Live;
-        if is_leaving && is_old && peer.set_state(MemberState::Leaving, now, retold) {
-            self.events.push(MemberEvent::Leaving(entry.name.clone()));
-        }
-    }
-
     /// Takes a message that came in: its sender can reach this instance.
     ///
     /// Returns whether anything in it is so new that it should be passed on at once.
@@ -183,130 +163,12 @@
     }
 
     /// Hears that a message to `instance` was not answered.
-    pub fn on_failure(&mut self, instance: &InstanceId, now: Time) {
-        let _ = now;
+    pub fn on_failure(&mut self, instance: &InstanceId, _now: Time) {
         if let Some(peer) = self.peers.get_mut(instance) {
             peer.failures = peer.failures.saturating_add(1);
         }
     }
 
-    fn take(&mut self, exchange: &Exchange, now: Time) -> bool {
-        let from = &exchange.from;
-        if from.deployment != self.me.deployment || from.instance == self.me.instance {
-            return false;
-        }
-        self.hear(from, now);
-        for note in &exchange.members {
-            if note.instance == self.me.instance {
-                continue;
-            }
-            if note.instance == from.instance {
-                self.on_own_note(note, now);
-            } else {
-                self.on_note(note, from, now);
-            }
-        }
-        let is_new = self.leaving.on_notes(&exchange.leaving, now);
-        self.urgent |= is_new;
-        is_new
-    }
-
-    fn hear(&mut self, from: &Sender, now: Time) {
-        let retold = self.timing.retold;
-        let is_new = !self.peers.contains_key(&from.instance);
-        let peer = self
-            .peers
-            .entry(from.instance.clone())
-            .or_insert_with(|| Peer::new(&from.instance, &from.zone, "", now));
-        if is_new {
-            self.events.push(MemberEvent::Joined(from.instance.clone()));
-        }
-        if from.incarnation < peer.incarnation {
-            return;
-        }
-        if from.incarnation > peer.incarnation {
-            let is_first = peer.incarnation == Incarnation::default();
-            peer.restart(from.incarnation, now, retold);
-            peer.zone.clone_from(&from.zone);
-            if !is_first {
-                self.events.push(MemberEvent::Restarted(from.instance.clone(), from.incarnation));
-            }
-            return;
-        }
-        let gap = if peer.zone == self.me.zone { self.near_gap } else { self.beyond_gap };
-        if now.since(peer.heard) > self.timing.suspect + gap {
-            peer.steady = now;
-            if !peer.is_up() {
-                peer.charge(now, &self.timing);
-            }
-        }
-        peer.heard = now;
-    }
-
-    /// What an instance says of itself.
-    fn on_own_note(&mut self, note: &MemberNote, now: Time) {
-        let retold = self.timing.retold;
-        let Some(peer) = self.peers.get_mut(&note.instance) else {
-            return;
-        };
-        if note.incarnation != peer.incarnation {
-            return;
-        }
-        peer.address.clone_from(&note.address);
-        let is_leaving = note.state == MemberState::Leaving;
-        if is_leaving && peer.set_state(MemberState::Leaving, now, retold) {
-            self.events.push(MemberEvent::Leaving(note.instance.clone()));
-        }
-    }
-
-    /// What an instance says of another. Nobody is taken for live on hearsay; only a new life, a
-    /// planned stop, and the silence of an instance towards its own zone are.
-    fn on_note(&mut self, note: &MemberNote, from: &Sender, now: Time) {
-        let retold = self.timing.retold;
-        let Some(peer) = self.peers.get_mut(&note.instance) else {
-            self.meet(note, now);
-            return;
-        };
-        if note.incarnation < peer.incarnation {
-            return;
-        }
-        if note.incarnation > peer.incarnation {
-            let is_first = peer.incarnation == Incarnation::default();
-            peer.restart(note.incarnation, now, retold);
-            peer.zone.clone_from(&note.zone);
-            peer.address.clone_from(&note.address);
-            if !is_first {
-                let event = MemberEvent::Restarted(note.instance.clone(), note.incarnation);
-                self.events.push(event);
-            }
-        }
-        let is_neighbour = from.zone == note.zone && self.me.zone != note.zone;
-        let is_silent = now.since(peer.heard) > self.timing.suspect;
-        let event = match note.state {
-            MemberState::Leaving if peer.state == MemberState::Live => MemberEvent::Leaving,
-            MemberState::Removed if is_neighbour && is_silent => MemberEvent::Removed,
-            MemberState::Suspect if is_neighbour && is_silent && peer.is_up() => {
-                MemberEvent::Suspected
-            }
-            _ => return,
-        };
-        if peer.set_state(note.state, now, retold) {
-            self.events.push(event(note.instance.clone()));
-        }
-    }
-
-    fn meet(&mut self, note: &MemberNote, now: Time) {
-        if note.state == MemberState::Removed {
-            return;
-        }
-        let mut peer = Peer::new(&note.instance, &note.zone, &note.address, now);
-        peer.incarnation = note.incarnation;
-        peer.state = note.state;
-        peer.retold = self.timing.retold;
-        self.peers.insert(note.instance.clone(), peer);
-        self.events.push(MemberEvent::Joined(note.instance.clone()));
-    }
-
     /// Judges silence and returns the changes since the last call.
     pub fn tick(&mut self, now: Time) -> Vec<MemberEvent> {
         self.leaving.tick(now);
@@ -330,22 +192,6 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Time beyond the heartbeat timeout that an instance beyond the zone may be silent, since a
-    /// round reaches a few of them only.
-    fn count_beyond_gap(&self) -> Duration {
-        let beyond = self.peers.values().filter(|peer| peer.zone != self.me.zone).count();
-        // Each is called and calls once in this many rounds.
-        let rounds = beyond.div_ceil(self.fan_out().max(1)).saturating_sub(1);
-        self.timing.interval * u32::try_from(rounds).unwrap_or(u32::MAX)
-    }
-
-    /// Time beyond the heartbeat timeout that an instance of the own zone may be silent: three times
-    /// what a crowded zone adds to the interval.
-    fn count_near_gap(&self) -> Duration {
-        let near = self.peers.values().filter(|peer| peer.zone == self.me.zone).count();
-        (self.timing.near_interval(near) - self.timing.interval) * 3
-    }
-
     /// The instances to exchange with now: those of the own zone that are due, and once an interval
     /// a few beyond it. Called several times an interval.
     pub fn partners(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Partner> {
@@ -450,34 +296,3 @@
 fn partner(peer: &Peer, kind: Kind) -> Partner {
     Partner { instance: peer.instance.clone(), address: peer.address.clone(), kind }
 }
-
-/// Judges the silence of one instance; `gap` is the time between two expected messages beyond the
-/// interval.
-fn judge(peer: &mut Peer, gap: Duration, timing: &Timing, now: Time) -> Option<MemberEvent> {
-    let silence = now.since(peer.heard);
-    let instance = peer.instance.clone();
-    match peer.state {
-        MemberState::Live | MemberState::Leaving if silence > timing.suspect + gap => {
-            peer.set_state(MemberState::Suspect, now, timing.retold);
-            Some(MemberEvent::Suspected(instance))
-        }
-        MemberState::Suspect if silence > timing.suspect + timing.remove + gap => {
-            peer.set_state(MemberState::Removed, now, timing.retold);
-            Some(MemberEvent::Removed(instance))
-        }
-        MemberState::Suspect | MemberState::Removed if silence <= timing.suspect => {
-            if peer.heard <= peer.since || now.since(peer.steady) < peer.probation(now, timing) {
-                return None;
-            }
-            peer.set_state(MemberState::Live, now, timing.retold);
-            Some(MemberEvent::Recovered(instance))
-        }
-        _ => None,
-    }
-}
-
-/// Whether an instance need not be known of any more.
-fn is_over(peer: &Peer, timing: &Timing, now: Time) -> bool {
-    let is_gone = peer.state == MemberState::Removed && !peer.listed;
-    is_gone && now.since(peer.heard) > timing.keep
-}
--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -18,7 +18,7 @@
 
 impl Default for BudgetRate {
     fn default() -> Self {
-        Self { per_s: 3.5, burst: 4.0 }
+        Self { per_s: 5.5, burst: 6.0 }
     }
 }
 
