--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -461,3 +461,33 @@
         world.nodes.iter().map(|node| node.events.iter().filter(is_suspicion).count()).sum();
     assert_eq!(suspicions, 0, "a slower pace is no silence");
 }
+
+#[test]
+fn counts_are_passed_on_to_those_that_do_not_hear_their_origin() {
+    struct Case {
+        name: &'static str,
+        origin: &'static str,
+        receiver: &'static str,
+        want: bool,
+    }
+    let case = |name, origin, receiver, want| Case { name, origin, receiver, want };
+    let cases = [
+        case("own counts", "me", "near", true),
+        case("a neighbour's to a neighbour", "near", "near-2", false),
+        case("a neighbour's beyond the zone", "near", "far", true),
+        case("one from beyond to a neighbour", "far", "near", true),
+        case("one from beyond to its own zone", "far", "far-2", false),
+        case("back to the origin", "far", "far", false),
+        case("of an instance that is not known", "lost", "near", true),
+    ];
+    let mut members = viewer();
+    for (name, zone) in [("near", "here"), ("near-2", "here"), ("far", "there"), ("far-2", "there")]
+    {
+        let message = Exchange::new(sender(name, 1, zone, 1), Wall(0));
+        members.on_exchange(&message, Time::from_millis(1_000));
+    }
+    for case in cases {
+        let got = members.relays(&case.origin.into(), &case.receiver.into());
+        assert_eq!(got, case.want, "{}", case.name);
+    }
+}
