Test that an instance which is called calls now and then itself

Switching off the rule in `partners::is_due` failed no test: in the test of cuts in one direction the pair lies in two zones. In one zone the instance that steps first calls each time, and the other took the first for reached behind a cut for good. The new test fails with the rule off and passes with it.

--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -491,3 +491,18 @@
         assert_eq!(got, case.want, "{}", case.name);
     }
 }
+
+/// One call a round serves both sides of a pair, and one side may come first each time. The other
+/// still calls now and then, and so learns that it can't reach the first.
+#[test]
+fn an_instance_that_is_called_still_learns_whether_it_can_call() {
+    for cut in [(0, 1), (1, 0)] {
+        let mut world = World::new(2, 1, 1, Timing::default());
+        world.run(10 * SECOND);
+        world.cuts.insert(cut);
+        world.run(15 * SECOND);
+        let (from, to) = cut;
+        assert!(!reaches(&world, from, to), "{cut:?}");
+        assert!(reaches(&world, to, from), "{cut:?}");
+    }
+}
