Find the limit on an engine's batch from its reports

A limit is now believed when requests wait report after report while as many run as before and little is to be prefilled.

--- a/crates/policy/examples/mechanisms.rs
+++ b/crates/policy/examples/mechanisms.rs
@@ -7,7 +7,7 @@
 
 use support::fleet::{Outcome, Policy, run};
 use support::setups::{
-    burst, burst_with_freeze, lengths, limited, slowing, steady, unlike, waking,
+    batched, burst, burst_with_freeze, lengths, limited, slowing, steady, unlike, waking,
 };
 
 const POLICIES: [Policy; 3] = [Policy::Sesamewind, Policy::LeastInflight, Policy::RoundRobin];
@@ -48,6 +48,10 @@
                 outcome.waste() * 100.0
             );
         }
+        for policy in POLICIES {
+            let outcome = run(&batched(policy, seed));
+            println!("  batch limit   {policy:?}: urgent {:.1}%", outcome.goodput(0) * 100.0);
+        }
         let frozen = run(&burst_with_freeze(seed));
         println!(
             "  burst, frozen: urgent {:.1}% shed {} late {}",
--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -215,7 +215,8 @@
     let step = target.speed.step(streams);
     // The most urgent tier may go beyond what is useful as long as the target follows.
     let follows = need.urgent && streams <= target.seen_running() * SEEN_FACTOR + 1.0;
-    if streams > MAX_STREAMS * share || step > bearable || step > useful && !follows {
+    let most = MAX_STREAMS.min(target.batch(need.now));
+    if streams > most * share || step > bearable || step > useful && !follows {
         return false;
     }
     let prefill = target.speed.prefill();
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -14,6 +14,14 @@
 const HISTORY_SPAN: Duration = Duration::from_secs(5);
 /// What remains of the most streams seen with each load report.
 const RUNNING_DECAY: f64 = 0.99;
+/// Waiting requests that show a limit on the batch.
+const BATCH_WAITING: u32 = 4;
+/// Least limit on a batch that is believed.
+const MIN_BATCH: f64 = 6.0;
+/// Prefill of the waiting requests, in seconds, up to which it doesn't explain that they wait.
+const BATCH_PREFILL: f64 = 0.3;
+/// How long a limit is remembered.
+const BATCH_KEEP: Duration = Duration::from_secs(120);
 const EXTRA_HALF_LIFE: f64 = 2.0;
 const MAX_HINTS: usize = 512;
 /// Least share of the prompts without a first token that counts as not prefilled.
@@ -104,6 +112,10 @@
     extra_at: Time,
     /// Most streams that the target was seen to run at once of late.
     seen_running: f64,
+    /// Streams and waiting requests of the last report.
+    last_report: (f64, u32),
+    /// Most streams that the target runs at once, and when that was last seen.
+    batch: Option<(f64, Time)>,
     history: VecDeque<Sample>,
     pub(crate) speed: Speed,
     hints: HashMap<u64, Hint>,
@@ -129,6 +141,8 @@
             extra: Load::default(),
             extra_at: Time::ZERO,
             seen_running: 0.0,
+            last_report: (0.0, 0),
+            batch: None,
             history: VecDeque::new(),
             speed: Speed::new(Prior::default()),
             hints: HashMap::new(),
@@ -182,6 +196,7 @@
         };
         self.extra = reported.beyond(self.accounted(report.measured));
         self.extra_at = now;
+        self.find_batch(report, now);
         self.seen_running = (self.seen_running * RUNNING_DECAY).max(f64::from(report.running));
     }
 
@@ -302,6 +317,26 @@
         self.seen_running
     }
 
+    /// Finds the target's limit on its batch: requests wait in it, report after report, though
+    /// their prompts are soon prefilled and no more streams run than before.
+    fn find_batch(&mut self, report: &LoadReport, now: Time) {
+        let (before, waited) = self.last_report;
+        let running = f64::from(report.running);
+        self.last_report = (running, report.waiting);
+        let prefill = report.prefill_tokens as f64 / self.speed.prefill();
+        let waits = report.waiting >= BATCH_WAITING && waited >= BATCH_WAITING;
+        let level = running >= MIN_BATCH && (running - before).abs() <= 1.0;
+        if waits && level && prefill < BATCH_PREFILL {
+            self.batch = Some((running, now));
+        }
+    }
+
+    /// Most streams that the target runs at once, if it was found to be limited.
+    pub(crate) fn batch(&self, now: Time) -> f64 {
+        let known = self.batch.filter(|(_, at)| now.since(*at) < BATCH_KEEP);
+        known.map_or(f64::INFINITY, |(streams, _)| streams)
+    }
+
     /// Tokens of `prefix` that are likely cached.
     pub(crate) fn cached(&self, prefix: &Prefix, keep: Duration, now: Time) -> f64 {
         let Some(hint) = self.hints.get(&prefix.hash) else { return 0.0 };
--- a/crates/policy/tests/support/fleet.rs
+++ b/crates/policy/tests/support/fleet.rs
@@ -284,7 +284,7 @@
         for (index, job) in engine.jobs.iter_mut().enumerate() {
             let ask = &self.setup.asks[job.ask];
             if job.left > 0.0 {
-                if prefill <= 0.0 {
+                if prefill <= 0.0 || index >= engine.spec.batch {
                     continue;
                 }
                 if !job.started {
--- a/crates/policy/tests/support/setup.rs
+++ b/crates/policy/tests/support/setup.rs
@@ -27,6 +27,8 @@
     pub decode: f64,
     pub knee: f64,
     pub cache: u64,
+    /// Requests that run at once; more wait inside the engine.
+    pub batch: usize,
 }
 
 /// What goes wrong, and when.
--- a/crates/policy/tests/support/setups.rs
+++ b/crates/policy/tests/support/setups.rs
@@ -9,7 +9,13 @@
 
 /// An engine `factor` times slower than the usual one.
 pub fn engine(factor: f64) -> Spec {
-    Spec { prefill: 16_000.0 / factor, decode: 80.0 / factor, knee: 16.0, cache: 200_000 }
+    Spec {
+        prefill: 16_000.0 / factor,
+        decode: 80.0 / factor,
+        knee: 16.0,
+        cache: 200_000,
+        batch: 512,
+    }
 }
 
 pub fn setup(
@@ -120,3 +126,19 @@
     setup.faults = vec![Fault::Slow { engine: 0, at_ms: 5_000, factor: 3.0 }];
     setup
 }
+
+/// Nine engines that run 16 requests at once, and twice the replies that they bear for 6 s.
+pub fn batched(policy: Policy, seed: u64) -> Setup {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let short = Ask { output: 32, total_ms: 2_500, first_ms: 600, ..fresh_reply() };
+    let asks = merge(vec![
+        stream(&mut rng, &short, 15.0, 0, 30_000, 1),
+        stream(&mut rng, &short, 400.0, 10_000, 16_000, 1),
+        stream(&mut rng, &TAG, 20.0, 0, 30_000, 1),
+    ]);
+    let small = Spec { knee: 8.0, batch: 16, ..engine(1.0) };
+    let mut setup = setup(vec![small; 9], asks, policy, 60_000, seed);
+    setup.config.tiers[0].first_token = std::time::Duration::from_millis(600);
+    setup.config.tiers[0].total = std::time::Duration::from_millis(2_500);
+    setup
+}
--- a/crates/policy/tests/support/traces.rs
+++ b/crates/policy/tests/support/traces.rs
@@ -41,7 +41,7 @@
 
 /// Nine engines of three generations.
 pub fn engines() -> Vec<Spec> {
-    let spec = |prefill, decode| Spec { prefill, decode, knee: 16.0, cache: 200_000 };
+    let spec = |prefill, decode| Spec { prefill, decode, knee: 16.0, cache: 200_000, batch: 512 };
     let kinds = [spec(24_000.0, 120.0), spec(16_000.0, 80.0), spec(8_000.0, 40.0)];
     (0..9).map(|at| kinds[at / 3].clone()).collect()
 }
--- a/crates/policy/tests/targets.rs
+++ b/crates/policy/tests/targets.rs
@@ -2,10 +2,14 @@
 
 mod support;
 
-use support::LOW;
+use sesamewind_policy::{End, Event};
+use sesamewind_protocol::Incarnation;
+use sesamewind_protocol::target::LoadReport;
+
 use support::fleet::{Outcome, Policy, run};
 use support::setups::{lengths, slowing, steady, unlike};
 use support::traces::{TROUBLES, Trouble, mixed};
+use support::{LOW, arrival, at, config, dispatched, life, scheduler, step, wall};
 
 const BASELINES: [Policy; 2] = [Policy::LeastInflight, Policy::RoundRobin];
 
@@ -73,3 +77,50 @@
     let theirs = percentile(&run(&lengths(Policy::LeastInflight, 1)), 0.95);
     assert!(theirs > 4 * ours, "{theirs} ms");
 }
+
+/// An engine that runs 16 requests at once shows it by what waits in it, report after report.
+#[test]
+fn batch_limit_is_found_from_reports() {
+    for (waiting, level, want) in [(4, true, 16), (0, true, 24), (4, false, 24)] {
+        let mut node = scheduler(&config(1), life("a", 1));
+        let mut running: Vec<u64> = Vec::new();
+        for ticket in 1..=24 {
+            let now = at(ticket * 30);
+            let actions = step(&mut node, Event::Arrive(arrival(ticket, ticket, now)), now);
+            running.extend(dispatched(&actions).iter().map(|(ticket, _)| ticket));
+            step(&mut node, Event::WriteCheck { ticket }, now);
+            step(&mut node, Event::Accepted { ticket }, now);
+            step(&mut node, Event::Tokens { ticket, n: 1 }, now);
+        }
+        assert_eq!(running.len(), 24);
+        for round in 0..3 {
+            let now = at(800 + round * 250);
+            let report = LoadReport {
+                target: "engine-0".into(),
+                incarnation: Incarnation(1),
+                measured: wall(now),
+                waiting,
+                running: if level { 16 } else { 12 + 3 * round as u32 },
+                prefill_tokens: 200,
+                versions: vec!["v1".into()],
+                leaving: false,
+            };
+            step(&mut node, Event::TargetReport(&report), now);
+        }
+        // One ends at a time and another arrives: the target keeps as many as it runs at once.
+        let now = at(1_400);
+        for ticket in 25..=60 {
+            let done = running.remove(0);
+            let end = End::Complete;
+            let mut actions = step(&mut node, Event::Finished { ticket: done, end }, now);
+            actions.extend(step(&mut node, Event::Arrive(arrival(ticket, ticket, now)), now));
+            running.extend(dispatched(&actions).iter().map(|(ticket, _)| ticket));
+            for ticket in running.clone() {
+                step(&mut node, Event::WriteCheck { ticket }, now);
+                step(&mut node, Event::Accepted { ticket }, now);
+                step(&mut node, Event::Tokens { ticket, n: 1 }, now);
+            }
+        }
+        assert_eq!(running.len(), want, "waiting {waiting}, level {level}");
+    }
+}
