--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -212,14 +212,11 @@
     let budget = bounds.step_budget.unwrap_or(f64::INFINITY);
     let bearable = (budget * share).max(solo * MIN_SLOWDOWN);
     let useful = solo * MAX_SLOWDOWN * share;
-    // One beyond the places that were seen shows whether there are more by now.
-    if target.places().is_some_and(|places| streams > places * share + 1.0) {
-        return false;
-    }
     let step = target.speed.step(streams);
     // The most urgent tier may go beyond what is useful as long as the target follows.
     let follows = need.urgent && streams <= target.seen_running() * SEEN_FACTOR + 1.0;
-    if streams > MAX_STREAMS * share || step > bearable || step > useful && !follows {
+    let most = target.batch.limit(need.now).unwrap_or(MAX_STREAMS);
+    if streams > (most * share).max(1.0) || step > bearable || step > useful && !follows {
         return false;
     }
     let prefill = target.speed.prefill();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod accounts;
 pub mod action;
 pub mod attempt;
+mod batch;
 mod choose;
 pub mod config;
 pub mod event;
--- a/crates/policy/src/scheduler/flight.rs
+++ b/crates/policy/src/scheduler/flight.rs
@@ -89,7 +89,7 @@
             target.prefilled(flight.uncached, flight.work, took, cx.now);
             // What comes at once over a resumed connection was ready before.
             let fresh = flight.resumes == 0 || gap >= RESUMED_GAP;
-            if fresh && !target.may_have_queued(flight.sent) {
+            if fresh && !target.batch.may_have_held(flight.sent) {
                 target.speed.saw_prefill(flight.work, flight.certainty, took, cx.now);
             }
             if let Some(Prefix { hash, tokens }) = prefix {
--- a/crates/policy/src/scheduler/timer.rs
+++ b/crates/policy/src/scheduler/timer.rs
@@ -160,7 +160,7 @@
             if flight.produced > 0 || flight.predicted.is_zero() || waited < due {
                 continue;
             }
-            if self.targets[flight.target].may_have_queued(flight.sent) {
+            if self.targets[flight.target].batch.may_have_held(flight.sent) {
                 continue;
             }
             flight.overdue *= OVERDUE_FACTOR;
