--- a/crates/rollout/src/compare.rs
+++ b/crates/rollout/src/compare.rs
@@ -205,6 +205,15 @@
         self.arms.values().map(|arms| arms.new.requests).sum()
     }
 
+    /// The old version's counts per stage, over all routes and classes: what went on at the time.
+    fn old_by_stage(&self) -> BTreeMap<u8, ArmSum> {
+        let mut stages: BTreeMap<u8, ArmSum> = BTreeMap::new();
+        for (stratum, arms) in self.arms.iter().filter(|(stratum, _)| !is_full(stratum.stage)) {
+            stages.entry(stratum.stage).or_default().join(&arms.old);
+        }
+        stages
+    }
+
     /// The old version's counts over all stages, per route and class and together.
     fn history(&self) -> History {
         let mut history = History::default();
@@ -230,6 +239,7 @@
 pub(crate) fn compare(part: &Strata, whole: &Strata, current: u8) -> Vec<Comparison> {
     let history = whole.history();
     let prior = failure_rate(&history.all, PRIOR_FAILURES, PRIOR_REQUESTS);
+    let stages = part.old_by_stage();
     let mut sums: BTreeMap<Scope, Sum> = BTreeMap::new();
     for (stratum, arms) in &part.arms {
         let dealt_with = is_full(stratum.stage) && stratum.stage != current;
@@ -239,7 +249,11 @@
         let Some(history) = history.routes.get(&(stratum.route.clone(), stratum.class)) else {
             continue;
         };
-        let pooled = failure_rate(history, prior * POOL_WEIGHT, POOL_WEIGHT);
+        let usual = failure_rate(history, prior * POOL_WEIGHT, POOL_WEIGHT);
+        let pooled = match stages.get(&stratum.stage) {
+            Some(stage) => failure_rate(stage, usual * TOGETHER_WEIGHT, TOGETHER_WEIGHT),
+            None => usual,
+        };
         add_failures(&mut sums, stratum, arms, pooled, history);
         add_slowness(&mut sums, stratum, arms, history);
     }
