--- a/crates/policy/tests/at_most_once.rs
+++ b/crates/policy/tests/at_most_once.rs
@@ -11,6 +11,7 @@
 use sesamewind_policy::{Action, End, Event, Life, Scheduler};
 use sesamewind_protocol::record::{Lookup, LookupReply, RecordsCopy, RecordsRequest};
 use sesamewind_protocol::{InstanceId, RunState, Time};
+use sesamewind_seeded::Cases;
 
 use support::{arrival, at, config, life, refusals, scheduler, step, tick};
 
@@ -354,12 +355,11 @@
 
 #[test]
 fn random_orders_dispatch_once() {
-    bolero::check!()
-        .with_generator(bolero::produce::<Vec<u8>>().with().len(0..900_usize))
-        .for_each(|ops| {
-            play(ops, true);
-            play(ops, false);
-        });
+    let orders = bolero::produce::<Vec<u8>>().with().len(0..900_usize);
+    Cases { bytes: 1_000, ..Cases::default() }.check(orders, |_, ops| {
+        play(&ops, true);
+        play(&ops, false);
+    });
 }
 
 #[test]
--- a/crates/protocol/tests/decoder.rs
+++ b/crates/protocol/tests/decoder.rs
@@ -1,11 +1,12 @@
 //! The decoder of messages between instances, against garbled bytes.
 
-use bolero::check;
+use bolero::produce;
 use sesamewind_protocol::codec::{CodecError, MAX_MESSAGE_BYTES, decode, encode};
 use sesamewind_protocol::message::{ConfigDigest, Exchange, LeavingNote, Sender};
 use sesamewind_protocol::record::{Lookup, LookupReply};
 use sesamewind_protocol::traffic::TargetUse;
 use sesamewind_protocol::{Incarnation, Revision, Wall};
+use sesamewind_seeded::Cases;
 
 fn exchange() -> Exchange {
     let from = Sender {
@@ -32,10 +33,10 @@
 /// Bytes from outside never make the decoder panic, and what it takes encodes to what it was.
 #[test]
 fn random_bytes_are_refused_or_read() {
-    check!().for_each(|bytes: &[u8]| {
-        let _ = decode::<Lookup>(bytes);
-        let _ = decode::<LookupReply>(bytes);
-        if let Ok(exchange) = decode::<Exchange>(bytes) {
+    Cases::default().check(produce::<Vec<u8>>(), |_, bytes| {
+        let _ = decode::<Lookup>(&bytes);
+        let _ = decode::<LookupReply>(&bytes);
+        if let Ok(exchange) = decode::<Exchange>(&bytes) {
             let again = encode(&exchange).expect("a message that was read fits");
             assert!(decode::<Exchange>(&again).is_ok());
         }
@@ -46,14 +47,14 @@
 #[test]
 fn garbled_messages_are_refused_or_read() {
     let message = encode(&exchange()).unwrap();
-    check!().with_type::<(Vec<(u16, u8)>, u16)>().for_each(|(changes, length)| {
+    Cases::default().check(produce::<(Vec<(u16, u8)>, u16)>(), |_, (changes, length)| {
         let mut bytes = message.clone();
         for (position, byte) in changes {
-            let position = usize::from(*position) % bytes.len();
-            bytes[position] = *byte;
+            let position = usize::from(position) % bytes.len();
+            bytes[position] = byte;
         }
         let _ = decode::<Exchange>(&bytes);
-        bytes.truncate(usize::from(*length) % message.len());
+        bytes.truncate(usize::from(length) % message.len());
         assert!(decode::<Exchange>(&bytes).is_err(), "a message that is cut short is refused");
     });
 }
--- a/crates/rollout/tests/all/model.rs
+++ b/crates/rollout/tests/all/model.rs
@@ -6,12 +6,17 @@
 use sesamewind_protocol::evidence::Outcome;
 use sesamewind_protocol::{VersionId, Wall};
 use sesamewind_rollout::LeaseGrant;
+use sesamewind_seeded::Cases;
 
 use crate::world::{StoreMode, World, failing, good, id, slow, spec};
 
 const NODES: usize = 3;
 /// Events of a run at most.
 const MAX_EVENTS: usize = 40;
+/// Runs of the test.
+const MODEL_CASES: u64 = 2_000;
+/// Bytes that the events of one run are made of.
+const MODEL_BYTES: usize = 256;
 /// Requests that a node's share is told from.
 const SAMPLES: u64 = 40;
 /// Largest offset of an instance's wall clock, in milliseconds.
@@ -133,12 +138,12 @@
 #[test]
 fn invariants_hold_in_any_order_of_events() {
     let events = bolero::produce::<Vec<Event>>().with().len(0..=MAX_EVENTS);
-    bolero::check!().with_generator(events).for_each(|events| {
+    Cases { count: MODEL_CASES, bytes: MODEL_BYTES }.check(events, |_, events| {
         let mut world = World::new(NODES, &[spec(12, 0.2)]);
         let mut seen = Seen::default();
         world.run(8, 6, good);
         for event in events {
-            apply(&mut world, *event);
+            apply(&mut world, event);
             check(&world, &mut seen);
         }
         finish(&mut world, &mut seen);
--- a/crates/settings/tests/settings/fuzz.rs
+++ b/crates/settings/tests/settings/fuzz.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use bolero::produce;
+use sesamewind_seeded::Cases;
 use sesamewind_settings::Settings;
 
 use crate::parse::{LEAST, env};
-use crate::seeded;
 
 /// Lines that a damaged file may hold.
 const LINES: [&str; 12] = [
@@ -25,12 +26,12 @@
 
 #[test]
 fn any_text_is_read_or_refused() {
-    seeded::for_each(|_, text: String| check(&text));
+    Cases::default().check(produce(), |_, text: String| check(&text));
 }
 
 #[test]
 fn damaged_settings_are_refused_or_within_bounds() {
-    seeded::for_each(|_, (lines, at, garbage): (Vec<u8>, u16, String)| {
+    Cases::default().check(produce(), |_, (lines, at, garbage): (Vec<u8>, u16, String)| {
         let mut text = LEAST.to_owned();
         for line in lines.iter().take(6) {
             text.push_str(LINES[usize::from(*line) % LINES.len()]);
--- a/crates/settings/tests/settings/main.rs
+++ b/crates/settings/tests/settings/main.rs
@@ -2,4 +2,3 @@
 
 mod fuzz;
 mod parse;
-mod seeded;
--- a/crates/sheet/tests/sheet/fuzz.rs
+++ b/crates/sheet/tests/sheet/fuzz.rs
@@ -1,15 +1,17 @@
 //! The reader takes any bytes without failing, and what it takes is consistent.
 
-use crate::seeded;
-use crate::support::{SOUND, sheet};
+use bolero::produce;
+use sesamewind_seeded::Cases;
 use sesamewind_sheet::{Sheet, diff, read};
 
+use crate::support::{SOUND, sheet};
+
 /// Bytes that steer the CSV reader, and some that it has no use for.
 const BYTES: [u8; 16] = *b",,\"\n\r 019av:/.-\xff";
 
 #[test]
 fn any_bytes_are_read_or_refused() {
-    seeded::for_each(|_, bytes: Vec<u8>| {
+    Cases::default().check(produce(), |_, bytes: Vec<u8>| {
         if let Err(faults) = read(&bytes) {
             assert!(!faults.is_empty());
         }
@@ -20,7 +22,7 @@
 fn a_damaged_sheet_is_refused_or_consistent() {
     let sound = sheet(&SOUND).into_bytes();
     let old = read(&sound).expect("sound");
-    seeded::for_each(|seed, edits: Vec<(u16, u8)>| {
+    Cases::default().check(produce(), |seed, edits: Vec<(u16, u8)>| {
         let mut bytes = sound.clone();
         for (at, byte) in edits.iter().take(4) {
             let at = usize::from(*at) % bytes.len();
--- a/crates/sheet/tests/sheet/main.rs
+++ b/crates/sheet/tests/sheet/main.rs
@@ -4,5 +4,4 @@
 mod fuzz;
 mod lookup;
 mod read;
-mod seeded;
 mod support;
