Test pacing, the hold of a step, and a lapsed lease

Cause: three mechanisms could be switched off without a test failing. Change: two tests; each of the three mutations fails one of them now.

--- a/crates/rollout/tests/all/deadline.rs
+++ b/crates/rollout/tests/all/deadline.rs
@@ -1,6 +1,6 @@
 //! The deadline: completed before it or taken back, and the same on every instance.
 
-use sesamewind_protocol::evidence::{Outcome, Reason};
+use sesamewind_protocol::evidence::{Outcome, Reason, Stage};
 use sesamewind_protocol::{VersionId, Wall};
 use sesamewind_rollout::{Action, LEASE_LENGTH, LeaseGrant, RolloutSpec, ViewState};
 
@@ -222,3 +222,31 @@
     run_to(&mut world, DEADLINE * MINUTE + 30);
     check(&mut world, "close", "deadline-passed");
 }
+
+#[test]
+fn few_requests_are_paced_by_the_deadline() {
+    let mut world = World::new(3, &[spec(60, 0.1)]);
+    let mut stages = Vec::new();
+    for _ in 0..360 {
+        world.run(9, 0, good);
+        world.run(1, 1, good);
+        stages.push(world.stage());
+    }
+    // The first step is held for want of requests, and ends with its slot.
+    assert_eq!(stages[30], Some(Stage::Step(0)));
+    assert_eq!(world.ended(), "completed");
+}
+
+#[test]
+fn lapsed_lease_gives_no_orders_and_no_writes() {
+    let mut world = World::new(1, &[spec(DEADLINE, 0.1)]);
+    run_to(&mut world, 30);
+    world.store = StoreMode::Down;
+    world.run(LEASE_LENGTH.as_secs() + 1, 4, good);
+    world.nodes[0].holds = true;
+    for _ in 0..700 {
+        world.ms += 1000;
+        world.tick(0);
+    }
+    assert_eq!(world.nodes[0].held, []);
+}
