Keep answers only for requests that can be sent again

Cause: the path's cost measured 316 MiB after 100,000 requests at 500 a second: every answer was kept for 30 seconds, whether its caller could send the request again or not, and of any size. Ruled out: request records, of 85 bytes each. Change: an answer without an idempotency key, or over the limit that the settings name, is dropped when its job ends.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -11,7 +11,7 @@
 use sesamewind_membership::Source;
 use sesamewind_node::{Action, Event, Node};
 use sesamewind_policy as policy;
-use sesamewind_policy::{End, Ticket};
+use sesamewind_policy::{Arrival, End, Ticket};
 use sesamewind_protocol::message::Exchange;
 use sesamewind_protocol::record::{LookupReply, RecordsCopy};
 use sesamewind_protocol::{
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 struct Held {
     key: RequestKey,
+    /// Whether the caller may send the request again.
+    has_key: bool,
     steps: UnboundedSender<Step>,
     answer: Arc<Answer>,
 }
@@ -250,15 +252,33 @@
         }
     }
 
+    /// Keeps the answer of an ended request for a resend, if there can be one and it is not too
+    /// large.
+    fn close(&mut self, ticket: Ticket) {
+        let limit = self.context.settings.records.answer_limit;
+        let is_kept = |held: &Held| {
+            held.has_key && u64::try_from(held.answer.bytes()).is_ok_and(|b| b <= limit)
+        };
+        if self.held.get(&ticket).is_some_and(is_kept) {
+            self.ended.push_back((self.context.clock.now(), ticket));
+        } else {
+            self.drop_held(ticket);
+        }
+    }
+
+    fn drop_held(&mut self, ticket: Ticket) {
+        let Some(held) = self.held.remove(&ticket) else { return };
+        if self.by_key.get(&held.key) == Some(&ticket) {
+            self.by_key.remove(&held.key);
+        }
+    }
+
     /// Forgets answers that were kept long enough.
     fn forget(&mut self, now: Time) {
         while let Some((_, ticket)) =
             self.ended.pop_front_if(|(ended, _)| now.since(*ended) > ANSWER_KEEP)
         {
-            let Some(held) = self.held.remove(&ticket) else { continue };
-            if self.by_key.get(&held.key) == Some(&ticket) {
-                self.by_key.remove(&held.key);
-            }
+            self.drop_held(ticket);
         }
     }
 }
@@ -277,8 +297,8 @@
 
     async fn handle(&mut self, message: Arrive, _: &mut ActorContext<Self>) {
         let Arrive { arrival, steps, answer } = message;
-        let (ticket, key) = (arrival.ticket, arrival.key);
-        self.held.insert(ticket, Held { key, steps, answer });
+        let Arrival { ticket, key, has_key, .. } = arrival;
+        self.held.insert(ticket, Held { key, has_key, steps, answer });
         self.by_key.entry(key).or_insert(ticket);
         self.decide(Event::Traffic(policy::Event::Arrive(arrival)));
     }
@@ -300,7 +320,7 @@
             Signal::CallerBack => Happened::CallerBack { ticket },
             Signal::HolderLost => Happened::HolderLost { ticket },
             Signal::Closed => {
-                self.ended.push_back((self.context.clock.now(), ticket));
+                self.close(ticket);
                 return self.decide(Event::Closed(ticket));
             }
         };
