Read an inner request's body only after its token, and split large files

Reading it showed a fault: the inner listener took any body whole before it looked at the token, so that anyone could fill its memory. Ruled out: the HTTP library's limit, which answers without a numbered code. Change: handlers, model streams, plain calls and attached answers in modules of their own, one reader of request heads, a typed order; a body is read after its token was found right, up to the largest message. Conclusion: behaviour is otherwise the same.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -17,6 +17,7 @@
 use crate::answer::{Answer, Reader};
 use crate::body::{self, SharedBody};
 use crate::context::{Context, Installed};
+use crate::inbound::{self, Head};
 use crate::job::{Job, Outgoing};
 use crate::message::Arrive;
 use crate::meter::Meter;
@@ -36,14 +37,6 @@
 /// Headers of a caller that go on to a model engine as hints.
 const MODEL_HINTS: [&str; 4] = ["x-prompt-tokens", "x-prefix", "x-prefix-tokens", "x-route"];
 
-/// A caller's request after its head was read.
-struct Inbound {
-    method: Method,
-    path: String,
-    query: String,
-    headers: HeaderMap,
-}
-
 /// What is known of a request, for the answer and the log.
 #[derive(Default)]
 struct Known {
@@ -75,21 +68,13 @@
 
 /// The filter that serves callers.
 pub fn filter(context: Arc<Context>) -> BoxedFilter<(Response,)> {
-    let query = warp::query::raw().or(warp::any().map(String::new)).unify();
-    warp::any()
-        .and(warp::method())
-        .and(warp::path::full())
-        .and(query)
-        .and(warp::header::headers_cloned())
+    inbound::head()
         .and(warp::body::stream())
-        .then(move |method, path: warp::path::FullPath, query, headers, stream| {
-            let inbound = Inbound { method, path: path.as_str().to_owned(), query, headers };
-            serve(Arc::clone(&context), inbound, stream)
-        })
+        .then(move |head, stream| serve(Arc::clone(&context), head, stream))
         .boxed()
 }
 
-async fn serve<S, B>(context: Arc<Context>, inbound: Inbound, stream: S) -> Response
+async fn serve<S, B>(context: Arc<Context>, inbound: Head, stream: S) -> Response
 where
     S: Stream<Item = Result<B, warp::Error>> + Send + Sync + 'static,
     B: Buf,
@@ -117,7 +102,7 @@
 
 async fn route<S, B>(
     context: &Arc<Context>,
-    inbound: &Inbound,
+    inbound: &Head,
     stream: S,
     known: &mut Known,
 ) -> Result<Response, Problem>
@@ -199,7 +184,7 @@
 async fn complete(
     context: &Arc<Context>,
     installed: &Installed,
-    inbound: &Inbound,
+    inbound: &Head,
     caller: &Caller<'_>,
     interface: Interface,
     bytes: &[u8],
@@ -265,7 +250,7 @@
 async fn call(
     context: &Arc<Context>,
     installed: &Installed,
-    inbound: &Inbound,
+    inbound: &Head,
     caller: &Caller<'_>,
     rest: &str,
     body: SharedBody,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -4,6 +4,8 @@
 //! go to the requests' jobs, calls to other processes are started on the traffic threads, whose
 //! results come back as messages.
 
+mod handlers;
+
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,21 +13,17 @@
 use sesamewind_membership::Source;
 use sesamewind_node::{Action, Event, Node};
 use sesamewind_policy as policy;
-use sesamewind_policy::{Arrival, End, Ticket};
-use sesamewind_protocol::message::Exchange;
-use sesamewind_protocol::record::{LookupReply, RecordsCopy};
+use sesamewind_policy::{End, Ticket};
 use sesamewind_protocol::{
     InstanceId, RequestKey, Revision, RolloutId, ServiceId, TargetId, Time, VersionId,
 };
 use sesamewind_rollout as rollout;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::UnboundedSender;
-use xtra::{Context as ActorContext, Handler};
 
 use crate::answer::Answer;
 use crate::context::Context;
-use crate::effects::{self, WriteLimits};
-use crate::message::*;
+use crate::effects::{self, Order, WriteLimits};
 use crate::problem::Problem;
 use crate::step::Step;
 use crate::targets::TargetAddress;
@@ -181,8 +179,8 @@
             Do::ReadRecords => self.spawn(effects::read_records(context)),
             Do::Order { target, fence, order, version, lease_until } => {
                 let at = self.address_of(&target);
-                let order = (fence, order.as_str(), version);
-                self.spawn(effects::order(context, at, target, order, lease_until));
+                let order = Order { fence, order, version, lease_until };
+                self.spawn(effects::order(context, target, at, order));
             }
             Do::Event(event) => {
                 let service = self.service_of(event.rollout());
@@ -291,200 +289,3 @@
         detail: String::new(),
     }
 }
-
-impl Handler<Arrive> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, message: Arrive, _: &mut ActorContext<Self>) {
-        let Arrive { arrival, steps, answer } = message;
-        let Arrival { ticket, key, has_key, .. } = arrival;
-        self.held.insert(ticket, Held { key, has_key, steps, answer });
-        self.by_key.entry(key).or_insert(ticket);
-        self.decide(Event::Traffic(policy::Event::Arrive(arrival)));
-    }
-}
-
-impl Handler<Told> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, message: Told, _: &mut ActorContext<Self>) {
-        use policy::Event as Happened;
-        let Told { ticket, signal } = message;
-        let event = match signal {
-            Signal::WriteCheck => Happened::WriteCheck { ticket },
-            Signal::Accepted => Happened::Accepted { ticket },
-            Signal::Tokens(n) => Happened::Tokens { ticket, n },
-            Signal::Finished(end) => Happened::Finished { ticket, end },
-            Signal::Silent => Happened::Silent { ticket },
-            Signal::CallerGone => Happened::CallerGone { ticket },
-            Signal::CallerBack => Happened::CallerBack { ticket },
-            Signal::HolderLost => Happened::HolderLost { ticket },
-            Signal::Closed => {
-                self.close(ticket);
-                return self.decide(Event::Closed(ticket));
-            }
-        };
-        self.decide(Event::Traffic(event));
-    }
-}
-
-impl Handler<Tick> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, _: Tick, _: &mut ActorContext<Self>) {
-        self.decide(Event::Tick);
-        self.forget(self.context.clock.now());
-    }
-}
-
-impl Handler<Fetched> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, message: Fetched, _: &mut ActorContext<Self>) {
-        let installed = Arc::new(message.0);
-        if installed.revision <= self.node.in_force().revision {
-            return;
-        }
-        // Jobs read addresses from the snapshot, so it must be there before the first dispatch.
-        self.context.installed.store(Some(Arc::clone(&installed)));
-        let (revision, hash) = (installed.revision, installed.hash.as_str());
-        self.decide(Event::Sheet { revision, hash, sheet: &installed.sheet });
-    }
-}
-
-impl Handler<Probed> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, message: Probed, _: &mut ActorContext<Self>) {
-        let Probed { target, report } = message;
-        let ok = report.is_some();
-        if report.is_some() {
-            self.decide(Event::Polled { target: &target, report: report.as_ref() });
-        }
-        self.decide(Event::Traffic(policy::Event::ProbeResult { target: &target, ok }));
-    }
-}
-
-impl Handler<CacheChanged> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, message: CacheChanged, _: &mut ActorContext<Self>) {
-        let target = &message.target;
-        for event in &message.events {
-            self.decide(Event::Traffic(policy::Event::CacheEvent { target, event }));
-        }
-    }
-}
-
-impl Handler<PeerMessage> for Control {
-    type Return = Exchange;
-
-    async fn handle(&mut self, message: PeerMessage, _: &mut ActorContext<Self>) -> Exchange {
-        self.decide(Event::Exchange(&message.0));
-        let now = self.context.clock.now();
-        self.node.answer(&message.0, now, self.context.clock.wall())
-    }
-}
-
-impl Handler<PeerLookup> for Control {
-    type Return = Option<LookupReply>;
-
-    async fn handle(&mut self, message: PeerLookup, _: &mut ActorContext<Self>) -> Self::Return {
-        let event = Event::Traffic(policy::Event::Lookup(&message.0));
-        let mut answer = None;
-        for action in self.actions(event) {
-            match action {
-                Action::Traffic(policy::Action::Reply { reply, .. }) => answer = Some(reply),
-                action => self.carry_out(action),
-            }
-        }
-        answer
-    }
-}
-
-impl Handler<PeerRecords> for Control {
-    type Return = Option<RecordsCopy>;
-
-    async fn handle(&mut self, message: PeerRecords, _: &mut ActorContext<Self>) -> Self::Return {
-        let event = Event::Traffic(policy::Event::RecordsRequest(&message.0));
-        let mut answer = None;
-        for action in self.actions(event) {
-            match action {
-                Action::Traffic(policy::Action::SendRecords { copy, .. }) => answer = Some(copy),
-                action => self.carry_out(action),
-            }
-        }
-        answer
-    }
-}
-
-impl Handler<FindAnswer> for Control {
-    type Return = Option<Arc<Answer>>;
-
-    async fn handle(&mut self, message: FindAnswer, _: &mut ActorContext<Self>) -> Self::Return {
-        let ticket = self.by_key.get(&message.0)?;
-        self.held.get(ticket).map(|held| Arc::clone(&held.answer))
-    }
-}
-
-impl Handler<Remaining> for Control {
-    type Return = Left;
-
-    async fn handle(&mut self, _: Remaining, _: &mut ActorContext<Self>) -> Left {
-        Left { requests: self.node.under_way(), lease: !self.node.is_released() }
-    }
-}
-
-impl Handler<HandOver> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, _: HandOver, _: &mut ActorContext<Self>) {
-        let now = self.context.clock.now();
-        let copy = self.node.hand_over(now);
-        let peers: Vec<String> =
-            self.node.members().reachable(now).into_iter().map(|peer| peer.address).collect();
-        let sends = peers
-            .into_iter()
-            .map(|address| effects::hand_over(Arc::clone(&self.context), address, copy.clone()));
-        for send in sends {
-            self.traffic.spawn(send);
-        }
-    }
-}
-
-/// Implements messages that are one event of the node and want no answer.
-macro_rules! one_event {
-    ($($message:ty, $given:ident => $event:expr;)*) => {
-        $(impl Handler<$message> for Control {
-            type Return = ();
-
-            async fn handle(&mut self, $given: $message, _: &mut ActorContext<Self>) {
-                self.decide($event);
-            }
-        })*
-    };
-}
-
-one_event! {
-    FetchFailed, given => Event::FetchFailed(&given.0);
-    Pointer, given => Event::Pointer { revision: Revision(given.0.revision), hash: &given.0.hash };
-    Listed, given => Event::Listed {
-        instances: &given.0.instances,
-        targets: &given.0.targets,
-    };
-    Polled, given => Event::Polled { target: &given.target, report: given.report.as_ref() };
-    Answered, given => Event::Answered(&given.0);
-    Unanswered, given => Event::Unanswered(&given.0);
-    Replied, given => Event::Traffic(policy::Event::LookupReply(&given.0));
-    RecordsCopied, given => Event::Traffic(policy::Event::RecordsCopy(&given.0));
-    LeaseAnswered, given => Event::Lease { call: &given.call, answer: given.answer.clone() };
-    RecordWritten, given => Event::RecordWritten {
-        rollout: &given.rollout,
-        result: given.result.clone(),
-    };
-    RecordsRead, given => Event::RecordsRead(given.0);
-    RecordsSeen, given => Event::RecordsSeen(&given.0);
-    Ordered, given => Event::Ordered { target: &given.target, result: given.result };
-    Leave, _given => Event::Leave;
-    Refuse, _given => Event::Stop;
-}
--- a/crates/daemon/src/effects.rs
+++ b/crates/daemon/src/effects.rs
@@ -10,8 +10,8 @@
 use sesamewind_protocol::evidence::{RecordNote, RolloutRecord};
 use sesamewind_protocol::message::Exchange;
 use sesamewind_protocol::record::{Lookup, RecordsCopy, RecordsRequest};
-use sesamewind_protocol::{RolloutId, TargetId, Time, Wall};
-use sesamewind_rollout::{OrderResult, ReadResult, WriteResult};
+use sesamewind_protocol::{RolloutId, TargetId, Time, VersionId, Wall};
+use sesamewind_rollout::{OrderKind, OrderResult, ReadResult, WriteResult};
 
 use crate::context::{Context, Installed};
 use crate::message::{
@@ -188,30 +188,37 @@
     Ok(notes.collect())
 }
 
+/// An order to a target.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// Fencing number of the lease that it is given under.
+    pub fence: u64,
+    /// What to do.
+    pub order: OrderKind,
+    /// The version to do it with.
+    pub version: VersionId,
+    /// End of the lease.
+    pub lease_until: Time,
+}
+
 /// Gives a target an order, unless the lease that it was given under has ended.
 pub async fn order(
     context: Arc<Context>,
-    at: Option<TargetAddress>,
     target: TargetId,
-    order: (u64, &'static str, sesamewind_protocol::VersionId),
-    lease_until: Time,
+    at: Option<TargetAddress>,
+    order: Order,
 ) {
-    let result = ordered(&context, at, order, lease_until).await;
+    let result = ordered(&context, at, &order).await;
     context.tell(Ordered { target, result });
 }
 
-async fn ordered(
-    context: &Context,
-    at: Option<TargetAddress>,
-    order: (u64, &'static str, sesamewind_protocol::VersionId),
-    lease_until: Time,
-) -> OrderResult {
+async fn ordered(context: &Context, at: Option<TargetAddress>, order: &Order) -> OrderResult {
     let Some(at) = at else { return OrderResult::Failed };
-    if context.clock.now() >= lease_until {
+    if context.clock.now() >= order.lease_until {
         return OrderResult::Failed;
     }
-    let (fence, order, version) = order;
-    let body = OrderBody { fence, order, version: &version };
+    let Order { fence, version, .. } = order;
+    let body = OrderBody { fence: *fence, order: order.order.as_str(), version };
     match context.targets.order(&at, &body, ORDER_TIMEOUT).await {
         Ok(status) if status.is_success() => OrderResult::Done,
         Ok(status) if status == http::StatusCode::CONFLICT => OrderResult::Fenced,
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -5,19 +5,22 @@
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use sesamewind_protocol::codec::{self, MAX_MESSAGE_BYTES};
 use sesamewind_protocol::message::Exchange;
 use sesamewind_protocol::operator::StatusBody;
-use sesamewind_protocol::{Code, RequestKey, codec};
+use sesamewind_protocol::{Code, RequestKey};
 use sesamewind_settings::Secret;
 use warp::filters::BoxedFilter;
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
 use crate::answer::Reader;
+use crate::body::{self, BodyStream};
 use crate::context::Context;
+use crate::inbound::{self, Head};
 use crate::message::{FindAnswer, PeerLookup, PeerMessage, PeerRecords, RecordsCopied};
 use crate::metrics::Flow;
 use crate::operators;
@@ -30,33 +33,21 @@
 /// Longest time that the metrics wait for the control thread's counts.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest body that is read, in bytes; a body is read only after its token was found right.
+const MAX_BODY_BYTES: u64 = MAX_MESSAGE_BYTES as u64;
+
 /// Media type of the inner protocol.
 const MSGPACK: &str = "application/msgpack";
 
-/// A request at the inner listener.
-struct Inbound {
-    method: Method,
-    path: String,
-    query: String,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
 /// The filter that serves peers, operators and monitoring.
 pub fn filter(context: Arc<Context>) -> BoxedFilter<(Response,)> {
-    let query = warp::query::raw().or(warp::any().map(String::new)).unify();
-    warp::any()
-        .and(warp::method())
-        .and(warp::path::full())
-        .and(query)
-        .and(warp::header::headers_cloned())
-        .and(warp::body::bytes())
-        .then(move |method, path: warp::path::FullPath, query, headers, body| {
-            let path = path.as_str().to_owned();
-            let inbound = Inbound { method, path, query, headers, body };
+    inbound::head()
+        .and(warp::body::stream())
+        .then(move |head: Head, stream| {
             let context = Arc::clone(&context);
+            let body = body::limited(stream, MAX_BODY_BYTES, context.settings.traffic.send_timeout);
             async move {
-                serve(&context, &inbound).await.unwrap_or_else(|problem| {
+                serve(&context, &head, body).await.unwrap_or_else(|problem| {
                     context.metrics.refused(problem.code);
                     problem.to_response("")
                 })
@@ -65,21 +56,22 @@
         .boxed()
 }
 
-async fn serve(context: &Arc<Context>, inbound: &Inbound) -> Result<Response, Problem> {
-    match inbound.path.as_str() {
+async fn serve(context: &Arc<Context>, head: &Head, body: BodyStream) -> Result<Response, Problem> {
+    match head.path.as_str() {
         "/healthz" => Ok("ok".into_response()),
         "/metrics" => Ok(metrics(context).await),
         "/readyz" => ready(context).await,
         "/status" => Ok(json(&status(context).await?)),
         path => {
             if let Some(rest) = path.strip_prefix("/peer/") {
-                allow(&inbound.headers, &context.settings.tokens.peer)?;
-                return peer(context, inbound, rest).await;
+                allow(&head.headers, &context.settings.tokens.peer)?;
+                let body = body::collect(body).await.map_err(bad_message)?;
+                return peer(context, head, &body, rest).await;
             }
             if path.starts_with("/operator/") {
-                allow(&inbound.headers, &context.settings.tokens.operator)?;
-                let Inbound { method, query, body, .. } = inbound;
-                return operators::serve(context, method, path, query, body.clone()).await;
+                allow(&head.headers, &context.settings.tokens.operator)?;
+                let body = body::collect(body).await?;
+                return operators::serve(context, &head.method, path, &head.query, body).await;
             }
             Err(not_found())
         }
@@ -117,9 +109,14 @@
     Err(Problem::before_dispatch(Code::NotReady, status.why))
 }
 
-async fn peer(context: &Arc<Context>, inbound: &Inbound, rest: &str) -> Result<Response, Problem> {
+async fn peer(
+    context: &Arc<Context>,
+    head: &Head,
+    body: &[u8],
+    rest: &str,
+) -> Result<Response, Problem> {
     if let Some(key) = rest.strip_prefix("answer/") {
-        return kept_answer(context, key, &inbound.query).await;
+        return kept_answer(context, key, &head.query).await;
     }
     if let Some(hash) = rest.strip_prefix("config/") {
         let installed = context.configuration().filter(|installed| installed.hash == hash);
@@ -127,19 +124,19 @@
         return Ok(bytes(installed.content.clone()));
     }
     match rest {
-        "exchange" => exchange(context, &inbound.body).await,
+        "exchange" => exchange(context, body).await,
         "lookup" => {
-            let lookup = decode(&inbound.body)?;
+            let lookup = decode(body)?;
             let reply = context.ask(PeerLookup(lookup)).await.flatten();
             message(&reply.ok_or_else(stopped)?)
         }
         "records" => {
-            let request = decode(&inbound.body)?;
+            let request = decode(body)?;
             let copy = context.ask(PeerRecords(request)).await.flatten();
             message(&copy.ok_or_else(stopped)?)
         }
         "records-copy" => {
-            context.tell(RecordsCopied(decode(&inbound.body)?));
+            context.tell(RecordsCopied(decode(body)?));
             message(&())
         }
         _ => Err(not_found()),
@@ -175,6 +172,11 @@
     message(&answer.peek(from))
 }
 
+/// A peer's message that could not be received, as what it is.
+fn bad_message(problem: Problem) -> Problem {
+    Problem { code: Code::BadPeerMessage, ..problem }
+}
+
 fn not_found() -> Problem {
     Problem::before_dispatch(Code::UnknownRoute, "no such path")
 }
--- /dev/null
+++ b/crates/daemon/src/job/mod.rs
@@ -0,0 +1,190 @@
+//! One request's work on the traffic threads: it follows the control thread's steps, exchanges
+//! bytes with a target, and fills the request's answer.
+
+mod attach;
+mod model;
+mod plain;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method};
+use sesamewind_policy::{End, Ticket};
+use sesamewind_protocol::{Code, RequestKey, VersionId};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::answer::{Answer, Ending};
+use crate::body::SharedBody;
+use crate::context::Context;
+use crate::message::Signal;
+use crate::meter::Meter;
+use crate::problem::Problem;
+use crate::step::Step;
+use crate::targets::{REQUEST_ID, StartError, TargetAddress, VERSION};
+
+/// Shortest time between two reports of token progress to the control thread.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Media type of a model's answer.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// What is to be sent to a target.
+#[derive(Debug)]
+pub enum Outgoing {
+    /// A model request, whose stream can be resumed and cancelled.
+    Model {
+        /// Path at the target.
+        path: &'static str,
+        /// Headers for the target.
+        headers: HeaderMap,
+        /// Body for the target.
+        body: Bytes,
+    },
+    /// A call to a plain service.
+    Plain {
+        /// Method.
+        method: Method,
+        /// Path and query at the target.
+        path: String,
+        /// Headers for the target.
+        headers: HeaderMap,
+        /// Body, which is streamed from the caller.
+        body: SharedBody,
+    },
+}
+
+/// One request's work.
+#[derive(Debug)]
+pub struct Job {
+    /// Name of the attempt.
+    pub ticket: Ticket,
+    /// Identity of the request.
+    pub key: RequestKey,
+    /// What to send.
+    pub outgoing: Outgoing,
+    /// Where the answer goes.
+    pub answer: Arc<Answer>,
+    /// Steps of the control thread.
+    pub steps: UnboundedReceiver<Step>,
+    /// What is measured of the attempt.
+    pub meter: Meter,
+    /// The instance's shared parts.
+    pub context: Arc<Context>,
+}
+
+/// How an exchange with a target ended, from the job's point of view.
+enum Outcome {
+    /// The attempt at the target ended; the control thread decides what follows.
+    Ended(End),
+    /// The control thread ended the request.
+    Closed(Ending),
+}
+
+impl Job {
+    /// Runs the request to its end.
+    pub async fn run(mut self) {
+        let ending = self.follow().await;
+        self.meter.ended(&ending, &self.context.metrics);
+        self.answer.finish(ending);
+        self.context.signal(self.ticket, Signal::Closed);
+    }
+
+    async fn follow(&mut self) -> Ending {
+        loop {
+            match self.next_step().await {
+                Step::Dispatch { at, version } => match self.dispatch(at, &version).await {
+                    Outcome::Closed(ending) => return ending,
+                    Outcome::Ended(End::Complete) => {
+                        self.tell(Signal::Finished(End::Complete));
+                        return Ending::Complete;
+                    }
+                    Outcome::Ended(end) => self.tell(Signal::Finished(end)),
+                },
+                Step::Refuse(problem) | Step::Cancel(problem) => return Ending::Problem(problem),
+                Step::Attach { address } => match self.attach(&address).await {
+                    Some(ending) => return ending,
+                    None => self.tell(Signal::HolderLost),
+                },
+                Step::AttachLocal(answer) => return self.copy_local(answer).await,
+                Step::Go | Step::Resume => {}
+            }
+        }
+    }
+
+    async fn next_step(&mut self) -> Step {
+        loop {
+            let watched = self.answer.readers() > 0;
+            tokio::select! {
+                step = self.steps.recv() => return step.unwrap_or_else(stopped),
+                () = self.answer.abandoned(), if watched => self.tell(Signal::CallerGone),
+                () = self.answer.adopted(), if !watched => self.tell(Signal::CallerBack),
+            }
+        }
+    }
+
+    async fn dispatch(&mut self, at: TargetAddress, version: &VersionId) -> Outcome {
+        self.tell(Signal::WriteCheck);
+        loop {
+            match self.next_step().await {
+                Step::Go => break,
+                Step::Refuse(problem) | Step::Cancel(problem) => {
+                    return Outcome::Closed(Ending::Problem(problem));
+                }
+                _ => {}
+            }
+        }
+        self.meter.dispatched(version, &self.context.metrics, self.context.clock.now());
+        match &self.outgoing {
+            Outgoing::Model { .. } => self.dispatch_model(at, version).await,
+            Outgoing::Plain { .. } => self.dispatch_plain(at, version).await,
+        }
+    }
+
+    /// Waits for `call` while following steps and reporting silence.
+    async fn while_silent<T>(&mut self, call: impl Future<Output = T>) -> Result<T, Outcome> {
+        let silence = self.context.settings.traffic.progress_timeout;
+        tokio::pin!(call);
+        loop {
+            tokio::select! {
+                value = &mut call => return Ok(value),
+                step = self.next_step() => match step {
+                    Step::Cancel(problem) | Step::Refuse(problem) => {
+                        return Err(Outcome::Closed(Ending::Problem(problem)));
+                    }
+                    // Without a stream there is nothing to resume: the request may have run.
+                    Step::Resume => return Err(Outcome::Ended(End::Broken { sent: true })),
+                    _ => {}
+                },
+                () = tokio::time::sleep(silence) => self.tell(Signal::Silent),
+            }
+        }
+    }
+
+    fn tell(&self, signal: Signal) {
+        self.context.signal(self.ticket, signal);
+    }
+}
+
+/// The step of a control thread that has ended.
+fn stopped() -> Step {
+    Step::Refuse(Problem::unknown(Code::Internal, "the instance stopped"))
+}
+
+fn stamp(headers: &mut HeaderMap, key: RequestKey, version: &VersionId) {
+    if let Ok(value) = HeaderValue::from_str(&key.to_string()) {
+        headers.insert(REQUEST_ID, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(version.as_str()) {
+        headers.insert(VERSION, value);
+    }
+}
+
+fn end_of(error: &StartError) -> End {
+    match error {
+        StartError::Connect => End::ConnectFailed,
+        StartError::NotRun => End::RefusedNotRun,
+        StartError::Failed(_) => End::Failed,
+        StartError::Broken => End::Broken { sent: true },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/job/model.rs
@@ -0,0 +1,180 @@
+//! Model requests: a stream that is relayed, resumed over a new connection, or cancelled.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sesamewind_policy::End;
+use sesamewind_protocol::VersionId;
+use tokio::time::{Instant, sleep_until};
+
+use super::{EVENT_STREAM, Job, Outcome, Outgoing, PROGRESS_INTERVAL, end_of, stamp};
+use crate::answer::{Ending, Head};
+use crate::message::Signal;
+use crate::step::Step;
+use crate::targets::{ModelStream, Piece, StartError, TargetAddress};
+
+/// The stream of a model request under way.
+struct Relay {
+    at: TargetAddress,
+    stream: Option<ModelStream>,
+    id: Option<String>,
+    /// Index of the next token that the answer lacks, once the target has given one.
+    next: u64,
+    /// Tokens received and not reported yet.
+    unreported: u32,
+    reported: Instant,
+}
+
+impl Job {
+    pub(super) async fn dispatch_model(
+        &mut self,
+        at: TargetAddress,
+        version: &VersionId,
+    ) -> Outcome {
+        let Outgoing::Model { path, headers, body } = &self.outgoing else {
+            return Outcome::Ended(End::Failed);
+        };
+        let path = *path;
+        let body = body.clone();
+        let mut headers = headers.clone();
+        stamp(&mut headers, self.key, version);
+        let context = Arc::clone(&self.context);
+        let started = context.targets.start_model(&at, path, headers, body);
+        let started = match self.while_silent(started).await {
+            Ok(started) => started,
+            Err(outcome) => return outcome,
+        };
+        let stream = match started {
+            Ok(stream) => stream,
+            Err(error) => return Outcome::Ended(end_of(&error)),
+        };
+        self.tell(Signal::Accepted);
+        self.answer.start(Head { status: 200, content: EVENT_STREAM.to_owned() });
+        let id = stream.id.clone();
+        let relay = Relay {
+            at,
+            stream: Some(stream),
+            id,
+            next: 0,
+            unreported: 0,
+            reported: Instant::now(),
+        };
+        self.relay_model(relay).await
+    }
+
+    async fn relay_model(&mut self, mut relay: Relay) -> Outcome {
+        let silence = self.context.settings.traffic.progress_timeout;
+        let mut quiet_since = Instant::now();
+        loop {
+            let piece = tokio::select! {
+                piece = next_piece(&mut relay.stream) => piece,
+                step = self.next_step() => match self.on_step(step, &mut relay).await {
+                    Some(outcome) => return outcome,
+                    None => {
+                        quiet_since = Instant::now();
+                        continue;
+                    }
+                },
+                () = sleep_until(quiet_since + silence) => {
+                    quiet_since = Instant::now();
+                    self.tell(Signal::Silent);
+                    continue;
+                }
+            };
+            quiet_since = Instant::now();
+            match piece {
+                Some(Piece::Chunk(chunk, next)) => self.take_chunk(&mut relay, chunk, next),
+                Some(Piece::Done) => {
+                    self.report_tokens(&mut relay);
+                    return Outcome::Ended(End::Complete);
+                }
+                None => {
+                    relay.stream = None;
+                    self.report_tokens(&mut relay);
+                    self.tell(Signal::Finished(End::Broken { sent: true }));
+                }
+            }
+        }
+    }
+
+    /// Takes a chunk unless the answer has its tokens already.
+    fn take_chunk(&mut self, relay: &mut Relay, chunk: Bytes, next: Option<u64>) {
+        let count = match next {
+            Some(next) if next <= relay.next => return,
+            Some(next) => {
+                let count = next - relay.next;
+                relay.next = next;
+                u32::try_from(count).unwrap_or(u32::MAX)
+            }
+            None => 1,
+        };
+        self.answer.push(chunk);
+        self.meter.tokens(count, &self.context.metrics, self.context.clock.now());
+        let first = relay.unreported == 0 && relay.next <= u64::from(count);
+        relay.unreported += count;
+        if first || relay.reported.elapsed() >= PROGRESS_INTERVAL {
+            self.report_tokens(relay);
+        }
+    }
+
+    fn report_tokens(&self, relay: &mut Relay) {
+        if relay.unreported > 0 {
+            self.tell(Signal::Tokens(relay.unreported));
+        }
+        relay.unreported = 0;
+        relay.reported = Instant::now();
+    }
+
+    async fn on_step(&mut self, step: Step, relay: &mut Relay) -> Option<Outcome> {
+        match step {
+            Step::Cancel(problem) => {
+                self.cancel(relay).await;
+                Some(Outcome::Closed(Ending::Problem(problem)))
+            }
+            Step::Refuse(problem) => Some(Outcome::Closed(Ending::Problem(problem))),
+            Step::Resume => {
+                self.resume(relay).await;
+                None
+            }
+            _ => None,
+        }
+    }
+
+    async fn cancel(&self, relay: &mut Relay) {
+        relay.stream = None;
+        let Some(id) = &relay.id else { return };
+        let timeout = self.context.settings.traffic.cancel_timeout;
+        if let Err(error) = self.context.targets.cancel_model(&relay.at, id, timeout).await {
+            log::warn!(request:% = self.key; "cancellation at {} failed: {error}", relay.at.target);
+        }
+    }
+
+    async fn resume(&self, relay: &mut Relay) {
+        let resumed = match &relay.id {
+            Some(id) => {
+                let limit = self.context.settings.traffic.progress_timeout;
+                let call = self.context.targets.resume_model(&relay.at, id, relay.next);
+                tokio::time::timeout(limit, call).await.unwrap_or(Err(StartError::Broken))
+            }
+            None => Err(StartError::Broken),
+        };
+        match resumed {
+            Ok(stream) => {
+                relay.stream = Some(stream);
+                self.tell(Signal::Accepted);
+            }
+            Err(_) => {
+                relay.stream = None;
+                self.tell(Signal::Finished(End::Broken { sent: true }));
+            }
+        }
+    }
+}
+
+/// The next piece of a stream; waits for ever without one.
+async fn next_piece(stream: &mut Option<ModelStream>) -> Option<Piece> {
+    match stream {
+        Some(stream) => stream.next().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod context;
 pub mod control;
 pub mod effects;
+pub mod inbound;
 pub mod inner;
 pub mod instance;
 pub mod job;
--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -4,7 +4,10 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use sesamewind_standins::{Flow, Side};
+use sesamewind_protocol::Incarnation;
+use sesamewind_protocol::codec::{self, MAX_MESSAGE_BYTES};
+use sesamewind_protocol::message::{Exchange, Sender};
+use sesamewind_standins::{Flow, Side, wall_now};
 
 use crate::daemon::OPERATOR_TOKEN;
 use crate::deployment::{Deployment, Plan, accept, wait_for, wait_ready};
@@ -168,3 +171,37 @@
     let text = metrics.text().await.expect("text");
     assert!(text.contains("forbidden"), "{text}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn peer_messages_that_are_garbled_too_large_or_foreign_are_refused() {
+    struct Case {
+        name: &'static str,
+        body: Vec<u8>,
+        status: u16,
+        code: u64,
+    }
+    let from = Sender {
+        deployment: "another".to_owned(),
+        instance: "i9".into(),
+        incarnation: Incarnation(1),
+        zone: "a".into(),
+        seq: 1,
+    };
+    let foreign = codec::encode(&Exchange::new(from, wall_now())).expect("a message");
+    let cut = foreign[..foreign.len() / 2].to_vec();
+    let cases = [
+        Case { name: "no message", body: vec![0xc1; 40], status: 400, code: 1502 },
+        Case { name: "cut short", body: cut, status: 400, code: 1502 },
+        Case { name: "too large", body: vec![0; MAX_MESSAGE_BYTES + 1], status: 400, code: 1502 },
+        Case { name: "another deployment", body: foreign, status: 403, code: 1503 },
+    ];
+    let deployment = Deployment::start(Plan::default()).await;
+    let url = format!("http://{}/peer/exchange", deployment.daemons[0].inner);
+    for case in cases {
+        let request = reqwest::Client::new().post(&url).bearer_auth(crate::daemon::PEER_TOKEN);
+        let response = request.body(case.body).send().await.expect("daemon answers");
+        assert_eq!(response.status().as_u16(), case.status, "{}", case.name);
+        let body: Value = response.json().await.expect("problem");
+        assert_eq!(body["code"].as_u64(), Some(case.code), "{}", case.name);
+    }
+}
--- a/tests/all/daemon.rs
+++ b/tests/all/daemon.rs
@@ -53,8 +53,6 @@
 pub struct Daemon {
     /// Name of the instance.
     pub name: String,
-    /// Its availability zone.
-    pub zone: String,
     /// Callers' listener.
     pub callers: SocketAddr,
     /// Inner listener.
@@ -104,13 +102,7 @@
         let mut line = String::new();
         BufReader::new(stdout).read_line(&mut line).expect("daemon tells its addresses");
         assert!(line.starts_with("callers "), "daemon {} did not start: {line:?}", self.name);
-        Daemon {
-            name: self.name.clone(),
-            zone: self.zone.clone(),
-            callers: self.callers(),
-            inner: self.inner(),
-            child,
-        }
+        Daemon { name: self.name.clone(), callers: self.callers(), inner: self.inner(), child }
     }
 }
 
@@ -148,11 +140,6 @@
         }
     }
 
-    /// Id of the process.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     #[allow(unsafe_code, reason = "signals have no safe interface in the standard library")]
     fn signal(&self, signal: libc::c_int) {
         let id = libc::pid_t::try_from(self.child.id()).expect("process ids fit");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,7 +3,6 @@
 //! [`deployment`] starts the stand-ins and the daemons, [`caller`] sends requests as callers do.
 //! Every test counts what reached the stand-ins, never what the daemon says of itself.
 
-#![allow(dead_code, reason = "the fault controls are for the tests of later modules")]
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
 mod caller;
