--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::target::LoadReport;
 use sesamewind_protocol::{ServiceId, TargetId, VersionId};
-use sesamewind_rollout::{Loaded, Peer};
+use sesamewind_rollout::Loaded;
 
 use crate::requests::Requests;
 
@@ -68,7 +69,7 @@
     /// The targets.
     pub loads: &'a Loads,
     /// Peers that can be reached.
-    pub peers: &'a [Peer],
+    pub peers: &'a [Life],
     /// The requests.
     pub requests: &'a Requests,
 }
@@ -78,7 +79,7 @@
         self.loads.versions(target)
     }
 
-    fn peers(&self) -> Vec<Peer> {
+    fn peers(&self) -> Vec<Life> {
         self.peers.to_vec()
     }
 
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -3,8 +3,8 @@
 use sesamewind_membership::Kind;
 use sesamewind_policy as policy;
 use sesamewind_protocol::message::{Exchange, Sender};
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::{InstanceId, Time, Wall};
-use sesamewind_rollout::Peer;
 
 use crate::event::Action;
 use crate::loads::LoadedView;
@@ -69,7 +69,7 @@
         self.offer_config(message, actions);
         self.rollouts.learn_verdicts(&message.verdicts);
         let Sender { instance, incarnation, .. } = &message.from;
-        let peer = Peer { instance: instance.clone(), incarnation: *incarnation };
+        let peer = Life { instance: instance.clone(), incarnation: *incarnation };
         self.rollouts.heard(&peer, &message.records);
         self.rollouts.merge(&message.evidence);
         self.spread_leaving(now, wall, actions);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,7 @@
 use sesamewind_protocol::record::{Life, RecordsCopy};
 use sesamewind_protocol::target::LoadReport;
 use sesamewind_protocol::{InstanceId, Revision, TargetId, Time, Wall};
-use sesamewind_rollout::{LeaseGrant, Peer, RolloutView, Rollouts};
+use sesamewind_rollout::{LeaseGrant, RolloutView, Rollouts};
 use sesamewind_sheet::Sheet;
 
 use crate::convert;
@@ -227,10 +227,10 @@
     }
 
     /// Lives of the peers that can be reached.
-    pub(crate) fn reachable_lives(&self, now: Time) -> Vec<Peer> {
+    pub(crate) fn reachable_lives(&self, now: Time) -> Vec<Life> {
         let reachable = self.members.reachable(now).into_iter();
         reachable
-            .map(|peer| Peer { instance: peer.instance, incarnation: peer.incarnation })
+            .map(|peer| Life { instance: peer.instance, incarnation: peer.incarnation })
             .collect()
     }
 
--- a/crates/policy/src/attempt.rs
+++ b/crates/policy/src/attempt.rs
@@ -47,7 +47,6 @@
 pub struct NotSent(());
 
 impl NotSent {
-    #[allow(dead_code, reason = "the write check is answered by the scheduler that follows")]
     /// The write check was answered "no": nothing was written.
     pub(crate) fn write_denied() -> Self {
         Self(())
--- a/crates/rollout/examples/judge_cost.rs
+++ b/crates/rollout/examples/judge_cost.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use sesamewind_protocol::evidence::{Arm, EvidenceCell, RolloutRecord, Stage};
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::{
     Incarnation, InstanceId, Revision, RolloutId, RouteId, ServiceId, TargetId, Time, VersionId,
     Wall, codec,
 };
-use sesamewind_rollout::{Loaded, Peer, RolloutSpec, Rollouts};
+use sesamewind_rollout::{Loaded, RolloutSpec, Rollouts};
 
 const ROUTES: u8 = 6;
 const CLASSES: u8 = 3;
@@ -25,7 +26,7 @@
         None
     }
 
-    fn peers(&self) -> Vec<Peer> {
+    fn peers(&self) -> Vec<Life> {
         Vec::new()
     }
 
--- a/crates/rollout/examples/verdict_study/run.rs
+++ b/crates/rollout/examples/verdict_study/run.rs
@@ -6,13 +6,14 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sesamewind_protocol::evidence::{Outcome as Recorded, Stage};
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::{
     AccountId, Incarnation, InstanceId, RequestKey, Revision, RolloutId, RouteId, ServiceId,
     TargetId, Time, VersionId, Wall,
 };
 use sesamewind_rollout::rule::Rule;
 use sesamewind_rollout::{
-    Action, EndState, LeaseGrant, Loaded, Observation, OrderKind, OrderResult, Peer, ReadResult,
+    Action, EndState, LeaseGrant, Loaded, Observation, OrderKind, OrderResult, ReadResult,
     RolloutEvent, RolloutSpec, Rollouts, WriteResult,
 };
 
@@ -43,7 +44,7 @@
         Some(self.0.get(target)?.iter().cloned().collect())
     }
 
-    fn peers(&self) -> Vec<Peer> {
+    fn peers(&self) -> Vec<Life> {
         Vec::new()
     }
 
--- a/crates/rollout/src/duty.rs
+++ b/crates/rollout/src/duty.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use sesamewind_protocol::evidence::Outcome;
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::{RolloutId, Time, Wall};
 
 use crate::action::{Action, OrderKind};
 use crate::entry::Entry;
-use crate::input::{LeaseGrant, Loaded, Peer};
+use crate::input::{LeaseGrant, Loaded};
 use crate::rollouts::{Pending, Rollouts};
 use crate::spec::RolloutSpec;
 use crate::steward::{COMPLETION_MARGIN, Context, LEASE_LENGTH, ORDER_TIMEOUT, holds};
@@ -257,7 +258,7 @@
 
     /// Whether each instance that counted requests and can't be reached knows the outcome, or has
     /// been waited for long enough.
-    fn silent_known(&self, id: &RolloutId, entry: &Entry, peers: &[Peer]) -> bool {
+    fn silent_known(&self, id: &RolloutId, entry: &Entry, peers: &[Life]) -> bool {
         let at = match entry.outcome() {
             Some(Outcome::Completed { at } | Outcome::RolledBack { at, .. }) => *at,
             None => return false,
--- a/crates/rollout/src/entry.rs
+++ b/crates/rollout/src/entry.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use sesamewind_protocol::evidence::{Outcome, RolloutRecord, Stage, VerdictNote};
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::{TargetId, VersionId, Wall};
 
-use crate::input::Peer;
 use crate::judge::Marks;
 use crate::plan::{Plan, stage_number};
 use crate::spec::RolloutSpec;
@@ -36,7 +36,7 @@
     /// The full stage whose requests gave rise to a recheck, until the record shows a later one.
     pub(crate) suspect: Option<u8>,
     /// What peers know of the record.
-    pub(crate) peers: BTreeMap<Peer, PeerNote>,
+    pub(crate) peers: BTreeMap<Life, PeerNote>,
     /// Whether evidence changed since it was last judged.
     pub(crate) changed: bool,
     /// Stage numbers in force here and since when, oldest first.
--- a/crates/rollout/src/input.rs
+++ b/crates/rollout/src/input.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use sesamewind_protocol::evidence::{RecordNote, RolloutRecord};
-use sesamewind_protocol::{
-    Incarnation, InstanceId, RouteId, ServiceId, TargetId, Time, VersionId, Wall,
-};
+use sesamewind_protocol::record::Life;
+use sesamewind_protocol::{RouteId, ServiceId, TargetId, Time, VersionId, Wall};
 
 /// How a dispatched request ended, as far as the version is to blame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,15 +45,6 @@
     pub valid_until: Time,
 }
 
-/// One life of another instance.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Peer {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Its life.
-    pub incarnation: Incarnation,
-}
-
 /// What this instance knows of targets and peers.
 pub trait Loaded {
     /// Versions that `target` reports as loaded; `None` if it can't be reached, is leaving or is
@@ -62,7 +52,7 @@
     fn versions(&self, target: &TargetId) -> Option<Vec<VersionId>>;
 
     /// Reachable instances other than this one.
-    fn peers(&self) -> Vec<Peer>;
+    fn peers(&self) -> Vec<Life>;
 
     /// Requests in flight from this instance to `version` of `service`.
     fn in_flight(&self, service: &ServiceId, version: &VersionId) -> u32;
--- a/crates/rollout/src/rollouts.rs
+++ b/crates/rollout/src/rollouts.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use sesamewind_protocol::evidence::{Arm, EvidenceCell, RecordNote, RolloutRecord, VerdictNote};
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::{
     Incarnation, InstanceId, RequestKey, Revision, RolloutId, RouteId, ServiceId, TargetId, Time,
     VersionId, Wall,
@@ -12,7 +13,7 @@
 use crate::duty::Steward;
 use crate::entry::{Entry, PeerNote};
 use crate::evidence::{CellKey, Evidence, length_class};
-use crate::input::{EndState, Loaded, Observation, OrderResult, Peer, ReadResult, WriteResult};
+use crate::input::{EndState, Loaded, Observation, OrderResult, ReadResult, WriteResult};
 use crate::judge::judge;
 use crate::orders::Orders;
 use crate::rule::{MaxSprt, Rule};
@@ -209,7 +210,7 @@
     }
 
     /// Takes the records that the peer `from` holds in its present life.
-    pub fn heard(&mut self, from: &Peer, notes: &[RecordNote]) {
+    pub fn heard(&mut self, from: &Life, notes: &[RecordNote]) {
         for note in notes {
             self.on_record(&note.rollout, note.revision, note.record.clone());
             let peer = PeerNote { revision: note.revision, draining: note.draining };
--- a/crates/rollout/tests/all/world.rs
+++ b/crates/rollout/tests/all/world.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use sesamewind_protocol::evidence::{Outcome, RecordNote, RolloutRecord, Stage};
+use sesamewind_protocol::record::Life;
 use sesamewind_protocol::{
     AccountId, Incarnation, InstanceId, RequestKey, Revision, RolloutId, RouteId, ServiceId,
     TargetId, Time, VersionId, Wall,
 };
 use sesamewind_rollout::{
-    Action, EndState, LEASE_LENGTH, LeaseGrant, Loaded, Observation, OrderKind, OrderResult, Peer,
-    Plan, ReadResult, RolloutEvent, RolloutSpec, Rollouts, WriteResult,
+    Action, EndState, LEASE_LENGTH, LeaseGrant, Loaded, Observation, OrderKind, OrderResult, Plan,
+    ReadResult, RolloutEvent, RolloutSpec, Rollouts, WriteResult,
 };
 
 /// Unix time at which every world begins, in milliseconds.
@@ -72,7 +73,7 @@
 #[derive(Debug)]
 pub(crate) struct Node {
     pub(crate) rollouts: Rollouts,
-    pub(crate) peer: Peer,
+    pub(crate) peer: Life,
     /// Whether it has heard from a peer or the store; before, it takes no requests.
     pub(crate) ready: bool,
     /// Its wall clock's offset in milliseconds.
@@ -116,7 +117,7 @@
 /// One instance's view of the world.
 struct Sight<'a> {
     world: &'a BTreeMap<TargetId, Engine>,
-    peers: Vec<Peer>,
+    peers: Vec<Life>,
     old: u32,
 }
 
@@ -126,7 +127,7 @@
         Some(engine.versions.iter().cloned().collect())
     }
 
-    fn peers(&self) -> Vec<Peer> {
+    fn peers(&self) -> Vec<Life> {
         self.peers.clone()
     }
 
@@ -175,7 +176,7 @@
 
     fn fresh(&self, number: usize) -> Node {
         let incarnation = Incarnation(self.ms + self.restarts);
-        let peer = Peer { instance: instance(number), incarnation };
+        let peer = Life { instance: instance(number), incarnation };
         let mut rollouts = Rollouts::new(peer.instance.clone(), incarnation);
         if self.revision > 0 {
             rollouts.configure(&self.specs, Revision(self.revision), Wall(self.ms));
