Bound the answers kept for resends by their bytes together

Change: 16 MiB of kept answers, bookkeeping included, the oldest go first; a resend of one that is gone learns that it ran, and is not run again. Members' changes are logged in words.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -13,6 +13,9 @@
 
 use crate::problem::Problem;
 
+/// Bookkeeping of one chunk, in bytes.
+const CHUNK_BYTES: usize = 128;
+
 /// The head of an answer: what precedes its first chunk.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Head {
@@ -80,7 +83,7 @@
     pub fn push(&self, chunk: Bytes) {
         self.update(|state| {
             if state.ending.is_none() {
-                state.bytes += chunk.len();
+                state.bytes += chunk.len() + CHUNK_BYTES;
                 state.chunks.push(chunk);
             }
         });
@@ -98,7 +101,7 @@
         self.read(|state| state.ending.is_some())
     }
 
-    /// Bytes that the chunks take.
+    /// Bytes that the chunks take, their bookkeeping included.
     pub fn bytes(&self) -> usize {
         self.read(|state| state.bytes)
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -31,6 +31,9 @@
 /// How long an ended request's answer can be read again.
 const ANSWER_KEEP: Duration = Duration::from_secs(30);
 
+/// Most bytes of all answers that are kept of ended requests; the oldest go first.
+const KEPT_BYTES: usize = 16 << 20;
+
 /// A request that has a job or whose answer is kept.
 #[derive(Debug)]
 struct Held {
@@ -50,6 +53,8 @@
     held: HashMap<Ticket, Held>,
     by_key: HashMap<RequestKey, Ticket>,
     ended: VecDeque<(Time, Ticket)>,
+    /// Bytes of the answers of ended requests.
+    kept: usize,
 }
 
 impl Control {
@@ -62,6 +67,7 @@
             held: HashMap::new(),
             by_key: HashMap::new(),
             ended: VecDeque::new(),
+            kept: 0,
         }
     }
 
@@ -119,7 +125,7 @@
             }
             Action::Lease(call) => self.spawn(effects::lease(context, call)),
             Action::Rollout(action) => self.carry_out_rollout(action),
-            Action::Member(event) => log::info!("members changed: {event:?}"),
+            Action::Member(event) => log::info!("{event}"),
         }
     }
 
@@ -254,29 +260,36 @@
     /// large.
     fn close(&mut self, ticket: Ticket) {
         let limit = self.context.settings.records.answer_limit;
-        let is_kept = |held: &Held| {
-            held.has_key && u64::try_from(held.answer.bytes()).is_ok_and(|b| b <= limit)
-        };
-        if self.held.get(&ticket).is_some_and(is_kept) {
-            self.ended.push_back((self.context.clock.now(), ticket));
-        } else {
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let Some(held) = self.held.get(&ticket) else { return };
+        let bytes = held.answer.bytes();
+        if !held.has_key || bytes > limit {
             self.drop_held(ticket);
+            return;
         }
+        self.kept += bytes;
+        self.ended.push_back((self.context.clock.now(), ticket));
     }
 
-    fn drop_held(&mut self, ticket: Ticket) {
-        let Some(held) = self.held.remove(&ticket) else { return };
+    fn drop_held(&mut self, ticket: Ticket) -> Option<Held> {
+        let held = self.held.remove(&ticket)?;
         if self.by_key.get(&held.key) == Some(&ticket) {
             self.by_key.remove(&held.key);
         }
+        Some(held)
     }
 
-    /// Forgets answers that were kept long enough.
+    /// Forgets answers that were kept long enough, and the oldest of too many.
     fn forget(&mut self, now: Time) {
-        while let Some((_, ticket)) =
-            self.ended.pop_front_if(|(ended, _)| now.since(*ended) > ANSWER_KEEP)
-        {
-            self.drop_held(ticket);
+        loop {
+            let is_full = self.kept > KEPT_BYTES;
+            let is_due = |ended: Time| is_full || now.since(ended) > ANSWER_KEEP;
+            let Some((_, ticket)) = self.ended.pop_front_if(|(ended, _)| is_due(*ended)) else {
+                return;
+            };
+            let held = self.drop_held(ticket);
+            let bytes = held.map_or(0, |held| held.answer.bytes());
+            self.kept = self.kept.saturating_sub(bytes);
         }
     }
 }
--- a/crates/membership/src/members/mod.rs
+++ b/crates/membership/src/members/mod.rs
@@ -4,6 +4,7 @@
 mod silence;
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use rand::Rng;
@@ -51,6 +52,22 @@
     Forgotten(InstanceId),
 }
 
+impl fmt::Display for MemberEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Joined(instance) => write!(f, "instance {instance} joined"),
+            Self::Restarted(instance, life) => {
+                write!(f, "instance {instance} restarted, life {}", life.0)
+            }
+            Self::Suspected(instance) => write!(f, "instance {instance} is silent and suspected"),
+            Self::Recovered(instance) => write!(f, "instance {instance} is live again"),
+            Self::Leaving(instance) => write!(f, "instance {instance} stops as planned"),
+            Self::Removed(instance) => write!(f, "instance {instance} is gone"),
+            Self::Forgotten(instance) => write!(f, "instance {instance} is no longer known of"),
+        }
+    }
+}
+
 /// The members and the targets that leave.
 #[derive(Debug)]
 pub struct Members {
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use reqwest::{Client, Method};
-use sesamewind_standins::answer;
+use sesamewind_standins::{EngineOptions, answer};
 
 use crate::caller::{Ask, Got, call};
 use crate::deployment::{Deployment, Plan, wait_for};
@@ -151,3 +151,30 @@
     let fine = send(1, "fine", Some(0)).await;
     assert_eq!(fine.text, answer::service_body(&fine.id, "POST", "/deposits"));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn oldest_answers_are_given_up_first_and_their_requests_do_not_run_again() {
+    // Answers of about a megabyte each, more than are kept together.
+    const ANSWERS: usize = 24;
+    const TOKENS: u32 = 100_000;
+    let engine = EngineOptions { decode_tokens_per_s: 1_000_000.0, ..EngineOptions::default() };
+    let deployment = Deployment::start(Plan {
+        engines: vec![engine],
+        settings: "[records]\nanswer_limit = \"8 MiB\"\n".to_owned(),
+        ..Plan::default()
+    })
+    .await;
+    let callers = deployment.daemons[0].callers;
+    let ask = |index: usize, attempt: u32| Ask {
+        output: TOKENS,
+        ..ask(&format!("k{index}"), Some(attempt))
+    };
+    for index in 0..ANSWERS {
+        ask(index, 0).send(callers).await.assert_whole(TOKENS);
+    }
+    let first = ask(0, 1).send(callers).await;
+    assert!(!first.whole, "the oldest answer is still kept");
+    assert_ne!(first.run(), Some("not-run"), "{first:?}");
+    ask(ANSWERS - 1, 1).send(callers).await.assert_whole(TOKENS);
+    assert_eq!(dispatches(&deployment), ANSWERS);
+}
