--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod answer;
 pub mod body;
 pub mod callers;
-pub mod clock;
 pub mod context;
 pub mod control;
 pub mod effects;
@@ -18,7 +17,6 @@
 pub mod inner;
 pub mod instance;
 pub mod job;
-pub mod logging;
 pub mod message;
 pub mod meter;
 pub mod metrics;
@@ -35,4 +33,5 @@
 pub mod views;
 
 pub use instance::{Instance, StartError};
+pub use sesamewind_runtime::{clock, logging};
 pub use stop::Stopped;
--- /dev/null
+++ b/crates/gateway/src/arrival.rs
@@ -0,0 +1,58 @@
+//! A caller's request as it arrives.
+
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use sesamewind_protocol::Time;
+use siphasher::sip::SipHasher13;
+
+use crate::table::{Account, Route, Unit};
+
+/// Names one request at this instance, never used again.
+pub type Ticket = u64;
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Name of the request.
+    pub ticket: Ticket,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The client account, if the route needs one.
+    pub account: Option<Arc<Account>>,
+    /// Tokens of the prompt; none if the request doesn't say.
+    pub prompt_tokens: Option<u32>,
+    /// Most tokens of the answer.
+    pub output_tokens: u32,
+    /// Identity of the prompt's shared beginning, if there is one.
+    pub prefix: Option<u64>,
+    /// Position in `[0, 1)` for weighted splits.
+    pub point: f64,
+    /// When the caller or the route gives up, whichever is first.
+    pub deadline: Time,
+}
+
+impl Arrival {
+    /// Urgency: the account's if it has one, the route's otherwise.
+    pub fn rank(&self) -> u8 {
+        self.account.as_ref().and_then(|account| account.rank).unwrap_or(self.route.rank)
+    }
+
+    /// Use of the account's limit, in the account's unit.
+    pub fn cost(&self) -> f64 {
+        let Some(account) = &self.account else { return 0.0 };
+        match account.unit {
+            Unit::Requests => 1.0,
+            Unit::Tokens { default } => self.prompt_tokens.map_or(f64::from(default), |prompt| {
+                f64::from(prompt) + f64::from(self.output_tokens)
+            }),
+        }
+    }
+}
+
+/// Hash of `text`, the same on every instance.
+pub fn hash(text: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/gateway/src/flow.rs
@@ -0,0 +1,353 @@
+//! A request's way: arrival, queue, dispatch, and what follows an attempt's end.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use sesamewind_protocol::{ServiceId, Time};
+
+use crate::arrival::{Arrival, Ticket};
+use crate::event::{Action, Dispatch, End, Step};
+use crate::gateway::Gateway;
+use crate::place::{self, Need, Place};
+use crate::proof::{Refusal, RefusalReason, Unrun};
+use crate::request::{Flight, History, Request, State};
+use crate::service::ServiceState;
+use crate::table::Repeat;
+use crate::targets::Index;
+
+/// Part of its objective for which a request waits for a place; the rest is the target's.
+pub(crate) const PATIENCE_PART: f64 = 0.75;
+
+/// Sends of one request at most, those that certainly did not run included.
+const MAX_SENDS: u32 = 4;
+
+/// Longest silence of a stream whose request can go on elsewhere. Callers leave a silent stream
+/// after two seconds or more, and the other target needs time for the prompt.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Longest silence of a plain target whose request can be repeated: several times the slowest
+/// usual answer.
+const PLAIN_SILENCE: Duration = Duration::from_millis(700);
+
+/// Shortest and longest time after which a refused caller is asked to come back: about the length
+/// of a short overload. Callers honour up to a third of the time that they have left.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(2_500));
+
+/// Part of its remaining time that a caller waits at most before it comes back.
+const COME_BACK_PART: f64 = 0.3;
+
+/// How many waiting requests are looked at beyond one that no target can take yet.
+const PUMP_DEPTH: usize = 16;
+
+impl Gateway {
+    pub(crate) fn arrive(&mut self, arrival: Arrival, now: Time) {
+        let ticket = arrival.ticket;
+        let proof = Unrun::at_arrival();
+        let service = arrival.route.service_at(arrival.point).clone();
+        let cost = arrival.cost();
+        if self.stopping {
+            return self.refuse(&arrival, proof, RefusalReason::Stopping, now);
+        }
+        if let Some(account) = &arrival.account
+            && let Err(wait) = self.quotas.take(&account.name, cost, now)
+        {
+            let refusal = Refusal::new(proof, RefusalReason::OverLimit, wait);
+            return self.out.push(Action { ticket, step: Step::Refuse(refusal) });
+        }
+        let state =
+            self.services.entry(service.clone()).or_insert_with(|| ServiceState::new(&self.tuning));
+        state.budget.first(now);
+        let until = (now + Self::patience(arrival.route.objective)).min(arrival.deadline);
+        let position = state.queue.push(ticket, arrival.rank(), now, until);
+        let request = Request {
+            arrival,
+            service: service.clone(),
+            arrived: now,
+            sends: 0,
+            runs: 0,
+            started: false,
+            tried: Vec::new(),
+            cost,
+            state: State::Waiting { position, history: History::Unrun(proof) },
+        };
+        self.requests.insert(ticket, request);
+        self.pump(&service, now);
+    }
+
+    pub(crate) fn started(&mut self, ticket: Ticket, now: Time) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let prompt = request.prompt();
+        let State::Flying(flight) = &mut request.state else { return };
+        if std::mem::replace(&mut flight.started, true) {
+            return;
+        }
+        request.started = true;
+        let took = now.since(flight.sent).as_secs_f64() * 1_000.0;
+        let ratio = took / place::estimate_ms(prompt, flight.ahead);
+        let target = self.targets.get_mut(flight.target);
+        target.own_prefill = target.own_prefill.saturating_sub(prompt);
+        target.observe_pace(ratio);
+    }
+
+    pub(crate) fn left(&mut self, ticket: Ticket, now: Time) {
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        match &request.state {
+            State::Waiting { position, history } => {
+                if let Some(service) = self.services.get_mut(&request.service) {
+                    service.queue.remove(*position);
+                }
+                if matches!(history, History::Unrun(_)) {
+                    self.give_back(&request);
+                }
+            }
+            State::Flying(flight) => self.release(flight, request.prompt()),
+        }
+        self.pump(&request.service, now);
+    }
+
+    pub(crate) fn ended(&mut self, ticket: Ticket, end: End, now: Time) {
+        let Some(mut request) = self.requests.remove(&ticket) else { return };
+        let waiting =
+            State::Waiting { position: (request.arrived, ticket), history: History::MayHaveRun };
+        let State::Flying(flight) = std::mem::replace(&mut request.state, waiting) else { return };
+        self.release(&flight, request.prompt());
+        self.judge(flight.target, end, now);
+        let service = request.service.clone();
+        match end {
+            End::Whole => {}
+            End::Expired => self.finish(ticket, &request, flight.before, end, now),
+            _ => self.continue_elsewhere(ticket, request, flight, end, now),
+        }
+        self.pump(&service, now);
+    }
+
+    /// Sends the request to another target if that is allowed, or ends it.
+    fn continue_elsewhere(
+        &mut self,
+        ticket: Ticket,
+        mut request: Request,
+        flight: Flight,
+        end: End,
+        now: Time,
+    ) {
+        let history = if end.is_unrun() { flight.before } else { History::MayHaveRun };
+        if !end.is_unrun() {
+            request.runs += 1;
+        }
+        request.tried.push(flight.target);
+        let repeatable = end.is_unrun()
+            || match request.arrival.route.repeat {
+                Repeat::Never => false,
+                Repeat::Whole => true,
+                Repeat::Resume => end != End::Failing || !request.started,
+            };
+        let allowed = repeatable
+            && request.runs < request.arrival.route.attempts
+            && request.sends < MAX_SENDS
+            && now < request.arrival.deadline
+            && self.may_send_again(&request.service, end, now);
+        if !allowed {
+            return self.finish(ticket, &request, history, end, now);
+        }
+        let choice = self.find(&request, None, now).or_else(|| {
+            request.tried.clear();
+            request.tried.push(flight.target);
+            self.find(&request, None, now)
+        });
+        match choice {
+            Some(target) => self.dispatch(ticket, request, target, history, now),
+            None => self.finish(ticket, &request, history, end, now),
+        }
+    }
+
+    /// A connection that did not come about reaches no target and costs nothing.
+    fn may_send_again(&mut self, service: &ServiceId, end: End, now: Time) -> bool {
+        let instances = self.peers.instances();
+        end == End::Unconnected
+            || self
+                .services
+                .get_mut(service)
+                .is_some_and(|service| service.budget.take(instances, now))
+    }
+
+    /// Ends a request that will not be sent again.
+    fn finish(&mut self, ticket: Ticket, request: &Request, history: History, end: End, now: Time) {
+        match history {
+            History::Unrun(proof) => {
+                self.give_back(request);
+                let reason = match end {
+                    End::Expired => RefusalReason::Expired,
+                    _ => RefusalReason::Refused,
+                };
+                self.refuse(&request.arrival, proof, reason, now);
+            }
+            History::MayHaveRun => {
+                let step = if end == End::Failing { Step::Deliver } else { Step::Fail(end) };
+                self.out.push(Action { ticket, step });
+            }
+        }
+    }
+
+    fn refuse(&mut self, arrival: &Arrival, proof: Unrun, reason: RefusalReason, now: Time) {
+        let spread = COME_BACK.1 - COME_BACK.0;
+        let wish = COME_BACK.0 + spread.mul_f64(self.rng.random::<f64>());
+        let left = arrival.deadline.since(now).mul_f64(COME_BACK_PART);
+        let refusal = Refusal::new(proof, reason, wish.min(left));
+        self.out.push(Action { ticket: arrival.ticket, step: Step::Refuse(refusal) });
+    }
+
+    fn give_back(&mut self, request: &Request) {
+        if let Some(account) = &request.arrival.account {
+            self.quotas.give_back(&account.name, request.cost);
+        }
+    }
+
+    /// Takes the attempt off its target's load.
+    fn release(&mut self, flight: &Flight, prompt: u32) {
+        let target = self.targets.get_mut(flight.target);
+        target.own = target.own.saturating_sub(1);
+        if !flight.started {
+            target.own_prefill = target.own_prefill.saturating_sub(prompt);
+        }
+    }
+
+    /// Counts an attempt's end for or against its target.
+    fn judge(&mut self, target: Index, end: End, now: Time) {
+        let target = self.targets.get_mut(target);
+        match end {
+            End::Whole => target.succeeded(),
+            End::Failing => target.answered_failure(),
+            End::Replaced => {
+                target.failed(now);
+                target.standing = crate::targets::Standing::Retired;
+            }
+            End::Unconnected | End::Declined | End::Broken | End::Silent => target.failed(now),
+            End::Expired => {}
+        }
+    }
+
+    /// The target for a request, by its prompt; `within` bounds the predicted time to the first
+    /// byte.
+    fn find(&mut self, request: &Request, within: Option<Duration>, now: Time) -> Option<Index> {
+        let service = self.services.get(&request.service)?;
+        let need = Need { prompt: request.prompt(), tried: &request.tried, within };
+        let place = Place { zone: &self.me.zone, fill: service.fill(), now };
+        place::choose(&self.targets, &service.targets, need, place, &mut self.rng)
+    }
+
+    fn dispatch(
+        &mut self,
+        ticket: Ticket,
+        mut request: Request,
+        index: Index,
+        history: History,
+        now: Time,
+    ) {
+        let prompt = request.prompt();
+        let target = self.targets.get_mut(index);
+        let ahead = target.prefill();
+        target.own += 1;
+        target.own_prefill = target.own_prefill.saturating_add(prompt);
+        request.sends += 1;
+        let route = &request.arrival.route;
+        let left = request.arrival.deadline.since(now);
+        let silence = match (route.repeat, route.stream) {
+            (Repeat::Never, _) => left,
+            (_, true) => STREAM_SILENCE.max(route.pause * 2),
+            (_, false) => PLAIN_SILENCE,
+        };
+        let last = request.runs + 1 >= route.attempts && !route.stream;
+        let step = Step::Dispatch(Dispatch {
+            target: target.listed.id.clone(),
+            address: target.listed.address,
+            attempt: request.sends,
+            silence: if last { left } else { silence.min(left) },
+            deadline: request.arrival.deadline,
+            load: target.load(),
+            waited: now.since(request.arrived),
+            revision: self.table.as_ref().map_or_else(Default::default, |table| table.revision),
+            once: route.repeat == Repeat::Never,
+        });
+        request.state = State::Flying(Flight {
+            target: index,
+            sent: now,
+            ahead,
+            started: false,
+            before: history,
+        });
+        self.requests.insert(ticket, request);
+        self.out.push(Action { ticket, step });
+    }
+
+    pub(crate) fn pump_all(&mut self, now: Time) {
+        let waiting = self.services.iter().filter(|(_, service)| !service.queue.is_empty());
+        let names: Vec<ServiceId> = waiting.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.pump(&name, now);
+        }
+    }
+
+    /// Gives waiting requests the places that are free.
+    fn pump(&mut self, service: &ServiceId, now: Time) {
+        let Some(state) = self.services.get(service) else { return };
+        let next: Vec<Ticket> = state.queue.tickets().take(PUMP_DEPTH).collect();
+        for ticket in next {
+            let Some(request) = self.requests.remove(&ticket) else { continue };
+            let objective = request.arrival.route.objective;
+            let within = objective.saturating_sub(now.since(request.arrived));
+            match self.find(&request, Some(within), now) {
+                Some(target) => self.leave_queue(ticket, request, target, now),
+                None => {
+                    self.requests.insert(ticket, request);
+                }
+            }
+        }
+    }
+
+    fn leave_queue(&mut self, ticket: Ticket, mut request: Request, target: Index, now: Time) {
+        let placeholder =
+            State::Waiting { position: (request.arrived, ticket), history: History::MayHaveRun };
+        let State::Waiting { position, history } =
+            std::mem::replace(&mut request.state, placeholder)
+        else {
+            return;
+        };
+        if let Some(service) = self.services.get_mut(&request.service) {
+            service.queue.remove(position);
+        }
+        self.dispatch(ticket, request, target, history, now);
+    }
+
+    /// Sends requests that waited long enough wherever there is a place, and refuses the rest.
+    pub(crate) fn expire_waiting(&mut self, now: Time) {
+        let overdue: Vec<Ticket> =
+            self.services.values().flat_map(|service| service.queue.overdue(now)).collect();
+        for ticket in overdue {
+            let Some(request) = self.requests.remove(&ticket) else { continue };
+            let in_time = now < request.arrival.deadline;
+            match self.find(&request, None, now).filter(|_| in_time) {
+                Some(target) => self.leave_queue(ticket, request, target, now),
+                None => self.give_up(ticket, request, now),
+            }
+        }
+    }
+
+    fn give_up(&mut self, ticket: Ticket, request: Request, now: Time) {
+        let usable = self.services.get(&request.service).is_some_and(|service| {
+            service.targets.iter().any(|&index| self.targets.get(index).is_usable(now))
+        });
+        let reason = if usable { RefusalReason::Full } else { RefusalReason::NoTarget };
+        if let Some(service) = self.services.get_mut(&request.service)
+            && let State::Waiting { position, .. } = &request.state
+        {
+            service.queue.remove(*position);
+        }
+        self.give_back(&request);
+        match request.state {
+            State::Waiting { history: History::Unrun(proof), .. } => {
+                self.refuse(&request.arrival, proof, reason, now);
+            }
+            _ => self.out.push(Action { ticket, step: Step::Fail(End::Expired) }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,251 @@
+//! The facade: takes events, returns actions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewind_protocol::relay::{AccountSum, LeavingNote, RelayNews, TargetLoad};
+use sesamewind_protocol::{Incarnation, InstanceId, Revision, ServiceId, Time, ZoneId};
+
+use crate::arrival::Ticket;
+use crate::event::{Action, Event};
+use crate::peers::Peers;
+use crate::quota::Quotas;
+use crate::request::Request;
+use crate::service::ServiceState;
+use crate::table::RouteTable;
+use crate::targets::{Change, ListedState, Standing, Targets};
+use crate::tuning::Tuning;
+
+/// Who this instance is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name.
+    pub instance: InstanceId,
+    /// Life.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Address of its inner listener.
+    pub address: String,
+}
+
+/// Decides on all requests of one instance.
+#[derive(Debug)]
+pub struct Gateway {
+    pub(crate) me: Identity,
+    pub(crate) tuning: Tuning,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) services: HashMap<ServiceId, ServiceState>,
+    pub(crate) targets: Targets,
+    pub(crate) requests: HashMap<Ticket, Request>,
+    pub(crate) quotas: Quotas,
+    pub(crate) peers: Peers,
+    pub(crate) stopping: bool,
+    /// Whether the list can be read, and since when it can be again.
+    list_back: Option<Time>,
+    list_lost: bool,
+    list_seen: bool,
+    /// Whether the balancer should send no more callers.
+    leaving: bool,
+    sequence: u64,
+    pub(crate) out: Vec<Action>,
+}
+
+impl Gateway {
+    /// A gateway of the instance `me`; `seed` feeds its random choices.
+    pub fn new(me: Identity, tuning: Tuning, seed: u64) -> Self {
+        Self {
+            me,
+            tuning,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            table: None,
+            services: HashMap::new(),
+            targets: Targets::default(),
+            requests: HashMap::new(),
+            quotas: Quotas::default(),
+            peers: Peers::default(),
+            stopping: false,
+            list_back: None,
+            list_lost: false,
+            list_seen: false,
+            leaving: false,
+            sequence: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes an event at `now` and returns what to do.
+    pub fn handle(&mut self, event: Event<'_>, now: Time) -> Vec<Action> {
+        match event {
+            Event::Arrive(arrival) => self.arrive(arrival, now),
+            Event::Started(ticket) => self.started(ticket, now),
+            Event::Ended(ticket, end) => self.ended(ticket, end, now),
+            Event::Left(ticket) => self.left(ticket, now),
+            Event::Configured(table) => self.configure(table, now),
+            Event::Listed(changes) => self.list(changes, now),
+            Event::ListedAll(changes) => self.list_all(changes, now),
+            Event::ListLost => self.list_lost = true,
+            Event::ListBack => {
+                if std::mem::take(&mut self.list_lost) {
+                    self.list_back = Some(now);
+                }
+            }
+            Event::News(news) => self.hear(news, now),
+            Event::Tick => self.tick(now),
+            Event::Stop => self.stopping = true,
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Revision of the configuration in force; zero if there is none.
+    pub fn revision(&self) -> Revision {
+        self.table.as_ref().map_or(Revision(0), |table| table.revision)
+    }
+
+    /// Whether requests can be served: a configuration is in force, the list of targets was read,
+    /// and the instance is not stopping.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.list_seen && !self.leaving
+    }
+
+    /// Takes new limits and weights.
+    pub fn retune(&mut self, tuning: Tuning) {
+        for service in self.services.values_mut() {
+            service.budget.retune(tuning.retry_ratio, tuning.retry_extra);
+        }
+        self.tuning = tuning;
+    }
+
+    /// Is not ready from now on, while requests that still come are served.
+    pub fn unready(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Requests that wait or are at targets.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.services.values().map(|service| service.queue.len()).sum()
+    }
+
+    /// This instance's state for its peers; `listed` is the version of its target list.
+    pub fn news(&mut self, listed: u64) -> RelayNews {
+        self.sequence += 1;
+        let loads = self.targets.iter().filter(|(_, target)| target.own > 0);
+        let loads = loads.map(|(_, target)| TargetLoad {
+            target: target.listed.id.clone(),
+            requests: target.own,
+            prefill: target.own_prefill,
+        });
+        let sums =
+            self.quotas.uses().map(|(account, used)| AccountSum { account: account.clone(), used });
+        let leaving = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.listed.state == ListedState::Leaving && target.load() > 0);
+        let leaving = leaving.map(|(_, target)| LeavingNote {
+            target: target.listed.id.clone(),
+            incarnation: target.listed.incarnation,
+        });
+        RelayNews {
+            from: self.me.instance.clone(),
+            incarnation: self.me.incarnation,
+            address: self.me.address.clone(),
+            sequence: self.sequence,
+            revision: self.revision(),
+            listed,
+            loads: loads.collect(),
+            sums: sums.collect(),
+            leaving: leaving.collect(),
+        }
+    }
+
+    fn configure(&mut self, table: Arc<RouteTable>, now: Time) {
+        if table.revision <= self.revision() {
+            return;
+        }
+        for service in &table.services {
+            let state = self
+                .services
+                .entry(service.name.clone())
+                .or_insert_with(|| ServiceState::new(&self.tuning));
+            state.model = service.model;
+        }
+        self.quotas.configure(table.accounts().iter().map(Arc::as_ref), now);
+        self.table = Some(table);
+        self.pump_all(now);
+    }
+
+    fn list(&mut self, changes: Vec<Change>, now: Time) {
+        self.list_seen = true;
+        let doubt = self.removal_doubt(now);
+        for change in changes {
+            let Some(index) = self.targets.apply(change, doubt) else { continue };
+            let service = self.targets.get(index).listed.service.clone();
+            let state =
+                self.services.entry(service).or_insert_with(|| ServiceState::new(&self.tuning));
+            state.targets.push(index);
+        }
+        let targets = &self.targets;
+        for service in self.services.values_mut() {
+            service.targets.retain(|&index| targets.get(index).standing != Standing::Retired);
+        }
+        self.pump_all(now);
+    }
+
+    fn list_all(&mut self, mut changes: Vec<Change>, now: Time) {
+        let missing = self.targets.iter().filter(|(_, target)| {
+            target.standing != Standing::Retired
+                && !changes.iter().any(|change| {
+                    matches!(change, Change::Listed(listed) if listed.id == target.listed.id)
+                })
+        });
+        let missing: Vec<_> =
+            missing.map(|(_, target)| Change::Removed(target.listed.id.clone())).collect();
+        changes.extend(missing);
+        self.list(changes, now);
+    }
+
+    /// Until when a target that is removed now is still used. While the list was away, entries may
+    /// have lapsed of targets that live; they are listed again soon after its return.
+    fn removal_doubt(&self, now: Time) -> Option<Time> {
+        let back = self.list_back?;
+        let until = back + self.tuning.removal_doubt;
+        (now < until).then_some(until)
+    }
+
+    fn hear(&mut self, news: &RelayNews, now: Time) {
+        if news.from == self.me.instance || !self.peers.hear(news, &mut self.targets, now) {
+            return;
+        }
+        let uses = news.sums.iter().map(|sum| (&sum.account, sum.used));
+        self.quotas.hear(&news.from, news.incarnation, uses, now);
+        for note in &news.leaving {
+            self.targets.retire(&note.target, note.incarnation);
+        }
+        self.pump_all(now);
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.peers.expire(&mut self.targets, now);
+        self.pump_all(now);
+        self.expire_waiting(now);
+    }
+
+    /// How long a request waits at most for a place, from its arrival.
+    pub(crate) fn patience(objective: Duration) -> Duration {
+        objective.mul_f64(crate::flow::PATIENCE_PART)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! Decisions of an instance that forwards requests by route.
+//!
+//! [`Gateway`] takes typed events with the present time and returns typed actions. It opens no
+//! socket, reads no clock and draws from a seeded generator only, so a test can play any order of
+//! events. `sesamewind-relay` turns sockets into events and actions into bytes.
+//!
+//! [`table`] holds the configuration in force, [`quota`] the client accounts' limits,
+//! [`budget`] the retry budget, [`queue`] the requests that wait, [`targets`] what is known of
+//! targets, [`place`] the choice among them, and [`peers`] what other instances say.
+
+pub mod arrival;
+pub mod budget;
+pub mod event;
+mod flow;
+pub mod gateway;
+pub mod peers;
+pub mod place;
+pub mod proof;
+pub mod queue;
+pub mod quota;
+mod request;
+pub mod service;
+pub mod sse;
+pub mod table;
+pub mod targets;
+pub mod tuning;
+
+pub use arrival::{Arrival, Ticket};
+pub use event::{Action, End, Event, Step};
+pub use gateway::Gateway;
+pub use proof::{Refusal, RefusalReason};
+pub use table::{Account, Repeat, Route, RouteTable, Routing, Service};
+pub use targets::{Listed, ListedState};
+pub use tuning::Tuning;
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,94 @@
+//! What other instances say of their load.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewind_protocol::relay::RelayNews;
+use sesamewind_protocol::{Incarnation, InstanceId, Time};
+
+use crate::targets::{Index, Targets};
+
+/// Silence after which a peer's requests at targets count no more: its callers have gone elsewhere
+/// or its news would be far too old.
+const LOAD_TIME: Duration = Duration::from_millis(1_500);
+
+/// Silence after which a peer does not count as an instance.
+const MEMBER_TIME: Duration = Duration::from_secs(10);
+
+/// One peer's requests at one target.
+#[derive(Debug, Clone, Copy)]
+struct PeerLoad {
+    target: Index,
+    requests: u32,
+    prefill: u32,
+}
+
+/// One peer.
+#[derive(Debug)]
+struct Peer {
+    incarnation: Incarnation,
+    sequence: u64,
+    heard: Time,
+    loads: Vec<PeerLoad>,
+}
+
+/// The other instances.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    peers: HashMap<InstanceId, Peer>,
+}
+
+impl Peers {
+    /// Instances in the deployment, this one included.
+    pub(crate) fn instances(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Takes a peer's news; false if newer news was there before.
+    pub(crate) fn hear(&mut self, news: &RelayNews, targets: &mut Targets, now: Time) -> bool {
+        let peer = self.peers.entry(news.from.clone()).or_insert_with(|| Peer {
+            incarnation: news.incarnation,
+            sequence: 0,
+            heard: now,
+            loads: Vec::new(),
+        });
+        let newer = (news.incarnation, news.sequence) > (peer.incarnation, peer.sequence);
+        if !newer {
+            return false;
+        }
+        peer.incarnation = news.incarnation;
+        peer.sequence = news.sequence;
+        peer.heard = now;
+        peer.forget_loads(targets);
+        for load in &news.loads {
+            let Some(target) = targets.find(&load.target) else { continue };
+            let known = targets.get_mut(target);
+            known.others += load.requests;
+            known.others_prefill = known.others_prefill.saturating_add(load.prefill);
+            let (requests, prefill) = (load.requests, load.prefill);
+            peer.loads.push(PeerLoad { target, requests, prefill });
+        }
+        true
+    }
+
+    /// Drops what silent peers said.
+    pub(crate) fn expire(&mut self, targets: &mut Targets, now: Time) {
+        self.peers.retain(|_, peer| {
+            let silent = now.since(peer.heard);
+            if silent > LOAD_TIME {
+                peer.forget_loads(targets);
+            }
+            silent <= MEMBER_TIME
+        });
+    }
+}
+
+impl Peer {
+    fn forget_loads(&mut self, targets: &mut Targets) {
+        for load in self.loads.drain(..) {
+            let target = targets.get_mut(load.target);
+            target.others = target.others.saturating_sub(load.requests);
+            target.others_prefill = target.others_prefill.saturating_sub(load.prefill);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,101 @@
+//! The choice of a target.
+//!
+//! Model engines admit requests in order of arrival and slow down with what runs beside, so the
+//! choice goes by the predicted time to the first token: the target's learned pace times the
+//! prompt and the prompts before it. Plain targets are chosen by the same rule with no prompt.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+use sesamewind_protocol::{Time, ZoneId};
+
+use crate::targets::{Index, Target, Targets};
+
+/// Estimate of the time to the first byte at pace one, without a prompt, in milliseconds. Only the
+/// ratio to [`TOKEN_MS`] matters, since each target's pace is learned.
+const FIRST_MS: f64 = 50.0;
+
+/// Estimate of the time to read one prompt token at pace one, in milliseconds.
+const TOKEN_MS: f64 = 0.01;
+
+/// How much a target that is full but for one place delays a request, in milliseconds at pace one.
+const FULL_MS: f64 = 25.0;
+
+/// Charge for a target in another availability zone, in milliseconds.
+const ZONE_MS: f64 = 4.0;
+
+/// How much a target's failures weigh: at a failure rate of one its time counts this many times
+/// more.
+const FAILURE_FACTOR: f64 = 8.0;
+
+/// Part of the score that is drawn at random, so that instances with the same view spread out.
+const JITTER: f64 = 0.15;
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Need<'a> {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Targets not to be used again.
+    pub tried: &'a [Index],
+    /// Longest predicted time to the first byte.
+    pub within: Option<Duration>,
+}
+
+/// Where and when the choice is made.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'a> {
+    /// Availability zone of this instance.
+    pub zone: &'a ZoneId,
+    /// Requests that a target takes for each of its slots.
+    pub fill: f64,
+    /// The present time.
+    pub now: Time,
+}
+
+/// Time to the first byte that the service's estimate gives for a prompt behind `ahead` tokens of
+/// others, in milliseconds at pace one.
+pub fn estimate_ms(prompt: u32, ahead: u32) -> f64 {
+    FIRST_MS + TOKEN_MS * (f64::from(prompt) + f64::from(ahead))
+}
+
+/// The target for `need` among `candidates`; none if all are full, retired or too slow.
+pub fn choose(
+    targets: &Targets,
+    candidates: &[Index],
+    need: Need<'_>,
+    place: Place<'_>,
+    rng: &mut impl Rng,
+) -> Option<Index> {
+    let mut best: Option<(bool, f64, Index)> = None;
+    for &index in candidates {
+        let target = targets.get(index);
+        if !target.is_usable(place.now) || need.tried.contains(&index) {
+            continue;
+        }
+        let places = (f64::from(target.listed.slots) * place.fill).max(1.0);
+        if f64::from(target.load()) >= places {
+            continue;
+        }
+        let predicted = target.pace * estimate_ms(need.prompt, target.prefill());
+        if need.within.is_some_and(|within| predicted > within.as_secs_f64() * 1_000.0) {
+            continue;
+        }
+        let barred = target.is_barred(place.now);
+        let score = score(target, predicted, places, place) * (1.0 + JITTER * rng.random::<f64>());
+        let better = best
+            .is_none_or(|(best_barred, best_score, _)| (barred, score) < (best_barred, best_score));
+        if better {
+            best = Some((barred, score, index));
+        }
+    }
+    best.map(|(_, _, index)| index)
+}
+
+fn score(target: &Target, predicted: f64, places: f64, place: Place<'_>) -> f64 {
+    let fullness = f64::from(target.load()) / places;
+    let way = if target.listed.zone == *place.zone { 0.0 } else { ZONE_MS };
+    let time = predicted + target.pace * FULL_MS * fullness + way;
+    time * (1.0 + FAILURE_FACTOR * target.failure_rate)
+}
--- /dev/null
+++ b/crates/gateway/src/service.rs
@@ -0,0 +1,44 @@
+//! One service: its targets, queue and retry budget.
+
+use crate::budget::RetryBudget;
+use crate::queue::Queue;
+use crate::targets::Index;
+use crate::tuning::Tuning;
+
+/// Requests that a model engine is given for each of its slots. Further ones would wait in the
+/// engine, in order of arrival.
+const MODEL_FILL: f64 = 1.0;
+
+/// Requests that a plain target is given for each of its slots; the work is short, and a place
+/// that stands empty for a round trip costs more than the wait.
+const PLAIN_FILL: f64 = 1.5;
+
+/// One service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    /// Whether its targets are model engines.
+    pub(crate) model: bool,
+    /// Its targets, retired ones included until they have no requests.
+    pub(crate) targets: Vec<Index>,
+    /// Requests that wait.
+    pub(crate) queue: Queue,
+    /// Further attempts that are allowed.
+    pub(crate) budget: RetryBudget,
+}
+
+impl ServiceState {
+    /// A service without targets.
+    pub(crate) fn new(tuning: &Tuning) -> Self {
+        Self {
+            model: false,
+            targets: Vec::new(),
+            queue: Queue::default(),
+            budget: RetryBudget::new(tuning.retry_ratio, tuning.retry_extra, tuning.retry_window),
+        }
+    }
+
+    /// Requests for each slot of a target.
+    pub(crate) fn fill(&self) -> f64 {
+        if self.model { MODEL_FILL } else { PLAIN_FILL }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/table.rs
@@ -0,0 +1,247 @@
+//! The configuration in force: routes by host and path, services, client accounts.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamewind_protocol::{AccountId, Revision, RouteId, ServiceId};
+
+/// What may be repeated after a target began to run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// Nothing: the request runs once at most.
+    Never,
+    /// The whole request.
+    Whole,
+    /// A stream goes on after the last event that the caller has.
+    Resume,
+}
+
+/// One branch of a weighted split.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Branch {
+    /// The service.
+    pub service: ServiceId,
+    /// Weight relative to the other branches.
+    pub weight: f64,
+}
+
+/// A route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: RouteId,
+    /// Host that the route belongs to, in lowercase.
+    pub host: String,
+    /// Prefix of the path, with a slash at both ends.
+    pub prefix: String,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+    /// Time within which the answer, or a stream's first event, is wanted.
+    pub objective: Duration,
+    /// Longest pause between two events of a stream that is still on time.
+    pub pause: Duration,
+    /// Urgency; zero is the most urgent.
+    pub rank: u8,
+    /// Services that take the route's requests; at least one.
+    pub split: Vec<Branch>,
+    /// Most targets that may run one request.
+    pub attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+impl Route {
+    /// The service for a request at `point`, a position in `[0, 1)`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the split is empty.
+    pub fn service_at(&self, point: f64) -> &ServiceId {
+        let total: f64 = self.split.iter().map(|branch| branch.weight).sum();
+        let mut left = point * total;
+        for branch in &self.split {
+            if left < branch.weight {
+                return &branch.service;
+            }
+            left -= branch.weight;
+        }
+        &self.split.last().expect("a route has a service").service
+    }
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceId,
+    /// Most connections that one target takes from all instances together.
+    pub connections: u32,
+    /// Whether its targets are model engines.
+    pub model: bool,
+}
+
+/// How the use of a client account is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unit {
+    /// By requests.
+    Requests,
+    /// By tokens, prompt and output together.
+    Tokens {
+        /// What a request without a token count uses.
+        default: u32,
+    },
+}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Account {
+    /// Name.
+    pub name: AccountId,
+    /// Keys that stand for the account.
+    pub keys: Vec<String>,
+    /// Urgency of its requests, in place of the route's.
+    pub rank: Option<u8>,
+    /// How use is counted.
+    pub unit: Unit,
+    /// Units a second over all instances; zero for no limit.
+    pub rate: f64,
+    /// Units that may be used at once after a pause.
+    pub burst: f64,
+}
+
+/// Limits on what a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CallerLimits {
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request head to arrive.
+    pub head_time: Duration,
+    /// How long a connection may stay idle.
+    pub idle_time: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16_384,
+            body_bytes: 4 << 20,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One accepted configuration as it was read.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Routing {
+    /// Revision.
+    pub revision: Revision,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Client accounts; empty if requests need no key.
+    pub accounts: Vec<Account>,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+}
+
+/// Why a request has no route or account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// No route matches host and path.
+    NoRoute,
+    /// The key stands for no account, or is missing.
+    UnknownKey,
+}
+
+/// A request's place in the configuration.
+#[derive(Debug, Clone)]
+pub struct Resolved {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The account; none on a public route or where there are no accounts.
+    pub account: Option<Arc<Account>>,
+}
+
+/// A configuration with indexes for lookups on the request path.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    /// Revision.
+    pub revision: Revision,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+    accounts: Vec<Arc<Account>>,
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    keys: HashMap<String, Arc<Account>>,
+}
+
+impl RouteTable {
+    /// Indexes `routing`. Routes without a service are left out.
+    pub fn new(routing: Routing) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in routing.routes {
+            if !route.split.is_empty() {
+                hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+            }
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let accounts: Vec<Arc<Account>> = routing.accounts.into_iter().map(Arc::new).collect();
+        let keys = accounts
+            .iter()
+            .flat_map(|account| account.keys.iter().map(|key| (key.clone(), Arc::clone(account))))
+            .collect();
+        Self {
+            revision: routing.revision,
+            services: routing.services,
+            limits: routing.limits,
+            accounts,
+            hosts,
+            keys,
+        }
+    }
+
+    /// Client accounts.
+    pub fn accounts(&self) -> &[Arc<Account>] {
+        &self.accounts
+    }
+
+    /// The route with the longest prefix of `path` on `host`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Route and account of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Rejection`] if no route matches or the key is not known.
+    pub fn resolve(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<Resolved, Rejection> {
+        let route = Arc::clone(self.route(host, path).ok_or(Rejection::NoRoute)?);
+        let account = key.and_then(|key| self.keys.get(key)).map(Arc::clone);
+        if account.is_none() && !route.public && !self.accounts.is_empty() {
+            return Err(Rejection::UnknownKey);
+        }
+        Ok(Resolved { route, account })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/targets.rs
@@ -0,0 +1,266 @@
+//! What is known of targets: listing, load, speed and health.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sesamewind_protocol::{Incarnation, ServiceId, TargetId, Time, VersionId, ZoneId};
+
+/// Position of a target in [`Targets`]; never used again for another one.
+pub type Index = usize;
+
+/// First pause of a target after a failed attempt; doubles with each further one.
+const BAR_FIRST: Duration = Duration::from_millis(250);
+
+/// Longest pause of a target after failed attempts, so that a target that recovered is found soon.
+const BAR_LONGEST: Duration = Duration::from_secs(3);
+
+/// Failed attempts in a row that change the pause.
+const MAX_STRIKES: u32 = 5;
+
+/// Weight of the newest attempt in the failure rate: about the last ten attempts count.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// Weight of the newest sample in a target's pace.
+const PACE_WEIGHT: f64 = 0.25;
+
+/// Bounds on a target's pace, so that one odd sample doesn't take it out of use.
+const PACE_BOUNDS: (f64, f64) = (0.1, 20.0);
+
+/// State that a target announces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListedState {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has and leaves.
+    Leaving,
+}
+
+/// A target as the list describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Name.
+    pub id: TargetId,
+    /// Its life; a later life under the same name is a new target.
+    pub incarnation: Incarnation,
+    /// Service.
+    pub service: ServiceId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Version of its software.
+    pub version: VersionId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// State.
+    pub state: ListedState,
+}
+
+/// A change of the list of targets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The target is listed like this.
+    Listed(Listed),
+    /// The target is not listed any more, or its entry can't be read.
+    Removed(TargetId),
+}
+
+/// Whether a target may be given new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It may.
+    Usable,
+    /// It was removed just after the list had been away; it may until then.
+    Doubted(Time),
+    /// It leaves or is gone.
+    Retired,
+}
+
+/// One life of a target.
+#[derive(Debug)]
+pub struct Target {
+    /// As it was last listed.
+    pub listed: Listed,
+    /// Whether it may be given new work.
+    pub standing: Standing,
+    /// Requests of this instance at it.
+    pub own: u32,
+    /// Requests of other instances at it, by their last news.
+    pub others: u32,
+    /// Prompt tokens of this instance's requests that have not answered yet.
+    pub own_prefill: u32,
+    /// The same of other instances, by their last news.
+    pub others_prefill: u32,
+    /// Time to the first byte relative to the service's estimate.
+    pub pace: f64,
+    /// Share of recent attempts that failed.
+    pub failure_rate: f64,
+    strikes: u32,
+    barred: Time,
+}
+
+impl Target {
+    fn new(listed: Listed, pace: f64) -> Self {
+        Self {
+            listed,
+            standing: Standing::Usable,
+            own: 0,
+            others: 0,
+            own_prefill: 0,
+            others_prefill: 0,
+            pace,
+            failure_rate: 0.0,
+            strikes: 0,
+            barred: Time::ZERO,
+        }
+    }
+
+    /// Requests of all instances.
+    pub fn load(&self) -> u32 {
+        self.own + self.others
+    }
+
+    /// Prompt tokens that stand before a further request.
+    pub fn prefill(&self) -> u32 {
+        self.own_prefill.saturating_add(self.others_prefill)
+    }
+
+    /// Whether it may be given new work, its failures left aside.
+    pub fn is_usable(&self, now: Time) -> bool {
+        match self.standing {
+            Standing::Usable => true,
+            Standing::Doubted(until) => now < until,
+            Standing::Retired => false,
+        }
+    }
+
+    /// Whether recent failures keep it from new work while others are there.
+    pub fn is_barred(&self, now: Time) -> bool {
+        now < self.barred
+    }
+
+    /// Counts an attempt that went well.
+    pub fn succeeded(&mut self) {
+        self.strikes = 0;
+        self.barred = Time::ZERO;
+        self.failure_rate -= FAILURE_WEIGHT * self.failure_rate;
+    }
+
+    /// Counts an attempt that a whole answer ended, but a failing one.
+    pub fn answered_failure(&mut self) {
+        self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
+    }
+
+    /// Counts an attempt that ended without an answer.
+    pub fn failed(&mut self, now: Time) {
+        self.answered_failure();
+        self.barred = now + (BAR_FIRST * (1 << self.strikes)).min(BAR_LONGEST);
+        self.strikes = (self.strikes + 1).min(MAX_STRIKES);
+    }
+
+    /// Takes in the time to the first byte, relative to the service's estimate.
+    pub fn observe_pace(&mut self, ratio: f64) {
+        let ratio = ratio.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        self.pace += PACE_WEIGHT * (ratio - self.pace);
+    }
+}
+
+/// All targets that were ever listed while this instance runs.
+#[derive(Debug, Default)]
+pub struct Targets {
+    all: Vec<Target>,
+    names: HashMap<TargetId, Index>,
+}
+
+impl Targets {
+    /// The target at `index`.
+    pub fn get(&self, index: Index) -> &Target {
+        &self.all[index]
+    }
+
+    /// The target at `index`, to change.
+    pub fn get_mut(&mut self, index: Index) -> &mut Target {
+        &mut self.all[index]
+    }
+
+    /// Position of the present life of `id`.
+    pub fn find(&self, id: &TargetId) -> Option<Index> {
+        self.names.get(id).copied()
+    }
+
+    /// All targets with their positions.
+    pub fn iter(&self) -> impl Iterator<Item = (Index, &Target)> {
+        self.all.iter().enumerate()
+    }
+
+    /// Takes a change of the list. `doubt` is set if the list was away until just now, and says
+    /// until when a removed target is still used. Returns the position of a target that is new.
+    pub fn apply(&mut self, change: Change, doubt: Option<Time>) -> Option<Index> {
+        match change {
+            Change::Listed(listed) => self.list(listed),
+            Change::Removed(id) => {
+                if let Some(index) = self.find(&id) {
+                    let target = &mut self.all[index];
+                    target.standing = match (target.standing, doubt) {
+                        (Standing::Usable, Some(until)) => Standing::Doubted(until),
+                        (Standing::Doubted(until), _) => Standing::Doubted(until),
+                        _ => Standing::Retired,
+                    };
+                }
+                None
+            }
+        }
+    }
+
+    /// Marks a target as leaving by what a peer or the target itself says.
+    pub fn retire(&mut self, id: &TargetId, incarnation: Incarnation) {
+        if let Some(index) = self.find(id)
+            && self.all[index].listed.incarnation <= incarnation
+        {
+            self.all[index].standing = Standing::Retired;
+        }
+    }
+
+    fn list(&mut self, listed: Listed) -> Option<Index> {
+        if let Some(index) = self.find(&listed.id) {
+            let known = &mut self.all[index];
+            if known.listed.incarnation > listed.incarnation {
+                return None;
+            }
+            let same = known.listed.incarnation == listed.incarnation
+                && known.listed.address == listed.address
+                && known.listed.service == listed.service;
+            if same {
+                let leaving = listed.state == ListedState::Leaving;
+                // A life that has begun to leave never takes work again, whatever is listed later.
+                let was_leaving = known.listed.state == ListedState::Leaving;
+                known.listed = listed;
+                known.standing = if leaving || was_leaving {
+                    known.listed.state = ListedState::Leaving;
+                    Standing::Retired
+                } else {
+                    Standing::Usable
+                };
+                return None;
+            }
+            known.standing = Standing::Retired;
+        }
+        let pace = self.usual_pace(&listed.service);
+        let index = self.all.len();
+        self.names.insert(listed.id.clone(), index);
+        let leaving = listed.state == ListedState::Leaving;
+        let mut target = Target::new(listed, pace);
+        if leaving {
+            target.standing = Standing::Retired;
+        }
+        self.all.push(target);
+        Some(index)
+    }
+
+    /// Lowest pace among the service's targets, so that a new target is tried soon.
+    fn usual_pace(&self, service: &ServiceId) -> f64 {
+        let paces = self.all.iter().filter(|target| target.listed.service == *service);
+        paces.map(|target| target.pace).fold(1.0, f64::min)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/tuning.rs
@@ -0,0 +1,33 @@
+//! Limits and weights of the decisions.
+
+use std::time::Duration;
+
+/// Limits and weights of the decisions of one instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tuning {
+    /// Share of first attempts that may be added as further ones; from the deployment's bound.
+    pub retry_ratio: f64,
+    /// Further attempts allowed beside that share over all instances; from the deployment's bound.
+    pub retry_extra: f64,
+    /// Span over which the retry budget is counted; from the deployment's bound.
+    pub retry_window: Duration,
+    /// Span over which account limits are checked; from the deployment's bound.
+    pub quota_window: Duration,
+    /// How long a target's removal from the list is doubted after the list was away.
+    pub removal_doubt: Duration,
+    /// How long before its drain bound a target must have no new work.
+    pub drain: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            retry_ratio: 0.2,
+            retry_extra: 50.0,
+            retry_window: Duration::from_secs(10),
+            quota_window: Duration::from_secs(8),
+            removal_doubt: Duration::from_millis(2_200),
+            drain: Duration::from_secs(2),
+        }
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod message;
 pub mod operator;
 pub mod record;
+pub mod relay;
 pub mod target;
 pub mod time;
 pub mod traffic;
--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,55 @@
+//! Bodies of answers to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_util::stream::LocalBoxStream;
+use http::Response;
+use http_body::{Body, Frame, SizeHint};
+
+/// An answer to a caller.
+pub type Answer = Response<AnswerBody>;
+
+/// The stream ended before the answer was complete; the connection is closed without its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("answer broken off")]
+pub struct BrokenOff;
+
+/// Body of an answer to a caller.
+pub enum AnswerBody {
+    /// All bytes at once.
+    Whole(Bytes),
+    /// Bytes as they arrive.
+    Stream(LocalBoxStream<'static, Result<Bytes, BrokenOff>>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Stream(stream) => stream
+                .as_mut()
+                .poll_next(context)
+                .map(|next| next.map(|item| item.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,228 @@
+//! One attempt of a request at a target.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, request, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use sesamewind_gateway::event::Dispatch;
+use sesamewind_gateway::sse::EventScanner;
+use sesamewind_gateway::{Account, End, Event, Route, Ticket};
+use tokio::time::{Instant, timeout_at};
+
+use crate::dialect::{CallerHead, SendHead, TargetHead};
+use crate::driver::Driver;
+use crate::pool::{Connection, SendError};
+
+/// How recently a kept connection must have been used for a request that may run once only: the
+/// target may close it unnoticed after longer, and the outcome would not be known.
+const FRESH_ONCE: Duration = Duration::from_millis(1_500);
+
+/// Largest answer that is held whole, in bytes.
+const WHOLE_LIMIT: usize = 16 << 20;
+
+/// A caller's request on its way.
+#[derive(Debug)]
+pub struct Call {
+    /// Shared parts of the instance.
+    pub driver: Rc<Driver>,
+    /// Name of the request.
+    pub ticket: Ticket,
+    /// Head as the caller sent it.
+    pub head: request::Parts,
+    /// What the head says.
+    pub caller: CallerHead,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Client account.
+    pub account: Option<Arc<Account>>,
+}
+
+/// A stream of events that has begun.
+#[derive(Debug)]
+pub struct Opened {
+    /// Head of the answer.
+    pub head: response::Parts,
+    /// The rest of the answer.
+    pub body: Incoming,
+    /// The connection.
+    pub connection: Connection,
+    /// Whole events that came already.
+    pub first: Bytes,
+    /// Whether the answer ended with them.
+    pub ended: bool,
+}
+
+/// What an attempt brought.
+#[derive(Debug)]
+pub enum Got {
+    /// A stream that has begun.
+    Stream(Box<Opened>),
+    /// A whole answer for the caller.
+    Whole(response::Parts, Bytes),
+    /// A whole answer that is a failure of the target.
+    Failing(response::Parts, Bytes),
+    /// Nothing that can be passed on.
+    Ended(End),
+}
+
+impl Call {
+    /// Sends the request to the target of `dispatch` and reads its answer up to the first event or,
+    /// if it is no stream, to its end. `scanner` knows the events that the caller has.
+    pub async fn attempt(&self, dispatch: &Dispatch, scanner: &mut EventScanner) -> Got {
+        match self.exchange(dispatch, scanner).await {
+            Ok(got) => got,
+            Err(end) => Got::Ended(end),
+        }
+    }
+
+    async fn exchange(&self, dispatch: &Dispatch, scanner: &mut EventScanner) -> Result<Got, End> {
+        let (mut connection, head, body) = self.send(dispatch, scanner.last_id()).await?;
+        if let Some(keep) = self.driver.dialect.keep_time(&head) {
+            connection.set_keep(keep);
+        }
+        let kind = self.driver.dialect.read_target(&head, &self.caller.id);
+        match kind {
+            TargetHead::Declined => Err(End::Declined),
+            TargetHead::Replaced => Err(End::Replaced),
+            TargetHead::Foreign => Err(End::Broken),
+            TargetHead::Success if self.route.stream => {
+                self.open_stream(dispatch, scanner, connection, head, body).await
+            }
+            TargetHead::Success | TargetHead::Refusal | TargetHead::Failure => {
+                let bytes = self.read_whole(dispatch, body).await?;
+                self.driver.pool.put(connection);
+                self.driver.tell(Event::Started(self.ticket));
+                Ok(match kind {
+                    TargetHead::Failure => Got::Failing(head, bytes),
+                    _ => Got::Whole(head, bytes),
+                })
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        dispatch: &Dispatch,
+        last_event: Option<&str>,
+    ) -> Result<(Connection, response::Parts, Incoming), End> {
+        let fresh = if dispatch.once { FRESH_ONCE } else { Duration::MAX };
+        let mut connection = self.connect(dispatch, fresh).await?;
+        loop {
+            let until = self.until(dispatch);
+            let Some(request) = self.request(dispatch, last_event) else {
+                return Err(End::Expired);
+            };
+            match timeout_at(until, connection.send(request)).await {
+                Ok(Ok((head, body))) => return Ok((connection, head, body)),
+                Ok(Err(SendError::Unsent)) if connection.reused => {
+                    connection = self.connect(dispatch, Duration::ZERO).await?;
+                }
+                Ok(Err(SendError::Unsent | SendError::Unconnected(_))) => {
+                    return Err(End::Unconnected);
+                }
+                Ok(Err(SendError::Broken(err))) => {
+                    log::debug!(request = self.caller.id.as_str(); "{err}");
+                    return Err(End::Broken);
+                }
+                Err(_) => return Err(self.late(dispatch)),
+            }
+        }
+    }
+
+    async fn connect(&self, dispatch: &Dispatch, fresh: Duration) -> Result<Connection, End> {
+        self.driver.pool.get(dispatch.address, fresh).await.map_err(|err| {
+            log::debug!(request = self.caller.id.as_str(); "{err}");
+            End::Unconnected
+        })
+    }
+
+    /// The request for the target; none if its time has run out.
+    fn request(
+        &self,
+        dispatch: &Dispatch,
+        last_event: Option<&str>,
+    ) -> Option<Request<Full<Bytes>>> {
+        let left = dispatch.deadline.since(self.driver.now());
+        if left.is_zero() {
+            return None;
+        }
+        let send = SendHead {
+            target: &dispatch.target,
+            account: self.account.as_ref().map(|account| &account.name),
+            left,
+            last_event,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self
+            .head
+            .uri
+            .path_and_query()
+            .map_or_else(|| self.head.uri.clone(), |path| http::Uri::from(path.clone()));
+        *request.headers_mut() = self.driver.dialect.target_headers(&self.head, &send);
+        Some(request)
+    }
+
+    /// When the target's silence is too long.
+    pub fn until(&self, dispatch: &Dispatch) -> Instant {
+        let deadline = self.driver.instant(dispatch.deadline);
+        deadline.min(Instant::now() + dispatch.silence)
+    }
+
+    /// How an attempt ended whose wait ran out.
+    pub fn late(&self, dispatch: &Dispatch) -> End {
+        if self.driver.now() >= dispatch.deadline { End::Expired } else { End::Silent }
+    }
+
+    async fn read_whole(&self, dispatch: &Dispatch, mut body: Incoming) -> Result<Bytes, End> {
+        let mut bytes = BytesMut::new();
+        loop {
+            let frame = match timeout_at(self.until(dispatch), body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return Err(End::Broken),
+                Ok(None) => return Ok(bytes.freeze()),
+                Err(_) => return Err(self.late(dispatch)),
+            };
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+            if bytes.len() > WHOLE_LIMIT {
+                return Err(End::Broken);
+            }
+        }
+    }
+
+    async fn open_stream(
+        &self,
+        dispatch: &Dispatch,
+        scanner: &mut EventScanner,
+        connection: Connection,
+        head: response::Parts,
+        mut body: Incoming,
+    ) -> Result<Got, End> {
+        loop {
+            let (first, ended) = match timeout_at(self.until(dispatch), body.frame()).await {
+                Ok(Some(Ok(frame))) => (
+                    frame.into_data().map_or_else(|_| Vec::new(), |data| scanner.push(&data)),
+                    false,
+                ),
+                Ok(Some(Err(_))) => return Err(End::Broken),
+                Ok(None) if scanner.partial().is_empty() => (Vec::new(), true),
+                Ok(None) => return Err(End::Broken),
+                Err(_) => return Err(self.late(dispatch)),
+            };
+            if first.is_empty() && !ended {
+                continue;
+            }
+            self.driver.tell(Event::Started(self.ticket));
+            let first = Bytes::from(first);
+            return Ok(Got::Stream(Box::new(Opened { head, body, connection, first, ended })));
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/callers.rs
@@ -0,0 +1,194 @@
+//! Serves callers' requests.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Request, Response, response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use sesamewind_gateway::event::Dispatch;
+use sesamewind_gateway::sse::EventScanner;
+use sesamewind_gateway::{Arrival, End, Event, Refusal, RefusalReason, Repeat, Step};
+use sesamewind_protocol::{RequestKey, Time};
+use std::time::Duration;
+
+use crate::answer::{Answer, AnswerBody};
+use crate::attempt::{Call, Got, Opened};
+use crate::driver::{Driver, Presence};
+use crate::journal;
+use crate::stream;
+
+/// When a caller should come back to an instance that has no configuration yet.
+const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Serves one request. Dropping the future means that the caller left.
+pub async fn serve(driver: Rc<Driver>, request: Request<Incoming>) -> Answer {
+    let arrived = driver.now();
+    let (head, body) = request.into_parts();
+    let caller = match driver.dialect.read_caller(&head) {
+        Ok(caller) => caller,
+        Err(fault) => {
+            journal::rejected("", fault.as_str(), 0);
+            return driver.dialect.faulty(fault);
+        }
+    };
+    let Some(table) = driver.look(|gateway| gateway.table().cloned()) else {
+        journal::rejected(&caller.id, RefusalReason::Unconfigured.as_str(), 0);
+        let refusal = Refusal::before_arrival(RefusalReason::Unconfigured, UNCONFIGURED_PAUSE);
+        return driver.dialect.refused(&refusal);
+    };
+    let resolved = match table.resolve(&caller.host, head.uri.path(), caller.key.as_deref()) {
+        Ok(resolved) => resolved,
+        Err(rejection) => {
+            journal::rejected(&caller.id, &format!("{rejection:?}"), table.revision.0);
+            return driver.dialect.rejected(rejection);
+        }
+    };
+    let body = match Limited::new(body, table.limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(err) if err.is::<LengthLimitError>() => return driver.dialect.too_large(),
+        Err(err) => {
+            journal::rejected(&caller.id, &err.to_string(), table.revision.0);
+            return driver.dialect.failed(End::Broken);
+        }
+    };
+    let ticket = driver.ticket();
+    let call = Call {
+        driver,
+        ticket,
+        head,
+        caller,
+        body,
+        route: resolved.route,
+        account: resolved.account,
+    };
+    call.serve(arrived).await
+}
+
+impl Call {
+    fn arrival(&self, arrived: Time) -> Arrival {
+        let timeout = self.route.timeout;
+        let wait = self.caller.patience.map_or(timeout, |patience| patience.min(timeout));
+        Arrival {
+            ticket: self.ticket,
+            route: self.route.clone(),
+            account: self.account.clone(),
+            prompt_tokens: self.caller.prompt_tokens,
+            output_tokens: self.caller.output_tokens,
+            prefix: self.caller.prefix,
+            point: split_point(&self.caller.id),
+            deadline: arrived + wait,
+        }
+    }
+
+    async fn serve(self, arrived: Time) -> Answer {
+        let mut presence = Presence::new(Rc::clone(&self.driver), self.ticket);
+        let resumed = self.caller.last_event.as_deref();
+        let mut scanner = EventScanner::after(resumed.filter(|_| self.resumes()));
+        let mut step = self.driver.ask(self.ticket, Event::Arrive(self.arrival(arrived)));
+        let mut held = None;
+        loop {
+            let next = step.await.unwrap_or(Step::Fail(End::Expired));
+            let dispatch = match next {
+                Step::Dispatch(dispatch) => dispatch,
+                last => {
+                    presence.end();
+                    return self.conclude(last, held);
+                }
+            };
+            journal::dispatched(&self, &dispatch);
+            self.driver.metrics.waited(&self.route.name, dispatch.waited.as_secs_f64());
+            let end = match self.attempt(&dispatch, &mut scanner).await {
+                Got::Stream(opened) => {
+                    self.measure(arrived);
+                    return self.stream(dispatch, scanner, presence, *opened);
+                }
+                Got::Whole(head, body) => {
+                    self.measure(arrived);
+                    presence.end();
+                    return self.whole(head, body);
+                }
+                Got::Failing(head, body) => {
+                    held = Some((head, body));
+                    End::Failing
+                }
+                Got::Ended(end) => end,
+            };
+            scanner.drop_partial();
+            self.driver.metrics.attempt(end.as_str());
+            journal::attempt_ended(&self, &dispatch, end, 0);
+            step = self.driver.ask(self.ticket, Event::Ended(self.ticket, end));
+        }
+    }
+
+    /// Whether the route's streams can go on after an event.
+    fn resumes(&self) -> bool {
+        self.route.stream && self.route.repeat == Repeat::Resume
+    }
+
+    fn measure(&self, arrived: Time) {
+        let took = self.driver.now().since(arrived);
+        self.driver.metrics.first_byte(&self.route.name, took.as_secs_f64());
+    }
+
+    /// The answer to a request that no target will be asked about any more. A failure that a target
+    /// answered with is `held` for the caller.
+    fn conclude(&self, step: Step, held: Option<(response::Parts, Bytes)>) -> Answer {
+        match (step, held) {
+            (Step::Refuse(refusal), _) => {
+                journal::refused(self, &refusal, self.driver.look(|gateway| gateway.waiting()));
+                self.driver.metrics.refusal(refusal.reason.as_str());
+                self.driver.metrics.outcome(&self.route.name, "refused");
+                self.driver.dialect.refused(&refusal)
+            }
+            (_, Some((head, body))) => {
+                journal::ended(self, "failed", End::Failing.as_str(), 0);
+                self.driver.metrics.outcome(&self.route.name, "failed");
+                self.answer(head, AnswerBody::Whole(body))
+            }
+            (Step::Fail(end), None) => {
+                journal::ended(self, "unknown", end.as_str(), 0);
+                self.driver.metrics.outcome(&self.route.name, "unknown");
+                self.driver.dialect.failed(end)
+            }
+            (Step::Deliver | Step::Dispatch(_), None) => {
+                log::error!(request = self.caller.id.as_str(); "no answer at hand to deliver");
+                self.driver.dialect.failed(End::Broken)
+            }
+        }
+    }
+
+    fn whole(self, head: response::Parts, body: Bytes) -> Answer {
+        self.driver.tell(Event::Ended(self.ticket, End::Whole));
+        journal::ended(&self, "served", "whole", 0);
+        self.driver.metrics.outcome(&self.route.name, "served");
+        self.answer(head, AnswerBody::Whole(body))
+    }
+
+    fn stream(
+        self,
+        dispatch: Dispatch,
+        scanner: EventScanner,
+        presence: Presence,
+        opened: Opened,
+    ) -> Answer {
+        let head = opened.head.clone();
+        let mut answer = self.answer(head, AnswerBody::Whole(Bytes::new()));
+        answer.headers_mut().remove(http::header::CONTENT_LENGTH);
+        let events = stream::events(self, dispatch, scanner, presence, opened);
+        *answer.body_mut() = AnswerBody::Stream(events);
+        answer
+    }
+
+    fn answer(&self, head: response::Parts, body: AnswerBody) -> Answer {
+        let mut answer = Response::new(body);
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = self.driver.dialect.answer_headers(head.headers);
+        answer
+    }
+}
+
+/// Position of a request in weighted splits; the same for the same identity everywhere.
+fn split_point(id: &str) -> f64 {
+    RequestKey(0, sesamewind_gateway::arrival::hash(id)).position("split")
+}
--- /dev/null
+++ b/crates/relay/src/driver.rs
@@ -0,0 +1,135 @@
+//! Hands events to the gateway, and its actions to the requests that wait for them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use sesamewind_gateway::{Action, Event, Gateway, Step, Ticket};
+use sesamewind_protocol::Time;
+use sesamewind_runtime::clock::Clock;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+
+/// What all tasks of an instance share.
+#[derive(Debug)]
+pub struct Driver {
+    gateway: RefCell<Gateway>,
+    waiters: RefCell<HashMap<Ticket, oneshot::Sender<Step>>>,
+    next_ticket: Cell<Ticket>,
+    clock: Clock,
+    origin: Instant,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// What callers and targets speak.
+    pub dialect: Rc<dyn Dialect>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Version of the target list that was read.
+    pub listed: Cell<u64>,
+    /// Set off when a peer knows something newer than the store's watchers.
+    pub behind: Notify,
+}
+
+impl Driver {
+    /// A driver of `gateway`.
+    pub fn new(gateway: Gateway, clock: Clock, dialect: Rc<dyn Dialect>) -> Self {
+        Self {
+            gateway: RefCell::new(gateway),
+            waiters: RefCell::default(),
+            next_ticket: Cell::new(0),
+            clock,
+            origin: Instant::now(),
+            pool: Pool::default(),
+            dialect,
+            metrics: Metrics::new(),
+            listed: Cell::new(0),
+            behind: Notify::new(),
+        }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The runtime's reading at `time`.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.origin + time.since(Time::ZERO)
+    }
+
+    /// A name for a request.
+    pub fn ticket(&self) -> Ticket {
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket + 1);
+        ticket
+    }
+
+    /// Reads the gateway's state.
+    pub fn look<T>(&self, read: impl FnOnce(&Gateway) -> T) -> T {
+        read(&self.gateway.borrow())
+    }
+
+    /// Changes the gateway's state beside its events.
+    pub fn change<T>(&self, change: impl FnOnce(&mut Gateway) -> T) -> T {
+        change(&mut self.gateway.borrow_mut())
+    }
+
+    /// Hands an event to the gateway and passes its actions on.
+    pub fn tell(&self, event: Event<'_>) {
+        let now = self.now();
+        let actions = self.gateway.borrow_mut().handle(event, now);
+        for Action { ticket, step } in actions {
+            // A request whose caller left is not waited for.
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) {
+                let _ = waiter.send(step);
+            }
+        }
+    }
+
+    /// Hands an event to the gateway and returns the next step of the request `ticket`.
+    pub fn ask(&self, ticket: Ticket, event: Event<'_>) -> oneshot::Receiver<Step> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, sender);
+        self.tell(event);
+        receiver
+    }
+
+    /// Tells the gateway that the caller of `ticket` left.
+    pub fn leave(&self, ticket: Ticket) {
+        self.waiters.borrow_mut().remove(&ticket);
+        self.tell(Event::Left(ticket));
+    }
+}
+
+/// Tells the gateway that the caller left if it is dropped before the request's end.
+#[derive(Debug)]
+pub struct Presence {
+    driver: Rc<Driver>,
+    ticket: Ticket,
+    open: bool,
+}
+
+impl Presence {
+    /// The presence of the caller of `ticket`.
+    pub fn new(driver: Rc<Driver>, ticket: Ticket) -> Self {
+        Self { driver, ticket, open: true }
+    }
+
+    /// The request has ended.
+    pub fn end(&mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        if self.open {
+            log::info!(event = "caller_left", ticket = self.ticket; "caller left");
+            self.driver.leave(self.ticket);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/journal.rs
@@ -0,0 +1,76 @@
+//! Log lines on requests: what was decided, by which inputs, and how it ended.
+//!
+//! Every line carries `event` and the request's identity, so that one search brings a request's
+//! whole story. `docs/OPERATIONS.md` lists events and fields.
+
+use sesamewind_gateway::event::Dispatch;
+use sesamewind_gateway::{End, Refusal};
+
+use crate::attempt::Call;
+
+/// An attempt begins.
+pub fn dispatched(call: &Call, dispatch: &Dispatch) {
+    log::debug!(
+        event = "dispatched",
+        request = call.caller.id.as_str(),
+        route = call.route.name.as_str(),
+        target = dispatch.target.as_str(),
+        attempt = dispatch.attempt,
+        load = dispatch.load,
+        waited_ms = dispatch.waited.as_millis() as u64,
+        revision = dispatch.revision.0;
+        "sent to target"
+    );
+}
+
+/// An attempt ended otherwise than with a whole answer.
+pub fn attempt_ended(call: &Call, dispatch: &Dispatch, end: End, events: u64) {
+    log::warn!(
+        event = "attempt_ended",
+        request = call.caller.id.as_str(),
+        route = call.route.name.as_str(),
+        target = dispatch.target.as_str(),
+        attempt = dispatch.attempt,
+        load = dispatch.load,
+        waited_ms = dispatch.waited.as_millis() as u64,
+        revision = dispatch.revision.0,
+        events,
+        end = end.as_str();
+        "attempt ended"
+    );
+}
+
+/// A request ended.
+pub fn ended(call: &Call, outcome: &str, cause: &str, events: u64) {
+    let level = if outcome == "served" { log::Level::Info } else { log::Level::Warn };
+    log::log!(
+        level,
+        event = "ended",
+        request = call.caller.id.as_str(),
+        route = call.route.name.as_str(),
+        account = call.account.as_ref().map_or("", |account| account.name.as_str()),
+        outcome,
+        cause,
+        events;
+        "request ended"
+    );
+}
+
+/// A request was refused.
+pub fn refused(call: &Call, refusal: &Refusal, waiting: usize) {
+    log::warn!(
+        event = "refused",
+        request = call.caller.id.as_str(),
+        route = call.route.name.as_str(),
+        account = call.account.as_ref().map_or("", |account| account.name.as_str()),
+        cause = refusal.reason.as_str(),
+        retry_after_ms = refusal.retry_after.as_millis() as u64,
+        waiting;
+        "request refused"
+    );
+}
+
+/// A request was turned away before it became one.
+pub fn rejected(request: &str, cause: &str, revision: u64) {
+    log::warn!(event = "rejected", request, cause, revision; "request rejected");
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,128 @@
+//! Metrics of one instance in the OpenMetrics text format.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use sesamewind_protocol::RouteId;
+
+/// First bound of the latency histograms, in seconds, with the factor and number of bounds: from
+/// 5 ms to 20 s.
+const BUCKETS: (f64, f64, u16) = (0.005, 2.0, 13);
+
+/// Labels of a request's end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    route: String,
+    outcome: String,
+}
+
+/// Labels by what something happened to or for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: String,
+}
+
+/// Labels by route.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteLabels {
+    route: String,
+}
+
+type RouteHistogram = Family<RouteLabels, Histogram, fn() -> Histogram>;
+
+/// Metrics of one instance.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    outcomes: Family<OutcomeLabels, Counter>,
+    refusals: Family<ReasonLabels, Counter>,
+    attempts: Family<ReasonLabels, Counter>,
+    lost: Family<ReasonLabels, Counter>,
+    first_byte: RouteHistogram,
+    waited: RouteHistogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics that all start at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("sesamewind");
+        let histogram = || -> Histogram {
+            Histogram::new(exponential_buckets(BUCKETS.0, BUCKETS.1, BUCKETS.2))
+        };
+        let this = Self {
+            outcomes: Family::default(),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            lost: Family::default(),
+            first_byte: Family::new_with_constructor(histogram),
+            waited: Family::new_with_constructor(histogram),
+            registry: Registry::default(),
+        };
+        registry.register("requests", "Requests by route and outcome", this.outcomes.clone());
+        registry.register("refusals", "Refusals by reason", this.refusals.clone());
+        registry.register("attempts", "Attempts at targets by end", this.attempts.clone());
+        registry.register("lost", "Lost dependencies by kind", this.lost.clone());
+        registry.register(
+            "first_byte_seconds",
+            "Time from arrival to the first byte of the answer",
+            this.first_byte.clone(),
+        );
+        registry.register(
+            "queue_seconds",
+            "Time from arrival to the first attempt",
+            this.waited.clone(),
+        );
+        Self { registry, ..this }
+    }
+
+    /// Counts a request's end.
+    pub fn outcome(&self, route: &RouteId, outcome: &str) {
+        let labels =
+            OutcomeLabels { route: route.as_str().to_owned(), outcome: outcome.to_owned() };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: &str) {
+        self.refusals.get_or_create(&ReasonLabels { reason: reason.to_owned() }).inc();
+    }
+
+    /// Counts an attempt's end.
+    pub fn attempt(&self, end: &str) {
+        self.attempts.get_or_create(&ReasonLabels { reason: end.to_owned() }).inc();
+    }
+
+    /// Counts a lost dependency.
+    pub fn dependency_lost(&self, kind: &str) {
+        self.lost.get_or_create(&ReasonLabels { reason: kind.to_owned() }).inc();
+    }
+
+    /// Takes in the time to the first byte, in seconds.
+    pub fn first_byte(&self, route: &RouteId, seconds: f64) {
+        let labels = RouteLabels { route: route.as_str().to_owned() };
+        self.first_byte.get_or_create(&labels).observe(seconds);
+    }
+
+    /// Takes in the time in the queue, in seconds.
+    pub fn waited(&self, route: &RouteId, seconds: f64) {
+        let labels = RouteLabels { route: route.as_str().to_owned() };
+        self.waited.get_or_create(&labels).observe(seconds);
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        if let Err(err) = text::encode(&mut text, &self.registry) {
+            log::error!("metrics could not be written: {err}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,194 @@
+//! Connections to targets and to the platform's store.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+/// Longest time for a connection to come about. Targets are a few milliseconds away, and a lost
+/// first packet is sent again after a second, so that a new attempt is quicker.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+
+/// How long an idle connection is kept when the other side names no time.
+const KEEP_TIME: Duration = Duration::from_secs(4);
+
+/// Time before the other side's limit at which an idle connection is given up, so that a request
+/// does not cross its close.
+const KEEP_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Idle connections kept to one address.
+const IDLE_LIMIT: usize = 24;
+
+/// Why a request could not be exchanged.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No connection came about.
+    #[error("no connection: {0}")]
+    Unconnected(String),
+    /// Not a byte was written to a kept connection, which was closed before.
+    #[error("kept connection was closed")]
+    Unsent,
+    /// The connection broke after bytes may have been written.
+    #[error("connection broke: {0}")]
+    Broken(String),
+}
+
+/// An open connection. Dropping it closes it at once.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    address: SocketAddr,
+    /// When it became idle, and until when it may be used.
+    idle: Instant,
+    keep: Duration,
+    /// Whether it was used before.
+    pub reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::Unconnected`] if none comes about in time.
+    pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        let stream = match timeout(CONNECT_TIME, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(err)) => return Err(SendError::Unconnected(err.to_string())),
+            Err(_) => return Err(SendError::Unconnected("no answer in time".to_owned())),
+        };
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!("no delay could not be set: {err}");
+        }
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (sender, connection) =
+            handshake.map_err(|err| SendError::Unconnected(err.to_string()))?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(err) = connection.await {
+                log::debug!("connection to {address} ended: {err}");
+            }
+        });
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+            address,
+            idle: Instant::now(),
+            keep: KEEP_TIME,
+            reused: false,
+        })
+    }
+
+    /// Sends a request and reads the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] that says whether bytes may have been written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(response::Parts, Incoming), SendError> {
+        if self.sender.ready().await.is_err() {
+            return Err(SendError::Unsent);
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response.into_parts()),
+            Err(mut err) => match err.take_message() {
+                Some(_) => Err(SendError::Unsent),
+                None => Err(SendError::Broken(err.into_error().to_string())),
+            },
+        }
+    }
+
+    /// Sets how long the other side keeps the connection idle.
+    pub fn set_keep(&mut self, keep: Duration) {
+        self.keep = keep.saturating_sub(KEEP_MARGIN);
+    }
+
+    fn is_usable(&self, now: Instant, fresh: Duration) -> bool {
+        !self.sender.is_closed() && now.duration_since(self.idle) <= self.keep.min(fresh)
+    }
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    opened: Cell<u64>,
+}
+
+impl Pool {
+    /// A connection to `address` that was used within `fresh`, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::Unconnected`] if a new one does not come about.
+    pub async fn get(&self, address: SocketAddr, fresh: Duration) -> Result<Connection, SendError> {
+        if let Some(connection) = self.take_idle(address, fresh) {
+            return Ok(connection);
+        }
+        self.opened.set(self.opened.get() + 1);
+        Connection::open(address).await
+    }
+
+    /// Takes back a connection whose answer was read to its end.
+    pub fn put(&self, mut connection: Connection) {
+        if connection.keep.is_zero() || connection.sender.is_closed() {
+            return;
+        }
+        connection.idle = Instant::now();
+        connection.reused = true;
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(connection.address).or_default();
+        if kept.len() < IDLE_LIMIT {
+            kept.push(connection);
+        }
+    }
+
+    /// Drops idle connections to `address`, which may be dead.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Drops connections that were idle for too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|connection| connection.is_usable(now, Duration::MAX));
+            !kept.is_empty()
+        });
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    fn take_idle(&self, address: SocketAddr, fresh: Duration) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        while let Some(connection) = kept.pop() {
+            if connection.is_usable(now, fresh) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/relay/src/server.rs
@@ -0,0 +1,157 @@
+//! Accepts connections and serves requests on them.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use crate::answer::Answer;
+
+/// Connections that may wait to be accepted; a burst of callers opens many at once.
+const BACKLOG: u32 = 1_024;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin the loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const MIN_HEAD_BYTES: usize = 8_192;
+
+/// Limits on a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    /// Longest time for a request head to arrive, from the end of the request before.
+    pub head_time: Duration,
+    /// How long a connection may stay idle.
+    pub idle_time: Duration,
+}
+
+/// Progress of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd)]
+pub enum Phase {
+    /// Requests are served.
+    Serving,
+    /// Requests are served, and each answer asks the caller to close its connection.
+    Closing,
+    /// Connections are closed as soon as they have no request.
+    Closed,
+}
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Returns the operating system's error if the address cannot be bound.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves `handler` on `listener` for as long as the instance runs.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    handler: H,
+    limits: impl Fn() -> Limits,
+    phase: watch::Receiver<Phase>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = serve_connection(stream, handler.clone(), limits(), phase.clone());
+                tokio::task::spawn_local(connection);
+            }
+            Err(err) => {
+                log::warn!(event = "accept_failed"; "accept failed: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// What a connection is doing.
+#[derive(Debug)]
+struct Activity {
+    requests: Cell<u32>,
+    last: Cell<Instant>,
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    handler: H,
+    limits: Limits,
+    mut phase: watch::Receiver<Phase>,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("no delay could not be set: {err}");
+    }
+    let activity = Rc::new(Activity { requests: Cell::new(0), last: Cell::new(Instant::now()) });
+    let seen = Rc::clone(&activity);
+    let stage = phase.clone();
+    let service = service_fn(move |request| {
+        seen.requests.set(seen.requests.get() + 1);
+        let answer = handler(request);
+        let (seen, stage) = (Rc::clone(&seen), stage.clone());
+        async move {
+            let mut answer = answer.await;
+            seen.requests.set(seen.requests.get() - 1);
+            seen.last.set(Instant::now());
+            if *stage.borrow() != Phase::Serving {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time + limits.head_time)
+        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let mut idle = pin!(sleep_until(activity.last.get() + limits.idle_time));
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(err) = ended {
+                    log::debug!("connection of a caller ended: {err}");
+                }
+                return;
+            }
+            () = idle.as_mut(), if !closing => {
+                let due = activity.last.get() + limits.idle_time;
+                if activity.requests.get() == 0 && due <= Instant::now() {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                } else {
+                    idle.as_mut().reset(due.max(Instant::now() + limits.idle_time / 2));
+                }
+            }
+            closed = phase.wait_for(|phase| *phase == Phase::Closed), if !closing => {
+                drop(closed);
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/source.rs
@@ -0,0 +1,102 @@
+//! The platform's store as the watchers see it.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use sesamewind_gateway::Routing;
+use sesamewind_gateway::targets::Change;
+use sesamewind_protocol::{InstanceId, ZoneId};
+
+/// What is watched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    /// The operators' configuration.
+    Configuration,
+    /// The list of targets.
+    Targets,
+}
+
+impl Topic {
+    /// The topic as it stands in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Targets => "targets",
+        }
+    }
+}
+
+/// One thing that changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Notice {
+    /// A configuration.
+    Routing(Box<Routing>),
+    /// A target.
+    Target(Change),
+    /// An entry that can't be read.
+    Damaged {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        fault: String,
+    },
+}
+
+/// What a read brought.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Batch {
+    /// Version of the store that the batch reaches to.
+    pub version: u64,
+    /// Changes in order, or everything there is.
+    pub notices: Vec<Notice>,
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SourceError {
+    /// The history that was asked for is gone; read the whole.
+    #[error("history is gone")]
+    HistoryGone,
+    /// The store turned the call away without doing anything.
+    #[error("turned away with status {0}")]
+    TurnedAway(u16),
+    /// No answer came, so the call may have been done.
+    #[error("no answer: {0}")]
+    Lost(String),
+    /// The answer can't be read.
+    #[error("unreadable answer: {0}")]
+    Unreadable(String),
+}
+
+/// Another instance as it announced itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Name.
+    pub instance: InstanceId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Address of its inner listener.
+    pub address: SocketAddr,
+}
+
+/// The platform's store.
+pub trait Source: fmt::Debug {
+    /// Reads everything there is of `topic`.
+    fn read(&self, topic: Topic) -> LocalBoxFuture<'_, Result<Batch, SourceError>>;
+
+    /// Waits up to `wait` for changes of `topic` after version `after`.
+    fn changes(
+        &self,
+        topic: Topic,
+        after: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Batch, SourceError>>;
+
+    /// Writes this instance's announcement.
+    fn announce<'a>(&'a self, me: &'a Announcement) -> LocalBoxFuture<'a, Result<(), SourceError>>;
+
+    /// Reads the announcements of all instances.
+    fn instances(&self) -> LocalBoxFuture<'_, Result<Vec<Announcement>, SourceError>>;
+}
--- a/crates/daemon/tests/logging.rs
+++ b/crates/runtime/tests/logging.rs
@@ -6,8 +6,8 @@
 use log::kv::Value;
 use log::{Level, LevelFilter, Log as _, Record};
 use serde_json::json;
-use sesamewind_daemon::logging::{dispatch, format_line};
 use sesamewind_protocol::{InstanceId, Wall};
+use sesamewind_runtime::logging::{dispatch, format_line};
 use sesamewind_settings::{Log, Secret};
 
 /// Shared buffer in place of standard error.
--- a/crates/settings/src/build.rs
+++ b/crates/settings/src/build.rs
@@ -239,7 +239,7 @@
     stop
 }
 
-fn log(table: Option<&Table>, faults: &mut Vec<Fault>) -> Log {
+pub(crate) fn log(table: Option<&Table>, faults: &mut Vec<Fault>) -> Log {
     const LEVEL: &str = "off, error, warn, info, debug or trace";
     let default = Log::default();
     let mut section = Section::new("log", table, faults);
@@ -258,7 +258,7 @@
 }
 
 /// Reads a name: it stands in table keys, headers and logs, so its characters are limited.
-fn name<'a>(section: &mut Section<'a, '_>, key: &'a str) -> Option<String> {
+pub(crate) fn name<'a>(section: &mut Section<'a, '_>, key: &'a str) -> Option<String> {
     let text = section.text(key)?;
     let valid = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if text.len() > MAX_NAME_BYTES || !text.bytes().all(valid) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod build;
 mod fault;
 mod model;
+mod relay;
 mod secret;
 mod section;
 
@@ -16,6 +17,7 @@
 pub use model::{
     Control, Instance, Listen, Log, Platform, Records, Settings, Stop, Tokens, Traffic,
 };
+pub use relay::{PEER_TOKEN, RelayBounds, RelayListen, RelaySettings};
 pub use secret::Secret;
 
 impl Settings {
--- /dev/null
+++ b/crates/settings/src/relay.rs
@@ -0,0 +1,166 @@
+//! Settings of an instance that forwards by route.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use log::LevelFilter;
+use sesamewind_protocol::{InstanceId, ZoneId};
+use toml::Table;
+
+use crate::build::{log, name};
+use crate::section::Section;
+use crate::{Fault, Faults, Log, Secret};
+
+const ADDRESS: &str = "an IP address and port such as \"127.0.0.1:8080\"";
+const NUMBER: &str = "a number";
+
+/// Environment variable that holds the token between instances.
+pub const PEER_TOKEN: &str = "SESAMEWIND_PEER_TOKEN";
+
+/// Settings of an instance that forwards by route.
+#[derive(Debug, Clone)]
+pub struct RelaySettings {
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Addresses to listen on.
+    pub listen: RelayListen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Bounds that the deployment sets.
+    pub bounds: RelayBounds,
+    /// Token that peers show one another.
+    pub token: Secret,
+    /// Logging.
+    pub log: Log,
+}
+
+/// Addresses to listen on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayListen {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Questions whether the instance is ready.
+    pub readiness: SocketAddr,
+    /// Peers and metrics.
+    pub inner: SocketAddr,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RelayBounds {
+    /// Further attempts for each first one, over all instances.
+    pub retry_ratio: f64,
+    /// Further attempts beside that, over all instances.
+    pub retry_extra: f64,
+    /// Span over which further attempts are counted.
+    pub retry_window: Duration,
+    /// Span over which use of account limits is counted.
+    pub quota_window: Duration,
+    /// Time within which a leaving target must have no new work.
+    pub drain: Duration,
+    /// Time from the stop signal to the end of the process.
+    pub grace: Duration,
+}
+
+impl RelaySettings {
+    /// Reads settings from `text`; `env` looks up variables that hold secrets.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the settings.
+    pub fn parse(text: &str, env: &dyn Fn(&str) -> Option<String>) -> Result<Self, Faults> {
+        let root: Table =
+            text.parse().map_err(|err| Faults::one("", format!("not valid TOML: {err}")))?;
+        let mut faults = Vec::new();
+        let read = read(&root, env, &mut faults);
+        match read {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Faults::new(faults)),
+        }
+    }
+
+    /// Reads settings from the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the settings, or the one that the file could not be read.
+    pub fn load(path: &Path) -> Result<Self, Faults> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|err| Faults::one("", format!("could not read {}: {err}", path.display())))?;
+        Self::parse(&text, &|name| std::env::var(name).ok())
+    }
+}
+
+fn read(
+    root: &Table,
+    env: &dyn Fn(&str) -> Option<String>,
+    faults: &mut Vec<Fault>,
+) -> Option<RelaySettings> {
+    let mut top = Section::new("", Some(root), faults);
+    let instance_table = top.required_table("instance");
+    let listen_table = top.required_table("listen");
+    let store_table = top.required_table("store");
+    let bounds_table = top.required_table("bounds");
+    let log_table = top.table("log");
+    let token = env(PEER_TOKEN);
+    if token.is_none() {
+        top.fault("", format!("environment variable {PEER_TOKEN} is not set"));
+    }
+    top.finish();
+
+    let mut section = Section::new("instance", instance_table, faults);
+    let instance_name = name(&mut section, "name");
+    let zone = name(&mut section, "zone");
+    section.finish();
+    let mut section = Section::new("store", store_table, faults);
+    let store = section.parsed::<SocketAddr>("address", ADDRESS);
+    section.finish();
+    let listen = listen_table.and_then(|table| listen(table, faults));
+    let bounds = bounds_table.and_then(|table| bounds(table, faults));
+    let log = match log_table {
+        Some(_) => log(log_table, faults),
+        None => Log { level: LevelFilter::Info, ..Log::default() },
+    };
+    Some(RelaySettings {
+        name: InstanceId::new(instance_name?),
+        zone: ZoneId::new(zone?),
+        listen: listen?,
+        store: store?,
+        bounds: bounds?,
+        token: Secret::new(token?),
+        log,
+    })
+}
+
+fn listen(table: &Table, faults: &mut Vec<Fault>) -> Option<RelayListen> {
+    let mut section = Section::new("listen", Some(table), faults);
+    let callers = section.parsed::<SocketAddr>("callers", ADDRESS);
+    let readiness = section.parsed::<SocketAddr>("readiness", ADDRESS);
+    let inner = section.parsed::<SocketAddr>("inner", ADDRESS);
+    section.finish();
+    Some(RelayListen { callers: callers?, readiness: readiness?, inner: inner? })
+}
+
+fn bounds(table: &Table, faults: &mut Vec<Fault>) -> Option<RelayBounds> {
+    let mut section = Section::new("bounds", Some(table), faults);
+    let retry_ratio = section.parsed::<f64>("retry_ratio", NUMBER);
+    let retry_extra = section.parsed::<f64>("retry_extra", NUMBER);
+    for (key, value) in [("retry_ratio", retry_ratio), ("retry_extra", retry_extra)] {
+        if value.is_some_and(|value| !(value >= 0.0 && value.is_finite())) {
+            section.fault(key, "must be zero or more");
+        }
+    }
+    let bounds = RelayBounds {
+        retry_ratio: retry_ratio.unwrap_or_default(),
+        retry_extra: retry_extra.unwrap_or_default(),
+        retry_window: section.duration("retry_window", Duration::from_secs(10)),
+        quota_window: section.duration("quota_window", Duration::from_secs(8)),
+        drain: section.duration("drain", Duration::from_secs(2)),
+        grace: section.duration("grace", Duration::from_secs(8)),
+    };
+    section.finish();
+    Some(bounds)
+}
--- /dev/null
+++ b/src/bin/sesamewind-gateway.rs
@@ -0,0 +1,77 @@
+//! An entry instance that forwards by route on the users' platform.
+
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use sesamewind_adapter::{Speech, Store, names};
+use sesamewind_relay::Instance;
+use sesamewind_runtime::logging;
+use sesamewind_runtime::sink::Sink;
+use sesamewind_settings::RelaySettings;
+
+/// Exit code for settings with faults.
+const EXIT_SETTINGS: u8 = 2;
+
+mod flags {
+    #![allow(missing_docs, reason = "generated from the help texts")]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs one entry instance that forwards by route.
+        cmd sesamewind-gateway {
+            /// Settings file in TOML; without it, the file that the platform names.
+            optional settings: PathBuf
+            /// Only checks the settings and tells every fault.
+            optional --check
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::SesamewindGateway::from_env_or_exit();
+    let path = flags.settings.or_else(|| std::env::var_os(names::SETTINGS_PATH).map(PathBuf::from));
+    let Some(path) = path else {
+        eprintln!("no settings file given, and {} is not set", names::SETTINGS_PATH);
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match RelaySettings::load(&path) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if flags.check {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    let (sink, dropped) = match Sink::start(io::stdout()) {
+        Ok(started) => started,
+        Err(err) => {
+            eprintln!("log could not be started: {err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let output = fern::Output::writer(Box::new(sink), "\n");
+    if let Err(err) = logging::dispatch(&settings.log, &settings.name, output).apply() {
+        eprintln!("{err}");
+        return ExitCode::FAILURE;
+    }
+    let instance = Instance {
+        dialect: Rc::new(Speech),
+        source: Rc::new(Store::new(settings.store)),
+        settings,
+        path: &path,
+        dropped,
+    };
+    match instance.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
