Count account limits over a sliding window; a request cut at its deadline may have run

The proof that a request had not run was restored by hand there; Flight::history is the only way back to it now.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -51,8 +51,8 @@
         if let Some(account) = &arrival.account
             && let Err(wait) = self.quotas.take(&account.name, cost, now)
         {
-            let refusal = Refusal::new(proof, RefusalReason::OverLimit, wait);
-            return self.out.push(Action { ticket, step: Step::Refuse(refusal) });
+            let wait = wait.max(self.come_back());
+            return self.refuse_for(&arrival, proof, RefusalReason::OverLimit, wait, now);
         }
         let state =
             self.services.entry(service.clone()).or_insert_with(|| ServiceState::new(&self.tuning));
@@ -97,7 +97,7 @@
                     service.queue.remove(*position);
                 }
                 if matches!(history, History::Unrun(_)) {
-                    self.give_back(&request);
+                    self.give_back(&request, now);
                 }
             }
             State::Flying(flight) => self.release(flight, request.prompt()),
@@ -115,7 +115,7 @@
         let service = request.service.clone();
         match end {
             End::Whole => {}
-            End::Expired => self.finish(ticket, &request, flight.before, end, now),
+            End::Expired => self.finish(ticket, &request, flight.history(end), end, now),
             _ => self.continue_elsewhere(ticket, request, flight, end, now),
         }
         self.pump(&service, now);
@@ -130,11 +130,12 @@
         end: End,
         now: Time,
     ) {
-        let history = if end.is_unrun() { flight.before } else { History::MayHaveRun };
+        let target = flight.target;
+        let history = flight.history(end);
         if !end.is_unrun() {
             request.runs += 1;
         }
-        request.tried.push(flight.target);
+        request.tried.push(target);
         let repeatable = end.is_unrun()
             || match request.arrival.route.repeat {
                 Repeat::Never => false,
@@ -151,7 +152,7 @@
         }
         let choice = self.find(&request, None, now).or_else(|| {
             request.tried.clear();
-            request.tried.push(flight.target);
+            request.tried.push(target);
             self.find(&request, None, now)
         });
         match choice {
@@ -174,7 +175,7 @@
     fn finish(&mut self, ticket: Ticket, request: &Request, history: History, end: End, now: Time) {
         match history {
             History::Unrun(proof) => {
-                self.give_back(request);
+                self.give_back(request, now);
                 let reason = match end {
                     End::Expired => RefusalReason::Expired,
                     _ => RefusalReason::Refused,
@@ -189,16 +190,31 @@
     }
 
     fn refuse(&mut self, arrival: &Arrival, proof: Unrun, reason: RefusalReason, now: Time) {
-        let spread = COME_BACK.1 - COME_BACK.0;
-        let wish = COME_BACK.0 + spread.mul_f64(self.rng.random::<f64>());
+        let wait = self.come_back();
+        self.refuse_for(arrival, proof, reason, wait, now);
+    }
+
+    /// A time to come back, drawn at random so that refused callers don't return together.
+    fn come_back(&mut self) -> Duration {
+        COME_BACK.0 + (COME_BACK.1 - COME_BACK.0).mul_f64(self.rng.random::<f64>())
+    }
+
+    fn refuse_for(
+        &mut self,
+        arrival: &Arrival,
+        proof: Unrun,
+        reason: RefusalReason,
+        wait: Duration,
+        now: Time,
+    ) {
         let left = arrival.deadline.since(now).mul_f64(COME_BACK_PART);
-        let refusal = Refusal::new(proof, reason, wish.min(left));
+        let refusal = Refusal::new(proof, reason, wait.min(left));
         self.out.push(Action { ticket: arrival.ticket, step: Step::Refuse(refusal) });
     }
 
-    fn give_back(&mut self, request: &Request) {
+    fn give_back(&mut self, request: &Request, now: Time) {
         if let Some(account) = &request.arrival.account {
-            self.quotas.give_back(&account.name, request.cost);
+            self.quotas.give_back(&account.name, request.cost, now);
         }
     }
 
@@ -268,13 +284,7 @@
             revision: self.table.as_ref().map_or_else(Default::default, |table| table.revision),
             once: route.repeat == Repeat::Never,
         });
-        request.state = State::Flying(Flight {
-            target: index,
-            sent: now,
-            ahead,
-            started: false,
-            before: history,
-        });
+        request.state = State::Flying(Flight::new(index, now, ahead, history));
         self.requests.insert(ticket, request);
         self.out.push(Action { ticket, step });
     }
@@ -342,7 +352,7 @@
         {
             service.queue.remove(*position);
         }
-        self.give_back(&request);
+        self.give_back(&request, now);
         match request.state {
             State::Waiting { history: History::Unrun(proof), .. } => {
                 self.refuse(&request.arrival, proof, reason, now);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sesamewind_protocol::relay::{AccountSum, LeavingNote, RelayNews, TargetLoad};
+use sesamewind_protocol::relay::{LeavingNote, RelayNews, TargetLoad};
 use sesamewind_protocol::{Incarnation, InstanceId, Revision, ServiceId, Time, ZoneId};
 
 use crate::arrival::Ticket;
@@ -60,13 +60,12 @@
     pub fn new(me: Identity, tuning: Tuning, seed: u64) -> Self {
         Self {
             me,
-            tuning,
             rng: ChaCha8Rng::seed_from_u64(seed),
             table: None,
             services: HashMap::new(),
             targets: Targets::default(),
             requests: HashMap::new(),
-            quotas: Quotas::default(),
+            quotas: Quotas::new(tuning.quota, tuning.joined),
             peers: Peers::default(),
             stopping: false,
             list_back: None,
@@ -75,6 +74,7 @@
             leaving: false,
             sequence: 0,
             out: Vec::new(),
+            tuning,
         }
     }
 
@@ -149,8 +149,7 @@
             requests: target.own,
             prefill: target.own_prefill,
         });
-        let sums =
-            self.quotas.uses().map(|(account, used)| AccountSum { account: account.clone(), used });
+        let sums = self.quotas.sums();
         let leaving = self
             .targets
             .iter()
@@ -230,8 +229,7 @@
         if news.from == self.me.instance || !self.peers.hear(news, &mut self.targets, now) {
             return;
         }
-        let uses = news.sums.iter().map(|sum| (&sum.account, sum.used));
-        self.quotas.hear(&news.from, news.incarnation, uses, now);
+        self.quotas.hear(&news.from, news.incarnation, &news.sums, now);
         for note in &news.leaving {
             self.targets.retire(&note.target, note.incarnation);
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,6 +3,7 @@
 use sesamewind_protocol::{ServiceId, Time};
 
 use crate::arrival::Arrival;
+use crate::event::End;
 use crate::proof::Unrun;
 use crate::queue::Position;
 use crate::targets::Index;
@@ -42,8 +43,21 @@
     pub(crate) ahead: u32,
     /// Whether bytes of the answer came.
     pub(crate) started: bool,
-    /// What was known before the attempt.
-    pub(crate) before: History,
+    /// What was known before the attempt; see [`Flight::history`].
+    before: History,
+}
+
+impl Flight {
+    /// A request that is sent now.
+    pub(crate) fn new(target: Index, sent: Time, ahead: u32, before: History) -> Self {
+        Self { target, sent, ahead, started: false, before }
+    }
+
+    /// Whether the request may have run, now that the attempt has ended. Only an end that proves
+    /// that the target did not run it leaves what was known before.
+    pub(crate) fn history(self, end: End) -> History {
+        if end.is_unrun() { self.before } else { History::MayHaveRun }
+    }
 }
 
 /// A request.
--- a/crates/gateway/src/tuning.rs
+++ b/crates/gateway/src/tuning.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::quota::QuotaBounds;
+
 /// Limits and weights of the decisions of one instance.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tuning {
@@ -11,12 +13,12 @@
     pub retry_extra: f64,
     /// Span over which the retry budget is counted; from the deployment's bound.
     pub retry_window: Duration,
-    /// Span over which account limits are checked; from the deployment's bound.
-    pub quota_window: Duration,
+    /// Bounds on account limits; from the deployment's bounds.
+    pub quota: QuotaBounds,
+    /// Whether other instances may have been running before this one.
+    pub joined: bool,
     /// How long a target's removal from the list is doubted after the list was away.
     pub removal_doubt: Duration,
-    /// How long before its drain bound a target must have no new work.
-    pub drain: Duration,
 }
 
 impl Default for Tuning {
@@ -25,9 +27,9 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
-            quota_window: Duration::from_secs(8),
+            quota: QuotaBounds { window: Duration::from_secs(8), overage: 0.1, slack: 0.0 },
+            joined: false,
             removal_doubt: Duration::from_millis(2_200),
-            drain: Duration::from_secs(2),
         }
     }
 }
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -15,13 +15,16 @@
     pub prefill: u32,
 }
 
-/// One instance's use of a client account's limit since the instance's start.
+/// Use of a client account's limit, as one instance counts it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountSum {
     /// The account.
     pub account: AccountId,
-    /// Units used.
+    /// Units used since the instance's start.
     pub used: f64,
+    /// Units that all instances used within the window, as the instance counted; zero if it doesn't
+    /// know.
+    pub window: f64,
 }
 
 /// A target that takes no new work, as one instance knows.
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -7,11 +7,12 @@
 use error_stack::{Report, ResultExt};
 use http::{Response, StatusCode};
 use sesamewind_gateway::gateway::Identity;
+use sesamewind_gateway::quota::QuotaBounds;
 use sesamewind_gateway::table::CallerLimits;
 use sesamewind_gateway::{Event, Gateway, Tuning};
 use sesamewind_runtime::clock::Clock;
 use sesamewind_runtime::sink::Dropped;
-use sesamewind_settings::{RelayBounds, RelaySettings};
+use sesamewind_settings::RelaySettings;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch::Sender;
 use tokio::task::{LocalSet, spawn_local};
@@ -98,7 +99,7 @@
             zone: settings.zone.clone(),
             address: settings.listen.inner.to_string(),
         };
-        let gateway = Gateway::new(me, tuning(&settings.bounds), rand::random());
+        let gateway = Gateway::new(me, tuning(settings), rand::random());
         let driver = Rc::new(Driver::new(gateway, clock, Rc::clone(&self.dialect)));
         let peers =
             Rc::new(Peers::new(Rc::clone(&driver), settings.name.clone(), settings.token.clone()));
@@ -187,7 +188,7 @@
         }
         match RelaySettings::load(self.path) {
             Ok(settings) => {
-                driver.change(|gateway| gateway.retune(tuning(&settings.bounds)));
+                driver.change(|gateway| gateway.retune(tuning(&settings)));
                 log::info!(event = "reloaded", asked; "settings read anew");
             }
             Err(faults) => {
@@ -251,13 +252,18 @@
     }
 }
 
-fn tuning(bounds: &RelayBounds) -> Tuning {
+fn tuning(settings: &RelaySettings) -> Tuning {
+    let bounds = &settings.bounds;
     Tuning {
         retry_ratio: bounds.retry_ratio,
         retry_extra: bounds.retry_extra,
         retry_window: bounds.retry_window,
-        quota_window: bounds.quota_window,
-        drain: bounds.drain,
+        quota: QuotaBounds {
+            window: bounds.quota_window,
+            overage: bounds.quota_overage,
+            slack: bounds.quota_slack,
+        },
+        joined: !settings.first_start,
         ..Tuning::default()
     }
 }
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -25,6 +25,8 @@
     pub name: InstanceId,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
     /// Addresses to listen on.
     pub listen: RelayListen,
     /// Address of the platform's store.
@@ -59,8 +61,10 @@
     pub retry_window: Duration,
     /// Span over which use of account limits is counted.
     pub quota_window: Duration,
-    /// Time within which a leaving target must have no new work.
-    pub drain: Duration,
+    /// Tolerance over an account limit, as a part of it.
+    pub quota_overage: f64,
+    /// Tolerance over an account limit, in units.
+    pub quota_slack: f64,
     /// Time from the stop signal to the end of the process.
     pub grace: Duration,
 }
@@ -114,6 +118,7 @@
     let mut section = Section::new("instance", instance_table, faults);
     let instance_name = name(&mut section, "name");
     let zone = name(&mut section, "zone");
+    let first_start = section.parsed::<bool>("first_start", "true or false");
     section.finish();
     let mut section = Section::new("store", store_table, faults);
     let store = section.parsed::<SocketAddr>("address", ADDRESS);
@@ -127,6 +132,7 @@
     Some(RelaySettings {
         name: InstanceId::new(instance_name?),
         zone: ZoneId::new(zone?),
+        first_start: first_start?,
         listen: listen?,
         store: store?,
         bounds: bounds?,
@@ -148,7 +154,15 @@
     let mut section = Section::new("bounds", Some(table), faults);
     let retry_ratio = section.parsed::<f64>("retry_ratio", NUMBER);
     let retry_extra = section.parsed::<f64>("retry_extra", NUMBER);
-    for (key, value) in [("retry_ratio", retry_ratio), ("retry_extra", retry_extra)] {
+    let quota_overage = section.parsed::<f64>("quota_overage", NUMBER);
+    let quota_slack = section.parsed::<f64>("quota_slack", NUMBER);
+    let numbers = [
+        ("retry_ratio", retry_ratio),
+        ("retry_extra", retry_extra),
+        ("quota_overage", quota_overage),
+        ("quota_slack", quota_slack),
+    ];
+    for (key, value) in numbers {
         if value.is_some_and(|value| !(value >= 0.0 && value.is_finite())) {
             section.fault(key, "must be zero or more");
         }
@@ -158,7 +172,8 @@
         retry_extra: retry_extra.unwrap_or_default(),
         retry_window: section.duration("retry_window", Duration::from_secs(10)),
         quota_window: section.duration("quota_window", Duration::from_secs(8)),
-        drain: section.duration("drain", Duration::from_secs(2)),
+        quota_overage: quota_overage.unwrap_or_default(),
+        quota_slack: quota_slack.unwrap_or_default(),
         grace: section.duration("grace", Duration::from_secs(8)),
     };
     section.finish();
