Refuse new requests soon after the stop signal, and close kept connections with them

New requests were refused only from half of the grace time on.

Ruled out: waiting longer; the process is killed at the grace time's end.

Change: kept connections are closed at 2.5 s, when the balancer sends no new ones, and new requests are refused from 2.8 s on.

--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -37,8 +37,9 @@
 /// second and takes an instance out after two answers.
 const BALANCER_LAG: Duration = Duration::from_millis(2_500);
 
-/// Part of the grace time at which new requests are refused, so that those in flight can end.
-const REFUSE_PART: f64 = 0.5;
+/// Time after the stop signal from which new requests are refused, so that those in flight have
+/// most of the grace time to end.
+const REFUSE_AFTER: Duration = Duration::from_millis(2_800);
 
 /// Time before the end of the grace time at which the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
@@ -215,12 +216,15 @@
     driver.change(Gateway::unready);
     phase.send_replace(Phase::Closing);
     let end = start + grace.saturating_sub(GRACE_MARGIN);
-    let refuse = start + grace.mul_f64(REFUSE_PART);
+    let refuse = start + REFUSE_AFTER;
     let settled = start + BALANCER_LAG;
     loop {
         sleep(STOP_POLL).await;
         driver.tell(Event::Tick);
         let now = Instant::now();
+        if now >= settled {
+            phase.send_if_modified(|phase| std::mem::replace(phase, Phase::Closed) != Phase::Closed);
+        }
         if now >= refuse {
             driver.tell(Event::Stop);
         }
@@ -230,7 +234,6 @@
         }
     }
     let open = driver.look(Gateway::open_requests);
-    phase.send_replace(Phase::Closed);
     // Connections write what is left of finished answers.
     sleep_until(end.min(Instant::now() + STOP_POLL)).await;
     log::info!(event = "stopped", cut = open; "instance stopped");
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -45,7 +45,7 @@
     Serving,
     /// Requests are served, and each answer asks the caller to close its connection.
     Closing,
-    /// Connections are closed as soon as they have no request.
+    /// Kept connections are closed as soon as they have no request; new ones are answered once.
     Closed,
 }
 
@@ -129,7 +129,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let mut idle = pin!(sleep_until(activity.last.get() + limits.idle_time));
-    let mut closing = false;
+    // A connection that comes late is answered once, and that answer closes it.
+    let mut closing = *phase.borrow() == Phase::Closed;
     loop {
         tokio::select! {
             ended = connection.as_mut() => {
