Keep the queue as short as its places allow, and order it by route within an account's urgency

Ruled out: too few places by a wrong load view (busiest/mean 1.5 before and after); the retry budget (29 repeats).

Change: the account's urgency comes first and the route's decides within it; the queue is cut at its end to what leaves it within 0.4 of the objective; a target that failed is used only where there is no other, and after its pause by one request at a time; callers are asked back late, since most come back once.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -8,6 +8,10 @@
 
 use crate::table::{Account, Route, Unit};
 
+/// Steps of the routes' urgency that one step of the accounts' urgency counts for: routes mostly
+/// have three of them.
+const ACCOUNT_STEPS: u8 = 3;
+
 /// Names one request at this instance, never used again.
 pub type Ticket = u64;
 
@@ -33,9 +37,11 @@
 }
 
 impl Arrival {
-    /// Urgency: the account's if it has one, the route's otherwise.
+    /// Urgency; zero is the most urgent. The account's comes first, and among accounts of the same
+    /// urgency the route's decides.
     pub fn rank(&self) -> u8 {
-        self.account.as_ref().and_then(|account| account.rank).unwrap_or(self.route.rank)
+        let account = self.account.as_ref().and_then(|account| account.rank).unwrap_or(0);
+        account.saturating_mul(ACCOUNT_STEPS).saturating_add(self.route.rank)
     }
 
     /// Use of the account's limit, in the account's unit.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -29,12 +29,14 @@
 /// usual answer.
 const PLAIN_SILENCE: Duration = Duration::from_millis(700);
 
-/// Shortest and longest time after which a refused caller is asked to come back: about the length
-/// of a short overload. Callers honour up to a third of the time that they have left.
-const COME_BACK: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(2_500));
+/// Bounds on the part of its remaining time after which a refused caller is asked to come back.
+/// Callers honour up to a third, and most come back only once, so that a late return finds a place
+/// more likely than an early one.
+const COME_BACK_PARTS: (f64, f64) = (0.18, 0.32);
 
-/// Part of its remaining time that a caller waits at most before it comes back.
-const COME_BACK_PART: f64 = 0.3;
+/// Part of its objective for which a request may have to wait by the queue's length. A longer queue
+/// would only turn requests that are in time into late ones.
+const QUEUE_PART: f64 = 0.4;
 
 /// How many waiting requests are looked at beyond one that no target can take yet.
 const PUMP_DEPTH: usize = 16;
@@ -51,7 +53,7 @@
         if let Some(account) = &arrival.account
             && let Err(wait) = self.quotas.take(&account.name, cost, now)
         {
-            let wait = wait.max(self.come_back());
+            let wait = wait.max(self.come_back(&arrival, now));
             return self.refuse_for(&arrival, proof, RefusalReason::OverLimit, wait, now);
         }
         let state =
@@ -70,8 +72,24 @@
             cost,
             state: State::Waiting { position, history: History::Unrun(proof) },
         };
+        let wait = request.arrival.route.objective.mul_f64(QUEUE_PART);
         self.requests.insert(ticket, request);
         self.pump(&service, now);
+        self.shorten_queue(&service, wait, now);
+    }
+
+    /// Refuses the last requests of a queue that is too long for them to be in time. Their callers
+    /// learn at once what they would learn later anyway.
+    fn shorten_queue(&mut self, service: &ServiceId, wait: Duration, now: Time) {
+        loop {
+            let Some(state) = self.services.get_mut(service) else { return };
+            if state.queue.len() <= state.queue_limit(wait, now) {
+                return;
+            }
+            let Some(ticket) = state.queue.last() else { return };
+            let Some(request) = self.requests.remove(&ticket) else { return };
+            self.give_up(ticket, request, now);
+        }
     }
 
     pub(crate) fn started(&mut self, ticket: Ticket, now: Time) {
@@ -190,13 +208,14 @@
     }
 
     fn refuse(&mut self, arrival: &Arrival, proof: Unrun, reason: RefusalReason, now: Time) {
-        let wait = self.come_back();
+        let wait = self.come_back(arrival, now);
         self.refuse_for(arrival, proof, reason, wait, now);
     }
 
     /// A time to come back, drawn at random so that refused callers don't return together.
-    fn come_back(&mut self) -> Duration {
-        COME_BACK.0 + (COME_BACK.1 - COME_BACK.0).mul_f64(self.rng.random::<f64>())
+    fn come_back(&mut self, arrival: &Arrival, now: Time) -> Duration {
+        let part = self.rng.random_range(COME_BACK_PARTS.0..COME_BACK_PARTS.1);
+        arrival.deadline.since(now).mul_f64(part)
     }
 
     fn refuse_for(
@@ -207,7 +226,7 @@
         wait: Duration,
         now: Time,
     ) {
-        let left = arrival.deadline.since(now).mul_f64(COME_BACK_PART);
+        let left = arrival.deadline.since(now).mul_f64(COME_BACK_PARTS.1);
         let refusal = Refusal::new(proof, reason, wait.min(left));
         self.out.push(Action { ticket: arrival.ticket, step: Step::Refuse(refusal) });
     }
@@ -324,6 +343,7 @@
         };
         if let Some(service) = self.services.get_mut(&request.service) {
             service.queue.remove(position);
+            service.dispatched.count(now);
         }
         self.dispatch(ticket, request, target, history, now);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod proof;
 pub mod queue;
 pub mod quota;
+mod rate;
 mod request;
 pub mod service;
 pub mod sse;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -68,12 +68,20 @@
     place: Place<'_>,
     rng: &mut impl Rng,
 ) -> Option<Index> {
-    let mut best: Option<(bool, f64, Index)> = None;
+    let mut best: Option<(f64, Index)> = None;
+    // Barred targets are used only where there are no others, full or not.
+    let all_barred = candidates
+        .iter()
+        .map(|&index| targets.get(index))
+        .all(|target| !target.is_usable(place.now) || target.is_barred(place.now));
     for &index in candidates {
         let target = targets.get(index);
         if !target.is_usable(place.now) || need.tried.contains(&index) {
             continue;
         }
+        if target.is_barred(place.now) && !all_barred {
+            continue;
+        }
         let places = (f64::from(target.listed.slots) * place.fill).max(1.0);
         if f64::from(target.load()) >= places {
             continue;
@@ -82,15 +90,12 @@
         if need.within.is_some_and(|within| predicted > within.as_secs_f64() * 1_000.0) {
             continue;
         }
-        let barred = target.is_barred(place.now);
         let score = score(target, predicted, places, place) * (1.0 + JITTER * rng.random::<f64>());
-        let better = best
-            .is_none_or(|(best_barred, best_score, _)| (barred, score) < (best_barred, best_score));
-        if better {
-            best = Some((barred, score, index));
+        if best.is_none_or(|(best_score, _)| score < best_score) {
+            best = Some((score, index));
         }
     }
-    best.map(|(_, _, index)| index)
+    best.map(|(_, index)| index)
 }
 
 fn score(target: &Target, predicted: f64, places: f64, place: Place<'_>) -> f64 {
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -38,11 +38,6 @@
         self.waiting.remove(&position);
     }
 
-    /// The request that is next.
-    pub fn first(&self) -> Option<Ticket> {
-        self.waiting.first_key_value().map(|((_, ticket), _)| *ticket)
-    }
-
     /// Requests in order.
     pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
         self.waiting.keys().map(|(_, ticket)| *ticket)
@@ -54,10 +49,9 @@
         overdue.map(|((_, ticket), _)| *ticket).collect()
     }
 
-    /// Requests that a request of `rank` that arrives now would wait behind.
-    pub fn ahead(&self, rank: u8, now: Time) -> usize {
-        let position = (now + RANK_STEP * u32::from(rank.min(MAX_RANK)), Ticket::MAX);
-        self.waiting.range(..position).count()
+    /// The request that is last.
+    pub fn last(&self) -> Option<Ticket> {
+        self.waiting.last_key_value().map(|((_, ticket), _)| *ticket)
     }
 
     /// Number of requests.
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -1,7 +1,12 @@
 //! One service: its targets, queue and retry budget.
 
+use std::time::Duration;
+
+use sesamewind_protocol::Time;
+
 use crate::budget::RetryBudget;
 use crate::queue::Queue;
+use crate::rate::Rate;
 use crate::targets::Index;
 use crate::tuning::Tuning;
 
@@ -13,6 +18,9 @@
 /// that stands empty for a round trip costs more than the wait.
 const PLAIN_FILL: f64 = 1.5;
 
+/// Requests that may wait while next to nothing leaves the queue.
+const MIN_QUEUE: usize = 4;
+
 /// One service.
 #[derive(Debug)]
 pub(crate) struct ServiceState {
@@ -22,6 +30,8 @@
     pub(crate) targets: Vec<Index>,
     /// Requests that wait.
     pub(crate) queue: Queue,
+    /// Requests of this instance that left the queue for a target.
+    pub(crate) dispatched: Rate,
     /// Further attempts that are allowed.
     pub(crate) budget: RetryBudget,
 }
@@ -33,10 +43,17 @@
             model: false,
             targets: Vec::new(),
             queue: Queue::default(),
+            dispatched: Rate::default(),
             budget: RetryBudget::new(tuning.retry_ratio, tuning.retry_extra, tuning.retry_window),
         }
     }
 
+    /// Requests that can wait and still leave the queue within `wait`.
+    pub(crate) fn queue_limit(&mut self, wait: Duration, now: Time) -> usize {
+        let leaving = self.dispatched.per_second(now) * wait.as_secs_f64();
+        (leaving as usize).max(MIN_QUEUE)
+    }
+
     /// Requests for each slot of a target.
     pub(crate) fn fill(&self) -> f64 {
         if self.model { MODEL_FILL } else { PLAIN_FILL }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -135,9 +135,10 @@
         }
     }
 
-    /// Whether recent failures keep it from new work while others are there.
+    /// Whether recent failures keep it from new work while others are there. After the pause one
+    /// request at a time finds out whether it has recovered.
     pub fn is_barred(&self, now: Time) -> bool {
-        now < self.barred
+        now < self.barred || (self.strikes > 0 && self.own > 0)
     }
 
     /// Counts an attempt that went well.
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -223,7 +223,8 @@
         driver.tell(Event::Tick);
         let now = Instant::now();
         if now >= settled {
-            phase.send_if_modified(|phase| std::mem::replace(phase, Phase::Closed) != Phase::Closed);
+            phase
+                .send_if_modified(|phase| std::mem::replace(phase, Phase::Closed) != Phase::Closed);
         }
         if now >= refuse {
             driver.tell(Event::Stop);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -35,6 +35,8 @@
     loop {
         let result = match version {
             None => source.read(topic).await,
+            // While the store is away, a short call tells sooner that it is back.
+            Some(after) if failures > 0 => source.changes(topic, after, Duration::ZERO).await,
             Some(after) => tokio::select! {
                 result = source.changes(topic, after, WAIT) => result,
                 () = overtaken(&driver) => source.changes(topic, after, Duration::ZERO).await,
