Save the use of account limits near a limit, so that a whole restart does not forget it

The part that was assumed decayed evenly, while the real use lay just before the kill.

Ruled out: assuming the whole limit (nobody would be served for a window after each whole restart); a strict rate in place of the window (bursts below the limit would be refused).

Change: the instance with the smallest name saves the window's amounts to the store every 250 ms while an account is above 0.55 of its limit; an instance that joins reads them, with their age by the store's clock.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use crate::arrival::Ticket;
 use crate::event::{Action, Event};
 use crate::peers::Peers;
-use crate::quota::Quotas;
+use crate::quota::{Quotas, SavedUse};
 use crate::request::Request;
 use crate::service::ServiceState;
 use crate::table::RouteTable;
@@ -117,6 +117,24 @@
         self.table.is_some() && self.list_seen && !self.leaving
     }
 
+    /// Use of account limits to save outside of the instances, if that is this instance's task now.
+    pub fn use_to_save(&mut self, now: Time) -> Vec<SavedUse> {
+        if !self.peers.is_first(&self.me.instance, now) {
+            return Vec::new();
+        }
+        self.quotas.to_save(now)
+    }
+
+    /// Whether what was used before this instance's start should be read.
+    pub fn needs_saved_use(&self) -> bool {
+        self.tuning.joined
+    }
+
+    /// Takes use of account limits that was saved `age` ago.
+    pub fn restore_use(&mut self, saved: &[SavedUse], age: Duration, now: Time) {
+        self.quotas.restore(saved, age, now);
+    }
+
     /// Takes new limits and weights.
     pub fn retune(&mut self, tuning: Tuning) {
         for service in self.services.values_mut() {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -44,6 +44,12 @@
         self.peers.len() + 1
     }
 
+    /// Whether this instance has the smallest name of those that were heard lately.
+    pub(crate) fn is_first(&self, me: &InstanceId, now: Time) -> bool {
+        let mut heard = self.peers.iter().filter(|(_, peer)| now.since(peer.heard) < LOAD_TIME);
+        heard.all(|(name, _)| me < name)
+    }
+
     /// Takes a peer's news; false if newer news was there before.
     pub(crate) fn hear(&mut self, news: &RelayNews, targets: &mut Targets, now: Time) -> bool {
         let peer = self.peers.entry(news.from.clone()).or_insert_with(|| Peer {
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -33,6 +33,18 @@
 /// running deployment, until its peers say what they counted.
 const ASSUMED_PART: f64 = 0.85;
 
+/// Part of a limit from which use is saved, so that instances that start together know of it.
+const SAVE_PART: f64 = 0.55;
+
+/// Use of one account that is saved outside of the instances.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SavedUse {
+    /// The account.
+    pub account: AccountId,
+    /// Amounts with the time after which each leaves the window.
+    pub amounts: Vec<(Duration, f64)>,
+}
+
 /// Bounds of the deployment on account limits.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaBounds {
@@ -54,7 +66,9 @@
 /// Use of one account by all instances, as far as it is known here.
 #[derive(Debug)]
 struct Meter {
-    /// Use allowed within the window.
+    /// The limit within the window.
+    limit: f64,
+    /// Use allowed within the window, part of the tolerance included.
     allowed: f64,
     slots: VecDeque<Slot>,
     total: f64,
@@ -106,6 +120,7 @@
             let mut meter = meter.unwrap_or_else(Meter::new);
             let limit = account.rate * self.bounds.window.as_secs_f64() + account.burst;
             let tolerance = self.bounds.overage * limit + self.bounds.slack;
+            meter.limit = limit;
             meter.allowed = limit + TOLERANCE_PART * tolerance;
             if first {
                 meter.assume(ASSUMED_PART * limit, self.bounds.window, now);
@@ -155,6 +170,46 @@
         )
     }
 
+    /// Use that should outlive the instances: that of accounts that are near their limit.
+    pub fn to_save(&mut self, now: Time) -> Vec<SavedUse> {
+        let mut saved = Vec::new();
+        for (account, meter) in &mut self.meters {
+            meter.expire(now);
+            if meter.assumed || meter.total < SAVE_PART * meter.limit {
+                continue;
+            }
+            let amounts = meter.slots.iter().map(|slot| (slot.end.since(now), slot.amount));
+            saved.push(SavedUse { account: account.clone(), amounts: amounts.collect() });
+        }
+        saved
+    }
+
+    /// Takes use that was saved `age` ago in place of what was assumed. Accounts that are not in it
+    /// were used less than is saved.
+    pub fn restore(&mut self, saved: &[SavedUse], age: Duration, now: Time) {
+        let window = self.bounds.window;
+        for (account, meter) in &mut self.meters {
+            if !meter.assumed {
+                continue;
+            }
+            let own = meter.used;
+            meter.slots.clear();
+            meter.total = 0.0;
+            match saved.iter().find(|saved| saved.account == *account) {
+                Some(saved) => {
+                    for (left, amount) in &saved.amounts {
+                        let end = now + left.saturating_sub(age);
+                        meter.slots.push_back(Slot { end, amount: *amount });
+                        meter.total += amount;
+                    }
+                    meter.assumed = true;
+                }
+                None => meter.assume(SAVE_PART * meter.limit, window, now),
+            }
+            meter.add(own, window, now);
+        }
+    }
+
     /// Takes a peer's report.
     pub fn hear(
         &mut self,
@@ -222,7 +277,14 @@
 
 impl Meter {
     fn new() -> Self {
-        Self { allowed: 0.0, slots: VecDeque::new(), total: 0.0, used: 0.0, assumed: false }
+        Self {
+            limit: 0.0,
+            allowed: 0.0,
+            slots: VecDeque::new(),
+            total: 0.0,
+            used: 0.0,
+            assumed: false,
+        }
     }
 
     /// Counts `amount` as used evenly over the window before `now`.
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -167,6 +167,7 @@
         for topic in [Topic::Configuration, Topic::Targets] {
             spawn_local(watch::follow(Rc::clone(driver), Rc::clone(&self.source), topic));
         }
+        spawn_local(watch::save_use(Rc::clone(driver), Rc::clone(&self.source)));
         let me = Announcement {
             instance: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use sesamewind_gateway::Routing;
+use sesamewind_gateway::quota::SavedUse;
 use sesamewind_gateway::targets::Change;
 use sesamewind_protocol::{InstanceId, ZoneId};
 
@@ -81,6 +82,15 @@
     pub address: SocketAddr,
 }
 
+/// Saved use of account limits.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AgedUse {
+    /// Time since it was saved.
+    pub age: Duration,
+    /// The use.
+    pub uses: Vec<SavedUse>,
+}
+
 /// The platform's store.
 pub trait Source: fmt::Debug {
     /// Reads everything there is of `topic`.
@@ -94,6 +104,12 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Batch, SourceError>>;
 
+    /// Saves use of account limits in place of what was saved before.
+    fn save_use<'a>(&'a self, uses: &'a [SavedUse]) -> LocalBoxFuture<'a, Result<(), SourceError>>;
+
+    /// Reads what was saved, with its age; none if nothing ever was.
+    fn saved_use(&self) -> LocalBoxFuture<'_, Result<Option<AgedUse>, SourceError>>;
+
     /// Writes this instance's announcement.
     fn announce<'a>(&'a self, me: &'a Announcement) -> LocalBoxFuture<'a, Result<(), SourceError>>;
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -24,6 +24,10 @@
 /// connection.
 const BEHIND_TIME: Duration = Duration::from_millis(250);
 
+/// Pause between two savings of the use of account limits; what is used in between is covered by
+/// the tolerance over the limits.
+const SAVE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Pause between two readings of the other instances' announcements. Peers learn of a new instance
 /// from its first exchange, so that this only repairs what was missed.
 const INSTANCES_PAUSE: Duration = Duration::from_secs(10);
@@ -53,7 +57,11 @@
                 // A stale replica may answer with less than is known.
                 if known.is_none_or(|known| batch.version >= known) {
                     version = Some(batch.version);
+                    let unconfigured = driver.look(|gateway| gateway.table().is_none());
                     apply(&driver, topic, batch, known.is_none());
+                    if topic == Topic::Configuration && unconfigured {
+                        restore_use(&driver, source.as_ref()).await;
+                    }
                 }
             }
             Err(SourceError::HistoryGone) => {
@@ -165,3 +173,39 @@
         }
     }
 }
+
+/// Saves use of account limits while an account is near its limit.
+pub async fn save_use(driver: Rc<Driver>, source: Rc<dyn Source>) {
+    loop {
+        sleep(SAVE_PAUSE).await;
+        let uses = driver.change(|gateway| gateway.use_to_save(driver.now()));
+        if uses.is_empty() {
+            continue;
+        }
+        if let Err(err) = source.save_use(&uses).await {
+            log::warn!(event = "use_not_saved", cause:% = err; "use of limits not saved");
+            sleep(PAUSE.1).await;
+        }
+    }
+}
+
+/// Reads what was used of account limits before this instance's start. Until it is known, the
+/// gateway assumes more.
+async fn restore_use(driver: &Driver, source: &dyn Source) {
+    if !driver.look(|gateway| gateway.needs_saved_use()) {
+        return;
+    }
+    match source.saved_use().await {
+        Ok(saved) => {
+            let (age, uses) =
+                saved.map_or((Duration::ZERO, Vec::new()), |saved| (saved.age, saved.uses));
+            let now = driver.now();
+            driver.change(|gateway| gateway.restore_use(&uses, age, now));
+            let (accounts, age_ms) = (uses.len(), age.as_millis() as u64);
+            log::info!(event = "use_restored", accounts, age_ms; "use of limits restored");
+        }
+        Err(err) => {
+            log::warn!(event = "use_not_restored", cause:% = err; "use of limits not restored");
+        }
+    }
+}
