--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -175,7 +175,7 @@
             meter.expire(now);
             let known = whole && !meter.assumed;
             if meter.used > 0.0 || known {
-                let amounts = known.then(|| meter.amounts(now)).unwrap_or_default();
+                let amounts = if known { meter.amounts(now) } else { Vec::new() };
                 sums.push(AccountSum { account: account.clone(), used: meter.used, amounts });
             }
         }
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::sse::EventScanner;
-use sesamewind_gateway::{Arrival, End, Event, Refusal, RefusalReason, Repeat, Step};
+use sesamewind_gateway::{Arrival, End, Event, Gateway, Refusal, RefusalReason, Repeat, Step};
 use sesamewind_protocol::{RequestKey, Time};
 use std::time::Duration;
 
@@ -82,7 +82,7 @@
     }
 
     async fn serve(self, arrived: Time) -> Answer {
-        let mut presence = Presence::new(Rc::clone(&self.driver), self.ticket);
+        let mut presence = Presence::new(Rc::clone(&self.driver), self.ticket, &self.caller.id);
         let resumed = self.caller.last_event.as_deref();
         let mut scanner = EventScanner::after(resumed.filter(|_| self.resumes()));
         let mut step = self.driver.ask(self.ticket, Event::Arrive(self.arrival(arrived)));
@@ -136,7 +136,7 @@
     fn conclude(&self, step: Step, held: Option<(response::Parts, Bytes)>) -> Answer {
         match (step, held) {
             (Step::Refuse(refusal), _) => {
-                journal::refused(self, &refusal, self.driver.look(|gateway| gateway.waiting()));
+                journal::refused(self, &refusal, self.driver.look(Gateway::waiting));
                 self.driver.metrics.refusal(refusal.reason.as_str());
                 self.driver.metrics.outcome(&self.route.name, "refused");
                 self.driver.dialect.refused(&refusal)
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -116,13 +116,15 @@
 pub struct Presence {
     driver: Rc<Driver>,
     ticket: Ticket,
+    /// Identity of the request, for the log.
+    request: String,
     open: bool,
 }
 
 impl Presence {
-    /// The presence of the caller of `ticket`.
-    pub fn new(driver: Rc<Driver>, ticket: Ticket) -> Self {
-        Self { driver, ticket, open: true }
+    /// The presence of the caller of `ticket`, whose request is `request`.
+    pub fn new(driver: Rc<Driver>, ticket: Ticket, request: &str) -> Self {
+        Self { driver, ticket, request: request.to_owned(), open: true }
     }
 
     /// The request has ended.
@@ -134,7 +136,7 @@
 impl Drop for Presence {
     fn drop(&mut self) {
         if self.open {
-            log::info!(event = "caller_left", ticket = self.ticket; "caller left");
+            log::info!(event = "caller_left", request = self.request.as_str(); "caller left");
             self.driver.leave(self.ticket);
         }
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use sesamewind_gateway::Event;
+use sesamewind_gateway::{Event, Gateway};
 use sesamewind_protocol::InstanceId;
 use sesamewind_protocol::codec;
 use sesamewind_protocol::relay::RelayNews;
@@ -156,7 +156,7 @@
     /// Takes a peer's state.
     fn hear(&self, news: &RelayNews) {
         self.driver.tell(Event::News(news));
-        let known = self.driver.look(|gateway| gateway.revision());
+        let known = self.driver.look(Gateway::revision);
         if news.revision > known || news.listed > self.driver.listed.get() {
             self.driver.behind.notify_waiters();
         }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt;
 use sesamewind_gateway::targets::Change;
-use sesamewind_gateway::{Event, RouteTable, Routing};
+use sesamewind_gateway::{Event, Gateway, RouteTable, Routing};
 use tokio::time::sleep;
 
 use crate::driver::Driver;
@@ -126,7 +126,7 @@
 
 fn install(driver: &Driver, routing: Routing) {
     let (revision, routes) = (routing.revision, routing.routes.len());
-    if revision <= driver.look(|gateway| gateway.revision()) {
+    if revision <= driver.look(Gateway::revision) {
         return;
     }
     driver.tell(Event::Configured(Arc::new(RouteTable::new(routing))));
@@ -192,7 +192,7 @@
 /// Reads what was used of account limits before this instance's start. Until it is known, the
 /// gateway assumes more.
 async fn restore_use(driver: &Driver, source: &dyn Source) {
-    if !driver.look(|gateway| gateway.needs_saved_use()) {
+    if !driver.look(Gateway::needs_saved_use) {
         return;
     }
     match source.saved_use().await {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod platform;
 pub mod proxy;
+pub mod relay;
 pub mod service;
 
 mod bad;
--- /dev/null
+++ b/crates/standins/src/relay/store.rs
@@ -0,0 +1,235 @@
+//! The platform's store of rows: whole reads, a feed of changes, and transactions.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use form_urlencoded::parse;
+use http::{Method, StatusCode};
+use serde::Serialize;
+use serde_json::{Value, json};
+use sesamewind_adapter::names;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use warp::reply::Response;
+
+use crate::proxy::FaultProxy;
+use crate::server::{self, Call, Handler, Server};
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It serves them.
+    #[default]
+    Up,
+    /// It turns them away without doing anything.
+    Down,
+    /// It has forgotten its history: feeds are told to read the whole.
+    Forgetful,
+}
+
+#[derive(Debug)]
+struct Row {
+    value: Option<Vec<u8>>,
+    version: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mode: StoreMode,
+    version: u64,
+    /// Rows by table and key; dropped rows stay without a value.
+    rows: BTreeMap<(String, String), Row>,
+    calls: u64,
+}
+
+#[derive(Debug)]
+struct Core {
+    state: Mutex<State>,
+    changed: Notify,
+    start: Instant,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct RowStore {
+    core: Arc<Core>,
+    server: Server,
+}
+
+impl RowStore {
+    /// Starts an empty store.
+    pub async fn start() -> Self {
+        let core = Arc::new(Core {
+            state: Mutex::default(),
+            changed: Notify::new(),
+            start: Instant::now(),
+        });
+        let server = Server::start(([127, 0, 0, 1], 0).into(), Arc::clone(&core)).await;
+        Self { core, server }
+    }
+
+    /// Address that instances use.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.front.addr()
+    }
+
+    /// The proxy in front of the store.
+    pub fn proxy(&self) -> &FaultProxy {
+        &self.server.front
+    }
+
+    /// Changes how calls are treated.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.core.state().mode = mode;
+        self.core.changed.notify_waiters();
+    }
+
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().into_bytes());
+    }
+
+    /// Writes a row whose bytes may be anything.
+    pub fn put_bytes(&self, table: &str, key: &str, value: Vec<u8>) {
+        self.core.write(table, key, Some(value));
+    }
+
+    /// Drops a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.core.write(table, key, None);
+    }
+
+    /// Writes the operators' configuration.
+    pub fn configure(&self, configuration: &Value) {
+        self.put(names::OPERATOR_TABLE, names::CONFIGURATION_KEY, configuration);
+    }
+
+    /// Keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.core.state();
+        let rows = state.rows.iter().filter(|((t, _), row)| t == table && row.value.is_some());
+        rows.map(|((_, key), _)| key.clone()).collect()
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.core.state().calls
+    }
+}
+
+impl Core {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let mut state = self.state();
+        state.version += 1;
+        let version = state.version;
+        state.rows.insert((table.to_owned(), key.to_owned()), Row { value, version });
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn page(&self, rows: Vec<Value>) -> Response {
+        let now = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let version = self.state().version;
+        let body = json!({"rows": rows, "hasMore": false, "rowVersion": version, "nowMs": now});
+        server::json(StatusCode::OK, &body)
+    }
+
+    fn rows(&self, table: &str, after: Option<u64>) -> Vec<Value> {
+        let state = self.state();
+        let mut rows: Vec<_> = state.rows.iter().filter(|((t, _), _)| t == table).collect();
+        rows.retain(|(_, row)| after.map_or(row.value.is_some(), |after| row.version > after));
+        if after.is_some() {
+            rows.sort_by_key(|(_, row)| row.version);
+        }
+        let wire = rows.into_iter().map(|((table, key), row)| {
+            let mut wire =
+                json!({"table": table, "part": "", "key": key, "rowVersion": row.version});
+            match &row.value {
+                Some(value) => wire["value"] = STANDARD.encode(value).into(),
+                None => wire["deleted"] = true.into(),
+            }
+            wire
+        });
+        wire.collect()
+    }
+
+    async fn feed(&self, table: &str, after: u64, wait: Duration) -> Response {
+        let arrived = async {
+            loop {
+                let changed = self.changed.notified();
+                let rows = self.rows(table, Some(after));
+                if !rows.is_empty() || self.state().mode != StoreMode::Up {
+                    return rows;
+                }
+                changed.await;
+            }
+        };
+        let rows = timeout(wait, arrived).await.unwrap_or_default();
+        match self.state().mode {
+            StoreMode::Up => {}
+            StoreMode::Down => return refused(StatusCode::SERVICE_UNAVAILABLE),
+            StoreMode::Forgetful => return refused(StatusCode::GONE),
+        }
+        self.page(rows)
+    }
+
+    fn transact(&self, body: &[u8]) -> Response {
+        let Ok(body) = serde_json::from_slice::<Value>(body) else {
+            return refused(StatusCode::BAD_REQUEST);
+        };
+        for put in body["puts"].as_array().into_iter().flatten() {
+            let text = |field: &str| put[field].as_str().unwrap_or_default().to_owned();
+            let value = STANDARD.decode(text("value")).unwrap_or_default();
+            self.write(&text("table"), &text("key"), Some(value));
+        }
+        self.page(Vec::new())
+    }
+}
+
+impl Handler for Core {
+    async fn handle(self: Arc<Self>, call: Call) -> Response {
+        let mode = {
+            let mut state = self.state();
+            state.calls += 1;
+            state.mode
+        };
+        if mode == StoreMode::Down {
+            return refused(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let query: BTreeMap<_, _> = parse(call.query.as_bytes()).into_owned().collect();
+        let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let table = query.get("table").map_or("", String::as_str);
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, names::ROWS) => {
+                let from = query.get("from").map_or("", String::as_str);
+                let mut rows = self.rows(table, None);
+                rows.retain(|row| row["key"].as_str().is_some_and(|key| key >= from));
+                self.page(rows)
+            }
+            (&Method::GET, names::FEED) => {
+                let wait = Duration::from_millis(number("waitMs"));
+                self.feed(table, number("after"), wait).await
+            }
+            (&Method::POST, names::TRANSACTION) => self.transact(&call.body),
+            _ => refused(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+/// Body of an answer that refuses a call.
+#[derive(Debug, Serialize)]
+struct Refused {
+    status: u16,
+}
+
+fn refused(status: StatusCode) -> Response {
+    server::json(status, &Refused { status: status.as_u16() })
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod once;
 mod path;
 mod programs;
+mod relay;
 mod rollouts;
 mod silent;
 mod stops;
--- /dev/null
+++ b/tests/all/relay/mod.rs
@@ -0,0 +1,7 @@
+//! Real gateway processes between stand-ins of the users' platform.
+
+mod faults;
+mod path;
+mod state;
+mod stops;
+mod world;
--- /dev/null
+++ b/tests/all/relay/state.rs
@@ -0,0 +1,126 @@
+//! State from the store and from peers.
+
+use std::time::Duration;
+
+use serde_json::json;
+use sesamewind_adapter::names;
+use sesamewind_standins::relay::{RelayTarget, RowStore, StoreMode, TargetOptions};
+
+use super::world::{Gateway, World, configuration, until};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_configuration_is_in_force_and_an_older_one_is_not() {
+    let world = World::start(0, 1).await;
+    let mut changed = configuration(5);
+    changed["routes"][3]["prefix"] = json!("/moved/");
+    world.store.configure(&changed);
+    until("new route is served", async || world.send("/moved/x").await.1.status() == 200).await;
+    assert_eq!(world.send("/read/x").await.1.status(), 404);
+    world.store.configure(&configuration(3));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(world.send("/moved/x").await.1.status(), 200);
+    // A damaged configuration changes nothing and is told.
+    world.store.put_bytes(names::OPERATOR_TABLE, names::CONFIGURATION_KEY, b"{".to_vec());
+    until("the damage is logged", async || world.gateway.log_text().contains("entry_damaged"))
+        .await;
+    assert_eq!(world.send("/moved/x").await.1.status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_revoked_key_is_not_served() {
+    let world = World::start(0, 1).await;
+    let mut changed = configuration(2);
+    changed["tenants"][0]["apiKeys"] = json!(["another"]);
+    world.store.configure(&changed);
+    until("the key is refused", async || world.send("/read/x").await.1.status() == 401).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_target_gets_no_work() {
+    let world = World::start(0, 2).await;
+    world.plains[0].register(&world.store, names::STATE_LEAVING);
+    until("the change is seen", async || world.gateway.log_text().contains("Leaving")).await;
+    let before = world.plains[0].received().len();
+    for _ in 0..10 {
+        assert_eq!(world.send("/read/x").await.1.status(), 200);
+    }
+    assert_eq!(world.plains[0].received().len(), before);
+}
+
+/// The store is down at the start: the gateway says that it is not ready, refuses truly, and
+/// serves as soon as the store is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_is_down_at_start_delays_readiness_only() {
+    let store = RowStore::start().await;
+    store.configure(&configuration(1));
+    let options =
+        TargetOptions { service: "plain".into(), stream: false, ..TargetOptions::default() };
+    let target = RelayTarget::start(options, &store).await;
+    store.set_mode(StoreMode::Down);
+    let gateway = Gateway::start("g1", store.addr());
+    until("the loss is logged", async || gateway.log_text().contains("store_lost")).await;
+    assert!(!gateway.is_ready().await);
+    let url = format!("http://{}/read/x", gateway.callers);
+    let request = reqwest::Client::new().post(url).header(names::REQUEST_ID, "1");
+    let answer = request.header("host", "h.example").send().await.expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    store.set_mode(StoreMode::Up);
+    gateway.ready().await;
+    assert!(target.received().is_empty());
+}
+
+/// While the store is away, what was known holds; afterwards what was missed is taken in.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_while_the_store_is_away() {
+    let cases = [StoreMode::Down, StoreMode::Forgetful];
+    for mode in cases {
+        let world = World::start(1, 1).await;
+        world.store.set_mode(mode);
+        for _ in 0..5 {
+            assert_eq!(world.send("/read/x").await.1.status(), 200, "{mode:?}");
+        }
+        world.store.configure(&configuration(9));
+        world.store.remove(names::TARGET_TABLE, "i-m0");
+        world.store.set_mode(StoreMode::Up);
+        until("the change is seen", async || {
+            let text = world.gateway.log_text();
+            text.contains("\"revision\":9") && text.contains("target_removed")
+                || mode == StoreMode::Forgetful && text.contains("\"revision\":9")
+        })
+        .await;
+        assert_eq!(world.send("/read/x").await.1.status(), 200, "{mode:?}");
+    }
+}
+
+/// Damaged entries name no target, and the others hold.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn damaged_entries_are_passed_over() {
+    let world = World::start(0, 1).await;
+    world.store.put_bytes(names::TARGET_TABLE, "i-damaged", b"\xff\xfe".to_vec());
+    world.store.put(names::TARGET_TABLE, "i-odd", &json!({"service": 7}));
+    until("the damage is logged", async || {
+        world.gateway.log_text().matches("entry_damaged").count() >= 2
+    })
+    .await;
+    for _ in 0..5 {
+        assert_eq!(world.send("/read/x").await.1.status(), 200);
+    }
+}
+
+/// Instances find each other through the store, and one that is cut from it learns from the other
+/// that it is behind.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instances_meet_and_exchange() {
+    let world = World::start(0, 1).await;
+    let second = Gateway::start("g2", world.store.addr());
+    second.ready().await;
+    until("both announce themselves", async || {
+        world.store.keys(names::INSTANCE_TABLE) == ["g1", "g2"]
+    })
+    .await;
+    until("they know each other", async || {
+        second.log_text().contains("peer_met") && world.gateway.log_text().contains("peer_met")
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/all/relay/stops.rs
@@ -0,0 +1,65 @@
+//! Planned stops and changed settings.
+
+use std::time::Duration;
+
+use sesamewind_standins::relay::{TargetOptions, event};
+
+use super::world::{World, until};
+
+/// A stop under load cuts nothing: the stream in flight ends whole, and calls that still come are
+/// served or refused truly.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_cuts_nothing() {
+    let options =
+        TargetOptions { events: 20, pace: Duration::from_millis(100), ..TargetOptions::default() };
+    let mut world = World::with(1, 1, options).await;
+    let (id, answer) = world.send("/talk/x").await;
+    let stream = tokio::spawn(answer.text());
+    world.gateway.terminate();
+    until("it is not ready", async || !world.gateway.is_ready().await).await;
+    let (mut served, mut refused) = (0, 0);
+    for _ in 0..10 {
+        let (call, answer) = world.send("/pay/x").await;
+        match answer.status().as_u16() {
+            200 => served += 1,
+            503 => {
+                refused += 1;
+                assert_eq!(world.plains[0].runs(&call), 0, "refused though it ran");
+            }
+            other => panic!("status {other}"),
+        }
+    }
+    assert_eq!(served + refused, 10);
+    assert!(served > 0, "callers that the balancer still sends are served");
+    let text = stream.await.expect("the task ends").expect("the stream is whole");
+    let want: String = (1..=20).map(|number| event(&id, number)).collect();
+    assert_eq!(text, want);
+    assert!(world.gateway.ended().await, "the process ends well");
+    let lines = world.gateway.lines();
+    let last = lines.last().expect("a last line");
+    assert_eq!(last["event"], "stopped");
+    assert_eq!(last["cut"], 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changed_settings_are_taken_with_and_without_a_signal() {
+    let world = World::start(0, 1).await;
+    let path = world.gateway.settings().clone();
+    let text = std::fs::read_to_string(&path).expect("settings");
+    // Without a signal.
+    std::fs::write(&path, text.replace("retry_ratio = \"0.2\"", "retry_ratio = \"0.3\""))
+        .expect("settings are written");
+    until("the change is seen", async || world.gateway.log_text().contains("\"reloaded\"")).await;
+    // With faults: all are told, and the old ones hold.
+    let faulty =
+        text.replace("retry_ratio = \"0.2\"", "retry_ratio = \"much\"").replace("8s", "8x");
+    std::fs::write(&path, faulty).expect("settings are written");
+    world.gateway.hang_up();
+    until("the faults are told", async || world.gateway.log_text().contains("reload_failed")).await;
+    let log = world.gateway.log_text();
+    let line = log.lines().find(|line| line.contains("reload_failed")).expect("a line");
+    for key in ["bounds.retry_ratio", "bounds.quota_window", "bounds.grace"] {
+        assert!(line.contains(key), "{key} is missing in {line}");
+    }
+    assert_eq!(world.send("/read/x").await.1.status(), 200);
+}
--- /dev/null
+++ b/tests/all/relay/world.rs
@@ -0,0 +1,280 @@
+//! A store, targets, and gateway processes.
+
+use std::fs::File;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use reqwest::{Client, Method, Response};
+use serde_json::{Value, json};
+use sesamewind_adapter::names;
+use sesamewind_standins::relay::{RelayTarget, RowStore, TargetOptions};
+
+use crate::daemon::next_address;
+
+/// Key of the only client account.
+pub const KEY: &str = "key-one";
+
+/// How long anything that is waited for may take.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The configuration of most tests, with this version.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": name, "host": "h.example", "prefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 5000, "targetLatencyMs": 1000, "targetGapMs": 200, "priority": 0,
+            "service": service, "maxAttempts": if kind == names::KIND_REPEATABLE || resumable { 2 } else { 1 },
+            "public": false, "sticky": true, "resumable": resumable
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("talk", names::KIND_STREAM, "model", true),
+            route("once-stream", names::KIND_STREAM, "model", false),
+            route("pay", "non_idempotent", "plain", false),
+            route("read", names::KIND_REPEATABLE, "plain", false),
+        ],
+        "services": [
+            {"name": "model", "healthPath": "/healthz", "maxConnections": 600, "engine": {"slots": 4}},
+            {"name": "plain", "healthPath": "/healthz", "maxConnections": 100}
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": 15000},
+        "tenants": [{"name": "one", "apiKeys": [KEY], "priority": 1, "unit": names::UNIT_TOKENS,
+                     "uncachedTokens": 10, "ratePerS": 0, "burst": 0}]
+    })
+}
+
+/// A running gateway process.
+pub struct Gateway {
+    /// Callers' address.
+    pub callers: SocketAddr,
+    /// Address of the readiness question.
+    pub readiness: SocketAddr,
+    /// Address of peers and metrics.
+    pub inner: SocketAddr,
+    log: PathBuf,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Gateway {
+    /// Starts a gateway without waiting for it.
+    pub fn start(name: &str, store: SocketAddr) -> Self {
+        let address = next_address();
+        let at = |port| SocketAddr::new(address, port);
+        let settings =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{address}-{name}.toml"));
+        let this = Self::spawn(name, address, store, settings);
+        assert_eq!(this.callers, at(7_001));
+        this
+    }
+
+    fn spawn(name: &str, address: IpAddr, store: SocketAddr, settings: PathBuf) -> Self {
+        let at = |port| SocketAddr::new(address, port);
+        let (callers, readiness, inner) = (at(7_001), at(7_002), at(7_003));
+        let text = format!(
+            "[instance]\nname = \"{name}\"\nzone = \"z1\"\nfirst_start = \"true\"\n\
+             [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\ninner = \"{inner}\"\n\
+             [store]\naddress = \"{store}\"\n\
+             [bounds]\nretry_ratio = \"0.2\"\nretry_extra = \"50\"\nretry_window = \"10s\"\n\
+             quota_window = \"8s\"\nquota_overage = \"0.1\"\nquota_slack = \"1000\"\n\
+             drain = \"2s\"\ngrace = \"8s\"\n[log]\nlevel = \"debug\"\n"
+        );
+        std::fs::write(&settings, text).expect("settings are written");
+        let log = settings.with_extension("log");
+        let child = Command::new(env!("CARGO_BIN_EXE_sesamewind-gateway"))
+            .arg(&settings)
+            .env("SESAMEWIND_PEER_TOKEN", "token-between-instances")
+            .stdout(File::create(&log).expect("log file is made"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("gateway starts");
+        Self { callers, readiness, inner, log, settings, child }
+    }
+
+    /// Waits until the gateway says that it is ready.
+    pub async fn ready(&self) {
+        until("gateway is ready", async || self.is_ready().await).await;
+    }
+
+    /// Whether the gateway says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/", self.readiness);
+        reqwest::get(url).await.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Lines of its log.
+    pub fn lines(&self) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).expect("the log can be read");
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    /// Text of its log.
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).expect("the log can be read")
+    }
+
+    /// Path of its settings.
+    pub fn settings(&self) -> &PathBuf {
+        &self.settings
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(libc::SIGHUP);
+    }
+
+    /// Waits for the process to end; true if it ended by itself and well.
+    pub async fn ended(&mut self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if let Some(status) = self.child.try_wait().expect("process can be waited for") {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("gateway does not end");
+    }
+
+    #[allow(unsafe_code, reason = "signals have no safe interface in the standard library")]
+    fn signal(&self, signal: libc::c_int) {
+        let id = libc::pid_t::try_from(self.child.id()).expect("process ids fit");
+        // SAFETY: `kill` takes plain numbers; the process is a child that was not waited for.
+        let result = unsafe { libc::kill(id, signal) };
+        assert_eq!(result, 0, "gateway takes no signal");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A store, one or more targets of each service, and one gateway.
+pub struct World {
+    /// The store.
+    pub store: RowStore,
+    /// Model engines.
+    pub models: Vec<RelayTarget>,
+    /// Plain targets.
+    pub plains: Vec<RelayTarget>,
+    /// The gateway.
+    pub gateway: Gateway,
+    client: Client,
+}
+
+impl World {
+    /// Starts everything and waits until the gateway is ready.
+    pub async fn start(models: usize, plains: usize) -> Self {
+        Self::with(models, plains, TargetOptions::default()).await
+    }
+
+    /// Starts everything with these options of the model engines.
+    pub async fn with(models: usize, plains: usize, options: TargetOptions) -> Self {
+        let store = RowStore::start().await;
+        store.configure(&configuration(1));
+        let mut world = Self {
+            gateway: Gateway::start("g1", store.addr()),
+            store,
+            models: Vec::new(),
+            plains: Vec::new(),
+            client: Client::new(),
+        };
+        for number in 0..models {
+            let options = TargetOptions { id: format!("i-m{number}"), ..options.clone() };
+            world.models.push(RelayTarget::start(options, &world.store).await);
+        }
+        for number in 0..plains {
+            let options = TargetOptions {
+                id: format!("i-p{number}"),
+                service: "plain".into(),
+                stream: false,
+                script: options.script.clone(),
+                ..TargetOptions::default()
+            };
+            world.plains.push(RelayTarget::start(options, &world.store).await);
+        }
+        world.gateway.ready().await;
+        world.listed(models + plains).await;
+        world
+    }
+
+    /// Waits until the gateway has seen so many targets.
+    pub async fn listed(&self, targets: usize) {
+        let seen = || {
+            let lines = self.gateway.lines();
+            let listed = lines.iter().filter(|line| line["event"] == "target_listed");
+            listed.filter_map(|line| line["target"].as_str().map(str::to_owned)).collect()
+        };
+        until("targets are listed", async || {
+            let seen: std::collections::BTreeSet<String> = seen();
+            seen.len() >= targets
+        })
+        .await;
+    }
+
+    /// A request to the gateway, with an identity that is returned.
+    pub fn request(&self, path: &str) -> (String, reqwest::RequestBuilder) {
+        self.request_to(&self.gateway, path)
+    }
+
+    /// A request to this gateway, with an identity that is returned.
+    pub fn request_to(&self, gateway: &Gateway, path: &str) -> (String, reqwest::RequestBuilder) {
+        let id = next_id();
+        let url = format!("http://{}{path}", gateway.callers);
+        let builder = self
+            .client
+            .request(Method::POST, url)
+            .header("host", "h.example")
+            .header(names::REQUEST_ID, &id)
+            .header("authorization", format!("{}{KEY}", names::KEY_SCHEME))
+            .header(names::DEADLINE, "5000")
+            .header(names::TOKENS, "100,20")
+            .body("the body");
+        (id, builder)
+    }
+
+    /// Sends a request and returns its identity and answer.
+    pub async fn send(&self, path: &str) -> (String, Response) {
+        let (id, request) = self.request(path);
+        (id, request.send().await.expect("the gateway answers"))
+    }
+
+    /// The story of a request in the gateway's log: events with their causes.
+    pub fn story(&self, id: &str) -> Vec<(String, String)> {
+        let lines = self.gateway.lines();
+        let own = lines.iter().filter(|line| line["request"] == id);
+        let text = |line: &Value, field: &str| line[field].as_str().unwrap_or_default().to_owned();
+        own.map(|line| {
+            let cause = if line["end"].is_string() { "end" } else { "cause" };
+            (text(line, "event"), text(line, cause))
+        })
+        .collect()
+    }
+}
+
+fn next_id() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Waits until `check` holds.
+pub async fn until(what: &str, mut check: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !check().await {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
