Let most instances of a large deployment learn of the store's changes from peers

Ruled out: longer waits (a change ends a wait at once); fewer instances with a view of the targets (each of them chooses).

Change: beyond 12 peers, four instances by the order of their names' hashes watch the store, as long as the others hear from one that heard from the store within 1.8 s; the others take the store's rows from the peer that has more. Rows are passed on as they were read and decoded in the adapter only.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,6 +121,16 @@
         self.table.is_some() && self.list_seen && !self.leaving
     }
 
+    /// Whether changes of the store are learned from peers.
+    pub fn follows(&self, now: Time) -> bool {
+        self.peers.follows(&self.me.instance, now)
+    }
+
+    /// Instances in the deployment that were heard lately, this one included.
+    pub fn instances(&self) -> usize {
+        self.peers.instances()
+    }
+
     /// Use of account limits to save outside of the instances, if that is this instance's task now.
     pub fn use_to_save(&mut self, now: Time) -> Vec<SavedUse> {
         if !self.peers.is_first(&self.me.instance, now) {
@@ -162,8 +172,9 @@
         self.services.values().map(|service| service.queue.len()).sum()
     }
 
-    /// This instance's state for the peer `to`; `listed` is the version of its target list.
-    pub fn news(&mut self, to: &InstanceId, listed: u64, now: Time) -> RelayNews {
+    /// This instance's state for the peer `to`; `listed` is the newest version in its
+    /// target list, and `checked` when it last heard from the store.
+    pub fn news(&mut self, to: &InstanceId, listed: u64, checked: Time, now: Time) -> RelayNews {
         let sums = self.quotas.sums(self.peers.is_joining(to), now);
         self.sequence += 1;
         let loads = self.targets.iter().filter(|(_, target)| target.own > 0);
@@ -187,6 +198,7 @@
             sequence: self.sequence,
             revision: self.revision(),
             listed,
+            checked: now.since(checked),
             joining: self.quotas.is_joining(),
             loads: loads.collect(),
             sums,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 use sesamewind_protocol::relay::RelayNews;
 use sesamewind_protocol::{Incarnation, InstanceId, Time};
 
+use crate::arrival::hash;
 use crate::targets::{Index, Targets};
 
 /// Silence after which a peer's requests at targets count no more: its callers have gone elsewhere
@@ -15,6 +16,17 @@
 /// Silence after which a peer does not count as an instance.
 const MEMBER_TIME: Duration = Duration::from_secs(10);
 
+/// Peers from which on most instances learn of changes from one another and not from the store.
+const FOLLOW_PEERS: usize = 12;
+
+/// Instances that ask the store themselves where there are many: enough that one of them is in
+/// every part of a cut.
+const WATCHERS: usize = 4;
+
+/// How long ago a peer may have heard from the store for others to rely on it; changes have to be in
+/// force after two to three seconds.
+const CHECKED_TIME: Duration = Duration::from_millis(1_800);
+
 /// One peer's requests at one target.
 #[derive(Debug, Clone, Copy)]
 struct PeerLoad {
@@ -30,6 +42,8 @@
     sequence: u64,
     heard: Time,
     joining: bool,
+    /// When it last heard from the store, by this instance's clock.
+    checked: Time,
     loads: Vec<PeerLoad>,
 }
 
@@ -51,6 +65,24 @@
         heard.all(|(name, _)| me < name)
     }
 
+    /// Whether this instance should leave the store to others: there are many instances, enough of
+    /// them come before this one, and one of those has heard from the store lately.
+    pub(crate) fn follows(&self, me: &InstanceId, now: Time) -> bool {
+        if self.peers.len() < FOLLOW_PEERS {
+            return false;
+        }
+        let order = |name: &InstanceId| (hash(name.as_str()), name.clone());
+        let own = order(me);
+        let heard = self.peers.iter().filter(|(_, peer)| now.since(peer.heard) < LOAD_TIME);
+        let before = heard.filter(|(name, _)| order(name) < own);
+        let (mut watchers, mut checked) = (0, false);
+        for (_, peer) in before {
+            watchers += 1;
+            checked |= now.since(peer.checked) < CHECKED_TIME;
+        }
+        watchers >= WATCHERS && checked
+    }
+
     /// Whether a peer doesn't know what was used of account limits before its start.
     pub(crate) fn is_joining(&self, name: &InstanceId) -> bool {
         self.peers.get(name).is_some_and(|peer| peer.joining)
@@ -63,6 +95,7 @@
             sequence: 0,
             heard: now,
             joining: false,
+            checked: Time::ZERO,
             loads: Vec::new(),
         });
         let newer = (news.incarnation, news.sequence) > (peer.incarnation, peer.sequence);
@@ -73,6 +106,7 @@
         peer.sequence = news.sequence;
         peer.heard = now;
         peer.joining = news.joining;
+        peer.checked = now - news.checked;
         peer.forget_loads(targets);
         for load in &news.loads {
             let Some(target) = targets.find(&load.target) else { continue };
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -81,6 +81,7 @@
                     sequence: 1,
                     revision: Revision(1),
                     listed: 1,
+                    checked: std::time::Duration::ZERO,
                     joining: false,
                     loads: Vec::new(),
                     sums: Vec::new(),
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -29,6 +29,57 @@
     pub amounts: Vec<(Duration, f64)>,
 }
 
+/// What a row of the store is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Topic {
+    /// The operators' configuration.
+    Configuration,
+    /// The list of targets.
+    Targets,
+}
+
+impl Topic {
+    /// The topic as it stands in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Targets => "targets",
+        }
+    }
+}
+
+/// A row of the store as it was read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreRow {
+    /// Its key.
+    pub key: String,
+    /// Version of its last change.
+    pub version: u64,
+    /// Its bytes; none if it was dropped.
+    #[serde(with = "serde_bytes")]
+    pub value: Option<Vec<u8>>,
+}
+
+/// Asks a peer for rows of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowsRequest {
+    /// Which rows.
+    pub topic: Topic,
+    /// Newest version that the asking instance has; zero for none.
+    pub after: u64,
+}
+
+/// Rows of the store, passed on by a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowsReply {
+    /// Whether these are all rows there are.
+    pub whole: bool,
+    /// Newest version of a row that the peer has.
+    pub newest: u64,
+    /// The rows.
+    pub rows: Vec<StoreRow>,
+}
+
 /// A target that takes no new work, as one instance knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingNote {
@@ -51,8 +102,10 @@
     pub sequence: u64,
     /// Revision of the configuration in force there.
     pub revision: Revision,
-    /// Version of the target list that it has.
+    /// Newest version of a row of the target list there.
     pub listed: u64,
+    /// Time since it last heard from the store itself.
+    pub checked: Duration,
     /// Whether it doesn't know what was used of account limits before its start.
     pub joining: bool,
     /// Its requests at targets; targets left out have none.
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -2,10 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use sesamewind_gateway::{Action, Event, Gateway, Step, Ticket};
-use sesamewind_protocol::relay::RelayNews;
+use sesamewind_protocol::relay::{RelayNews, Topic};
 use sesamewind_protocol::{InstanceId, Time};
 use sesamewind_runtime::clock::Clock;
 use tokio::sync::{Notify, oneshot};
@@ -13,8 +14,20 @@
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::pool::Pool;
 
+/// What an instance has of one topic of the store.
+#[derive(Debug, Default)]
+pub struct Followed {
+    /// The rows.
+    pub mirror: RefCell<Mirror>,
+    /// When the store was last heard of them.
+    pub checked: Cell<Time>,
+    /// Peer that knows more.
+    pub ahead: Cell<Option<SocketAddr>>,
+}
+
 /// What all tasks of an instance share.
 #[derive(Debug)]
 pub struct Driver {
@@ -29,9 +42,9 @@
     pub dialect: Rc<dyn Dialect>,
     /// Metrics.
     pub metrics: Metrics,
-    /// Version of the target list that was read.
-    pub listed: Cell<u64>,
-    /// Set off when a peer knows something newer than the store's watchers.
+    configuration: Followed,
+    targets: Followed,
+    /// Set off when a peer knows something newer than this instance.
     pub behind: Notify,
 }
 
@@ -47,11 +60,20 @@
             pool: Pool::default(),
             dialect,
             metrics: Metrics::new(),
-            listed: Cell::new(0),
+            configuration: Followed::default(),
+            targets: Followed::default(),
             behind: Notify::new(),
         }
     }
 
+    /// What the instance has of a topic.
+    pub fn followed(&self, topic: Topic) -> &Followed {
+        match topic {
+            Topic::Configuration => &self.configuration,
+            Topic::Targets => &self.targets,
+        }
+    }
+
     /// Time since the start.
     pub fn now(&self) -> Time {
         self.clock.now()
@@ -81,7 +103,9 @@
 
     /// This instance's state for the peer `to`.
     pub fn news(&self, to: &InstanceId) -> RelayNews {
-        self.gateway.borrow_mut().news(to, self.listed.get(), self.now())
+        let listed = self.targets.mirror.borrow().newest();
+        let checked = self.configuration.checked.get().min(self.targets.checked.get());
+        self.gateway.borrow_mut().news(to, listed, checked, self.now())
     }
 
     /// Hands an event to the gateway and passes its actions on.
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -10,6 +10,7 @@
 use sesamewind_gateway::quota::QuotaBounds;
 use sesamewind_gateway::table::CallerLimits;
 use sesamewind_gateway::{Event, Gateway, Tuning};
+use sesamewind_protocol::relay::Topic;
 use sesamewind_runtime::clock::Clock;
 use sesamewind_runtime::sink::Dropped;
 use sesamewind_settings::RelaySettings;
@@ -24,7 +25,7 @@
 use crate::driver::Driver;
 use crate::peers::Peers;
 use crate::server::{self, Limits, Phase};
-use crate::source::{Announcement, Source, Topic};
+use crate::source::{Announcement, Source};
 use crate::watch;
 
 /// Interval at which waiting requests are looked at.
@@ -165,7 +166,8 @@
 
     fn follow(&self, driver: &Rc<Driver>, peers: &Rc<Peers>) {
         for topic in [Topic::Configuration, Topic::Targets] {
-            spawn_local(watch::follow(Rc::clone(driver), Rc::clone(&self.source), topic));
+            let source = Rc::clone(&self.source);
+            spawn_local(watch::follow(Rc::clone(driver), source, Rc::clone(peers), topic));
         }
         spawn_local(watch::save_use(Rc::clone(driver), Rc::clone(&self.source)));
         let me = Announcement {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod instance;
 pub mod journal;
 pub mod metrics;
+pub mod mirror;
 pub mod peers;
 pub mod pool;
 pub mod server;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -11,13 +11,15 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use sesamewind_gateway::{Event, Gateway};
 use sesamewind_protocol::InstanceId;
 use sesamewind_protocol::codec;
-use sesamewind_protocol::relay::RelayNews;
+use sesamewind_protocol::relay::{RelayNews, RowsReply, RowsRequest, Topic};
 use sesamewind_settings::Secret;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -29,6 +31,9 @@
 /// Path of an exchange on the inner listener.
 const EXCHANGE_PATH: &str = "/peers/exchange";
 
+/// Path of the store's rows on the inner listener.
+const ROWS_PATH: &str = "/peers/rows";
+
 /// Path of the metrics on the inner listener.
 const METRICS_PATH: &str = "/metrics";
 
@@ -132,11 +137,29 @@
     }
 
     async fn exchange(&self, name: &InstanceId, address: SocketAddr) -> Result<RelayNews, String> {
-        let news = self.driver.news(name);
-        let body = codec::encode(&news).map_err(|err| err.to_string())?;
+        self.call(address, EXCHANGE_PATH, &self.driver.news(name)).await
+    }
+
+    /// Rows of the store that the peer at `address` has.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong.
+    pub async fn rows(&self, address: SocketAddr, ask: RowsRequest) -> Result<RowsReply, String> {
+        let reply = timeout(EXCHANGE_TIME, self.call(address, ROWS_PATH, &ask)).await;
+        reply.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+    }
+
+    async fn call<A: Serialize, B: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        ask: &A,
+    ) -> Result<B, String> {
+        let body = codec::encode(ask).map_err(|err| err.to_string())?;
         let request = Request::builder()
             .method(Method::POST)
-            .uri(EXCHANGE_PATH)
+            .uri(path)
             .header(header::HOST, address.to_string())
             .header(header::AUTHORIZATION, self.token.expose())
             .body(Full::new(Bytes::from(body)))
@@ -157,7 +180,14 @@
     fn hear(&self, news: &RelayNews) {
         self.driver.tell(Event::News(news));
         let known = self.driver.look(Gateway::revision);
-        if news.revision > known || news.listed > self.driver.listed.get() {
+        let listed = self.driver.followed(Topic::Targets).mirror.borrow().newest();
+        let address = news.address.parse().ok();
+        if news.revision > known {
+            self.driver.followed(Topic::Configuration).ahead.set(address);
+            self.driver.behind.notify_waiters();
+        }
+        if news.listed > listed {
+            self.driver.followed(Topic::Targets).ahead.set(address);
             self.driver.behind.notify_waiters();
         }
     }
@@ -169,45 +199,60 @@
             (&Method::GET, METRICS_PATH) => {
                 text(StatusCode::OK, self.driver.metrics.render().into())
             }
-            (&Method::POST, EXCHANGE_PATH) => {
+            (&Method::POST, path @ (EXCHANGE_PATH | ROWS_PATH)) => {
                 let offered = head.headers.get(header::AUTHORIZATION).map(HeaderValue::as_bytes);
                 let offered = offered.and_then(|bytes| std::str::from_utf8(bytes).ok());
                 if !offered.is_some_and(|offered| self.token.matches(offered)) {
                     log::warn!(event = "peer_unknown"; "exchange without the peers' token");
                     return text(StatusCode::UNAUTHORIZED, Bytes::new());
                 }
-                self.answer(body).await
+                match read(body).await {
+                    Ok(bytes) if path == ROWS_PATH => self.pass_on(&bytes),
+                    Ok(bytes) => self.answer(&bytes),
+                    Err(err) => unreadable(&err),
+                }
             }
             _ => text(StatusCode::NOT_FOUND, Bytes::new()),
         }
     }
 
-    async fn answer(self: &Rc<Self>, body: Incoming) -> Answer {
-        let body = match Limited::new(body, MESSAGE_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(err) => {
-                log::warn!(event = "peer_unreadable"; "message of a peer could not be read: {err}");
-                return text(StatusCode::BAD_REQUEST, Bytes::new());
-            }
-        };
-        let news: RelayNews = match codec::decode(&body) {
+    fn answer(self: &Rc<Self>, bytes: &[u8]) -> Answer {
+        let news: RelayNews = match codec::decode(bytes) {
             Ok(news) => news,
-            Err(err) => {
-                log::warn!(event = "peer_unreadable"; "message of a peer: {err}");
-                return text(StatusCode::BAD_REQUEST, Bytes::new());
-            }
+            Err(err) => return unreadable(&err.to_string()),
         };
         if let Ok(address) = news.address.parse() {
             self.meet(&news.from, address);
         }
         self.hear(&news);
-        let own = self.driver.news(&news.from);
-        match codec::encode(&own) {
-            Ok(bytes) => text(StatusCode::OK, bytes.into()),
-            Err(err) => {
-                log::error!(event = "peer_unwritable"; "own state could not be encoded: {err}");
-                text(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
-            }
+        encoded(&self.driver.news(&news.from))
+    }
+
+    fn pass_on(&self, bytes: &[u8]) -> Answer {
+        let ask: RowsRequest = match codec::decode(bytes) {
+            Ok(ask) => ask,
+            Err(err) => return unreadable(&err.to_string()),
+        };
+        encoded(&self.driver.followed(ask.topic).mirror.borrow().since(ask.after))
+    }
+}
+
+async fn read(body: Incoming) -> Result<Bytes, String> {
+    let body = Limited::new(body, MESSAGE_BYTES).collect().await;
+    body.map(Collected::to_bytes).map_err(|err| err.to_string())
+}
+
+fn unreadable(err: &str) -> Answer {
+    log::warn!(event = "peer_unreadable"; "message of a peer: {err}");
+    text(StatusCode::BAD_REQUEST, Bytes::new())
+}
+
+fn encoded<T: Serialize>(message: &T) -> Answer {
+    match codec::encode(message) {
+        Ok(bytes) => text(StatusCode::OK, bytes.into()),
+        Err(err) => {
+            log::error!(event = "peer_unwritable"; "answer to a peer could not be encoded: {err}");
+            text(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
         }
     }
 }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -8,27 +8,9 @@
 use sesamewind_gateway::Routing;
 use sesamewind_gateway::quota::SavedUse;
 use sesamewind_gateway::targets::Change;
+use sesamewind_protocol::relay::{StoreRow, Topic};
 use sesamewind_protocol::{InstanceId, ZoneId};
 
-/// What is watched.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Topic {
-    /// The operators' configuration.
-    Configuration,
-    /// The list of targets.
-    Targets,
-}
-
-impl Topic {
-    /// The topic as it stands in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Configuration => "configuration",
-            Self::Targets => "targets",
-        }
-    }
-}
-
 /// One thing that changed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Notice {
@@ -46,12 +28,12 @@
 }
 
 /// What a read brought.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
     /// Version of the store that the batch reaches to.
     pub version: u64,
-    /// Changes in order, or everything there is.
-    pub notices: Vec<Notice>,
+    /// Rows that changed, in order, or all there are.
+    pub rows: Vec<StoreRow>,
 }
 
 /// Why a call to the store failed.
@@ -104,6 +86,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Batch, SourceError>>;
 
+    /// What rows say.
+    fn decode(&self, topic: Topic, rows: &[StoreRow]) -> Vec<Notice>;
+
     /// Saves use of account limits in place of what was saved before.
     fn save_use<'a>(&'a self, uses: &'a [SavedUse]) -> LocalBoxFuture<'a, Result<(), SourceError>>;
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -7,16 +7,29 @@
 use rand::RngExt;
 use sesamewind_gateway::targets::Change;
 use sesamewind_gateway::{Event, Gateway, RouteTable, Routing};
+use sesamewind_protocol::relay::{RowsRequest, StoreRow, Topic};
 use tokio::time::sleep;
 
 use crate::driver::Driver;
 use crate::peers::Peers;
-use crate::source::{Announcement, Batch, Notice, Source, SourceError, Topic};
+use crate::source::{Announcement, Batch, Notice, Source, SourceError};
 
 /// How long the store is asked to wait for a change. Shorter waits cost calls; longer ones leave a
 /// connection that went silent unnoticed for longer.
 const WAIT: Duration = Duration::from_secs(3);
 
+/// Instances from which on the store's watchers wait for [`SHORT_WAIT`] and gather changes.
+const MANY_INSTANCES: usize = 12;
+
+/// How long the store is asked to wait where others rely on this instance's watch.
+const SHORT_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long changes are gathered where there are many targets, so that not each is a call.
+const GATHER_TIME: Duration = Duration::from_millis(200);
+
+/// How long an instance that learns from peers waits before it looks whether it still should.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
+
 /// Bounds of the pause after a failed call.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -33,53 +46,146 @@
 const INSTANCES_PAUSE: Duration = Duration::from_secs(10);
 
 /// Follows `topic` for as long as the instance runs.
-pub async fn follow(driver: Rc<Driver>, source: Rc<dyn Source>, topic: Topic) {
-    let mut version: Option<u64> = None;
-    let mut failures: u32 = 0;
+pub async fn follow(driver: Rc<Driver>, source: Rc<dyn Source>, peers: Rc<Peers>, topic: Topic) {
+    let mut watch = Watch { driver, source, peers, topic, version: None, failures: 0 };
     loop {
-        let result = match version {
-            None => source.read(topic).await,
+        if watch.version.is_some() && watch.driver.look(|g| g.follows(watch.driver.now())) {
+            watch.ask_peer().await;
+        } else {
+            watch.ask_store().await;
+        }
+    }
+}
+
+/// One topic that is followed.
+struct Watch {
+    driver: Rc<Driver>,
+    source: Rc<dyn Source>,
+    peers: Rc<Peers>,
+    topic: Topic,
+    /// Version of the store that was read; none if the whole has to be read.
+    version: Option<u64>,
+    failures: u32,
+}
+
+impl Watch {
+    /// Asks the store for changes, or for the whole.
+    async fn ask_store(&mut self) {
+        let result = match self.version {
+            None => self.source.read(self.topic).await,
             // While the store is away, a short call tells sooner that it is back.
-            Some(after) if failures > 0 => source.changes(topic, after, Duration::ZERO).await,
+            Some(after) if self.failures > 0 => {
+                self.source.changes(self.topic, after, Duration::ZERO).await
+            }
             Some(after) => tokio::select! {
-                result = source.changes(topic, after, WAIT) => result,
-                () = overtaken(&driver) => source.changes(topic, after, Duration::ZERO).await,
+                result = self.source.changes(self.topic, after, self.wait()) => result,
+                () = overtaken(&self.driver) => {
+                    self.source.changes(self.topic, after, Duration::ZERO).await
+                }
             },
         };
         match result {
-            Ok(batch) => {
-                if failures > 0 {
-                    log::info!(event = "store_back", topic = topic.as_str(), failures; "store back");
-                    failures = 0;
-                    back(&driver, topic);
+            Ok(batch) => self.take(batch).await,
+            Err(SourceError::HistoryGone) => {
+                log::warn!(event = "history_gone", topic = self.topic.as_str(), after = self.version; "reading the whole");
+                self.version = None;
+            }
+            Err(err) => {
+                self.failures += 1;
+                if self.failures == 1 {
+                    log::warn!(event = "store_lost", topic = self.topic.as_str(), cause:% = err; "store lost");
+                    self.driver.metrics.dependency_lost("store");
                 }
-                let known = version;
-                // A stale replica may answer with less than is known.
-                if known.is_none_or(|known| batch.version >= known) {
-                    version = Some(batch.version);
-                    let unconfigured = driver.look(|gateway| gateway.table().is_none());
-                    apply(&driver, topic, batch, known.is_none());
-                    if topic == Topic::Configuration && unconfigured {
-                        restore_use(&driver, source.as_ref()).await;
-                    }
+                if self.topic == Topic::Targets {
+                    self.driver.tell(Event::ListLost);
                 }
+                sleep(pause(self.failures)).await;
             }
-            Err(SourceError::HistoryGone) => {
-                log::warn!(event = "history_gone", topic = topic.as_str(), after = version; "reading the whole");
-                version = None;
+        }
+    }
+
+    /// How long the store is asked to wait. Where few instances watch for many, the others have to
+    /// know that the watch is alive.
+    fn wait(&self) -> Duration {
+        if self.driver.look(Gateway::instances) > MANY_INSTANCES { SHORT_WAIT } else { WAIT }
+    }
+
+    async fn take(&mut self, batch: Batch) {
+        if self.failures > 0 {
+            let failures = std::mem::take(&mut self.failures);
+            log::info!(event = "store_back", topic = self.topic.as_str(), failures; "store back");
+            if self.topic == Topic::Targets {
+                self.driver.tell(Event::ListBack);
+            }
+        }
+        self.driver.followed(self.topic).checked.set(self.driver.now());
+        let known = self.version;
+        // A stale replica may answer with less than is known.
+        if known.is_some_and(|known| batch.version < known) {
+            return;
+        }
+        self.version = Some(batch.version);
+        let changed = !batch.rows.is_empty();
+        let unconfigured = self.driver.look(|gateway| gateway.table().is_none());
+        self.apply(batch.rows, known.is_none());
+        if self.topic == Topic::Configuration && unconfigured {
+            restore_use(&self.driver, self.source.as_ref()).await;
+        }
+        if changed && self.driver.look(Gateway::instances) > MANY_INSTANCES {
+            sleep(GATHER_TIME).await;
+        }
+    }
+
+    /// Waits for a peer that knows more, and takes what it has.
+    async fn ask_peer(&mut self) {
+        tokio::select! {
+            () = self.driver.behind.notified() => {}
+            () = sleep(FOLLOW_PAUSE) => {}
+        }
+        let followed = self.driver.followed(self.topic);
+        let Some(address) = followed.ahead.take() else { return };
+        let after = followed.mirror.borrow().newest();
+        match self.peers.rows(address, RowsRequest { topic: self.topic, after }).await {
+            Ok(reply) if reply.newest >= after => {
+                self.version = self.version.max(Some(reply.newest));
+                self.apply(reply.rows, reply.whole);
             }
+            Ok(_) => {}
             Err(err) => {
-                failures += 1;
-                if failures == 1 {
-                    log::warn!(event = "store_lost", topic = topic.as_str(), cause:% = err; "store lost");
-                    driver.metrics.dependency_lost("store");
+                log::warn!(event = "peer_rows_lost", topic = self.topic.as_str(), address:%; "rows of a peer: {err}");
+            }
+        }
+    }
+
+    /// Takes rows that changed, or all there are.
+    fn apply(&self, rows: Vec<StoreRow>, whole: bool) {
+        let mut mirror = self.driver.followed(self.topic).mirror.borrow_mut();
+        let rows = if whole {
+            mirror.replace(&rows);
+            rows
+        } else {
+            mirror.change(rows)
+        };
+        let newest = mirror.newest();
+        drop(mirror);
+        let mut changes = Vec::new();
+        for notice in self.source.decode(self.topic, &rows) {
+            match notice {
+                Notice::Routing(routing) => install(&self.driver, *routing),
+                Notice::Target(change) => {
+                    log_change(&change, newest);
+                    changes.push(change);
                 }
-                if topic == Topic::Targets {
-                    driver.tell(Event::ListLost);
+                Notice::Damaged { key, fault } => {
+                    log::warn!(event = "entry_damaged", topic = self.topic.as_str(), entry = key.as_str(), fault = fault.as_str(); "entry can't be read");
                 }
-                sleep(pause(failures)).await;
             }
         }
+        if self.topic == Topic::Targets && whole {
+            self.driver.tell(Event::ListedAll(changes));
+        } else if !changes.is_empty() {
+            self.driver.tell(Event::Listed(changes));
+        }
     }
 }
 
@@ -89,41 +195,11 @@
     sleep(BEHIND_TIME).await;
 }
 
-fn back(driver: &Driver, topic: Topic) {
-    if topic == Topic::Targets {
-        driver.tell(Event::ListBack);
-    }
-}
-
 fn pause(failures: u32) -> Duration {
     let pause = (PAUSE.0 * (1 << failures.min(6))).min(PAUSE.1);
     pause.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-fn apply(driver: &Driver, topic: Topic, batch: Batch, whole: bool) {
-    let mut changes = Vec::new();
-    for notice in batch.notices {
-        match notice {
-            Notice::Routing(routing) => install(driver, *routing),
-            Notice::Target(change) => {
-                log_change(&change, batch.version);
-                changes.push(change);
-            }
-            Notice::Damaged { key, fault } => {
-                log::warn!(event = "entry_damaged", topic = topic.as_str(), entry = key.as_str(), fault = fault.as_str(); "entry can't be read");
-            }
-        }
-    }
-    if topic == Topic::Targets {
-        driver.listed.set(batch.version);
-        if whole {
-            driver.tell(Event::ListedAll(changes));
-        } else if !changes.is_empty() {
-            driver.tell(Event::Listed(changes));
-        }
-    }
-}
-
 fn install(driver: &Driver, routing: Routing) {
     let (revision, routes) = (routing.revision, routing.routes.len());
     if revision <= driver.look(Gateway::revision) {
