Prefer a few targets for each instance, and use more of the limits' tolerance

Cause: with 77 instances, each chose among 112 engines by news up to 0.8 s old, and their choices collided. Instances exchange more often within their zone now, and each prefers eight targets, those of its zone first.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::arrival::Ticket;
 use crate::event::{Action, Event};
 use crate::peers::Peers;
+use crate::place;
 use crate::quota::{Quotas, SavedUse};
 use crate::request::Request;
 use crate::service::ServiceState;
@@ -194,6 +195,7 @@
         RelayNews {
             from: self.me.instance.clone(),
             incarnation: self.me.incarnation,
+            zone: self.me.zone.clone(),
             address: self.me.address.clone(),
             sequence: self.sequence,
             revision: self.revision(),
@@ -232,9 +234,10 @@
                 self.services.entry(service).or_insert_with(|| ServiceState::new(&self.tuning));
             state.targets.push(index);
         }
-        let targets = &self.targets;
+        let targets = &mut self.targets;
         for service in self.services.values_mut() {
             service.targets.retain(|&index| targets.get(index).standing != Standing::Retired);
+            place::prefer(targets, &service.targets, &self.me);
         }
         self.pump_all(now);
     }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -10,6 +10,8 @@
 use rand::RngExt;
 use sesamewind_protocol::{Time, ZoneId};
 
+use crate::arrival::hash;
+use crate::gateway::Identity;
 use crate::targets::{Index, Target, Targets};
 
 /// Estimate of the time to the first byte at pace one, without a prompt, in milliseconds. Only the
@@ -25,6 +27,14 @@
 /// Charge for a target in another availability zone, in milliseconds.
 const ZONE_MS: f64 = 4.0;
 
+/// Targets of a service that one instance prefers. Few instances share a target then, so that each
+/// knows its load well.
+const PREFERRED: usize = 8;
+
+/// Charge for a target that others prefer, in milliseconds: less than what a fast target with a
+/// free place gains over a slow one.
+const OTHERS_MS: f64 = 20.0;
+
 /// How much a target's failures weigh: at a failure rate of one its time counts this many times
 /// more.
 const FAILURE_FACTOR: f64 = 8.0;
@@ -60,6 +70,23 @@
     FIRST_MS + TOKEN_MS * (f64::from(prompt) + f64::from(ahead))
 }
 
+/// Marks the targets that the instance `me` prefers among `candidates`: those of its availability
+/// zone first, in an order that differs for each instance.
+pub(crate) fn prefer(targets: &mut Targets, candidates: &[Index], me: &Identity) {
+    let mut order: Vec<_> = candidates
+        .iter()
+        .map(|&index| {
+            let listed = &targets.get(index).listed;
+            let pair = format!("{} {}", me.instance, listed.id);
+            (listed.zone != me.zone, hash(&pair), index)
+        })
+        .collect();
+    order.sort_unstable();
+    for (place, (_, _, index)) in order.into_iter().enumerate() {
+        targets.get_mut(index).preferred = place < PREFERRED;
+    }
+}
+
 /// The target for `need` among `candidates`; none if all are full, retired or too slow.
 pub fn choose(
     targets: &Targets,
@@ -100,7 +127,8 @@
 
 fn score(target: &Target, predicted: f64, places: f64, place: Place<'_>) -> f64 {
     let fullness = f64::from(target.load()) / places;
-    let way = if target.listed.zone == *place.zone { 0.0 } else { ZONE_MS };
+    let zone = if target.listed.zone == *place.zone { 0.0 } else { ZONE_MS };
+    let way = zone + if target.preferred { 0.0 } else { OTHERS_MS };
     let time = predicted + target.pace * FULL_MS * fullness + way;
     time * (1.0 + FAILURE_FACTOR * target.failure_rate)
 }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -20,13 +20,19 @@
 /// that fail.
 const SILENCE: Duration = Duration::from_millis(700);
 
+/// The same where there are many peers and exchanges with each are rare.
+const LONG_SILENCE: Duration = Duration::from_millis(3_000);
+
+/// Peers from which on [`LONG_SILENCE`] holds.
+const MANY_PEERS: usize = 12;
+
 /// Silence of a peer after which nothing is left to it: it is gone, and its callers use other
 /// instances.
 const GONE_TIME: Duration = Duration::from_secs(20);
 
 /// Part of the tolerance over a limit that is used; the rest covers what peers used since their
 /// last report.
-const TOLERANCE_PART: f64 = 0.4;
+const TOLERANCE_PART: f64 = 0.6;
 
 /// Part of a limit from which use is saved, so that instances that start together know of it. An
 /// instance that joins a running deployment assumes this much until it knows more.
@@ -248,13 +254,14 @@
 
     /// The silent peers, if there are any.
     fn cut(&self, now: Time) -> Option<Cut> {
+        let limit = if self.peers.len() > MANY_PEERS { LONG_SILENCE } else { SILENCE };
         let (mut all, mut silent, mut since) = (1, 0, Time::ZERO);
         for peer in self.peers.values() {
             let silence = now.since(peer.heard);
             if silence < GONE_TIME {
                 all += 1;
             }
-            if silence > SILENCE && silence < GONE_TIME {
+            if silence > limit && silence < GONE_TIME {
                 silent += 1;
                 since = since.max(peer.heard);
             }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -82,6 +82,8 @@
 pub struct Target {
     /// As it was last listed.
     pub listed: Listed,
+    /// Whether this instance prefers it to others that are as good.
+    pub preferred: bool,
     /// Whether it may be given new work.
     pub standing: Standing,
     /// Requests of this instance at it.
@@ -104,6 +106,7 @@
     fn new(listed: Listed, pace: f64) -> Self {
         Self {
             listed,
+            preferred: true,
             standing: Standing::Usable,
             own: 0,
             others: 0,
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -77,6 +77,7 @@
                 let news = RelayNews {
                     from: InstanceId::new("i2"),
                     incarnation: Incarnation(1),
+                    zone: "z1".into(),
                     address: String::new(),
                     sequence: 1,
                     revision: Revision(1),
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountId, Incarnation, InstanceId, Revision, TargetId};
+use crate::{AccountId, Incarnation, InstanceId, Revision, TargetId, ZoneId};
 
 /// One instance's requests at one target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,6 +96,8 @@
     pub from: InstanceId,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneId,
     /// Address of its inner listener.
     pub address: String,
     /// Number of the message in this life.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at a target.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::sse::EventScanner;
 use sesamewind_gateway::{Account, End, Event, Route, Ticket};
+use sesamewind_protocol::Time;
 use tokio::time::{Instant, timeout_at};
 
 use crate::dialect::{CallerHead, SendHead, TargetHead};
@@ -41,6 +43,31 @@
     pub route: Arc<Route>,
     /// Client account.
     pub account: Option<Arc<Account>>,
+    /// When it arrived.
+    pub arrived: Time,
+    /// What is told of it at its end.
+    pub pace: Cell<Pace>,
+}
+
+/// How an answer came.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Pace {
+    /// Time from arrival to the first byte; none if there was none.
+    pub first: Option<Duration>,
+    /// Longest pause between two parts of a stream.
+    pub pause: Duration,
+    last: Option<Time>,
+}
+
+impl Pace {
+    /// Takes in that a part came at `now`, for a request that arrived at `arrived`.
+    pub fn part(mut self, arrived: Time, now: Time) -> Self {
+        self.first.get_or_insert(now.since(arrived));
+        if let Some(last) = self.last.replace(now) {
+            self.pause = self.pause.max(now.since(last));
+        }
+        self
+    }
 }
 
 /// A stream of events that has begun.
@@ -72,6 +99,11 @@
 }
 
 impl Call {
+    /// Takes in that a part of the answer came.
+    pub fn part(&self) {
+        self.pace.set(self.pace.get().part(self.arrived, self.driver.now()));
+    }
+
     /// Sends the request to the target of `dispatch` and reads its answer up to the first event or,
     /// if it is no stream, to its end. `scanner` knows the events that the caller has.
     pub async fn attempt(&self, dispatch: &Dispatch, scanner: &mut EventScanner) -> Got {
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -1,5 +1,6 @@
 //! Serves callers' requests.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -9,7 +10,7 @@
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::sse::EventScanner;
 use sesamewind_gateway::{Arrival, End, Event, Gateway, Refusal, RefusalReason, Repeat, Step};
-use sesamewind_protocol::{RequestKey, Time};
+use sesamewind_protocol::RequestKey;
 use std::time::Duration;
 
 use crate::answer::{Answer, AnswerBody};
@@ -61,12 +62,14 @@
         body,
         route: resolved.route,
         account: resolved.account,
+        arrived,
+        pace: Cell::default(),
     };
-    call.serve(arrived).await
+    call.serve().await
 }
 
 impl Call {
-    fn arrival(&self, arrived: Time) -> Arrival {
+    fn arrival(&self) -> Arrival {
         let timeout = self.route.timeout;
         let wait = self.caller.patience.map_or(timeout, |patience| patience.min(timeout));
         Arrival {
@@ -77,15 +80,15 @@
             output_tokens: self.caller.output_tokens,
             prefix: self.caller.prefix,
             point: split_point(&self.caller.id),
-            deadline: arrived + wait,
+            deadline: self.arrived + wait,
         }
     }
 
-    async fn serve(self, arrived: Time) -> Answer {
+    async fn serve(self) -> Answer {
         let mut presence = Presence::new(Rc::clone(&self.driver), self.ticket, &self.caller.id);
         let resumed = self.caller.last_event.as_deref();
         let mut scanner = EventScanner::after(resumed.filter(|_| self.resumes()));
-        let mut step = self.driver.ask(self.ticket, Event::Arrive(self.arrival(arrived)));
+        let mut step = self.driver.ask(self.ticket, Event::Arrive(self.arrival()));
         let mut held = None;
         loop {
             let next = step.await.unwrap_or(Step::Fail(End::Expired));
@@ -100,11 +103,11 @@
             self.driver.metrics.waited(&self.route.name, dispatch.waited.as_secs_f64());
             let end = match self.attempt(&dispatch, &mut scanner).await {
                 Got::Stream(opened) => {
-                    self.measure(arrived);
+                    self.measure();
                     return self.stream(dispatch, scanner, presence, *opened);
                 }
                 Got::Whole(head, body) => {
-                    self.measure(arrived);
+                    self.measure();
                     presence.end();
                     return self.whole(head, body);
                 }
@@ -126,8 +129,9 @@
         self.route.stream && self.route.repeat == Repeat::Resume
     }
 
-    fn measure(&self, arrived: Time) {
-        let took = self.driver.now().since(arrived);
+    fn measure(&self) {
+        self.part();
+        let took = self.pace.get().first.unwrap_or_default();
         self.driver.metrics.first_byte(&self.route.name, took.as_secs_f64());
     }
 
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -103,8 +103,12 @@
         };
         let gateway = Gateway::new(me, tuning(settings), rand::random());
         let driver = Rc::new(Driver::new(gateway, clock, Rc::clone(&self.dialect)));
-        let peers =
-            Rc::new(Peers::new(Rc::clone(&driver), settings.name.clone(), settings.token.clone()));
+        let peers = Rc::new(Peers::new(
+            Rc::clone(&driver),
+            settings.name.clone(),
+            settings.zone.clone(),
+            settings.token.clone(),
+        ));
         let phase = Sender::new(Phase::Serving);
         self.listen(&driver, &peers, &phase)?;
         self.follow(&driver, &peers);
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -42,6 +42,7 @@
 
 /// A request ended.
 pub fn ended(call: &Call, outcome: &str, cause: &str, events: u64) {
+    let pace = call.pace.get();
     let level = if outcome == "served" { log::Level::Info } else { log::Level::Warn };
     log::log!(
         level,
@@ -51,6 +52,8 @@
         account = call.account.as_ref().map_or("", |account| account.name.as_str()),
         outcome,
         cause,
+        first_ms = pace.first.map(|first| first.as_millis() as u64),
+        pause_ms = pace.pause.as_millis() as u64,
         events;
         "request ended"
     );
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -17,9 +17,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sesamewind_gateway::{Event, Gateway};
-use sesamewind_protocol::InstanceId;
 use sesamewind_protocol::codec;
 use sesamewind_protocol::relay::{RelayNews, RowsReply, RowsRequest, Topic};
+use sesamewind_protocol::{InstanceId, ZoneId};
 use sesamewind_settings::Secret;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -40,8 +40,8 @@
 /// Interval between two exchanges with one peer while there are few peers.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Peers up to which [`INTERVAL`] holds; with more, exchanges with each are made less often, so
-/// that an instance's cost stays the same.
+/// Peers up to which [`INTERVAL`] holds. With more, exchanges are made less often in proportion to the
+/// peers of the own availability zone, with which most targets are shared, and to all for the rest.
 const INTERVAL_PEERS: usize = 10;
 
 /// Longest time for an exchange.
@@ -63,40 +63,50 @@
     me: InstanceId,
     token: Secret,
     pool: Pool,
-    known: RefCell<HashMap<InstanceId, SocketAddr>>,
+    zone: ZoneId,
+    known: RefCell<HashMap<InstanceId, Known>>,
+}
+
+/// Where a peer is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Known {
+    address: SocketAddr,
+    zone: ZoneId,
 }
 
 impl Peers {
-    /// The peers of the instance `me`.
-    pub fn new(driver: Rc<Driver>, me: InstanceId, token: Secret) -> Self {
-        Self { driver, me, token, pool: Pool::default(), known: RefCell::default() }
+    /// The peers of the instance `me` in `zone`.
+    pub fn new(driver: Rc<Driver>, me: InstanceId, zone: ZoneId, token: Secret) -> Self {
+        Self { driver, me, zone, token, pool: Pool::default(), known: RefCell::default() }
     }
 
     /// Takes instances that announced themselves.
     pub fn learn(self: &Rc<Self>, announced: &[Announcement]) {
         for peer in announced {
-            self.meet(&peer.instance, peer.address);
+            self.meet(&peer.instance, Known { address: peer.address, zone: peer.zone.clone() });
         }
     }
 
     /// Starts exchanges with a peer that is new or has moved.
-    fn meet(self: &Rc<Self>, name: &InstanceId, address: SocketAddr) {
-        if *name == self.me || self.known.borrow().get(name) == Some(&address) {
+    fn meet(self: &Rc<Self>, name: &InstanceId, peer: Known) {
+        if *name == self.me || self.known.borrow().get(name) == Some(&peer) {
             return;
         }
-        self.known.borrow_mut().insert(name.clone(), address);
+        let address = peer.address;
+        self.known.borrow_mut().insert(name.clone(), peer.clone());
         log::info!(event = "peer_met", peer = name.as_str(), address:%; "peer known");
         if self.me < *name {
             let this = Rc::clone(self);
             let name = name.clone();
-            tokio::task::spawn_local(async move { this.exchange_with(name, address).await });
+            tokio::task::spawn_local(async move { this.exchange_with(name, peer).await });
         }
     }
 
-    async fn exchange_with(self: Rc<Self>, name: InstanceId, address: SocketAddr) {
+    async fn exchange_with(self: Rc<Self>, name: InstanceId, peer: Known) {
+        let address = peer.address;
         let mut last = Instant::now();
         let mut failures: u32 = 0;
-        while self.known.borrow().get(&name) == Some(&address) {
+        while self.known.borrow().get(&name) == Some(&peer) {
             match timeout(EXCHANGE_TIME, self.exchange(&name, address)).await {
                 Ok(Ok(news)) => {
                     if failures > 0 {
@@ -124,14 +134,22 @@
                     }
                 }
             }
-            sleep(self.pause(failures)).await;
+            sleep(self.pause(&peer.zone, failures)).await;
         }
     }
 
-    fn pause(&self, failures: u32) -> Duration {
-        let peers = self.known.borrow().len().max(1);
-        let factor = peers.div_ceil(INTERVAL_PEERS).max(1);
-        let interval = INTERVAL * u32::try_from(factor).unwrap_or(u32::MAX);
+    /// Time until the next exchange with a peer in `zone`, after so many failures.
+    fn pause(&self, zone: &ZoneId, failures: u32) -> Duration {
+        let known = self.known.borrow();
+        let near = known.values().filter(|peer| peer.zone == self.zone).count();
+        let (all, own) = (known.len(), *zone == self.zone);
+        let interval = if all <= INTERVAL_PEERS {
+            INTERVAL
+        } else if own {
+            INTERVAL.mul_f64((near as f64 / INTERVAL_PEERS as f64).max(1.0))
+        } else {
+            INTERVAL.mul_f64(all as f64 / INTERVAL_PEERS as f64)
+        };
         let pause = (interval * (1 << failures.min(4))).min(LONGEST_PAUSE.max(interval));
         pause.mul_f64(rand::rng().random_range(0.9..1.1))
     }
@@ -222,7 +240,7 @@
             Err(err) => return unreadable(&err.to_string()),
         };
         if let Ok(address) = news.address.parse() {
-            self.meet(&news.from, address);
+            self.meet(&news.from, Known { address, zone: news.zone.clone() });
         }
         self.hear(&news);
         encoded(&self.driver.news(&news.from))
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -57,7 +57,10 @@
     }
     loop {
         let end = match splice.read().await {
-            Ok(Some(bytes)) => return Some((Ok(bytes), Some(splice))),
+            Ok(Some(bytes)) => {
+                splice.call.part();
+                return Some((Ok(bytes), Some(splice)));
+            }
             Ok(None) => {
                 splice.complete();
                 return None;
