Give each life in the limits' test a number of its own

Cause: with 0.6 of the tolerance passed the bound by 1%. In that case one instance restarted twice at the same millisecond, both lives had the same number, and its peers took the second one's smaller sum for use that was given back. Real lives are numbered by their start and can't share one.

The check and its bound stay.

--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -31,12 +31,13 @@
     instances: Vec<(Quotas, Incarnation)>,
     /// Uses with their times, in order.
     used: Vec<(u64, f64)>,
+    lives: u64,
 }
 
 impl Fleet {
     fn new(count: usize) -> Self {
         let instances = (0..count).map(|_| (quotas(false, at(0)), Incarnation(1))).collect();
-        Self { instances, used: Vec::new() }
+        Self { instances, used: Vec::new(), lives: 1 }
     }
 
     fn ask(&mut self, instance: usize, cost: f64, now: u64) -> bool {
@@ -60,7 +61,9 @@
         let saved = self.instances[saver].0.to_save(at(now));
         let mut fresh = quotas(true, at(now));
         fresh.restore(&saved, Duration::ZERO, at(now));
-        self.instances[instance] = (fresh, Incarnation(now + 2));
+        // Two lives never share a number, also if they start at the same time.
+        self.lives += 1;
+        self.instances[instance] = (fresh, Incarnation(self.lives));
     }
 
     /// Most use within any window.
