--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -63,6 +63,7 @@
 impl Gateway {
     /// A gateway of the instance `me`; `seed` feeds its random choices.
     pub fn new(me: Identity, tuning: Tuning, seed: u64) -> Self {
+        let quotas = Quotas::new(tuning.quota, tuning.joined, me.incarnation);
         Self {
             me,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -70,7 +71,7 @@
             services: HashMap::new(),
             targets: Targets::default(),
             requests: HashMap::new(),
-            quotas: Quotas::new(tuning.quota, tuning.joined),
+            quotas,
             peers: Peers::default(),
             stopping: false,
             list_back: None,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -109,14 +109,17 @@
     bounds: QuotaBounds,
     /// Whether the instance joined a deployment that was running before.
     joined: bool,
+    /// The instance's life.
+    life: Incarnation,
     meters: HashMap<AccountId, Meter>,
     peers: HashMap<InstanceId, PeerUses>,
 }
 
 impl Quotas {
-    /// No limits yet. `joined` says that other instances may have been running before this one.
-    pub fn new(bounds: QuotaBounds, joined: bool) -> Self {
-        Self { bounds, joined, meters: HashMap::new(), peers: HashMap::new() }
+    /// No limits yet, for the instance's life `life`. `joined` says that other instances may have
+    /// been running before this one.
+    pub fn new(bounds: QuotaBounds, joined: bool, life: Incarnation) -> Self {
+        Self { bounds, joined, life, meters: HashMap::new(), peers: HashMap::new() }
     }
 
     /// Takes the accounts of a new configuration.
@@ -245,8 +248,10 @@
             if meter.assumed && !sum.amounts.is_empty() {
                 meter.replace_assumption(&sum.amounts, Duration::ZERO, window, now);
             }
-            // What a peer used before it was first heard of is in the amounts that it tells.
-            if !first {
+            // What an older peer used before it was first heard of is in the amounts that it tells
+            // to an instance that joins.
+            let told = first && self.joined && incarnation <= self.life;
+            if !told {
                 meter.add(sum.used - before, window, now);
             }
         }
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -20,8 +20,8 @@
     Account { rate: RATE, burst: RATE, ..account("a") }
 }
 
-fn quotas(joined: bool, now: Time) -> Quotas {
-    let mut quotas = Quotas::new(BOUNDS, joined);
+fn quotas(joined: bool, life: Incarnation, now: Time) -> Quotas {
+    let mut quotas = Quotas::new(BOUNDS, joined, life);
     quotas.configure([limited()].iter(), now);
     quotas
 }
@@ -36,7 +36,8 @@
 
 impl Fleet {
     fn new(count: usize) -> Self {
-        let instances = (0..count).map(|_| (quotas(false, at(0)), Incarnation(1))).collect();
+        let instances =
+            (0..count).map(|_| (quotas(false, Incarnation(1), at(0)), Incarnation(1))).collect();
         Self { instances, used: Vec::new(), lives: 1 }
     }
 
@@ -59,11 +60,12 @@
     /// Restarts an instance, which reads what was saved by another.
     fn restart(&mut self, instance: usize, saver: usize, now: u64) {
         let saved = self.instances[saver].0.to_save(at(now));
-        let mut fresh = quotas(true, at(now));
-        fresh.restore(&saved, Duration::ZERO, at(now));
         // Two lives never share a number, also if they start at the same time.
         self.lives += 1;
-        self.instances[instance] = (fresh, Incarnation(self.lives));
+        let life = Incarnation(self.lives);
+        let mut fresh = quotas(true, life, at(now));
+        fresh.restore(&saved, Duration::ZERO, at(now));
+        self.instances[instance] = (fresh, life);
     }
 
     /// Most use within any window.
