Move services to another version by the operators' order, or take it back

Cause: orders to move a service were ignored, and a new version got its full share of the requests as soon as its targets were listed.

Change: gateway::moves gives a new version a twentieth of the requests, judges the merged counts of all instances with the MaxSPRT rule of crates/rollout and by mean time, takes a bad one back at once, and completes a good one at 0.8 of its time; the adapter reads orders and writes the state on condition.

Tried first: a margin as in rollout::compare left out.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -8,6 +8,7 @@
 use sesamewind_protocol::{Revision, TargetId, Time};
 
 use crate::arrival::{Arrival, Ticket};
+use crate::moves::Order;
 use crate::proof::Refusal;
 use crate::table::RouteTable;
 use crate::targets::Change;
@@ -75,6 +76,8 @@
     ListLost,
     /// The list can be read again.
     ListBack,
+    /// Operators ordered a move of a service to another version.
+    Ordered(Order),
     /// A peer told its state.
     News(&'a RelayNews),
     /// Time passed.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -8,6 +8,7 @@
 use crate::arrival::{Arrival, Ticket};
 use crate::event::{Action, Dispatch, End, Step};
 use crate::gateway::Gateway;
+use crate::moves::Admitted;
 use crate::place::{self, Need, Place};
 use crate::proof::{Refusal, RefusalReason, Unrun};
 use crate::request::{Flight, History, Request, State};
@@ -102,6 +103,7 @@
         request.started = true;
         let took = now.since(flight.sent).as_secs_f64() * 1_000.0;
         let ratio = took / place::estimate_ms(prompt, flight.ahead);
+        flight.ratio = Some(ratio);
         let target = self.targets.get_mut(flight.target);
         target.own_prefill = target.own_prefill.saturating_sub(prompt);
         target.observe_pace(ratio);
@@ -130,6 +132,10 @@
         let State::Flying(flight) = std::mem::replace(&mut request.state, waiting) else { return };
         self.release(&flight, request.prompt());
         self.judge(flight.target, end, now);
+        if !end.is_unrun() && end != End::Expired {
+            let version = &self.targets.get(flight.target).listed.version;
+            self.moves.count(&request.service, version, end == End::Whole, flight.ratio);
+        }
         let service = request.service.clone();
         match end {
             End::Whole => {}
@@ -275,8 +281,19 @@
     /// byte.
     fn find(&mut self, request: &Request, within: Option<Duration>, now: Time) -> Option<Index> {
         let service = self.services.get(&request.service)?;
-        let need = Need { prompt: request.prompt(), tried: &request.tried, within };
+        let admitted = self.moves.admitted(&request.service, request.arrival.point, now);
+        let need =
+            Need { prompt: request.prompt(), tried: &request.tried, within, admitted: &admitted };
         let place = Place { zone: &self.me.zone, fill: service.fill(), now };
+        if let Admitted::Rather(version) = &admitted {
+            let only = Admitted::Only(version.clone());
+            let need = Need { admitted: &only, ..need };
+            let rng = &mut self.rng;
+            let found = place::choose(&self.targets, &service.targets, need, place, rng);
+            if found.is_some() {
+                return found;
+            }
+        }
         place::choose(&self.targets, &service.targets, need, place, &mut self.rng)
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,11 +6,12 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sesamewind_protocol::relay::{LeavingNote, RelayNews, TargetLoad};
-use sesamewind_protocol::{Incarnation, InstanceId, Revision, ServiceId, Time, ZoneId};
+use sesamewind_protocol::relay::{LeavingNote, MoveCounts, RelayNews, TargetLoad};
+use sesamewind_protocol::{Incarnation, InstanceId, Revision, ServiceId, Time, VersionId, ZoneId};
 
 use crate::arrival::Ticket;
 use crate::event::{Action, Event};
+use crate::moves::{Moves, Record};
 use crate::peers::Peers;
 use crate::place;
 use crate::quota::{Quotas, SavedUse};
@@ -48,6 +49,7 @@
     pub(crate) targets: Targets,
     pub(crate) requests: HashMap<Ticket, Request>,
     pub(crate) quotas: Quotas,
+    pub(crate) moves: Moves,
     pub(crate) peers: Peers,
     pub(crate) stopping: bool,
     /// Whether the list can be read, and since when it can be again.
@@ -72,6 +74,7 @@
             targets: Targets::default(),
             requests: HashMap::new(),
             quotas,
+            moves: Moves::default(),
             peers: Peers::default(),
             stopping: false,
             list_back: None,
@@ -100,6 +103,7 @@
                     self.list_back = Some(now);
                 }
             }
+            Event::Ordered(order) => self.moves.order(order, now),
             Event::News(news) => self.hear(news, now),
             Event::Tick => self.tick(now),
             Event::Stop => self.stopping = true,
@@ -151,6 +155,25 @@
         self.quotas.restore(saved, age, now);
     }
 
+    /// Judges the moves under way, and returns the services whose new version was taken back.
+    pub fn judge_moves(&mut self) -> Vec<(ServiceId, VersionId, MoveCounts)> {
+        self.moves.judge()
+    }
+
+    /// Records of moves that the store lacks, if it is this instance's task to write them.
+    pub fn moves_to_record(&self, now: Time) -> Vec<Record> {
+        if self.peers.is_first(&self.me.instance, now) {
+            self.moves.to_record(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Takes what the store says of a move.
+    pub fn move_recorded(&mut self, record: &Record) {
+        self.moves.recorded(record);
+    }
+
     /// Takes new limits and weights.
     pub fn retune(&mut self, tuning: Tuning) {
         for service in self.services.values_mut() {
@@ -206,6 +229,7 @@
             loads: loads.collect(),
             sums,
             leaving: leaving.collect(),
+            moves: self.moves.notes(now),
         }
     }
 
@@ -269,6 +293,7 @@
             return;
         }
         self.quotas.hear(&news.from, news.incarnation, &news.sums, now);
+        self.moves.hear(&news.from, news.incarnation, &news.moves, now);
         for note in &news.leaving {
             self.targets.retire(&note.target, note.incarnation);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event;
 mod flow;
 pub mod gateway;
+pub mod moves;
 pub mod peers;
 pub mod place;
 pub mod proof;
--- /dev/null
+++ b/crates/gateway/src/moves.rs
@@ -0,0 +1,292 @@
+//! Planned moves of a service to another version of its targets' software.
+//!
+//! A move begins with a small share of the requests, by their position, so that no instance exceeds
+//! it. All instances count how the two versions answer and add up one another's counts. A verdict
+//! against the new version takes its share to zero at once, on the instance that reaches it and on
+//! the others as soon as they hear of it. Without a verdict the new version takes all requests well
+//! before the deadline, and the move is recorded as complete while there is time to do so.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewind_protocol::relay::{MoveCounts, MoveNote, MoveOutcome};
+use sesamewind_protocol::{Incarnation, InstanceId, ServiceId, Time, VersionId};
+use sesamewind_rollout::rule::MaxSprt;
+
+/// Share of the requests that the new version gets while it is judged; the deployments' bound on a
+/// bad version is a tenth, less what the later stage may add before a verdict.
+const FIRST_SHARE: f64 = 0.05;
+
+/// Part of the time after which the new version takes all requests that it has room for.
+const FULL_PART: f64 = 0.55;
+
+/// Part of the time after which the old version gets no requests any more: its targets are stopped
+/// as soon as the move is complete.
+const ONLY_PART: f64 = 0.7;
+
+/// Part of the time after which the move is recorded as complete.
+const COMPLETE_PART: f64 = 0.8;
+
+/// Failures of the new version before a verdict: one target that crashes fails the few that it has.
+const MIN_FAILURES: u64 = 8;
+
+/// Standard deviations of the expected failures that are added to them, since they are looked at
+/// many times.
+const EXPECTATION_MARGIN: f64 = 1.0;
+
+/// Failures of a request that any version may have.
+const FAILURE_FLOOR: f64 = 0.002;
+
+/// Requests of both versions before their times are compared.
+const MIN_TIMED: u64 = 40;
+
+/// How many times slower the new version may be on average before it is taken back; bad versions are
+/// several times slower, and targets of one version differ among themselves.
+const SLOW_FACTOR: f64 = 2.5;
+
+/// Longest time of one request relative to the estimate that is counted, so that one odd request
+/// does not decide.
+const LONGEST_RATIO: f64 = 20.0;
+
+/// An operator's order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The service.
+    pub service: ServiceId,
+    /// The version that is to take over.
+    pub version: VersionId,
+    /// Time for the move, from the order.
+    pub duration: Duration,
+}
+
+/// Which versions may take a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admitted {
+    /// All.
+    Any,
+    /// This one only.
+    Only(VersionId),
+    /// All but this one.
+    Except(VersionId),
+    /// This one, or another where it has no place.
+    Rather(VersionId),
+}
+
+impl Admitted {
+    /// Whether a target of `version` may take the request.
+    pub fn allows(&self, version: &VersionId) -> bool {
+        match self {
+            Self::Any | Self::Rather(_) => true,
+            Self::Only(only) => only == version,
+            Self::Except(other) => other != version,
+        }
+    }
+}
+
+/// One move.
+#[derive(Debug)]
+struct Move {
+    order: Order,
+    /// When the order was given, as far as it is known.
+    began: Time,
+    own: MoveCounts,
+    peers: HashMap<InstanceId, (Incarnation, MoveCounts)>,
+    outcome: Option<MoveOutcome>,
+    /// Whether the store has the outcome, or that the move runs.
+    recorded: Option<Recorded>,
+}
+
+/// What the store says of a move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Recorded {
+    /// It runs.
+    Running,
+    /// It ended.
+    Ended(MoveOutcome),
+}
+
+/// A record to write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// The service.
+    pub service: ServiceId,
+    /// The version.
+    pub version: VersionId,
+    /// What to record.
+    pub state: Recorded,
+}
+
+/// All moves.
+#[derive(Debug, Default)]
+pub struct Moves {
+    moves: HashMap<ServiceId, Move>,
+}
+
+impl Moves {
+    /// Takes an order; one that is known already changes nothing.
+    pub fn order(&mut self, order: Order, now: Time) {
+        if self.moves.get(&order.service).is_some_and(|known| known.order == order) {
+            return;
+        }
+        let service = order.service.clone();
+        let begun = Move {
+            order,
+            began: now,
+            own: MoveCounts::default(),
+            peers: HashMap::new(),
+            outcome: None,
+            recorded: None,
+        };
+        self.moves.insert(service, begun);
+    }
+
+    /// Versions that may take a request to `service` at `point`, a position in `[0, 1)`.
+    pub fn admitted(&self, service: &ServiceId, point: f64, now: Time) -> Admitted {
+        let Some(known) = self.moves.get(service) else { return Admitted::Any };
+        let version = known.order.version.clone();
+        match known.outcome {
+            Some(MoveOutcome::Completed) => return Admitted::Rather(version),
+            Some(MoveOutcome::TakenBack) => return Admitted::Except(version),
+            None => {}
+        }
+        let part = known.part(now);
+        if part >= ONLY_PART {
+            Admitted::Only(version)
+        } else if part >= FULL_PART {
+            Admitted::Rather(version)
+        } else if point < FIRST_SHARE {
+            Admitted::Only(version)
+        } else {
+            Admitted::Except(version)
+        }
+    }
+
+    /// Counts how a request that a target of `version` took has ended. `ratio` is the time to the
+    /// first byte relative to the estimate, if there was one.
+    pub fn count(
+        &mut self,
+        service: &ServiceId,
+        version: &VersionId,
+        ok: bool,
+        ratio: Option<f64>,
+    ) {
+        let Some(known) = self.moves.get_mut(service) else { return };
+        let counts = &mut known.own;
+        let arm = if known.order.version == *version { &mut counts.new } else { &mut counts.old };
+        arm.requests += 1;
+        arm.failures += u64::from(!ok);
+        if let Some(ratio) = ratio {
+            arm.timed += 1;
+            arm.ratios += ratio.clamp(0.0, LONGEST_RATIO);
+        }
+    }
+
+    /// What peers are told.
+    pub fn notes(&self, now: Time) -> Vec<MoveNote> {
+        let notes = self.moves.values().map(|known| MoveNote {
+            service: known.order.service.clone(),
+            version: known.order.version.clone(),
+            age: now.since(known.began),
+            counts: known.own,
+            outcome: known.outcome,
+        });
+        notes.collect()
+    }
+
+    /// Takes a peer's notes. A verdict is never unlearned; of two outcomes the store's counts, and
+    /// without one a version that was taken back stays so.
+    pub fn hear(
+        &mut self,
+        peer: &InstanceId,
+        incarnation: Incarnation,
+        notes: &[MoveNote],
+        now: Time,
+    ) {
+        for note in notes {
+            let Some(known) = self.moves.get_mut(&note.service) else { continue };
+            if known.order.version != note.version {
+                continue;
+            }
+            known.began = known.began.min(now - note.age);
+            known.peers.insert(peer.clone(), (incarnation, note.counts));
+            if known.outcome.is_none() {
+                known.outcome = note.outcome;
+            }
+        }
+    }
+
+    /// Judges all moves. Returns those that have just been taken back.
+    pub fn judge(&mut self) -> Vec<(ServiceId, VersionId, MoveCounts)> {
+        let mut taken_back = Vec::new();
+        for (service, known) in &mut self.moves {
+            let counts = known.total();
+            if known.outcome.is_none() && is_bad(&counts) {
+                known.outcome = Some(MoveOutcome::TakenBack);
+                taken_back.push((service.clone(), known.order.version.clone(), counts));
+            }
+        }
+        taken_back
+    }
+
+    /// Records that the store lacks.
+    pub fn to_record(&self, now: Time) -> Vec<Record> {
+        let records = self.moves.values().filter_map(|known| {
+            let state = match known.outcome {
+                Some(outcome) => Recorded::Ended(outcome),
+                None if known.part(now) >= COMPLETE_PART => Recorded::Ended(MoveOutcome::Completed),
+                None => Recorded::Running,
+            };
+            (known.recorded != Some(state) && !matches!(known.recorded, Some(Recorded::Ended(_))))
+                .then(|| Record {
+                    service: known.order.service.clone(),
+                    version: known.order.version.clone(),
+                    state,
+                })
+        });
+        records.collect()
+    }
+
+    /// Takes what the store says of a move.
+    pub fn recorded(&mut self, record: &Record) {
+        let Some(known) = self.moves.get_mut(&record.service) else { return };
+        if known.order.version != record.version {
+            return;
+        }
+        known.recorded = Some(record.state);
+        if let Recorded::Ended(outcome) = record.state {
+            known.outcome = Some(outcome);
+        }
+    }
+}
+
+impl Move {
+    /// Part of the time that has passed.
+    fn part(&self, now: Time) -> f64 {
+        let duration = self.order.duration.as_secs_f64().max(f64::MIN_POSITIVE);
+        now.since(self.began).as_secs_f64() / duration
+    }
+
+    fn total(&self) -> MoveCounts {
+        let mut total = self.own;
+        for (_, counts) in self.peers.values() {
+            total.add(counts);
+        }
+        total
+    }
+}
+
+/// Whether the counts speak against the new version.
+fn is_bad(counts: &MoveCounts) -> bool {
+    let (new, old) = (&counts.new, &counts.old);
+    // One failure is added to the old version's, so that a few lucky requests don't make it perfect.
+    let rate = (old.failures as f64 + 1.0) / (old.requests as f64 + 1.0).max(20.0);
+    let mean = rate.max(FAILURE_FLOOR) * new.requests as f64;
+    let rule = MaxSprt::default();
+    let expected = rule.tolerated * (mean + EXPECTATION_MARGIN * mean.sqrt());
+    let failing = new.failures >= MIN_FAILURES
+        && MaxSprt::log_ratio(new.failures as f64, expected) > rule.critical;
+    let timed = new.timed >= MIN_TIMED && old.timed >= MIN_TIMED;
+    let slow =
+        timed && new.ratios / new.timed as f64 > SLOW_FACTOR * (old.ratios / old.timed as f64);
+    failing || slow
+}
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -12,6 +12,7 @@
 
 use crate::arrival::hash;
 use crate::gateway::Identity;
+use crate::moves::Admitted;
 use crate::targets::{Index, Target, Targets};
 
 /// Estimate of the time to the first byte at pace one, without a prompt, in milliseconds. Only the
@@ -51,6 +52,8 @@
     pub tried: &'a [Index],
     /// Longest predicted time to the first byte.
     pub within: Option<Duration>,
+    /// Versions that may take it.
+    pub admitted: &'a Admitted,
 }
 
 /// Where and when the choice is made.
@@ -106,6 +109,9 @@
         if !target.is_usable(place.now) || need.tried.contains(&index) {
             continue;
         }
+        if !need.admitted.allows(&target.listed.version) {
+            continue;
+        }
         if target.is_barred(place.now) && !all_barred {
             continue;
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -43,6 +43,8 @@
     pub(crate) ahead: u32,
     /// Whether bytes of the answer came.
     pub(crate) started: bool,
+    /// Time to the first byte relative to the estimate.
+    pub(crate) ratio: Option<f64>,
     /// What was known before the attempt; see [`Flight::history`].
     before: History,
 }
@@ -50,7 +52,7 @@
 impl Flight {
     /// A request that is sent now.
     pub(crate) fn new(target: Index, sent: Time, ahead: u32, before: History) -> Self {
-        Self { target, sent, ahead, started: false, before }
+        Self { target, sent, ahead, started: false, ratio: None, before }
     }
 
     /// Whether the request may have run, now that the attempt has ended. Only an end that proves
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -90,6 +90,7 @@
                         target: TargetId::new("m0"),
                         incarnation: Incarnation(1),
                     }],
+                    moves: Vec::new(),
                 };
                 bench.tell(Event::News(&news), at(20));
             },
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 
 mod health;
 mod load;
+mod moves;
 mod quota;
 mod retries;
 mod route;
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountId, Incarnation, InstanceId, Revision, TargetId, ZoneId};
+use crate::{AccountId, Incarnation, InstanceId, Revision, ServiceId, TargetId, VersionId, ZoneId};
 
 /// One instance's requests at one target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,6 +89,69 @@
     pub incarnation: Incarnation,
 }
 
+/// How requests ended at targets of one version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct ArmCounts {
+    /// Requests that ended.
+    pub requests: u64,
+    /// Those that failed.
+    pub failures: u64,
+    /// Those whose time was compared with the estimate.
+    pub timed: u64,
+    /// Sum of their times, each relative to the estimate.
+    pub ratios: f64,
+}
+
+impl ArmCounts {
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.failures += other.failures;
+        self.timed += other.timed;
+        self.ratios += other.ratios;
+    }
+}
+
+/// How requests ended since a move of a service to another version began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct MoveCounts {
+    /// At targets of the new version.
+    pub new: ArmCounts,
+    /// At all others.
+    pub old: ArmCounts,
+}
+
+impl MoveCounts {
+    /// Adds the counts of another instance.
+    pub fn add(&mut self, other: &Self) {
+        self.new.add(&other.new);
+        self.old.add(&other.old);
+    }
+}
+
+/// How a move ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MoveOutcome {
+    /// The new version has taken over.
+    Completed,
+    /// The new version gets no requests any more.
+    TakenBack,
+}
+
+/// What one instance knows of a move.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MoveNote {
+    /// The service.
+    pub service: ServiceId,
+    /// The new version.
+    pub version: VersionId,
+    /// Time since the order.
+    pub age: Duration,
+    /// What the instance counted itself.
+    pub counts: MoveCounts,
+    /// How it ended, if it has.
+    pub outcome: Option<MoveOutcome>,
+}
+
 /// State of one instance, sent to its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayNews {
@@ -116,4 +179,6 @@
     pub sums: Vec<AccountSum>,
     /// Targets that it knows to leave.
     pub leaving: Vec<LeavingNote>,
+    /// Moves of services to other versions.
+    pub moves: Vec<MoveNote>,
 }
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -173,6 +173,7 @@
             let source = Rc::clone(&self.source);
             spawn_local(watch::follow(Rc::clone(driver), source, Rc::clone(peers), topic));
         }
+        spawn_local(watch::moves(Rc::clone(driver), Rc::clone(&self.source)));
         spawn_local(watch::save_use(Rc::clone(driver), Rc::clone(&self.source)));
         let me = Announcement {
             instance: self.settings.name.clone(),
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use sesamewind_gateway::Routing;
+use sesamewind_gateway::moves::{Order, Record};
 use sesamewind_gateway::quota::SavedUse;
 use sesamewind_gateway::targets::Change;
 use sesamewind_protocol::relay::{StoreRow, Topic};
@@ -18,6 +19,8 @@
     Routing(Box<Routing>),
     /// A target.
     Target(Change),
+    /// An order to move a service to another version.
+    Order(Order),
     /// An entry that can't be read.
     Damaged {
         /// Its key.
@@ -89,6 +92,13 @@
     /// What rows say.
     fn decode(&self, topic: Topic, rows: &[StoreRow]) -> Vec<Notice>;
 
+    /// Records the state of a move, unless the store has its outcome already. Returns what the
+    /// store says afterwards.
+    fn record_move<'a>(
+        &'a self,
+        record: &'a Record,
+    ) -> LocalBoxFuture<'a, Result<Record, SourceError>>;
+
     /// Saves use of account limits in place of what was saved before.
     fn save_use<'a>(&'a self, uses: &'a [SavedUse]) -> LocalBoxFuture<'a, Result<(), SourceError>>;
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -41,6 +41,9 @@
 /// the tolerance over the limits.
 const SAVE_PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause between two judgements of moves; a bad version has a few more requests until the next.
+const MOVES_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause between two readings of the other instances' announcements. Peers learn of a new instance
 /// from its first exchange, so that this only repairs what was missed.
 const INSTANCES_PAUSE: Duration = Duration::from_secs(10);
@@ -172,6 +175,12 @@
         for notice in self.source.decode(self.topic, &rows) {
             match notice {
                 Notice::Routing(routing) => install(&self.driver, *routing),
+                Notice::Order(order) => {
+                    let (service, version) = (order.service.as_str(), order.version.as_str());
+                    let duration_ms = order.duration.as_millis() as u64;
+                    log::info!(event = "move_ordered", service, version, duration_ms; "move ordered");
+                    self.driver.tell(Event::Ordered(order));
+                }
                 Notice::Target(change) => {
                     log_change(&change, newest);
                     changes.push(change);
@@ -285,3 +294,36 @@
         }
     }
 }
+
+/// Judges moves of services to other versions, and records their state.
+pub async fn moves(driver: Rc<Driver>, source: Rc<dyn Source>) {
+    loop {
+        sleep(MOVES_PAUSE).await;
+        for (service, version, counts) in driver.change(Gateway::judge_moves) {
+            log::warn!(
+                event = "move_taken_back",
+                service = service.as_str(),
+                version = version.as_str(),
+                new_requests = counts.new.requests,
+                new_failures = counts.new.failures,
+                old_requests = counts.old.requests,
+                old_failures = counts.old.failures;
+                "new version taken back"
+            );
+        }
+        let now = driver.now();
+        for record in driver.look(|gateway| gateway.moves_to_record(now)) {
+            match source.record_move(&record).await {
+                Ok(known) => {
+                    let (service, state) = (known.service.as_str(), known.state);
+                    log::info!(event = "move_recorded", service, state:?; "move recorded");
+                    driver.change(|gateway| gateway.move_recorded(&known));
+                }
+                Err(err) => {
+                    log::warn!(event = "move_not_recorded", cause:% = err; "move not recorded");
+                    sleep(PAUSE.1).await;
+                }
+            }
+        }
+    }
+}
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -108,6 +108,13 @@
         self.put(names::OPERATOR_TABLE, names::CONFIGURATION_KEY, configuration);
     }
 
+    /// The row with this key, if it holds JSON.
+    pub fn row(&self, table: &str, key: &str) -> Option<Value> {
+        let state = self.core.state();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(row.value.as_deref()?).ok()
+    }
+
     /// Keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.core.state();
@@ -185,6 +192,15 @@
         let Ok(body) = serde_json::from_slice::<Value>(body) else {
             return refused(StatusCode::BAD_REQUEST);
         };
+        for condition in body["precondition"].as_array().into_iter().flatten() {
+            let text = |field: &str| condition[field].as_str().unwrap_or_default().to_owned();
+            let state = self.state();
+            let row = state.rows.get(&(text("table"), text("key")));
+            let version = row.filter(|row| row.value.is_some()).map_or(0, |row| row.version);
+            if condition["rowVersion"].as_u64() != Some(version) {
+                return refused(StatusCode::PRECONDITION_FAILED);
+            }
+        }
         for put in body["puts"].as_array().into_iter().flatten() {
             let text = |field: &str| put[field].as_str().unwrap_or_default().to_owned();
             let value = STANDARD.decode(text("value")).unwrap_or_default();
--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -30,6 +30,8 @@
     pub events: u64,
     /// Time between events, or of the whole work.
     pub pace: Duration,
+    /// Version of its software.
+    pub version: String,
     /// Requests at once.
     pub slots: u32,
     /// How the next requests are treated, shared by all targets that are started with it.
@@ -59,6 +61,7 @@
             stream: true,
             events: 5,
             pace: Duration::from_millis(5),
+            version: "v1".into(),
             slots: 4,
             script: Script::default(),
         }
@@ -139,7 +142,7 @@
         let options = &self.core.options;
         json!({
             "service": options.service, "address": self.addr().to_string(), "zone": "z1",
-            "version": "v1", "slots": options.slots, "state": state, "coldRemainingMs": 0,
+            "version": options.version, "slots": options.slots, "state": state, "coldRemainingMs": 0,
             "sequence": 1, "born": 1
         })
     }
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod explain;
 mod faults;
+mod moves;
 mod path;
 mod state;
 mod stops;
