Reckon with what peers use between two reports

Change: each peer's rate times its report's age is counted as used; with many peers 0.2 of the tolerance is used instead of 0.6.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -30,10 +30,16 @@
 /// instances.
 const GONE_TIME: Duration = Duration::from_secs(20);
 
+/// Time over which a peer's rate is averaged: a few exchanges.
+const RATE_TIME: Duration = Duration::from_millis(400);
+
 /// Part of the tolerance over a limit that is used; the rest covers what peers used since their
 /// last report.
 const TOLERANCE_PART: f64 = 0.6;
 
+/// The same where there are many peers, whose reports come several times as late.
+const LATE_TOLERANCE_PART: f64 = 0.2;
+
 /// Part of a limit from which use is saved, so that instances that start together know of it. An
 /// instance that joins a running deployment assumes this much until it knows more.
 const SAVE_PART: f64 = 0.85;
@@ -74,8 +80,8 @@
 struct Meter {
     /// The limit within the window.
     limit: f64,
-    /// Use allowed within the window, part of the tolerance included.
-    allowed: f64,
+    /// Tolerance over the limit.
+    tolerance: f64,
     slots: VecDeque<Slot>,
     total: f64,
     /// Use at this instance since its start.
@@ -84,13 +90,21 @@
     assumed: bool,
 }
 
+/// Use of one account at one peer.
+#[derive(Debug, Default)]
+struct PeerUse {
+    /// Units since the peer's start.
+    used: f64,
+    /// Units a second, lately.
+    rate: f64,
+}
+
 /// One peer's reports.
 #[derive(Debug)]
 struct PeerUses {
     incarnation: Incarnation,
     heard: Time,
-    /// Use of each account since the peer's start.
-    uses: HashMap<AccountId, f64>,
+    uses: HashMap<AccountId, PeerUse>,
 }
 
 /// Silence of some peers. What was used before is known on both sides; of what is free beyond that,
@@ -130,9 +144,8 @@
             let meter = self.meters.remove(&account.name);
             let mut meter = meter.unwrap_or_else(Meter::new);
             let limit = account.rate * self.bounds.window.as_secs_f64() + account.burst;
-            let tolerance = self.bounds.overage * limit + self.bounds.slack;
             meter.limit = limit;
-            meter.allowed = limit + TOLERANCE_PART * tolerance;
+            meter.tolerance = self.bounds.overage * limit + self.bounds.slack;
             if first {
                 meter.assume(SAVE_PART * limit, self.bounds.window, now);
             }
@@ -149,14 +162,18 @@
     pub fn take(&mut self, account: &AccountId, cost: f64, now: Time) -> Result<(), Duration> {
         let cut = self.cut(now);
         let window = self.bounds.window;
+        let many = self.peers.len() > MANY_PEERS;
+        let tolerated = if many { LATE_TOLERANCE_PART } else { TOLERANCE_PART };
+        let unseen = self.unseen(account, now);
         let Some(meter) = self.meters.get_mut(account) else { return Ok(()) };
+        let allowed = meter.limit + tolerated * meter.tolerance - unseen;
         meter.expire(now);
         let before = cut.map_or(0.0, |cut| meter.added_before(cut.since, window));
         let part = cut.map_or(1.0, |cut| cut.part);
         // A request larger than the whole limit passes when nothing else was used.
-        let fits = meter.total - before + cost <= part * (meter.allowed - before);
+        let fits = meter.total - before + cost <= part * (allowed - before);
         if !fits && meter.total > 0.0 {
-            return Err(meter.free_in(cost, now));
+            return Err(meter.free_in(cost, allowed, now));
         }
         meter.add(cost, window, now);
         meter.used += cost;
@@ -240,9 +257,15 @@
             known.incarnation = incarnation;
             known.uses.clear();
         }
+        let span = now.since(known.heard).as_secs_f64();
         known.heard = now;
         for sum in sums {
-            let before = known.uses.insert(sum.account.clone(), sum.used).unwrap_or(0.0);
+            let peer_use = known.uses.entry(sum.account.clone()).or_default();
+            let delta = sum.used - std::mem::replace(&mut peer_use.used, sum.used);
+            if span > 0.0 && !first {
+                let weight = (span / RATE_TIME.as_secs_f64()).min(1.0);
+                peer_use.rate += weight * (delta.max(0.0) / span - peer_use.rate);
+            }
             let Some(meter) = self.meters.get_mut(&sum.account) else { continue };
             meter.expire(now);
             if meter.assumed && !sum.amounts.is_empty() {
@@ -252,11 +275,21 @@
             // to an instance that joins.
             let told = first && self.joined && incarnation <= self.life;
             if !told {
-                meter.add(sum.used - before, window, now);
+                meter.add(delta, window, now);
             }
         }
     }
 
+    /// What peers are likely to have used since they were last heard.
+    fn unseen(&self, account: &AccountId, now: Time) -> f64 {
+        let unseen = self.peers.values().filter_map(|peer| {
+            let age = now.since(peer.heard);
+            let peer_use = peer.uses.get(account).filter(|_| age < LONG_SILENCE)?;
+            Some(peer_use.rate * age.as_secs_f64())
+        });
+        unseen.sum()
+    }
+
     /// The silent peers, if there are any.
     fn cut(&self, now: Time) -> Option<Cut> {
         let limit = if self.peers.len() > MANY_PEERS { LONG_SILENCE } else { SILENCE };
@@ -280,7 +313,7 @@
     fn new() -> Self {
         Self {
             limit: 0.0,
-            allowed: 0.0,
+            tolerance: 0.0,
             slots: VecDeque::new(),
             total: 0.0,
             used: 0.0,
@@ -364,8 +397,8 @@
     }
 
     /// Time until `cost` units leave the window.
-    fn free_in(&self, cost: f64, now: Time) -> Duration {
-        let mut over = self.total + cost - self.allowed;
+    fn free_in(&self, cost: f64, allowed: f64, now: Time) -> Duration {
+        let mut over = self.total + cost - allowed;
         for slot in &self.slots {
             over -= slot.amount;
             if over <= 0.0 {
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -100,6 +100,7 @@
             cut: None,
         },
         Case { name: "a cut", instances: 4, restarts: &[], cut: Some((6_000, 14_000)) },
+        Case { name: "eighty instances", instances: 80, restarts: &[], cut: None },
     ];
     for case in cases {
         let mut fleet = Fleet::new(case.instances);
@@ -110,13 +111,13 @@
             }
             let instance = (now / 20) as usize % case.instances;
             fleet.ask(instance, 100.0, now);
-            if now % 100 == 0 {
-                for (from, to) in pairs(case.instances) {
-                    // A cut keeps the last instance from the others.
-                    let cut = case.cut.is_some_and(|(start, end)| (start..end).contains(&now));
-                    if cut && (from == case.instances - 1 || to == case.instances - 1) {
-                        continue;
-                    }
+            // Each pair of many instances exchanges less often.
+            let every = if case.instances > 12 { 800 } else { 100 };
+            for (from, to) in pairs(case.instances) {
+                // A cut keeps the last instance from the others.
+                let cut = case.cut.is_some_and(|(start, end)| (start..end).contains(&now));
+                let across = from == case.instances - 1 || to == case.instances - 1;
+                if (now + 20 * (from + to) as u64) % every == 0 && !(cut && across) {
                     fleet.exchange(from, to, now);
                 }
             }
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -8,6 +8,9 @@
 
 use crate::attempt::Call;
 
+/// Time to the first byte in the line of a request that got none.
+const NO_ANSWER: i64 = -1;
+
 /// An attempt begins.
 pub fn dispatched(call: &Call, dispatch: &Dispatch) {
     log::info!(
@@ -52,7 +55,7 @@
         account = call.account.as_ref().map_or("", |account| account.name.as_str()),
         outcome,
         cause,
-        first_ms = pace.first.map(|first| first.as_millis() as u64),
+        first_ms = pace.first.map_or(NO_ANSWER, |first| first.as_millis() as i64),
         pause_ms = pace.pause.as_millis() as u64,
         events;
         "request ended"
