Write the last log lines before the process ends

Lines are written by a thread of their own, and the process ended before that thread's turn; on an idle machine it had always been quick enough.

Ruled out: a stop by the grace time's end (exit status 0, stream whole).

Change: the sink has a flusher, and the program waits up to 200 ms for it.

After: the new test of the sink waits for 1,000 lines to a slow output; the check in stops.rs is unchanged.

--- a/crates/runtime/tests/limits.rs
+++ b/crates/runtime/tests/limits.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use log::Level;
@@ -51,7 +52,7 @@
 #[test]
 fn a_reader_that_stops_reading_loses_lines_and_blocks_nothing() {
     let (release, stuck) = channel();
-    let (mut sink, dropped) = Sink::start(Stuck(stuck)).expect("a thread");
+    let (mut sink, dropped, flusher) = Sink::start(Stuck(stuck)).expect("a thread");
     let start = Instant::now();
     for _ in 0..100_000 {
         sink.write_all(b"a line\n").expect("never fails");
@@ -59,5 +60,34 @@
     assert!(dropped.take() > 90_000);
     // Generous: the lines would never end if one of them blocked.
     assert!(start.elapsed() < Duration::from_secs(20));
+    assert!(!flusher.flush(Duration::from_millis(10)), "the output is stuck");
     drop(release);
 }
+
+/// An output that takes its time.
+#[derive(Clone, Default)]
+struct Slow(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(5));
+        self.0.lock().expect("not poisoned").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn the_last_lines_are_written_before_the_end() {
+    let output = Slow::default();
+    let (mut sink, dropped, flusher) = Sink::start(output.clone()).expect("a thread");
+    for _ in 0..1_000 {
+        sink.write_all(b"a line\n").expect("never fails");
+    }
+    assert!(flusher.flush(Duration::from_secs(60)));
+    assert_eq!(output.0.lock().expect("not poisoned").len(), 7_000);
+    assert_eq!(dropped.take(), 0);
+}
--- a/src/bin/sesamewind-gateway.rs
+++ b/src/bin/sesamewind-gateway.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use sesamewind_adapter::{Speech, Store, names};
 use sesamewind_relay::Instance;
@@ -16,6 +16,9 @@
 /// Exit code for settings with faults.
 const EXIT_SETTINGS: u8 = 2;
 
+/// How long the end of the process waits for its last log lines.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 mod flags {
     #![allow(missing_docs, reason = "generated from the help texts")]
 
@@ -50,7 +53,7 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    let (sink, dropped) = match Sink::start(io::stdout()) {
+    let (sink, dropped, flusher) = match Sink::start(io::stdout()) {
         Ok(started) => started,
         Err(err) => {
             eprintln!("log could not be started: {err}");
@@ -73,7 +76,11 @@
         path: &path,
         dropped,
     };
-    match instance.run() {
+    let ended = instance.run();
+    if !flusher.flush(FLUSH_TIME) {
+        eprintln!("the last log lines could not be written");
+    }
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
