Use one hash, one settings reader and one threshold; log and count ends in one place

Attempts of a stream that went on elsewhere are counted in sesamewind_attempts_total by this, which had been left out. - Pool::opened had no reader, Gateway::patience one caller, the length header of a stream was removed twice, and a stream's head was copied.

Left: Arrival::prefix has no reader yet, but a test holds that it is read.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -1,10 +1,8 @@
 //! A caller's request as it arrives.
 
-use std::hash::Hasher;
 use std::sync::Arc;
 
 use sesamewind_protocol::Time;
-use siphasher::sip::SipHasher13;
 
 use crate::table::{Account, Route, Unit};
 
@@ -55,10 +53,3 @@
         }
     }
 }
-
-/// Hash of `text`, the same on every instance.
-pub fn hash(text: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(text.as_bytes());
-    hasher.finish()
-}
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -17,7 +17,7 @@
 use crate::targets::Index;
 
 /// Part of its objective for which a request waits for a place; the rest is the target's.
-pub(crate) const PATIENCE_PART: f64 = 0.75;
+const PATIENCE_PART: f64 = 0.75;
 
 /// Sends of one request at most, those that certainly did not run included.
 const MAX_SENDS: u32 = 4;
@@ -60,7 +60,7 @@
         let state =
             self.services.entry(service.clone()).or_insert_with(|| ServiceState::new(&self.tuning));
         state.budget.first(now);
-        let until = (now + Self::patience(arrival.route.objective)).min(arrival.deadline);
+        let until = (now + arrival.route.objective.mul_f64(PATIENCE_PART)).min(arrival.deadline);
         let position = state.queue.push(ticket, arrival.rank(), now, until);
         let request = Request {
             arrival,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -132,9 +132,9 @@
         self.peers.follows(&self.me.instance, now)
     }
 
-    /// Instances in the deployment that were heard lately, this one included.
-    pub fn instances(&self) -> usize {
-        self.peers.instances()
+    /// Whether there are so many instances that most of them learn of the store's changes from peers.
+    pub fn shares_watch(&self) -> bool {
+        self.peers.share_watch()
     }
 
     /// Use of account limits to save outside of the instances, if that is this instance's task now.
@@ -305,9 +305,4 @@
         self.pump_all(now);
         self.expire_waiting(now);
     }
-
-    /// How long a request waits at most for a place, from its arrival.
-    pub(crate) fn patience(objective: Duration) -> Duration {
-        objective.mul_f64(crate::flow::PATIENCE_PART)
-    }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use sesamewind_protocol::relay::RelayNews;
-use sesamewind_protocol::{Incarnation, InstanceId, Time};
+use sesamewind_protocol::{Incarnation, InstanceId, Time, text_hash};
 
-use crate::arrival::hash;
 use crate::targets::{Index, Targets};
 
 /// Silence after which a peer's requests at targets count no more: its callers have gone elsewhere
@@ -65,13 +64,18 @@
         heard.all(|(name, _)| me < name)
     }
 
+    /// Whether there are so many instances that a few of them watch the store for all.
+    pub(crate) fn share_watch(&self) -> bool {
+        self.peers.len() >= FOLLOW_PEERS
+    }
+
     /// Whether this instance should leave the store to others: there are many instances, enough of
     /// them come before this one, and one of those has heard from the store lately.
     pub(crate) fn follows(&self, me: &InstanceId, now: Time) -> bool {
-        if self.peers.len() < FOLLOW_PEERS {
+        if !self.share_watch() {
             return false;
         }
-        let order = |name: &InstanceId| (hash(name.as_str()), name.clone());
+        let order = |name: &InstanceId| (text_hash(name.as_str()), name.clone());
         let own = order(me);
         let heard = self.peers.iter().filter(|(_, peer)| now.since(peer.heard) < LOAD_TIME);
         let before = heard.filter(|(name, _)| order(name) < own);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -8,9 +8,8 @@
 
 use rand::Rng;
 use rand::RngExt;
-use sesamewind_protocol::{Time, ZoneId};
+use sesamewind_protocol::{Time, ZoneId, text_hash};
 
-use crate::arrival::hash;
 use crate::gateway::Identity;
 use crate::moves::Admitted;
 use crate::targets::{Index, Target, Targets};
@@ -81,7 +80,7 @@
         .map(|&index| {
             let listed = &targets.get(index).listed;
             let pair = format!("{} {}", me.instance, listed.id);
-            (listed.zone != me.zone, hash(&pair), index)
+            (listed.zone != me.zone, text_hash(&pair), index)
         })
         .collect();
     order.sort_unstable();
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -6,7 +6,7 @@
 use sesamewind_protocol::traffic::{AccountUse, FloorAck, FloorRaise, TargetUse};
 use sesamewind_protocol::{
     AccountId, Incarnation, InstanceId, RequestKey, RouteId, ServiceId, TargetId, Time, VersionId,
-    Wall,
+    Wall, text_hash,
 };
 
 /// Names one attempt of a request at this instance; the daemon numbers them.
@@ -58,10 +58,7 @@
 
 /// Identity of the prefix named or spelled by `text`.
 pub fn prefix_hash(text: &str) -> u64 {
-    use std::hash::Hasher;
-    let mut hasher = siphasher::sip::SipHasher13::new();
-    hasher.write(text.as_bytes());
-    hasher.finish()
+    text_hash(text)
 }
 
 /// How an attempt at a target ended.
--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -5,8 +5,16 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 use siphasher::sip128::{Hasher128, SipHasher24};
 
+/// Hash of `text`, the same on every instance.
+pub fn text_hash(text: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -21,6 +21,6 @@
 pub use code::{Code, RunState};
 pub use id::{
     AccountId, Incarnation, InstanceId, RequestKey, Revision, RolloutId, RouteId, ServiceId,
-    TargetId, VersionId, ZoneId,
+    TargetId, VersionId, ZoneId, text_hash,
 };
 pub use time::{Time, Wall};
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -73,8 +73,6 @@
 /// A stream of events that has begun.
 #[derive(Debug)]
 pub struct Opened {
-    /// Head of the answer.
-    pub head: response::Parts,
     /// The rest of the answer.
     pub body: Incoming,
     /// The connection.
@@ -89,7 +87,7 @@
 #[derive(Debug)]
 pub enum Got {
     /// A stream that has begun.
-    Stream(Box<Opened>),
+    Stream(Box<response::Parts>, Opened),
     /// A whole answer for the caller.
     Whole(response::Parts, Bytes),
     /// A whole answer that is a failure of the target.
@@ -254,7 +252,8 @@
             }
             self.driver.tell(Event::Started(self.ticket));
             let first = Bytes::from(first);
-            return Ok(Got::Stream(Box::new(Opened { head, body, connection, first, ended })));
+            let opened = Opened { body, connection, first, ended };
+            return Ok(Got::Stream(Box::new(head), opened));
         }
     }
 }
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -2,19 +2,18 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::sse::EventScanner;
 use sesamewind_gateway::{Arrival, End, Event, Gateway, Refusal, RefusalReason, Repeat, Step};
-use sesamewind_protocol::RequestKey;
-use std::time::Duration;
+use sesamewind_protocol::{RequestKey, text_hash};
 
 use crate::answer::{Answer, AnswerBody};
-use crate::attempt::{Call, Got, Opened};
+use crate::attempt::{Call, Got};
 use crate::driver::{Driver, Presence};
 use crate::journal;
 use crate::stream;
@@ -102,9 +101,12 @@
             journal::dispatched(&self, &dispatch);
             self.driver.metrics.waited(&self.route.name, dispatch.waited.as_secs_f64());
             let end = match self.attempt(&dispatch, &mut scanner).await {
-                Got::Stream(opened) => {
+                Got::Stream(head, opened) => {
                     self.measure();
-                    return self.stream(dispatch, scanner, presence, *opened);
+                    let mut answer = self.answer(*head, AnswerBody::Whole(Bytes::new()));
+                    let events = stream::events(self, dispatch, scanner, presence, opened);
+                    *answer.body_mut() = AnswerBody::Stream(events);
+                    return answer;
                 }
                 Got::Whole(head, body) => {
                     self.measure();
@@ -118,7 +120,6 @@
                 Got::Ended(end) => end,
             };
             scanner.drop_partial();
-            self.driver.metrics.attempt(end.as_str());
             journal::attempt_ended(&self, &dispatch, end, 0);
             step = self.driver.ask(self.ticket, Event::Ended(self.ticket, end));
         }
@@ -141,18 +142,14 @@
         match (step, held) {
             (Step::Refuse(refusal), _) => {
                 journal::refused(self, &refusal, self.driver.look(Gateway::waiting));
-                self.driver.metrics.refusal(refusal.reason.as_str());
-                self.driver.metrics.outcome(&self.route.name, "refused");
                 self.driver.dialect.refused(&refusal)
             }
             (_, Some((head, body))) => {
                 journal::ended(self, "failed", End::Failing.as_str(), 0);
-                self.driver.metrics.outcome(&self.route.name, "failed");
                 self.answer(head, AnswerBody::Whole(body))
             }
             (Step::Fail(end), None) => {
                 journal::ended(self, "unknown", end.as_str(), 0);
-                self.driver.metrics.outcome(&self.route.name, "unknown");
                 self.driver.dialect.failed(end)
             }
             (Step::Deliver | Step::Dispatch(_), None) => {
@@ -165,25 +162,9 @@
     fn whole(self, head: response::Parts, body: Bytes) -> Answer {
         self.driver.tell(Event::Ended(self.ticket, End::Whole));
         journal::ended(&self, "served", "whole", 0);
-        self.driver.metrics.outcome(&self.route.name, "served");
         self.answer(head, AnswerBody::Whole(body))
     }
 
-    fn stream(
-        self,
-        dispatch: Dispatch,
-        scanner: EventScanner,
-        presence: Presence,
-        opened: Opened,
-    ) -> Answer {
-        let head = opened.head.clone();
-        let mut answer = self.answer(head, AnswerBody::Whole(Bytes::new()));
-        answer.headers_mut().remove(http::header::CONTENT_LENGTH);
-        let events = stream::events(self, dispatch, scanner, presence, opened);
-        *answer.body_mut() = AnswerBody::Stream(events);
-        answer
-    }
-
     fn answer(&self, head: response::Parts, body: AnswerBody) -> Answer {
         let mut answer = Response::new(body);
         *answer.status_mut() = head.status;
@@ -194,5 +175,5 @@
 
 /// Position of a request in weighted splits; the same for the same identity everywhere.
 fn split_point(id: &str) -> f64 {
-    RequestKey(0, sesamewind_gateway::arrival::hash(id)).position("split")
+    RequestKey(0, text_hash(id)).position("split")
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -98,7 +98,7 @@
     /// How long the target keeps the connection, if the head says so; zero if it closes it.
     fn keep_time(&self, head: &response::Parts) -> Option<Duration>;
 
-    /// The headers of a target's answer for the caller.
+    /// The headers of a target's answer for the caller, without its length.
     fn answer_headers(&self, target: HeaderMap) -> HeaderMap;
 
     /// The answer to a request that has not run.
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -1,4 +1,4 @@
-//! Log lines on requests: what was decided, by which inputs, and how it ended.
+//! Log lines and counts of requests: what was decided, by which inputs, and how it ended.
 //!
 //! Every line carries `event` and the request's identity, so that one search brings a request's
 //! whole story. `docs/OPERATIONS.md` lists events and fields.
@@ -28,6 +28,7 @@
 
 /// An attempt ended otherwise than with a whole answer.
 pub fn attempt_ended(call: &Call, dispatch: &Dispatch, end: End, events: u64) {
+    call.driver.metrics.attempt(end.as_str());
     log::warn!(
         event = "attempt_ended",
         request = call.caller.id.as_str(),
@@ -45,6 +46,7 @@
 
 /// A request ended.
 pub fn ended(call: &Call, outcome: &str, cause: &str, events: u64) {
+    call.driver.metrics.outcome(&call.route.name, outcome);
     let pace = call.pace.get();
     let level = if outcome == "served" { log::Level::Info } else { log::Level::Warn };
     log::log!(
@@ -64,6 +66,8 @@
 
 /// A request was refused.
 pub fn refused(call: &Call, refusal: &Refusal, waiting: usize) {
+    call.driver.metrics.refusal(refusal.reason.as_str());
+    call.driver.metrics.outcome(&call.route.name, "refused");
     log::warn!(
         event = "refused",
         request = call.caller.id.as_str(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -188,10 +188,9 @@
         if head.status != StatusCode::OK {
             return Err(format!("status {}", head.status));
         }
-        let body =
-            Limited::new(body, MESSAGE_BYTES).collect().await.map_err(|err| err.to_string())?;
+        let body = read(body).await?;
         self.pool.put(connection);
-        codec::decode(&body.to_bytes()).map_err(|err| err.to_string())
+        codec::decode(&body).map_err(|err| err.to_string())
     }
 
     /// Takes a peer's state.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to targets and to the platform's store.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -130,7 +130,6 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
-    opened: Cell<u64>,
 }
 
 impl Pool {
@@ -143,7 +142,6 @@
         if let Some(connection) = self.take_idle(address, fresh) {
             return Ok(connection);
         }
-        self.opened.set(self.opened.get() + 1);
         Connection::open(address).await
     }
 
@@ -175,11 +173,6 @@
         });
     }
 
-    /// Connections opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     fn take_idle(&self, address: SocketAddr, fresh: Duration) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -111,13 +111,12 @@
             let Ok(Step::Dispatch(dispatch)) = step.await else {
                 self.presence.end();
                 journal::ended(&self.call, "broken_off", end.as_str(), self.scanner.events());
-                self.call.driver.metrics.outcome(&self.call.route.name, "broken_off");
                 return None;
             };
             self.dispatch = dispatch;
             journal::dispatched(&self.call, &self.dispatch);
             match self.call.attempt(&self.dispatch, &mut self.scanner).await {
-                Got::Stream(opened) => {
+                Got::Stream(_, opened) => {
                     self.source = Some((opened.body, opened.connection));
                     self.ended = opened.ended;
                     return Some(opened.first);
@@ -135,6 +134,5 @@
         self.presence.end();
         self.call.driver.tell(Event::Ended(self.call.ticket, End::Whole));
         journal::ended(&self.call, "served", "whole", self.scanner.events());
-        self.call.driver.metrics.outcome(&self.call.route.name, "served");
     }
 }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -18,9 +18,6 @@
 /// connection that went silent unnoticed for longer.
 const WAIT: Duration = Duration::from_secs(3);
 
-/// Instances from which on the store's watchers wait for [`SHORT_WAIT`] and gather changes.
-const MANY_INSTANCES: usize = 12;
-
 /// How long the store is asked to wait where others rely on this instance's watch.
 const SHORT_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -110,7 +107,7 @@
     /// How long the store is asked to wait. Where few instances watch for many, the others have to
     /// know that the watch is alive.
     fn wait(&self) -> Duration {
-        if self.driver.look(Gateway::instances) > MANY_INSTANCES { SHORT_WAIT } else { WAIT }
+        if self.driver.look(Gateway::shares_watch) { SHORT_WAIT } else { WAIT }
     }
 
     async fn take(&mut self, batch: Batch) {
@@ -134,7 +131,7 @@
         if self.topic == Topic::Configuration && unconfigured {
             restore_use(&self.driver, self.source.as_ref()).await;
         }
-        if changed && self.driver.look(Gateway::instances) > MANY_INSTANCES {
+        if changed && self.driver.look(Gateway::shares_watch) {
             sleep(GATHER_TIME).await;
         }
     }
--- a/crates/settings/src/build.rs
+++ b/crates/settings/src/build.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use log::LevelFilter;
 use sesamewind_protocol::{InstanceId, ZoneId};
@@ -26,16 +27,30 @@
 
 /// Reads settings from `text`.
 pub(crate) fn settings(text: &str, env: Env<'_>) -> Result<Settings, Faults> {
+    whole(text, |root, faults| read(root, env, faults))
+}
+
+/// Reads the TOML in `text` by `read`, which gathers faults.
+pub(crate) fn whole<T>(
+    text: &str,
+    read: impl FnOnce(&Table, &mut Vec<Fault>) -> Option<T>,
+) -> Result<T, Faults> {
     let root: Table =
         text.parse().map_err(|err| Faults::one("", format!("not valid TOML: {err}")))?;
     let mut faults = Vec::new();
-    let read = read(&root, env, &mut faults);
+    let read = read(&root, &mut faults);
     match read {
         Some(settings) if faults.is_empty() => Ok(settings),
         _ => Err(Faults::new(faults)),
     }
 }
 
+/// Text of the settings file at `path`.
+pub(crate) fn text(path: &Path) -> Result<String, Faults> {
+    std::fs::read_to_string(path)
+        .map_err(|err| Faults::one("", format!("could not read {}: {err}", path.display())))
+}
+
 /// Reads every section before it gives up on any, so that no fault hides another.
 fn read(root: &Table, env: Env<'_>, faults: &mut Vec<Fault>) -> Option<Settings> {
     let mut top = Section::new("", Some(root), faults);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -38,8 +38,6 @@
     ///
     /// Returns every fault of the settings, or the one that the file could not be read.
     pub fn load(path: &Path) -> Result<Settings, Faults> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|err| Faults::one("", format!("could not read {}: {err}", path.display())))?;
-        Self::parse(&text, &|name| std::env::var(name).ok())
+        Self::parse(&build::text(path)?, &|name| std::env::var(name).ok())
     }
 }
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -8,7 +8,7 @@
 use sesamewind_protocol::{InstanceId, ZoneId};
 use toml::Table;
 
-use crate::build::{log, name};
+use crate::build::{self, log, name};
 use crate::section::Section;
 use crate::{Fault, Faults, Log, Secret};
 
@@ -78,14 +78,7 @@
     ///
     /// Returns every fault of the settings.
     pub fn parse(text: &str, env: &dyn Fn(&str) -> Option<String>) -> Result<Self, Faults> {
-        let root: Table =
-            text.parse().map_err(|err| Faults::one("", format!("not valid TOML: {err}")))?;
-        let mut faults = Vec::new();
-        let read = read(&root, env, &mut faults);
-        match read {
-            Some(settings) if faults.is_empty() => Ok(settings),
-            _ => Err(Faults::new(faults)),
-        }
+        build::whole(text, |root, faults| read(root, env, faults))
     }
 
     /// Reads settings from the file at `path`.
@@ -94,9 +87,7 @@
     ///
     /// Returns every fault of the settings, or the one that the file could not be read.
     pub fn load(path: &Path) -> Result<Self, Faults> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|err| Faults::one("", format!("could not read {}: {err}", path.display())))?;
-        Self::parse(&text, &|name| std::env::var(name).ok())
+        Self::parse(&build::text(path)?, &|name| std::env::var(name).ok())
     }
 }
 
