Share what is free of an account limit, also with instances that were not heard yet

Instances that started together did not even know of one another for up to 10 s: only the smaller name sends exchanges, and it had read the announcements before the larger one wrote its own. An instance whose announcement was not answered read none at all.

Change: an announced peer counts as silent until it is heard; near a limit each instance takes the share of the room that its use has among all, rounded to whole requests; a new instance calls the smaller names once; announcing and reading are independent.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,7 +65,7 @@
 impl Gateway {
     /// A gateway of the instance `me`; `seed` feeds its random choices.
     pub fn new(me: Identity, tuning: Tuning, seed: u64) -> Self {
-        let quotas = Quotas::new(tuning.quota, tuning.joined, me.incarnation);
+        let quotas = Quotas::new(tuning.quota, tuning.joined, me.incarnation, seed);
         Self {
             me,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -137,6 +137,11 @@
         self.peers.share_watch()
     }
 
+    /// Takes the names of peers that announced themselves and may not have been heard yet.
+    pub fn expect_peers(&mut self, peers: &[&InstanceId], now: Time) {
+        self.quotas.expect(peers.iter().copied(), now);
+    }
+
     /// Use of account limits to save outside of the instances, if that is this instance's task now.
     pub fn use_to_save(&mut self, now: Time) -> Vec<SavedUse> {
         if !self.peers.is_first(&self.me.instance, now) {
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -30,9 +30,25 @@
 /// instances.
 const GONE_TIME: Duration = Duration::from_secs(20);
 
+/// How long an announced peer is waited for that was not heard yet. Its announcement may be older
+/// than its end.
+const MEET_TIME: Duration = Duration::from_secs(5);
+
 /// Time over which a peer's rate is averaged: a few exchanges.
 const RATE_TIME: Duration = Duration::from_millis(400);
 
+/// Time over which the instances' shares of what is free follow their use.
+const PACE_TIME: Duration = Duration::from_secs(2);
+
+/// How fast an account may be used between two reports, as a multiple of its limit's rate. While more
+/// than that is free, each instance uses what it needs; of less, it takes its share only. The
+/// deployments' accounts ask for up to four times their limit.
+const SURGE: f64 = 4.0;
+
+/// Part of a limit's rate that is divided evenly when shares are made, so that an instance that had no
+/// requests of an account can serve its first ones.
+const EVEN_PART: f64 = 0.25;
+
 /// Part of the tolerance over a limit that is used; the rest covers what peers used since their
 /// last report.
 const TOLERANCE_PART: f64 = 0.6;
@@ -43,7 +59,7 @@
 
 /// Part of the tolerance that is used where there are many peers, whose reports come several times as
 /// late.
-const LATE_TOLERANCE_PART: f64 = 0.0;
+const LATE_TOLERANCE_PART: f64 = 0.3;
 
 /// Part of a limit from which use is saved, so that instances that start together know of it. An
 /// instance that joins a running deployment assumes this much until it knows more.
@@ -53,6 +69,9 @@
 /// more than this part of its limit there, an even assumption would leave the window too early.
 const RECENT_PART: f64 = 0.25;
 
+/// Step between two roundings: its multiples fill the interval from zero to one evenly.
+const GOLDEN_PART: f64 = 0.618_033_988_75;
+
 /// Use of one account that is saved outside of the instances.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SavedUse {
@@ -91,6 +110,10 @@
     total: f64,
     /// Use at this instance since its start.
     used: f64,
+    /// The latest of it, with its times.
+    own: VecDeque<(Time, f64)>,
+    /// Rounding of this instance's share to whole requests, and when it was drawn.
+    rounding: (f64, Time),
     /// Whether what was used before the start is assumed and not known.
     assumed: bool,
 }
@@ -102,13 +125,31 @@
     used: f64,
     /// Units a second, lately.
     rate: f64,
+    /// The same over a longer time.
+    pace: f64,
+}
+
+/// Use of one account at the peers that are heard.
+#[derive(Debug, Clone, Copy, Default)]
+struct Others {
+    /// The peers.
+    count: u32,
+    /// Age of the oldest report.
+    age: Duration,
+    /// Units that they are likely to have used since their reports.
+    unseen: f64,
+    /// Units a second.
+    pace: f64,
 }
 
 /// One peer's reports.
 #[derive(Debug)]
 struct PeerUses {
     incarnation: Incarnation,
+    /// When it was last heard, or first expected.
     heard: Time,
+    /// Whether it was announced and never heard.
+    expected: bool,
     uses: HashMap<AccountId, PeerUse>,
 }
 
@@ -130,6 +171,8 @@
     joined: bool,
     /// The instance's life.
     life: Incarnation,
+    /// First rounding of shares; differs between instances.
+    rounding: f64,
     /// When the first accounts were configured.
     start: Time,
     meters: HashMap<AccountId, Meter>,
@@ -139,11 +182,13 @@
 impl Quotas {
     /// No limits yet, for the instance's life `life`. `joined` says that other instances may have
     /// been running before this one.
-    pub fn new(bounds: QuotaBounds, joined: bool, life: Incarnation) -> Self {
+    /// `seed` should differ between instances.
+    pub fn new(bounds: QuotaBounds, joined: bool, life: Incarnation, seed: u64) -> Self {
         Self {
             bounds,
             joined,
             life,
+            rounding: (seed as f64 * GOLDEN_PART).fract(),
             start: Time::ZERO,
             meters: HashMap::new(),
             peers: HashMap::new(),
@@ -159,7 +204,7 @@
         let mut kept = HashMap::new();
         for account in accounts.filter(|account| account.rate > 0.0) {
             let meter = self.meters.remove(&account.name);
-            let mut meter = meter.unwrap_or_else(Meter::new);
+            let mut meter = meter.unwrap_or_else(|| Meter::new(self.rounding));
             let limit = account.rate * self.bounds.window.as_secs_f64() + account.burst;
             meter.limit = limit;
             meter.tolerance = self.bounds.overage * limit + self.bounds.slack;
@@ -181,21 +226,21 @@
         let window = self.bounds.window;
         let many = self.peers.len() > MANY_PEERS;
         let tolerated = if many { LATE_TOLERANCE_PART } else { TOLERANCE_PART };
-        let unseen = self.unseen(account, now);
+        let others = self.others(account, now);
         let fresh = self.joined && now.since(self.start) < window;
         let Some(meter) = self.meters.get_mut(account) else { return Ok(()) };
         let margin = if fresh { FRESH_MARGIN * meter.limit } else { 0.0 };
-        let allowed = meter.limit + tolerated * meter.tolerance - unseen - margin;
+        let allowed = meter.limit + tolerated * meter.tolerance - margin;
         meter.expire(now);
         let before = cut.map_or(0.0, |cut| meter.added_before(cut.since, window));
         let part = cut.map_or(1.0, |cut| cut.part);
+        let room = before + part * (allowed - before) - meter.total - others.unseen;
         // A request larger than the whole limit passes when nothing else was used.
-        let fits = meter.total - before + cost <= part * (allowed - before);
-        if !fits && meter.total > 0.0 {
-            return Err(meter.free_in(cost, allowed, now));
+        if meter.total > 0.0 && !meter.fits(cost, room, &others, window, now) {
+            return Err(meter.free_in(cost, allowed - others.unseen, now));
         }
         meter.add(cost, window, now);
-        meter.used += cost;
+        meter.took(cost, now);
         Ok(())
     }
 
@@ -204,7 +249,7 @@
         let window = self.bounds.window;
         if let Some(meter) = self.meters.get_mut(account) {
             meter.add(-cost, window, now);
-            meter.used -= cost;
+            meter.took(-cost, now);
         }
     }
 
@@ -233,7 +278,7 @@
         let unseen: HashMap<AccountId, f64> = self
             .meters
             .keys()
-            .map(|account| (account.clone(), self.unseen(account, now)))
+            .map(|account| (account.clone(), self.others(account, now).unseen))
             .collect();
         let mut saved = Vec::new();
         for (account, meter) in &mut self.meters {
@@ -262,6 +307,18 @@
         }
     }
 
+    /// Takes the names of peers that announced themselves, which may be using the limits already.
+    pub fn expect<'a>(&mut self, peers: impl Iterator<Item = &'a InstanceId>, now: Time) {
+        for peer in peers {
+            self.peers.entry(peer.clone()).or_insert_with(|| PeerUses {
+                incarnation: Incarnation(0),
+                heard: now,
+                expected: true,
+                uses: HashMap::new(),
+            });
+        }
+    }
+
     /// Takes a peer's report.
     pub fn hear(
         &mut self,
@@ -271,12 +328,14 @@
         now: Time,
     ) {
         let window = self.bounds.window;
-        let first = !self.peers.contains_key(peer);
+        let first = self.peers.get(peer).is_none_or(|known| known.expected);
         let known = self.peers.entry(peer.clone()).or_insert_with(|| PeerUses {
             incarnation,
             heard: now,
+            expected: false,
             uses: HashMap::new(),
         });
+        known.expected = false;
         if incarnation < known.incarnation {
             return;
         }
@@ -290,8 +349,10 @@
             let peer_use = known.uses.entry(sum.account.clone()).or_default();
             let delta = sum.used - std::mem::replace(&mut peer_use.used, sum.used);
             if span > 0.0 && !first {
-                let weight = (span / RATE_TIME.as_secs_f64()).min(1.0);
-                peer_use.rate += weight * (delta.max(0.0) / span - peer_use.rate);
+                let rate = delta.max(0.0) / span;
+                let weight = |time: Duration| (span / time.as_secs_f64()).min(1.0);
+                peer_use.rate += weight(RATE_TIME) * (rate - peer_use.rate);
+                peer_use.pace += weight(PACE_TIME) * (rate - peer_use.pace);
             }
             let Some(meter) = self.meters.get_mut(&sum.account) else { continue };
             meter.expire(now);
@@ -307,14 +368,22 @@
         }
     }
 
-    /// What peers are likely to have used since they were last heard.
-    fn unseen(&self, account: &AccountId, now: Time) -> f64 {
-        let unseen = self.peers.values().filter_map(|peer| {
+    /// What is known of an account's use at the peers that are heard.
+    fn others(&self, account: &AccountId, now: Time) -> Others {
+        let mut others = Others::default();
+        for peer in self.peers.values().filter(|peer| !peer.expected) {
             let age = now.since(peer.heard);
-            let peer_use = peer.uses.get(account).filter(|_| age < LONG_SILENCE)?;
-            Some(peer_use.rate * age.as_secs_f64())
-        });
-        unseen.sum()
+            if age >= LONG_SILENCE {
+                continue;
+            }
+            others.count += 1;
+            others.age = others.age.max(age);
+            if let Some(peer_use) = peer.uses.get(account) {
+                others.unseen += peer_use.rate * age.as_secs_f64();
+                others.pace += peer_use.pace;
+            }
+        }
+        others
     }
 
     /// The silent peers, if there are any.
@@ -323,10 +392,12 @@
         let (mut all, mut silent, mut since) = (1, 0, Time::ZERO);
         for peer in self.peers.values() {
             let silence = now.since(peer.heard);
-            if silence < GONE_TIME {
-                all += 1;
+            let gone = silence >= if peer.expected { MEET_TIME } else { GONE_TIME };
+            if gone {
+                continue;
             }
-            if silence > limit && silence < GONE_TIME {
+            all += 1;
+            if peer.expected || silence > limit {
                 silent += 1;
                 since = since.max(peer.heard);
             }
@@ -337,17 +408,63 @@
 }
 
 impl Meter {
-    fn new() -> Self {
+    fn new(rounding: f64) -> Self {
         Self {
             limit: 0.0,
             tolerance: 0.0,
             slots: VecDeque::new(),
             total: 0.0,
             used: 0.0,
+            own: VecDeque::new(),
+            rounding: (rounding, Time::ZERO),
             assumed: false,
         }
     }
 
+    /// Whether `cost` units may be used of the `room` that is free. Near the limit all instances see
+    /// the same room until they hear of one another, so each takes its share only.
+    fn fits(&mut self, cost: f64, room: f64, others: &Others, window: Duration, now: Time) -> bool {
+        if room < cost {
+            return false;
+        }
+        let rate = self.limit / window.as_secs_f64();
+        // Reports are half as old as the oldest one on average.
+        let surge = SURGE * rate * others.age.as_secs_f64() / 2.0;
+        if others.count == 0 || room >= cost + surge {
+            return true;
+        }
+        let even = EVEN_PART * rate / f64::from(others.count + 1);
+        let own = self.recent_own(PACE_TIME, now) / PACE_TIME.as_secs_f64() + even;
+        let share = own / (own + others.pace + even * f64::from(others.count));
+        let recent = self.recent_own(others.age, now);
+        recent + cost <= share * (room + recent) + self.rounding(others.age, now) * cost
+    }
+
+    /// Part of a request that may be used beyond a share, so that shares smaller than a request add
+    /// up to what is free.
+    fn rounding(&mut self, age: Duration, now: Time) -> f64 {
+        if now.since(self.rounding.1) >= age {
+            self.rounding = ((self.rounding.0 + GOLDEN_PART).fract(), now);
+        }
+        self.rounding.0
+    }
+
+    /// Counts `cost` units as used here.
+    fn took(&mut self, cost: f64, now: Time) {
+        self.used += cost;
+        self.own.push_back((now, cost));
+        while self.own.front().is_some_and(|(at, _)| now.since(*at) > PACE_TIME) {
+            self.own.pop_front();
+        }
+        self.rounding.0 = (self.rounding.0 + GOLDEN_PART).fract();
+    }
+
+    /// Units that were used here in the last `span`, at most [`PACE_TIME`].
+    fn recent_own(&self, span: Duration, now: Time) -> f64 {
+        let recent = self.own.iter().rev().take_while(|(at, _)| now.since(*at) <= span);
+        recent.map(|(_, cost)| cost).sum()
+    }
+
     /// Counts `amount` as used evenly over the window before `now`.
     fn assume(&mut self, amount: f64, window: Duration, now: Time) {
         let width = window / SLOTS;
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use sesamewind_gateway::quota::{QuotaBounds, Quotas, SavedUse};
 use sesamewind_gateway::table::Account;
 use sesamewind_protocol::{AccountId, Incarnation, InstanceId, Time};
@@ -20,8 +22,8 @@
     Account { rate: RATE, burst: RATE, ..account("a") }
 }
 
-fn quotas(joined: bool, life: Incarnation, now: Time) -> Quotas {
-    let mut quotas = Quotas::new(BOUNDS, joined, life);
+fn quotas(joined: bool, life: Incarnation, seed: usize, now: Time) -> Quotas {
+    let mut quotas = Quotas::new(BOUNDS, joined, life, seed as u64);
     quotas.configure([limited()].iter(), now);
     quotas
 }
@@ -38,8 +40,9 @@
 
 impl Fleet {
     fn new(count: usize) -> Self {
-        let instances =
-            (0..count).map(|_| (quotas(false, Incarnation(1), at(0)), Incarnation(1))).collect();
+        let instances = (0..count)
+            .map(|one| (quotas(false, Incarnation(1), one, at(0)), Incarnation(1)))
+            .collect();
         Self { instances, used: Vec::new(), lives: 1, saved: (0, Vec::new()) }
     }
 
@@ -72,9 +75,12 @@
         // Two lives never share a number, also if they start at the same time.
         self.lives += 1;
         let life = Incarnation(self.lives);
-        let mut fresh = quotas(true, life, at(now));
+        let mut fresh = quotas(true, life, instance, at(now));
         let age = Duration::from_millis(now - self.saved.0);
         fresh.restore(&self.saved.1, age, at(now));
+        let others = (0..self.instances.len()).filter(|other| *other != instance);
+        let others: Vec<_> = others.map(|other| InstanceId::new(format!("i{other}"))).collect();
+        fresh.expect(others.iter(), at(now));
         self.instances[instance] = (fresh, life);
     }
 
@@ -111,6 +117,8 @@
         },
         Case { name: "a cut", instances: 4, restarts: &[], cut: Some((6_000, 14_000)) },
         Case { name: "eighty instances", instances: 80, restarts: &[], cut: None },
+        Case { name: "eighty restart", instances: 80, restarts: &LATE_RESTARTS, cut: None },
+        Case { name: "eight begin", instances: 8, restarts: &EARLY_RESTARTS, cut: None },
     ];
     for case in cases {
         let mut fleet = Fleet::new(case.instances);
@@ -119,7 +127,8 @@
             if now % 260 == 0 {
                 fleet.save(0, now);
             }
-            for (_, instance) in case.restarts.iter().filter(|(at, _)| *at == now) {
+            let due = case.restarts.iter().filter(|(at, one)| *at == now && *one < case.instances);
+            for (_, instance) in due {
                 fleet.restart(*instance, now);
             }
             let instance = (now / 20) as usize % case.instances;
@@ -143,6 +152,23 @@
     }
 }
 
+/// All instances restart after a while.
+const LATE_RESTARTS: [(u64, usize); 80] = all_at(9_100);
+
+/// All instances restart right after they began.
+const EARLY_RESTARTS: [(u64, usize); 80] = all_at(20);
+
+/// Restarts of all instances at once.
+const fn all_at(at: u64) -> [(u64, usize); 80] {
+    let mut restarts = [(at, 0); 80];
+    let mut instance = 0;
+    while instance < restarts.len() {
+        restarts[instance].1 = instance;
+        instance += 1;
+    }
+    restarts
+}
+
 /// Random use, exchanges and joins never pass the bound, and below its limit an account that is
 /// heard of everywhere is never refused.
 #[test]
@@ -172,6 +198,55 @@
     });
 }
 
+/// Reports of eighty instances are up to 0.8 s old. An account that suddenly asks for a multiple of
+/// its limit at all of them stays within the bound, and one that stays below its limit is rarely
+/// refused, whether its requests are small or large beside the limit.
+#[test]
+fn late_reports_neither_pass_the_bound_nor_refuse_much() {
+    struct Case {
+        name: &'static str,
+        /// Units of one request.
+        cost: f64,
+        /// Demand as a multiple of the limit's rate, before and after the eighth second.
+        demand: (f64, f64),
+        /// Part of the requests before the eighth second that may be refused.
+        refused: f64,
+    }
+    let cases = [
+        Case { name: "large requests, half", cost: 200.0, demand: (0.5, 0.5), refused: 0.01 },
+        Case { name: "large requests, 0.8", cost: 200.0, demand: (0.8, 0.8), refused: 0.1 },
+        Case { name: "small requests, 0.8", cost: 20.0, demand: (0.8, 0.8), refused: 0.02 },
+        Case { name: "small requests, surge", cost: 20.0, demand: (0.5, 4.0), refused: 0.01 },
+        Case { name: "large requests, surge", cost: 200.0, demand: (0.5, 4.0), refused: 0.01 },
+    ];
+    const COUNT: usize = 80;
+    for case in cases {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut fleet = Fleet::new(COUNT);
+        let (mut asked, mut refused, mut due) = (0.0, 0.0, 0.0);
+        for now in (0..24_000).step_by(20) {
+            let demand = if now < 8_000 { case.demand.0 } else { case.demand.1 };
+            due += demand * RATE * 0.02;
+            while due >= case.cost {
+                due -= case.cost;
+                let taken = fleet.ask(rng.random_range(0..COUNT), case.cost, now);
+                if now < 8_000 {
+                    asked += 1.0;
+                    refused += f64::from(u8::from(!taken));
+                }
+            }
+            for (from, to) in pairs(COUNT) {
+                if (now + 20 * (from + to) as u64).is_multiple_of(800) {
+                    fleet.exchange(from, to, now);
+                }
+            }
+        }
+        let (name, most, part) = (case.name, fleet.most(), refused / asked);
+        assert!(most <= ALLOWED, "{name}: {most} of {ALLOWED} within a window");
+        assert!(part <= case.refused, "{name}: {part} refused");
+    }
+}
+
 #[test]
 fn an_account_below_its_limit_is_not_refused() {
     let mut fleet = Fleet::new(8);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,7 +1,8 @@
 //! Exchange of state with the other instances.
 //!
 //! Of two instances, the one with the smaller name sends its state and gets the other's in the
-//! answer, so that one exchange serves both.
+//! answer, so that one exchange serves both. An instance that reads of a smaller name calls it once,
+//! since that one may not have read its announcement yet.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -53,6 +54,9 @@
 /// Time without an exchange after which a peer is given up until it calls by itself.
 const GIVE_UP_TIME: Duration = Duration::from_secs(20);
 
+/// Calls to a peer that doesn't answer, until it is left to its own reading of announcements.
+const GREETINGS: u32 = 5;
+
 /// Largest message of a peer, in bytes.
 const MESSAGE_BYTES: usize = 1 << 20;
 
@@ -82,24 +86,46 @@
 
     /// Takes instances that announced themselves.
     pub fn learn(self: &Rc<Self>, announced: &[Announcement]) {
+        let others = announced.iter().filter(|peer| peer.instance != self.me);
+        let names: Vec<&InstanceId> = others.map(|peer| &peer.instance).collect();
+        let now = self.driver.now();
+        self.driver.change(|gateway| gateway.expect_peers(&names, now));
         for peer in announced {
-            self.meet(&peer.instance, Known { address: peer.address, zone: peer.zone.clone() });
+            let known = Known { address: peer.address, zone: peer.zone.clone() };
+            if self.meet(&peer.instance, &known) && peer.instance < self.me {
+                let this = Rc::clone(self);
+                let name = peer.instance.clone();
+                tokio::task::spawn_local(async move { this.greet(name, known).await });
+            }
+        }
+    }
+
+    /// Calls a peer that is to send exchanges, so that it knows of this instance.
+    async fn greet(self: Rc<Self>, name: InstanceId, peer: Known) {
+        for failures in 1..=GREETINGS {
+            match timeout(EXCHANGE_TIME, self.exchange(&name, peer.address)).await {
+                Ok(Ok(news)) => return self.hear(&news),
+                Ok(Err(err)) => log::debug!("greeting of {name} failed: {err}"),
+                Err(_) => log::debug!("greeting of {name} was not answered in time"),
+            }
+            sleep(self.pause(&peer.zone, failures)).await;
         }
     }
 
-    /// Starts exchanges with a peer that is new or has moved.
-    fn meet(self: &Rc<Self>, name: &InstanceId, peer: Known) {
-        if *name == self.me || self.known.borrow().get(name) == Some(&peer) {
-            return;
+    /// Starts exchanges with a peer that is new or has moved; true if it is.
+    fn meet(self: &Rc<Self>, name: &InstanceId, peer: &Known) -> bool {
+        if *name == self.me || self.known.borrow().get(name) == Some(peer) {
+            return false;
         }
         let address = peer.address;
         self.known.borrow_mut().insert(name.clone(), peer.clone());
         log::info!(event = "peer_met", peer = name.as_str(), address:%; "peer known");
         if self.me < *name {
             let this = Rc::clone(self);
-            let name = name.clone();
+            let (name, peer) = (name.clone(), peer.clone());
             tokio::task::spawn_local(async move { this.exchange_with(name, peer).await });
         }
+        true
     }
 
     async fn exchange_with(self: Rc<Self>, name: InstanceId, peer: Known) {
@@ -239,7 +265,7 @@
             Err(err) => return unreadable(&err.to_string()),
         };
         if let Ok(address) = news.address.parse() {
-            self.meet(&news.from, Known { address, zone: news.zone.clone() });
+            self.meet(&news.from, &Known { address, zone: news.zone.clone() });
         }
         self.hear(&news);
         encoded(&self.driver.news(&news.from))
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -45,6 +45,13 @@
 /// from its first exchange, so that this only repairs what was missed.
 const INSTANCES_PAUSE: Duration = Duration::from_secs(10);
 
+/// Readings of the announcements after the start that follow one another sooner: instances that start
+/// together announce themselves at the same time.
+const EARLY_READINGS: u32 = 2;
+
+/// Pause between those.
+const EARLY_PAUSE: Duration = Duration::from_secs(1);
+
 /// Follows `topic` for as long as the instance runs.
 pub async fn follow(driver: Rc<Driver>, source: Rc<dyn Source>, peers: Rc<Peers>, topic: Topic) {
     let mut watch = Watch { driver, source, peers, topic, version: None, failures: 0 };
@@ -232,8 +239,8 @@
     }
 }
 
-/// Announces this instance and learns of the others.
-pub async fn instances(peers: Rc<Peers>, source: Rc<dyn Source>, me: Announcement) {
+/// Announces this instance.
+pub async fn announce(source: Rc<dyn Source>, me: Announcement) {
     let mut failures = 0;
     while let Err(err) = source.announce(&me).await {
         failures += 1;
@@ -242,11 +249,19 @@
         }
         sleep(pause(failures)).await;
     }
+}
+
+/// Learns of the other instances. Those are called that don't know of this one yet, so that it is
+/// known also while its announcement can't be written.
+pub async fn instances(peers: Rc<Peers>, source: Rc<dyn Source>) {
+    let mut readings = 0;
     loop {
         match source.instances().await {
             Ok(announced) => {
                 peers.learn(&announced);
-                sleep(INSTANCES_PAUSE.mul_f64(rand::rng().random_range(0.8..1.2))).await;
+                readings += 1;
+                let pause = if readings < EARLY_READINGS { EARLY_PAUSE } else { INSTANCES_PAUSE };
+                sleep(pause.mul_f64(rand::rng().random_range(0.8..1.2))).await;
             }
             Err(err) => {
                 log::debug!("announcements could not be read: {err}");
--- a/tests/all/relay/state.rs
+++ b/tests/all/relay/state.rs
@@ -124,3 +124,21 @@
     })
     .await;
 }
+
+/// An instance that joins is met by one with a smaller name that has read the announcements before and
+/// can't read them again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_joins_is_met_at_once() {
+    let world = World::start(0, 1).await;
+    // The first instance has read the announcements and looks again much later.
+    until("it has announced itself", async || world.store.keys(names::INSTANCE_TABLE) == ["g1"])
+        .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let second = Gateway::start("g2", world.store.addr());
+    until("the second knows the first", async || second.log_text().contains("peer_met")).await;
+    world.store.set_mode(StoreMode::Down);
+    until("the first knows the second", async || {
+        world.gateway.log_text().contains("\"peer\":\"g2\"")
+    })
+    .await;
+}
