Refuse what arrives in the last moment of a planned stop

Found by the caller's record and the log of the instance (caller_left after stopped).

Test: a_call_in_the_last_moment_of_a_stop_is_not_cut, seen to fail before.

--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -99,7 +99,7 @@
             instance: settings.name.clone(),
             incarnation: clock.incarnation(),
             zone: settings.zone.clone(),
-            address: settings.listen.inner.to_string(),
+            address: settings.listen.advertise.to_string(),
         };
         let gateway = Gateway::new(me, tuning(settings), rand::random());
         let driver = Rc::new(Driver::new(gateway, clock, Rc::clone(&self.dialect)));
@@ -178,9 +178,10 @@
         let me = Announcement {
             instance: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
-            address: self.settings.listen.inner,
+            address: self.settings.listen.advertise,
         };
-        spawn_local(watch::instances(Rc::clone(peers), Rc::clone(&self.source), me));
+        spawn_local(watch::announce(Rc::clone(&self.source), me));
+        spawn_local(watch::instances(Rc::clone(peers), Rc::clone(&self.source)));
     }
 
     /// Takes the settings anew if the file has changed. Addresses hold until the next start.
@@ -243,7 +244,8 @@
         }
     }
     let open = driver.look(Gateway::open_requests);
-    // Connections write what is left of finished answers.
+    // What arrives from now on would be cut. Connections write what is left of finished answers.
+    driver.tell(Event::Stop);
     sleep_until(end.min(Instant::now() + STOP_POLL)).await;
     log::info!(event = "stopped", cut = open; "instance stopped");
 }
--- a/tests/all/relay/stops.rs
+++ b/tests/all/relay/stops.rs
@@ -41,6 +41,29 @@
     assert_eq!(last["cut"], 0);
 }
 
+/// A caller that goes on over its kept connection until the process is gone loses no call that
+/// reached a target. Its calls last longer than the last pause of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_in_the_last_moment_of_a_stop_is_not_cut() {
+    let options = TargetOptions { pace: Duration::from_millis(100), ..TargetOptions::default() };
+    let mut world = World::with(0, 1, options).await;
+    world.gateway.terminate();
+    let mut lost = Vec::new();
+    loop {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        let (id, request) = world.request("/pay/x");
+        match request.send().await {
+            Ok(answer) => assert!([200, 503].contains(&answer.status().as_u16())),
+            Err(err) if err.is_connect() => break,
+            Err(_) => lost.push(id),
+        }
+    }
+    assert!(world.gateway.ended().await, "the process ends well");
+    for id in lost {
+        assert_eq!(world.plains[0].runs(&id), 0, "{id} ran and was not answered");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changed_settings_are_taken_with_and_without_a_signal() {
     let world = World::start(0, 1).await;
--- a/tests/all/relay/world.rs
+++ b/tests/all/relay/world.rs
@@ -201,6 +201,7 @@
                 id: format!("i-p{number}"),
                 service: "plain".into(),
                 stream: false,
+                pace: options.pace,
                 script: options.script.clone(),
                 ..TargetOptions::default()
             };
