Add a soak of gateway processes under random faults

Real processes between stand-ins, with proxies on each link and signals, checked by what callers and targets see.

--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -48,6 +48,8 @@
     pub readiness: SocketAddr,
     /// Peers and metrics.
     pub inner: SocketAddr,
+    /// Address by which peers reach the inner listener.
+    pub advertise: SocketAddr,
 }
 
 /// Bounds that the deployment sets.
@@ -139,8 +141,14 @@
     let callers = section.parsed::<SocketAddr>("callers", ADDRESS);
     let readiness = section.parsed::<SocketAddr>("readiness", ADDRESS);
     let inner = section.parsed::<SocketAddr>("inner", ADDRESS);
+    let advertise = section.optional_parsed::<SocketAddr>("advertise", ADDRESS).or(inner);
     section.finish();
-    Some(RelayListen { callers: callers?, readiness: readiness?, inner: inner? })
+    Some(RelayListen {
+        callers: callers?,
+        readiness: readiness?,
+        inner: inner?,
+        advertise: advertise?,
+    })
 }
 
 fn bounds(table: &Table, faults: &mut Vec<Fault>) -> Option<RelayBounds> {
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,81 @@
+//! Plays soak runs with the seeds that are asked for.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use sesamewind_soak::{Options, run};
+
+/// Default length of a run, in seconds.
+const LENGTH_S: u64 = 30;
+
+/// Default number of instances.
+const INSTANCES: usize = 5;
+
+mod flags {
+    #![allow(missing_docs, reason = "generated from the help texts")]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs gateway processes under faults and checks what they promise.
+        cmd sesamewind-soak {
+            /// First seed.
+            required first: u64
+            /// Number of seeds; one without it.
+            optional --seeds count: u64
+            /// Length of a run in seconds; 30 without it.
+            optional --length seconds: u64
+            /// Instances; five without it.
+            optional --instances count: usize
+            /// The gateway's program; without it, the one beside this program.
+            optional --program path: PathBuf
+            /// Folder for settings and logs; without it, one in the folder for temporary files.
+            optional --folder path: PathBuf
+            /// Judges only the promises that are not bounded in time.
+            optional --untimed
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = flags::SesamewindSoak::from_env_or_exit();
+    let beside = std::env::current_exe().unwrap_or_default().with_file_name("sesamewind-gateway");
+    let folder = flags.folder.unwrap_or_else(|| std::env::temp_dir().join("sesamewind-soak"));
+    let program: PathBuf = flags.program.unwrap_or(beside);
+    let mut failed = Vec::new();
+    let seeds = flags.first..flags.first + flags.seeds.unwrap_or(1);
+    let count = seeds.end - seeds.start;
+    for seed in seeds {
+        let options = Options {
+            program: program.clone(),
+            folder: folder.join(format!("{}-{seed}", std::process::id())),
+            seed,
+            instances: flags.instances.unwrap_or(INSTANCES),
+            length: Duration::from_secs(flags.length.unwrap_or(LENGTH_S)),
+            timed: !flags.untimed,
+        };
+        let report = run(&options).await;
+        let (requests, served, refused) = (report.requests, report.served, report.refused);
+        let (faults, breaches) = (report.planned.len(), report.breaches.len());
+        println!(
+            "seed {seed}: {faults} faults, {requests} requests, {served} served, \
+             {refused} refused, {breaches} breaches"
+        );
+        for breach in report.breaches.iter().take(10) {
+            println!("  {}: {}", breach.promise, breach.seen);
+        }
+        if breaches > 0 {
+            failed.push(seed);
+            println!("  logs: {}", options.folder.display());
+            for one in &report.planned {
+                println!("  {:?} for {:?}: {:?}", one.at, one.length, one.fault);
+            }
+        } else if let Err(err) = std::fs::remove_dir_all(&options.folder) {
+            eprintln!("{}: {err}", options.folder.display());
+        }
+    }
+    println!("{} of {count} seeds failed: {failed:?}", failed.len());
+    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,193 @@
+//! One gateway process with proxies on its links.
+
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use sesamewind_standins::proxy::FaultProxy;
+use tokio::time::sleep;
+
+/// Time from the stop signal to the kill, as the platform gives it.
+pub const GRACE: Duration = Duration::from_secs(8);
+
+/// Time within which a leaving target must have no new work.
+pub const DRAIN: Duration = Duration::from_secs(2);
+
+/// Interval at which an ending process is looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+/// A gateway process, or the place of one that has ended.
+#[derive(Debug)]
+pub struct Process {
+    /// Name of the instance.
+    pub name: String,
+    /// Address of the question whether it is ready.
+    pub readiness: SocketAddr,
+    /// Link to the store.
+    pub store: FaultProxy,
+    /// Link of the other instances to this one.
+    pub peers: FaultProxy,
+    /// Link of callers to this one.
+    pub callers: FaultProxy,
+    program: PathBuf,
+    settings: PathBuf,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    child: Option<Child>,
+    life: u32,
+    /// Whether the end of the process is expected.
+    ending: bool,
+    reloads: u32,
+}
+
+impl Process {
+    /// Prepares the instance `number`; its settings and logs go to `folder`.
+    pub async fn new(number: usize, program: &Path, folder: &Path, store: SocketAddr) -> Self {
+        let id = std::process::id();
+        let low = u8::try_from(number + 1).expect("there are few instances");
+        let address = Ipv4Addr::new(127, 100 + (id >> 8) as u8 % 100, id as u8, low);
+        let at = |port| SocketAddr::new(IpAddr::V4(address), port);
+        Self {
+            name: format!("g{number}"),
+            readiness: at(7_102),
+            store: FaultProxy::start(store).await,
+            peers: FaultProxy::start(at(7_103)).await,
+            callers: FaultProxy::start(at(7_101)).await,
+            program: program.to_owned(),
+            settings: folder.join(format!("g{number}.toml")),
+            state: Mutex::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Number of the present life.
+    pub fn life(&self) -> u32 {
+        self.state().life
+    }
+
+    /// Starts the process if it doesn't run.
+    pub fn start(&self) {
+        let mut state = self.state();
+        if state.child.is_some() {
+            return;
+        }
+        state.life += 1;
+        state.ending = false;
+        self.write_settings(state.life == 1, state.reloads);
+        let log = self.settings.with_extension(format!("{}.log", state.life));
+        let child = Command::new(&self.program)
+            .arg(&self.settings)
+            .env("SESAMEWIND_PEER_TOKEN", "token-between-instances")
+            .stdout(File::create(&log).expect("log file can be made"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("gateway can be started");
+        state.child = Some(child);
+    }
+
+    fn write_settings(&self, first: bool, reloads: u32) {
+        let Self { name, readiness, .. } = self;
+        let at = |port| SocketAddr::new(readiness.ip(), port);
+        let (callers, inner) = (at(7_101), at(7_103));
+        let (store, advertise) = (self.store.addr(), self.peers.addr());
+        // A reload changes a bound by next to nothing.
+        let ratio = 0.2 + f64::from(reloads) * 1e-9;
+        let (grace, drain) = (GRACE.as_secs(), DRAIN.as_secs());
+        let text = format!(
+            "[instance]\nname = \"{name}\"\nzone = \"z1\"\nfirst_start = \"{first}\"\n\
+             [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\ninner = \"{inner}\"\n\
+             advertise = \"{advertise}\"\n[store]\naddress = \"{store}\"\n\
+             [bounds]\nretry_ratio = \"{ratio}\"\nretry_extra = \"50\"\nretry_window = \"10s\"\n\
+             quota_window = \"8s\"\nquota_overage = \"0.1\"\nquota_slack = \"1000\"\n\
+             drain = \"{drain}s\"\ngrace = \"{grace}s\"\n[log]\nlevel = \"debug\"\n"
+        );
+        std::fs::write(&self.settings, text).expect("settings can be written");
+    }
+
+    /// Changes the settings and tells the process.
+    pub fn reload(&self) {
+        let mut state = self.state();
+        state.reloads += 1;
+        self.write_settings(state.life == 1, state.reloads);
+        drop(state);
+        self.signal(libc::SIGHUP);
+    }
+
+    /// Sends a signal if the process runs.
+    #[allow(unsafe_code, reason = "signals have no safe interface in the standard library")]
+    pub fn signal(&self, signal: libc::c_int) {
+        let state = self.state();
+        let Some(child) = &state.child else { return };
+        let id = libc::pid_t::try_from(child.id()).expect("process ids fit");
+        // SAFETY: `kill` takes plain numbers; the process is a child that was not waited for.
+        unsafe { libc::kill(id, signal) };
+    }
+
+    /// Kills the process; false if it doesn't run or is ending.
+    pub fn kill(&self) -> bool {
+        let mut state = self.state();
+        if state.ending {
+            return false;
+        }
+        let Some(mut child) = state.child.take() else { return false };
+        // The process may have ended by itself a moment ago, which is seen by its status.
+        let _ = child.kill();
+        let _ = child.wait();
+        true
+    }
+
+    /// Asks the process to stop and waits for its end, as the platform does. Returns its status, and
+    /// none if it had to be killed, with the time that it took; none at all if it doesn't run.
+    pub async fn stop(&self) -> Option<(Option<ExitStatus>, Duration)> {
+        {
+            let mut state = self.state();
+            if state.child.is_none() || state.ending {
+                return None;
+            }
+            state.ending = true;
+        }
+        let start = Instant::now();
+        self.signal(libc::SIGTERM);
+        let mut status = None;
+        while status.is_none() && start.elapsed() < GRACE {
+            sleep(POLL).await;
+            status = self.state().child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+        }
+        if let Some(mut child) = self.state().child.take()
+            && status.is_none()
+        {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        Some((status, start.elapsed()))
+    }
+
+    /// The status of a process that has ended by itself.
+    pub fn ended_itself(&self) -> Option<ExitStatus> {
+        let mut state = self.state();
+        if state.ending {
+            return None;
+        }
+        let status = state.child.as_mut()?.try_wait().ok()??;
+        state.child = None;
+        Some(status)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.state().child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use sesamewind_adapter::names;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use warp::reply::Response;
 
 use crate::proxy::FaultProxy;
@@ -29,6 +29,19 @@
     Down,
     /// It has forgotten its history: feeds are told to read the whole.
     Forgetful,
+    /// It turns calls away because there are too many.
+    Busy,
+    /// It performs writes and doesn't answer them.
+    LosesAnswers,
+    /// It performs writes this long after the call, and doesn't answer them.
+    Late(Duration),
+}
+
+impl StoreMode {
+    /// Whether calls that wait for changes are answered at once.
+    fn ends_feeds(self) -> bool {
+        matches!(self, Self::Down | Self::Busy | Self::Forgetful)
+    }
 }
 
 #[derive(Debug)]
@@ -173,7 +186,7 @@
             loop {
                 let changed = self.changed.notified();
                 let rows = self.rows(table, Some(after));
-                if !rows.is_empty() || self.state().mode != StoreMode::Up {
+                if !rows.is_empty() || self.state().mode.ends_feeds() {
                     return rows;
                 }
                 changed.await;
@@ -181,8 +194,9 @@
         };
         let rows = timeout(wait, arrived).await.unwrap_or_default();
         match self.state().mode {
-            StoreMode::Up => {}
+            StoreMode::Up | StoreMode::LosesAnswers | StoreMode::Late(_) => {}
             StoreMode::Down => return refused(StatusCode::SERVICE_UNAVAILABLE),
+            StoreMode::Busy => return refused(StatusCode::TOO_MANY_REQUESTS),
             StoreMode::Forgetful => return refused(StatusCode::GONE),
         }
         self.page(rows)
@@ -217,8 +231,10 @@
             state.calls += 1;
             state.mode
         };
-        if mode == StoreMode::Down {
-            return refused(StatusCode::SERVICE_UNAVAILABLE);
+        match mode {
+            StoreMode::Down => return refused(StatusCode::SERVICE_UNAVAILABLE),
+            StoreMode::Busy => return refused(StatusCode::TOO_MANY_REQUESTS),
+            _ => {}
         }
         let query: BTreeMap<_, _> = parse(call.query.as_bytes()).into_owned().collect();
         let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -234,7 +250,20 @@
                 let wait = Duration::from_millis(number("waitMs"));
                 self.feed(table, number("after"), wait).await
             }
-            (&Method::POST, names::TRANSACTION) => self.transact(&call.body),
+            (&Method::POST, names::TRANSACTION) => match mode {
+                StoreMode::LosesAnswers => {
+                    self.transact(&call.body);
+                    std::future::pending().await
+                }
+                StoreMode::Late(after) => {
+                    tokio::spawn(async move {
+                        sleep(after).await;
+                        self.transact(&call.body);
+                    });
+                    std::future::pending().await
+                }
+                _ => self.transact(&call.body),
+            },
             _ => refused(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
@@ -48,6 +48,11 @@
         lock(&self.0).extend(behaviours);
     }
 
+    /// Drops what was added and not used yet.
+    pub fn clear(&self) {
+        lock(&self.0).clear();
+    }
+
     fn next(&self) -> Behaviour {
         lock(&self.0).pop_front().unwrap_or(Behaviour::Serve)
     }
@@ -100,6 +105,8 @@
     pub body: Bytes,
     /// Whether the target ran it.
     pub ran: bool,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 impl Received {
@@ -147,6 +154,21 @@
         })
     }
 
+    /// Drops the target's entry.
+    pub fn withdraw(&self, store: &RowStore) {
+        store.remove(names::TARGET_TABLE, &self.core.options.id);
+    }
+
+    /// Identity.
+    pub fn id(&self) -> &str {
+        &self.core.options.id
+    }
+
+    /// How the next requests are treated.
+    pub fn script(&self) -> &Script {
+        &self.core.options.script
+    }
+
     /// Address that instances use.
     pub fn addr(&self) -> SocketAddr {
         self.server.front.addr()
@@ -186,6 +208,7 @@
             headers: call.headers.clone(),
             body: call.body.clone(),
             ran,
+            at: Instant::now(),
         });
         self.answer(&call, behaviour).await
     }
