Tell a restarted instance what was used while the store was away

Use by peers that had started just before was not counted either.

Use that rests on what was saved gives way to what a peer tells that was there. A peer that joins itself tells none, and its own use counts.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -297,7 +297,7 @@
         if news.from == self.me.instance || !self.peers.hear(news, &mut self.targets, now) {
             return;
         }
-        self.quotas.hear(&news.from, news.incarnation, &news.sums, now);
+        self.quotas.hear(&news.from, news.incarnation, news.joining, &news.sums, now);
         self.moves.hear(&news.from, news.incarnation, &news.moves, now);
         for note in &news.leaving {
             self.targets.retire(&note.target, note.incarnation);
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -99,6 +99,17 @@
     amount: f64,
 }
 
+/// What an instance's knowledge of the use before its start rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Basis {
+    /// It was there, or a peer that was has told it.
+    Known,
+    /// On what was saved, which may be older than the start.
+    Restored,
+    /// On nothing.
+    Assumed,
+}
+
 /// Use of one account by all instances, as far as it is known here.
 #[derive(Debug)]
 struct Meter {
@@ -114,8 +125,8 @@
     own: VecDeque<(Time, f64)>,
     /// Rounding of this instance's share to whole requests, and when it was drawn.
     rounding: (f64, Time),
-    /// Whether what was used before the start is assumed and not known.
-    assumed: bool,
+    /// What is known of the use before the start, and since when.
+    basis: (Basis, Time),
 }
 
 /// Use of one account at one peer.
@@ -231,7 +242,7 @@
         let Some(meter) = self.meters.get_mut(account) else { return Ok(()) };
         let margin = if fresh { FRESH_MARGIN * meter.limit } else { 0.0 };
         let allowed = meter.limit + tolerated * meter.tolerance - margin;
-        meter.expire(now);
+        meter.expire(window, now);
         let before = cut.map_or(0.0, |cut| meter.added_before(cut.since, window));
         let part = cut.map_or(1.0, |cut| cut.part);
         let room = before + part * (allowed - before) - meter.total - others.unseen;
@@ -253,17 +264,18 @@
         }
     }
 
-    /// Whether what was used before the start is assumed and not known.
+    /// Whether a peer should tell what was used before this instance's start.
     pub fn is_joining(&self) -> bool {
-        self.meters.values().any(|meter| meter.assumed)
+        self.meters.values().any(|meter| meter.basis.0 != Basis::Known)
     }
 
     /// What this instance tells a peer; `whole` adds what it counted of all instances.
     pub fn sums(&mut self, whole: bool, now: Time) -> Vec<AccountSum> {
+        let window = self.bounds.window;
         let mut sums = Vec::new();
         for (account, meter) in &mut self.meters {
-            meter.expire(now);
-            let known = whole && !meter.assumed;
+            meter.expire(window, now);
+            let known = whole && meter.basis.0 == Basis::Known;
             if meter.used > 0.0 || known {
                 let amounts = if known { meter.amounts(now) } else { Vec::new() };
                 sums.push(AccountSum { account: account.clone(), used: meter.used, amounts });
@@ -282,10 +294,11 @@
             .collect();
         let mut saved = Vec::new();
         for (account, meter) in &mut self.meters {
-            meter.expire(now);
+            meter.expire(window, now);
             let recent = meter.recent(self.bounds.window.mul_f64(RECENT_PART), now);
             let fast = recent > RECENT_PART * meter.limit;
-            if meter.assumed || (meter.total < SAVE_PART * meter.limit && !fast) {
+            let assumed = meter.basis.0 == Basis::Assumed;
+            if assumed || (meter.total < SAVE_PART * meter.limit && !fast) {
                 continue;
             }
             let mut amounts = meter.amounts(now);
@@ -301,8 +314,8 @@
         let window = self.bounds.window;
         for saved in saved {
             let Some(meter) = self.meters.get_mut(&saved.account) else { continue };
-            if meter.assumed {
-                meter.replace_assumption(&saved.amounts, age, window, now);
+            if meter.basis.0 == Basis::Assumed {
+                meter.rebase(Basis::Restored, &saved.amounts, age, window, now);
             }
         }
     }
@@ -319,11 +332,12 @@
         }
     }
 
-    /// Takes a peer's report.
+    /// Takes a peer's report. `joining` says that the peer doesn't know what was used before its start.
     pub fn hear(
         &mut self,
         peer: &InstanceId,
         incarnation: Incarnation,
+        joining: bool,
         sums: &[AccountSum],
         now: Time,
     ) {
@@ -355,13 +369,13 @@
                 peer_use.pace += weight(PACE_TIME) * (rate - peer_use.pace);
             }
             let Some(meter) = self.meters.get_mut(&sum.account) else { continue };
-            meter.expire(now);
-            if meter.assumed && !sum.amounts.is_empty() {
-                meter.replace_assumption(&sum.amounts, Duration::ZERO, window, now);
+            meter.expire(window, now);
+            if meter.basis.0 != Basis::Known && !sum.amounts.is_empty() {
+                meter.rebase(Basis::Known, &sum.amounts, Duration::ZERO, window, now);
             }
             // What an older peer used before it was first heard of is in the amounts that it tells
-            // to an instance that joins.
-            let told = first && self.joined && incarnation <= self.life;
+            // to an instance that joins. One that joins itself tells none.
+            let told = first && self.joined && !joining && incarnation <= self.life;
             if !told {
                 meter.add(delta, window, now);
             }
@@ -417,7 +431,7 @@
             used: 0.0,
             own: VecDeque::new(),
             rounding: (rounding, Time::ZERO),
-            assumed: false,
+            basis: (Basis::Known, Time::ZERO),
         }
     }
 
@@ -473,12 +487,13 @@
             self.slots.push_back(Slot { end: now + width * slot, amount: part });
             self.total += part;
         }
-        self.assumed = true;
+        self.basis = (Basis::Assumed, now);
     }
 
-    /// Counts `amounts`, as they were known `age` ago, in place of the assumption.
-    fn replace_assumption(
+    /// Counts `amounts`, as they were known `age` ago, in place of what rests on less.
+    fn rebase(
         &mut self,
+        basis: Basis,
         amounts: &[(Duration, f64)],
         age: Duration,
         window: Duration,
@@ -486,7 +501,7 @@
     ) {
         self.slots.clear();
         self.total = 0.0;
-        self.assumed = false;
+        self.basis = (basis, now);
         for (left, amount) in amounts {
             if *left > age {
                 let end = now + left.saturating_sub(age);
@@ -517,7 +532,7 @@
     }
 
     fn add(&mut self, amount: f64, window: Duration, now: Time) {
-        self.expire(now);
+        self.expire(window, now);
         self.total += amount;
         let end = now + window;
         let width = window / SLOTS;
@@ -527,7 +542,11 @@
         }
     }
 
-    fn expire(&mut self, now: Time) {
+    fn expire(&mut self, window: Duration, now: Time) {
+        // Nothing from before the start is left in the window.
+        if now.since(self.basis.1) >= window {
+            self.basis = (Basis::Known, now);
+        }
         while let Some(slot) = self.slots.front() {
             if slot.end > now {
                 return;
@@ -537,7 +556,6 @@
         }
         // Rounding would leave a rest behind.
         self.total = 0.0;
-        self.assumed = false;
     }
 
     /// Time until `cost` units leave the window.
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -59,7 +59,8 @@
         let sums = self.instances[from].0.sums(whole, at(now));
         let incarnation = self.instances[from].1;
         let name = InstanceId::new(format!("i{from}"));
-        self.instances[to].0.hear(&name, incarnation, &sums, at(now));
+        let joining = self.instances[from].0.is_joining();
+        self.instances[to].0.hear(&name, incarnation, joining, &sums, at(now));
     }
 
     /// Saves what `saver` knows.
@@ -104,27 +105,61 @@
         instances: usize,
         restarts: &'static [(u64, usize)],
         cut: Option<(u64, u64)>,
+        /// When the store goes away.
+        saved: u64,
     }
     let cases = [
-        Case { name: "one instance", instances: 1, restarts: &[], cut: None },
-        Case { name: "eight instances", instances: 8, restarts: &[], cut: None },
-        Case { name: "a restart", instances: 8, restarts: &[(9_000, 3)], cut: None },
+        Case { name: "one instance", instances: 1, restarts: &[], cut: None, saved: u64::MAX },
+        Case { name: "eight instances", instances: 8, restarts: &[], cut: None, saved: u64::MAX },
+        Case {
+            name: "a restart",
+            instances: 8,
+            restarts: &[(9_000, 3)],
+            cut: None,
+            saved: u64::MAX,
+        },
         Case {
             name: "all restart",
             instances: 4,
             restarts: &[(9_100, 3), (9_100, 2), (9_100, 1), (9_100, 0)],
             cut: None,
+            saved: u64::MAX,
+        },
+        Case {
+            name: "a cut",
+            instances: 4,
+            restarts: &[],
+            cut: Some((6_000, 14_000)),
+            saved: u64::MAX,
+        },
+        Case { name: "eighty instances", instances: 80, restarts: &[], cut: None, saved: u64::MAX },
+        Case {
+            name: "eighty restart",
+            instances: 80,
+            restarts: &LATE_RESTARTS,
+            cut: None,
+            saved: u64::MAX,
+        },
+        Case {
+            name: "eight begin",
+            instances: 8,
+            restarts: &EARLY_RESTARTS,
+            cut: None,
+            saved: u64::MAX,
+        },
+        Case {
+            name: "a restart while the store is away",
+            instances: 4,
+            restarts: &[(12_100, 3), (13_100, 2)],
+            cut: None,
+            saved: 5_000,
         },
-        Case { name: "a cut", instances: 4, restarts: &[], cut: Some((6_000, 14_000)) },
-        Case { name: "eighty instances", instances: 80, restarts: &[], cut: None },
-        Case { name: "eighty restart", instances: 80, restarts: &LATE_RESTARTS, cut: None },
-        Case { name: "eight begin", instances: 8, restarts: &EARLY_RESTARTS, cut: None },
     ];
     for case in cases {
         let mut fleet = Fleet::new(case.instances);
         for now in (0..30_000).step_by(20) {
             // Saving takes its time, and a restart may come right before the next one.
-            if now % 260 == 0 {
+            if now % 260 == 0 && now < case.saved {
                 fleet.save(0, now);
             }
             let due = case.restarts.iter().filter(|(at, one)| *at == now && *one < case.instances);
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -93,6 +93,9 @@
     }
 
     async fn serve(self) -> Result<(), Report<StartError>> {
+        // Before the listeners, so that a stop during the start is an orderly one.
+        let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
+        let mut hangup = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
         let clock = Clock::start();
         let settings = &self.settings;
         let me = Identity {
@@ -119,8 +122,6 @@
             store:% = settings.store;
             "instance started"
         );
-        let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
-        let mut hangup = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
         let mut text = std::fs::read_to_string(self.path).ok();
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -9,6 +9,7 @@
 use reqwest::{Client, Method, Response};
 use sesamewind_adapter::names;
 use sesamewind_standins::relay::{body, event};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::configuration::{FREE_KEY, LIMITED_KEY, TOKENS};
@@ -44,15 +45,16 @@
 pub struct Rotation(Vec<AtomicBool>);
 
 impl Rotation {
-    /// Asks all `processes` until the run ends.
-    pub fn start(processes: &Arc<Vec<Process>>) -> Arc<Self> {
+    /// Asks all `processes`, for as long as the tasks are kept.
+    pub fn start(processes: &Arc<Vec<Process>>) -> (Arc<Self>, JoinSet<()>) {
         let flags = (0..processes.len()).map(|_| AtomicBool::new(false)).collect();
         let this = Arc::new(Self(flags));
+        let mut tasks = JoinSet::new();
         for number in 0..processes.len() {
             let (this, processes) = (Arc::clone(&this), Arc::clone(processes));
-            tokio::spawn(async move { this.ask(number, &processes[number]).await });
+            tasks.spawn(async move { this.ask(number, &processes[number]).await });
         }
-        this
+        (this, tasks)
     }
 
     async fn ask(&self, number: usize, process: &Process) {
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sesamewind_adapter::names;
 use sesamewind_standins::proxy::{FaultProxy, Flow, Side};
@@ -169,16 +169,15 @@
     /// Stops a process as planned, checks its end, and starts it again.
     async fn stop(&self, instance: usize) {
         let process = &self.processes[instance];
-        let begun = std::time::Instant::now();
+        let begun = Instant::now();
+        let starting = process.is_starting();
         self.record.changed(Change::Stopping(instance));
         let Some((status, took)) = process.stop().await else { return };
-        let calm = self.record.events().is_calm(
-            &[Scope::Instance(instance)],
-            begun,
-            std::time::Instant::now(),
-        );
+        let calm =
+            self.record.events().is_calm(&[Scope::Instance(instance)], begun, Instant::now());
         if let Some(status) = status
             && !status.success()
+            && !starting
         {
             let seen = format!("{} ended with {status} on a stop", process.name);
             self.record.breach("stop", seen);
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,7 +1,7 @@
 //! One gateway process with proxies on its links.
 
 use std::fs::File;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -16,9 +16,41 @@
 /// Time within which a leaving target must have no new work.
 pub const DRAIN: Duration = Duration::from_secs(2);
 
+/// Time after which a process handles signals.
+const START_TIME: Duration = Duration::from_millis(500);
+
+/// Ports of each instance.
+const CALLERS_PORT: u16 = 7_101;
+const READINESS_PORT: u16 = 7_102;
+const INNER_PORT: u16 = 7_103;
+
 /// Interval at which an ending process is looked at.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Loopback addresses of one run.
+#[derive(Debug, Clone, Copy)]
+pub struct Network(u8, u8);
+
+impl Network {
+    /// Addresses that no other run uses, on the assumption that each has a first instance.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there are none.
+    pub fn free() -> Self {
+        let first = std::process::id() as u16;
+        let networks = (0..u16::MAX).map(|step| first.wrapping_add(step).to_be_bytes());
+        let mut networks = networks.map(|[high, low]| Self(100 + high % 100, low));
+        let is_free =
+            |network: &Self| TcpListener::bind((network.address(1), READINESS_PORT)).is_ok();
+        networks.find(is_free).expect("loopback addresses are free")
+    }
+
+    fn address(self, low: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.0, self.1, low))
+    }
+}
+
 /// A gateway process, or the place of one that has ended.
 #[derive(Debug)]
 pub struct Process {
@@ -41,24 +73,34 @@
 struct State {
     child: Option<Child>,
     life: u32,
+    started: Option<Instant>,
     /// Whether the end of the process is expected.
     ending: bool,
     reloads: u32,
 }
 
 impl Process {
-    /// Prepares the instance `number`; its settings and logs go to `folder`.
-    pub async fn new(number: usize, program: &Path, folder: &Path, store: SocketAddr) -> Self {
-        let id = std::process::id();
+    /// Prepares the instance `number` in `network`; its settings and logs go to `folder`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there are more than 254 instances.
+    pub async fn new(
+        number: usize,
+        network: Network,
+        program: &Path,
+        folder: &Path,
+        store: SocketAddr,
+    ) -> Self {
         let low = u8::try_from(number + 1).expect("there are few instances");
-        let address = Ipv4Addr::new(127, 100 + (id >> 8) as u8 % 100, id as u8, low);
-        let at = |port| SocketAddr::new(IpAddr::V4(address), port);
+        let address = network.address(low);
+        let at = |port| SocketAddr::new(address, port);
         Self {
             name: format!("g{number}"),
-            readiness: at(7_102),
+            readiness: at(READINESS_PORT),
             store: FaultProxy::start(store).await,
-            peers: FaultProxy::start(at(7_103)).await,
-            callers: FaultProxy::start(at(7_101)).await,
+            peers: FaultProxy::start(at(INNER_PORT)).await,
+            callers: FaultProxy::start(at(CALLERS_PORT)).await,
             program: program.to_owned(),
             settings: folder.join(format!("g{number}.toml")),
             state: Mutex::default(),
@@ -74,7 +116,16 @@
         self.state().life
     }
 
+    /// Whether the present life is so young that it may not handle signals yet.
+    pub fn is_starting(&self) -> bool {
+        self.state().started.is_none_or(|started| started.elapsed() < START_TIME)
+    }
+
     /// Starts the process if it doesn't run.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't be started.
     pub fn start(&self) {
         let mut state = self.state();
         if state.child.is_some() {
@@ -82,6 +133,7 @@
         }
         state.life += 1;
         state.ending = false;
+        state.started = Some(Instant::now());
         self.write_settings(state.life == 1, state.reloads);
         let log = self.settings.with_extension(format!("{}.log", state.life));
         let child = Command::new(&self.program)
@@ -97,7 +149,7 @@
     fn write_settings(&self, first: bool, reloads: u32) {
         let Self { name, readiness, .. } = self;
         let at = |port| SocketAddr::new(readiness.ip(), port);
-        let (callers, inner) = (at(7_101), at(7_103));
+        let (callers, inner) = (at(CALLERS_PORT), at(INNER_PORT));
         let (store, advertise) = (self.store.addr(), self.peers.addr());
         // A reload changes a bound by next to nothing.
         let ratio = 0.2 + f64::from(reloads) * 1e-9;
@@ -127,7 +179,7 @@
     pub fn signal(&self, signal: libc::c_int) {
         let state = self.state();
         let Some(child) = &state.child else { return };
-        let id = libc::pid_t::try_from(child.id()).expect("process ids fit");
+        let Ok(id) = libc::pid_t::try_from(child.id()) else { return };
         // SAFETY: `kill` takes plain numbers; the process is a child that was not waited for.
         unsafe { libc::kill(id, signal) };
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,7 +16,7 @@
 use crate::check::{self, Arrived, Evidence};
 use crate::inject::World;
 use crate::plan::{self, Planned};
-use crate::process::Process;
+use crate::process::{Network, Process};
 use crate::record::{Breach, Got, Record, Scope};
 
 /// How long the instances may take to be ready.
@@ -72,10 +72,11 @@
     std::fs::create_dir_all(&options.folder).expect("folder can be made");
     let record = Arc::new(Record::default());
     let store = RowStore::start().await;
+    let network = Network::free();
     let mut processes = Vec::new();
     for number in 0..options.instances {
         let (program, folder) = (&options.program, &options.folder);
-        processes.push(Process::new(number, program, folder, store.addr()).await);
+        processes.push(Process::new(number, network, program, folder, store.addr()).await);
     }
     let processes = Arc::new(processes);
     let version = Arc::new(AtomicU64::new(1));
@@ -93,7 +94,7 @@
     for process in processes.iter() {
         process.start();
     }
-    let rotation = Rotation::start(&processes);
+    let (rotation, asking) = Rotation::start(&processes);
     ready(&processes).await;
     let callers = Arc::new(Callers {
         processes: Arc::clone(&processes),
@@ -112,6 +113,10 @@
     let end = Instant::now();
     while calling.join_next().await.is_some() {}
     watching.abort();
+    drop(asking);
+    for process in processes.iter() {
+        process.kill();
+    }
     judge(options, &world, planned, end).await
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod rollouts;
 mod silent;
+mod soak;
 mod stops;
 mod tiers;
 mod tool;
