--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -123,6 +123,8 @@
     used: f64,
     /// The latest of it, with its times.
     own: VecDeque<(Time, f64)>,
+    /// When a request was refused last.
+    refused: Option<Time>,
     /// Rounding of this instance's share to whole requests, and when it was drawn.
     rounding: (f64, Time),
     /// What is known of the use before the start, and since when.
@@ -248,6 +250,7 @@
         let room = before + part * (allowed - before) - meter.total - others.unseen;
         // A request larger than the whole limit passes when nothing else was used.
         if meter.total > 0.0 && !meter.fits(cost, room, &others, window, now) {
+            meter.refused = Some(now);
             return Err(meter.free_in(cost, allowed - others.unseen, now));
         }
         meter.add(cost, window, now);
@@ -430,6 +433,7 @@
             total: 0.0,
             used: 0.0,
             own: VecDeque::new(),
+            refused: None,
             rounding: (rounding, Time::ZERO),
             basis: (Basis::Known, Time::ZERO),
         }
@@ -444,7 +448,9 @@
         let rate = self.limit / window.as_secs_f64();
         // Reports are half as old as the oldest one on average.
         let surge = SURGE * rate * others.age.as_secs_f64() / 2.0;
-        if others.count == 0 || room >= cost + surge {
+        // Callers who were refused are about to return.
+        let greedy = self.refused.is_some_and(|at| now.since(at) < PACE_TIME);
+        if others.count == 0 || (room >= cost + surge && !greedy) {
             return true;
         }
         let even = EVEN_PART * rate / f64::from(others.count + 1);
