--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -65,6 +65,10 @@
 /// instance that joins a running deployment assumes this much until it knows more.
 const SAVE_PART: f64 = 0.85;
 
+/// Age from which saved use does not tell what was used last: several times the pause between two
+/// savings.
+const SAVED_TIME: Duration = Duration::from_millis(1_000);
+
 /// Part of the window, just before the present, whose use is looked at alone: if an account uses
 /// more than this part of its limit there, an even assumption would leave the window too early.
 const RECENT_PART: f64 = 0.25;
@@ -222,7 +226,8 @@
             meter.limit = limit;
             meter.tolerance = self.bounds.overage * limit + self.bounds.slack;
             if first {
-                meter.assume(SAVE_PART * limit, self.bounds.window, now);
+                meter.assume(SAVE_PART * limit, self.bounds.window, self.bounds.window, now);
+                meter.basis = (Basis::Assumed, now);
             }
             kept.insert(account.name.clone(), meter);
         }
@@ -319,6 +324,11 @@
             let Some(meter) = self.meters.get_mut(&saved.account) else { continue };
             if meter.basis.0 == Basis::Assumed {
                 meter.rebase(Basis::Restored, &saved.amounts, age, window, now);
+                if age > SAVED_TIME {
+                    // The account was near its limit, and may have used what left the window since.
+                    let rest = meter.limit - meter.total;
+                    meter.assume(rest.max(0.0), window.mul_f64(RECENT_PART), window, now);
+                }
             }
         }
     }
@@ -485,15 +495,14 @@
         recent.map(|(_, cost)| cost).sum()
     }
 
-    /// Counts `amount` as used evenly over the window before `now`.
-    fn assume(&mut self, amount: f64, window: Duration, now: Time) {
-        let width = window / SLOTS;
-        for slot in 1..=SLOTS {
-            let part = amount / f64::from(SLOTS);
-            self.slots.push_back(Slot { end: now + width * slot, amount: part });
-            self.total += part;
-        }
-        self.basis = (Basis::Assumed, now);
+    /// Counts `amount` as used evenly over the `span` before `now`.
+    fn assume(&mut self, amount: f64, span: Duration, window: Duration, now: Time) {
+        let span = span.min(window);
+        let part = amount / f64::from(SLOTS);
+        let ends = (1..=SLOTS).map(|slot| now + (window - span) + span / SLOTS * slot);
+        self.slots.extend(ends.map(|end| Slot { end, amount: part }));
+        self.slots.make_contiguous().sort_by_key(|slot| slot.end);
+        self.total += amount;
     }
 
     /// Counts `amounts`, as they were known `age` ago, in place of what rests on less.
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -154,6 +154,13 @@
             cut: None,
             saved: 5_000,
         },
+        Case {
+            name: "all restart while the store is away",
+            instances: 8,
+            restarts: &LATE_RESTARTS,
+            cut: None,
+            saved: 5_000,
+        },
     ];
     for case in cases {
         let mut fleet = Fleet::new(case.instances);
