--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -282,8 +282,10 @@
     fn find(&mut self, request: &Request, within: Option<Duration>, now: Time) -> Option<Index> {
         let service = self.services.get(&request.service)?;
         let admitted = self.moves.admitted(&request.service, request.arrival.point, now);
-        let need =
-            Need { prompt: request.prompt(), tried: &request.tried, within, admitted: &admitted };
+        // Without a bound in time the request has waited long enough to go first.
+        let headroom = within.map_or(0.0, |_| service.headroom(request.arrival.rank()));
+        let prompt = request.prompt();
+        let need = Need { prompt, tried: &request.tried, within, headroom, admitted: &admitted };
         let margin = self.margin();
         let place = Place { zone: &self.me.zone, fill: service.fill(), margin, now };
         if let Admitted::Rather(version) = &admitted {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -258,6 +258,7 @@
                 .entry(service.name.clone())
                 .or_insert_with(|| ServiceState::new(&self.tuning));
             state.model = service.model;
+            state.top_rank = table.top_rank(&service.name);
         }
         self.quotas.configure(table.accounts().iter().map(Arc::as_ref), now);
         self.table = Some(table);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -55,6 +55,8 @@
     pub tried: &'a [Index],
     /// Longest predicted time to the first byte.
     pub within: Option<Duration>,
+    /// Part of each target's slots that is left to others.
+    pub headroom: f64,
     /// Versions that may take it.
     pub admitted: &'a Admitted,
 }
@@ -137,7 +139,10 @@
             continue;
         }
         let margin = if target.preferred { 0 } else { place.margin };
-        let places = (f64::from(target.listed.slots) * place.fill - f64::from(margin)).max(1.0);
+        let slots = f64::from(target.listed.slots);
+        // Halves are rounded down, so that small targets keep their places in use.
+        let kept = (slots * need.headroom - 0.5).ceil().max(0.0) + f64::from(margin);
+        let places = (slots * place.fill - kept).max(1.0);
         if f64::from(target.load()) >= places {
             continue;
         }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -18,6 +18,13 @@
 /// that stands empty for a round trip costs more than the wait.
 const PLAIN_FILL: f64 = 1.5;
 
+/// Part of a model engine's slots that each step of urgency leaves to more urgent requests: one of
+/// eight slots.
+const HEADROOM_PART: f64 = 0.125;
+
+/// Steps of urgency that count for that.
+const MAX_HEADROOM_STEPS: u8 = 2;
+
 /// Requests that may wait while next to nothing leaves the queue.
 const MIN_QUEUE: usize = 2;
 
@@ -26,6 +33,8 @@
 pub(crate) struct ServiceState {
     /// Whether its targets are model engines.
     pub(crate) model: bool,
+    /// Most urgent rank of the requests that it may get.
+    pub(crate) top_rank: u8,
     /// Its targets, retired ones included until they have no requests.
     pub(crate) targets: Vec<Index>,
     /// Requests that wait.
@@ -41,6 +50,7 @@
     pub(crate) fn new(tuning: &Tuning) -> Self {
         Self {
             model: false,
+            top_rank: 0,
             targets: Vec::new(),
             queue: Queue::default(),
             dispatched: Rate::default(),
@@ -54,6 +64,14 @@
         (leaving as usize).max(MIN_QUEUE)
     }
 
+    /// Part of a target's slots that requests of `rank` leave to more urgent ones. A slot that a long
+    /// request has taken is not given back, and the instance that frees a place may have no urgent
+    /// request waiting while another has.
+    pub(crate) fn headroom(&self, rank: u8) -> f64 {
+        let steps = rank.saturating_sub(self.top_rank).min(MAX_HEADROOM_STEPS);
+        if self.model { HEADROOM_PART * f64::from(steps) } else { 0.0 }
+    }
+
     /// Requests for each slot of a target.
     pub(crate) fn fill(&self) -> f64 {
         if self.model { MODEL_FILL } else { PLAIN_FILL }
