Leave one place of eight to the most urgent routes

The queue of one instance is in order of urgency, but the instance that frees a place often has no quote waiting while another has.

Only routes count now.

Test: others_leave_a_place_to_the_most_urgent_route.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -34,17 +34,12 @@
     pub deadline: Time,
 }
 
-/// Urgency of a request by those of its account and of its route.
-pub(crate) fn rank(account: u8, route: u8) -> u8 {
-    account.saturating_mul(ACCOUNT_STEPS).saturating_add(route)
-}
-
 impl Arrival {
     /// Urgency; zero is the most urgent. The account's comes first, and among accounts of the same
     /// urgency the route's decides.
     pub fn rank(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.rank).unwrap_or(0);
-        rank(account, self.route.rank)
+        account.saturating_mul(ACCOUNT_STEPS).saturating_add(self.route.rank)
     }
 
     /// Use of the account's limit, in the account's unit.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -20,7 +20,7 @@
 const PATIENCE_PART: f64 = 0.75;
 
 /// Sends of one request at most, those that certainly did not run included.
-const MAX_SENDS: u32 = 4;
+const MAX_SENDS: u32 = 6;
 
 /// Longest silence of a stream whose request can go on elsewhere. Callers leave a silent stream
 /// after two seconds or more, and the other target needs time for the prompt.
@@ -266,7 +266,7 @@
     fn judge(&mut self, target: Index, end: End, now: Time) {
         let target = self.targets.get_mut(target);
         match end {
-            End::Whole => target.succeeded(),
+            End::Whole => target.succeeded(now),
             End::Failing => target.answered_failure(),
             End::Replaced => {
                 target.failed(now);
@@ -283,7 +283,7 @@
         let service = self.services.get(&request.service)?;
         let admitted = self.moves.admitted(&request.service, request.arrival.point, now);
         // Without a bound in time the request has waited long enough to go first.
-        let headroom = within.map_or(0.0, |_| service.headroom(request.arrival.rank()));
+        let headroom = within.map_or(0.0, |_| service.headroom(request.arrival.route.rank));
         let prompt = request.prompt();
         let need = Need { prompt, tried: &request.tried, within, headroom, admitted: &admitted };
         let margin = self.margin();
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -18,13 +18,9 @@
 /// that stands empty for a round trip costs more than the wait.
 const PLAIN_FILL: f64 = 1.5;
 
-/// Part of a model engine's slots that each step of urgency leaves to more urgent requests: one of
-/// eight slots.
+/// Part of a model engine's slots that is left to the most urgent routes: one of eight slots.
 const HEADROOM_PART: f64 = 0.125;
 
-/// Steps of urgency that count for that.
-const MAX_HEADROOM_STEPS: u8 = 2;
-
 /// Requests that may wait while next to nothing leaves the queue.
 const MIN_QUEUE: usize = 2;
 
@@ -33,7 +29,7 @@
 pub(crate) struct ServiceState {
     /// Whether its targets are model engines.
     pub(crate) model: bool,
-    /// Most urgent rank of the requests that it may get.
+    /// Rank of the most urgent route to it.
     pub(crate) top_rank: u8,
     /// Its targets, retired ones included until they have no requests.
     pub(crate) targets: Vec<Index>,
@@ -64,12 +60,11 @@
         (leaving as usize).max(MIN_QUEUE)
     }
 
-    /// Part of a target's slots that requests of `rank` leave to more urgent ones. A slot that a long
-    /// request has taken is not given back, and the instance that frees a place may have no urgent
-    /// request waiting while another has.
+    /// Part of a target's slots that requests of a route of `rank` leave to those of more urgent routes.
+    /// A slot that a long request has taken is not given back, and the instance that frees a place may
+    /// have no urgent request waiting while another has.
     pub(crate) fn headroom(&self, rank: u8) -> f64 {
-        let steps = rank.saturating_sub(self.top_rank).min(MAX_HEADROOM_STEPS);
-        if self.model { HEADROOM_PART * f64::from(steps) } else { 0.0 }
+        if self.model && rank > self.top_rank { HEADROOM_PART } else { 0.0 }
     }
 
     /// Requests for each slot of a target.
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -6,8 +6,6 @@
 
 use sesamewind_protocol::{AccountId, Revision, RouteId, ServiceId};
 
-use crate::arrival;
-
 /// What may be repeated after a target began to run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Repeat {
@@ -229,14 +227,12 @@
         &self.accounts
     }
 
-    /// Rank of the most urgent requests that `service` may get.
+    /// Rank of the most urgent route to `service`.
     pub fn top_rank(&self, service: &ServiceId) -> u8 {
         let routes = self.hosts.values().flatten();
         let routes =
             routes.filter(|route| route.split.iter().any(|branch| branch.service == *service));
-        let route = routes.map(|route| route.rank).min().unwrap_or(0);
-        let account = self.accounts.iter().filter_map(|account| account.rank).min().unwrap_or(0);
-        arrival::rank(account, route)
+        routes.map(|route| route.rank).min().unwrap_or(0)
     }
 
     /// The route with the longest prefix of `path` on `host`.
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -4,9 +4,9 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use sesamewind_gateway::{End, Event, Step, Ticket};
+use sesamewind_gateway::{End, Event, Step, Ticket, Tuning};
 
-use crate::support::{at, bench};
+use crate::support::{Bench, MODEL, at, bench, routing, target};
 
 /// How requests of one route ended.
 #[derive(Debug, Default)]
@@ -131,3 +131,20 @@
     bench.end(first[0], End::Whole, at(now + 100));
     assert_ne!(bench.dispatch(long).expect("the place that came free").target.as_str(), slow);
 }
+
+/// The most urgent route finds a place at once although others would fill all of them: engines of eight
+/// slots keep one for it.
+#[test]
+fn others_leave_a_place_to_the_most_urgent_route() {
+    let targets = (0..2).map(|n| target(&format!("m{n}"), MODEL, 8)).collect();
+    let mut bench = Bench::new(routing(), targets, Tuning::default());
+    let others: Vec<_> = (0..20).map(|_| bench.arrive("usual", 100, at(1))).collect();
+    let sent = others.iter().filter(|ticket| bench.dispatch(**ticket).is_some()).count();
+    assert_eq!(sent, 14);
+    for _ in 0..2 {
+        let urgent = bench.arrive("urgent", 6_000, at(2));
+        assert!(bench.dispatch(urgent).is_some());
+    }
+    let urgent = bench.arrive("urgent", 6_000, at(2));
+    assert!(bench.dispatch(urgent).is_none());
+}
