--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -231,6 +231,8 @@
             target: target.listed.id.clone(),
             incarnation: target.listed.incarnation,
         });
+        let failing = self.targets.iter().filter(|(_, target)| target.is_failing(now));
+        let failing = failing.map(|(_, target)| target.listed.id.clone());
         RelayNews {
             from: self.me.instance.clone(),
             incarnation: self.me.incarnation,
@@ -244,6 +246,7 @@
             loads: loads.collect(),
             sums,
             leaving: leaving.collect(),
+            failing: failing.collect(),
             moves: self.moves.notes(now),
         }
     }
@@ -336,6 +339,12 @@
         if self.peers.take_change() {
             self.regroup();
         }
+        // Instances of other availability zones may be cut off from what this one reaches.
+        if news.zone == self.me.zone {
+            for failing in &news.failing {
+                self.targets.warn(failing, now);
+            }
+        }
         for note in &news.leaving {
             self.targets.retire(&note.target, note.incarnation);
         }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -15,6 +15,13 @@
 /// Longest pause of a target after failed attempts, so that a target that recovered is found soon.
 const BAR_LONGEST: Duration = Duration::from_secs(3);
 
+/// Time for which a peer's warning keeps a target from new work; peers of a group repeat theirs several
+/// times within it.
+const WARNED_TIME: Duration = Duration::from_millis(250);
+
+/// Time after an answer in which a peer's warning does not count: it may rest on the way to the target.
+const ANSWERED_TIME: Duration = Duration::from_millis(100);
+
 /// Failed attempts in a row that change the pause.
 const MAX_STRIKES: u32 = 5;
 
@@ -100,6 +107,8 @@
     pub failure_rate: f64,
     strikes: u32,
     barred: Time,
+    /// When it last answered an attempt of this instance.
+    answered: Time,
 }
 
 impl Target {
@@ -116,6 +125,7 @@
             failure_rate: 0.0,
             strikes: 0,
             barred: Time::ZERO,
+            answered: Time::ZERO,
         }
     }
 
@@ -144,10 +154,16 @@
         now < self.barred || (self.strikes > 0 && self.own > 0)
     }
 
+    /// Whether it failed an attempt of this instance and is not tried again yet.
+    pub(crate) fn is_failing(&self, now: Time) -> bool {
+        self.strikes > 0 && now < self.barred && self.standing == Standing::Usable
+    }
+
     /// Counts an attempt that went well.
-    pub fn succeeded(&mut self) {
+    pub fn succeeded(&mut self, now: Time) {
         self.strikes = 0;
         self.barred = Time::ZERO;
+        self.answered = now;
         self.failure_rate -= FAILURE_WEIGHT * self.failure_rate;
     }
 
@@ -226,6 +242,17 @@
         }
     }
 
+    /// Takes a peer's warning that a target has just failed it. What this instance has seen itself a
+    /// moment ago counts more.
+    pub(crate) fn warn(&mut self, id: &TargetId, now: Time) {
+        let Some(index) = self.find(id) else { return };
+        let target = &mut self.all[index];
+        let seen = target.answered != Time::ZERO && now.since(target.answered) < ANSWERED_TIME;
+        if target.strikes == 0 && !seen {
+            target.barred = target.barred.max(now + WARNED_TIME);
+        }
+    }
+
     fn list(&mut self, listed: Listed) -> Option<Index> {
         if let Some(index) = self.find(&listed.id) {
             let known = &mut self.all[index];
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -7,6 +7,62 @@
 
 use crate::support::{MODEL, at, bench, target};
 
+/// What a peer in `zone` says if it knows nothing.
+fn news(zone: &str) -> RelayNews {
+    RelayNews {
+        from: InstanceId::new("i2"),
+        incarnation: Incarnation(1),
+        zone: zone.into(),
+        address: String::new(),
+        sequence: 1,
+        revision: Revision(1),
+        listed: 1,
+        checked: std::time::Duration::ZERO,
+        joining: false,
+        loads: Vec::new(),
+        sums: Vec::new(),
+        leaving: Vec::new(),
+        failing: Vec::new(),
+        moves: Vec::new(),
+    }
+}
+
+/// What has just failed a peer of the same availability zone is not tried by this instance, too; other
+/// zones may be cut off from what this one reaches.
+#[test]
+fn a_peers_warning_keeps_requests_from_a_failing_target() {
+    struct Case {
+        zone: &'static str,
+        /// Whether the target answered this instance just before.
+        answered: bool,
+        /// When the request comes, after the warning.
+        after: u64,
+        avoided: bool,
+    }
+    let cases = [
+        Case { zone: "z1", answered: false, after: 1, avoided: true },
+        Case { zone: "z1", answered: false, after: 400, avoided: false },
+        Case { zone: "z1", answered: true, after: 1, avoided: false },
+        Case { zone: "z2", answered: false, after: 1, avoided: false },
+    ];
+    for case in cases {
+        let mut bench = bench(2, 0);
+        if case.answered {
+            let both: Vec<_> = (0..8).map(|_| bench.arrive("usual", 100, at(1))).collect();
+            for ticket in both {
+                bench.end(ticket, End::Whole, at(10));
+            }
+        }
+        let failing = vec![TargetId::new("m0")];
+        bench.tell(Event::News(&RelayNews { failing, ..news(case.zone) }), at(10));
+        // One target has four places, so that the last four need the other.
+        let tickets: Vec<_> =
+            (0..8).map(|_| bench.arrive("usual", 100, at(10 + case.after))).collect();
+        let sent = tickets.iter().filter(|ticket| bench.dispatch(**ticket).is_some()).count();
+        assert_eq!(sent == 4, case.avoided, "{} {}: {sent}", case.zone, case.after);
+    }
+}
+
 #[test]
 fn a_crashed_target_is_left_alone_even_if_all_others_are_full() {
     let mut bench = bench(2, 0);
@@ -75,22 +131,11 @@
             name: "a peer says so",
             tell: |bench| {
                 let news = RelayNews {
-                    from: InstanceId::new("i2"),
-                    incarnation: Incarnation(1),
-                    zone: "z1".into(),
-                    address: String::new(),
-                    sequence: 1,
-                    revision: Revision(1),
-                    listed: 1,
-                    checked: std::time::Duration::ZERO,
-                    joining: false,
-                    loads: Vec::new(),
-                    sums: Vec::new(),
                     leaving: vec![LeavingNote {
                         target: TargetId::new("m0"),
                         incarnation: Incarnation(1),
                     }],
-                    moves: Vec::new(),
+                    ..news("z1")
                 };
                 bench.tell(Event::News(&news), at(20));
             },
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -179,6 +179,8 @@
     pub sums: Vec<AccountSum>,
     /// Targets that it knows to leave.
     pub leaving: Vec<LeavingNote>,
+    /// Targets that failed it a moment ago.
+    pub failing: Vec<TargetId>,
     /// Moves of services to other versions.
     pub moves: Vec<MoveNote>,
 }
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -182,7 +182,8 @@
             address: self.settings.listen.advertise,
         };
         spawn_local(watch::announce(Rc::clone(&self.source), me));
-        spawn_local(watch::instances(Rc::clone(peers), Rc::clone(&self.source)));
+        let source = Rc::clone(&self.source);
+        spawn_local(watch::instances(Rc::clone(driver), Rc::clone(peers), source));
     }
 
     /// Takes the settings anew if the file has changed. Addresses hold until the next start.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -45,6 +45,9 @@
 /// from its first exchange, so that this only repairs what was missed.
 const INSTANCES_PAUSE: Duration = Duration::from_secs(10);
 
+/// The same where there are many instances, which learn of a new one from others' calls, too.
+const RARE_INSTANCES_PAUSE: Duration = Duration::from_secs(30);
+
 /// Readings of the announcements after the start that follow one another sooner: instances that start
 /// together announce themselves at the same time.
 const EARLY_READINGS: u32 = 2;
@@ -253,14 +256,20 @@
 
 /// Learns of the other instances. Those are called that don't know of this one yet, so that it is
 /// known also while its announcement can't be written.
-pub async fn instances(peers: Rc<Peers>, source: Rc<dyn Source>) {
+pub async fn instances(driver: Rc<Driver>, peers: Rc<Peers>, source: Rc<dyn Source>) {
     let mut readings = 0;
     loop {
         match source.instances().await {
             Ok(announced) => {
                 peers.learn(&announced);
                 readings += 1;
-                let pause = if readings < EARLY_READINGS { EARLY_PAUSE } else { INSTANCES_PAUSE };
+                let pause = if readings < EARLY_READINGS {
+                    EARLY_PAUSE
+                } else if driver.look(Gateway::shares_watch) {
+                    RARE_INSTANCES_PAUSE
+                } else {
+                    INSTANCES_PAUSE
+                };
                 sleep(pause.mul_f64(rand::rng().random_range(0.8..1.2))).await;
             }
             Err(err) => {
