--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -74,8 +74,15 @@
             state: State::Waiting { position, history: History::Unrun(proof) },
         };
         let wait = request.arrival.route.objective.mul_f64(QUEUE_PART);
+        let rank = request.arrival.route.rank;
         self.requests.insert(ticket, request);
         self.pump(&service, now);
+        let waits = |request: &Request| matches!(request.state, State::Waiting { .. });
+        if self.requests.get(&ticket).is_some_and(waits)
+            && let Some(state) = self.services.get_mut(&service)
+        {
+            state.found_none(rank, now);
+        }
         self.shorten_queue(&service, wait, now);
     }
 
@@ -283,7 +290,7 @@
         let service = self.services.get(&request.service)?;
         let admitted = self.moves.admitted(&request.service, request.arrival.point, now);
         // Without a bound in time the request has waited long enough to go first.
-        let headroom = within.map_or(0.0, |_| service.headroom(request.arrival.route.rank));
+        let headroom = within.map_or(0.0, |_| service.headroom(request.arrival.route.rank, now));
         let prompt = request.prompt();
         let need = Need { prompt, tried: &request.tried, within, headroom, admitted: &admitted };
         let margin = self.margin();
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -39,6 +39,13 @@
 /// Places that are left free at targets of other groups, whose load is known late.
 pub(crate) const OTHERS_MARGIN: u32 = 3;
 
+/// Requests of one instance at a target of another group: dozens of instances may see the same one free.
+const FOREIGN_OWN: u32 = 2;
+
+/// Part of the score of a target of another group that is drawn at random, in milliseconds: more than
+/// targets with free places differ by, so that instances that see the same ones free choose unlike ones.
+const FOREIGN_SPREAD_MS: f64 = 80.0;
+
 /// How much a target's failures weigh: at a failure rate of one its time counts this many times
 /// more.
 const FAILURE_FACTOR: f64 = 8.0;
@@ -146,11 +153,17 @@
         if f64::from(target.load()) >= places {
             continue;
         }
+        let foreign = place.margin > 0 && !target.preferred;
+        if foreign && target.own >= FOREIGN_OWN {
+            continue;
+        }
         let predicted = target.pace * estimate_ms(need.prompt, target.prefill());
         if need.within.is_some_and(|within| predicted > within.as_secs_f64() * 1_000.0) {
             continue;
         }
-        let score = score(target, predicted, places, place) * (1.0 + JITTER * rng.random::<f64>());
+        let spread = if foreign { FOREIGN_SPREAD_MS * rng.random::<f64>() } else { 0.0 };
+        let score = score(target, predicted, places, place) + spread;
+        let score = score * (1.0 + JITTER * rng.random::<f64>());
         if best.is_none_or(|(best_score, _)| score < best_score) {
             best = Some((score, index));
         }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -21,6 +21,12 @@
 /// Part of a model engine's slots that is left to the most urgent routes: one of eight slots.
 const HEADROOM_PART: f64 = 0.125;
 
+/// The same while the most urgent requests find no place at once: two of eight slots.
+const SHORT_HEADROOM_PART: f64 = 0.25;
+
+/// How long that lasts after one found none: about as long as a request runs.
+const SHORT_TIME: Duration = Duration::from_millis(1_000);
+
 /// Requests that may wait while next to nothing leaves the queue.
 const MIN_QUEUE: usize = 2;
 
@@ -31,6 +37,8 @@
     pub(crate) model: bool,
     /// Rank of the most urgent route to it.
     pub(crate) top_rank: u8,
+    /// When a request of such a route last found no place.
+    pub(crate) short: Option<Time>,
     /// Its targets, retired ones included until they have no requests.
     pub(crate) targets: Vec<Index>,
     /// Requests that wait.
@@ -47,6 +55,7 @@
         Self {
             model: false,
             top_rank: 0,
+            short: None,
             targets: Vec::new(),
             queue: Queue::default(),
             dispatched: Rate::default(),
@@ -63,8 +72,19 @@
     /// Part of a target's slots that requests of a route of `rank` leave to those of more urgent routes.
     /// A slot that a long request has taken is not given back, and the instance that frees a place may
     /// have no urgent request waiting while another has.
-    pub(crate) fn headroom(&self, rank: u8) -> f64 {
-        if self.model && rank > self.top_rank { HEADROOM_PART } else { 0.0 }
+    pub(crate) fn headroom(&self, rank: u8, now: Time) -> f64 {
+        if !self.model || rank <= self.top_rank {
+            return 0.0;
+        }
+        let short = self.short.is_some_and(|at| now.since(at) < SHORT_TIME);
+        if short { SHORT_HEADROOM_PART } else { HEADROOM_PART }
+    }
+
+    /// Takes in that a request of a route of `rank` found no place when it arrived.
+    pub(crate) fn found_none(&mut self, rank: u8, now: Time) {
+        if rank <= self.top_rank {
+            self.short = Some(now);
+        }
     }
 
     /// Requests for each slot of a target.
--- a/crates/gateway/tests/all/groups.rs
+++ b/crates/gateway/tests/all/groups.rs
@@ -139,7 +139,7 @@
         fleet.exchange(now);
         if rng.random::<f64>() < rate {
             ticket += 1;
-            let found = fleet.table.resolve("host.example", "/usual/x", Some("key-a"));
+            let found = fleet.table.resolve("host.example", "/urgent/x", Some("key-a"));
             let found = found.expect("a route");
             let arrival = Arrival {
                 ticket,
