Share what instances know of targets' pauses

Pauses are kept in milliseconds by target, of streams with eight events or more, and told to peers; the average of more streams counts.

every_failure_of_a_target_is_told_truly: the case of a request that every target declines had four declines, the old bound on sends.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -62,8 +62,8 @@
     Arrive(Arrival),
     /// The first bytes of an answer came.
     Started(Ticket),
-    /// A stream is about to end well; its longest pause between two parts.
-    Paused(Ticket, Duration),
+    /// A stream is about to end well; its events and its longest pause between two parts.
+    Streamed(Ticket, u64, Duration),
     /// An attempt at a target ended.
     Ended(Ticket, End),
     /// The caller left; its attempt, if there is one, was cut.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -23,6 +23,9 @@
 /// have places: several places of a group come free in that time.
 const QUICK_PART: f64 = 0.2;
 
+/// Events of a stream from which on its longest pause tells how fast its target is.
+const LONG_EVENTS: u64 = 8;
+
 /// Sends of one request at most, those that certainly did not run included.
 const MAX_SENDS: u32 = 6;
 
@@ -120,23 +123,19 @@
         target.observe_pace(ratio);
     }
 
-    /// Learns from a stream's longest pause how its route and its target compare with others. A stream
-    /// that went on elsewhere paused for that.
-    pub(crate) fn paused(&mut self, ticket: Ticket, pause: Duration) {
+    /// Learns from a stream's events and longest pause what its route is like and how fast its target is.
+    /// A stream that went on elsewhere paused for that.
+    pub(crate) fn streamed(&mut self, ticket: Ticket, events: u64, pause: Duration) {
         let Some(request) = self.requests.get(&ticket) else { return };
-        let route = &request.arrival.route;
         let State::Flying(flight) = &request.state else { return };
-        if request.sends > 1 || route.pause.is_zero() {
+        if request.sends > 1 {
             return;
         }
-        let ratio = pause.as_secs_f64() / route.pause.as_secs_f64();
         let Some(service) = self.services.get_mut(&request.service) else { return };
-        // The pause is the product of what the route's streams and what the target bring; each is learned
-        // with the other divided out, so that the average doesn't follow the choice of targets.
-        let target = self.targets.get_mut(flight.target);
-        let usual = service.observe_pause(&route.name, ratio / target.pauses);
-        if usual >= place::QUIET_RATIO {
-            target.observe_pause(ratio / usual);
+        let long = events >= LONG_EVENTS;
+        service.long_routes.insert(request.arrival.route.name.clone(), long);
+        if long {
+            self.targets.get_mut(flight.target).pauses.observe(pause);
         }
     }
 
@@ -323,7 +322,8 @@
             tried: &request.tried,
             within,
             headroom,
-            pauses: service.pauses(&route.name),
+            pause: route.pause,
+            long: service.long_routes.get(&route.name).copied(),
             picky: within.is_some() && now.since(request.arrived) < patience,
             admitted: &admitted,
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -96,7 +96,7 @@
         match event {
             Event::Arrive(arrival) => self.arrive(arrival, now),
             Event::Started(ticket) => self.started(ticket, now),
-            Event::Paused(ticket, pause) => self.paused(ticket, pause),
+            Event::Streamed(ticket, events, pause) => self.streamed(ticket, events, pause),
             Event::Ended(ticket, end) => self.ended(ticket, end, now),
             Event::Left(ticket) => self.left(ticket, now),
             Event::Configured(table) => self.configure(table, now),
@@ -223,6 +223,8 @@
             target: target.listed.id.clone(),
             requests: target.own,
             prefill: target.own_prefill,
+            pause: target.pauses.millis(),
+            streams: target.pauses.streams(),
         });
         let leaving = self
             .targets
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -130,6 +130,7 @@
         for load in &news.loads {
             let Some(target) = targets.find(&load.target) else { continue };
             let known = targets.get_mut(target);
+            known.pauses.learn(load.pause, load.streams);
             known.others += load.requests;
             known.others_prefill = known.others_prefill.saturating_add(load.prefill);
             let (requests, prefill) = (load.requests, load.prefill);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -46,13 +46,9 @@
 /// targets with free places differ by, so that instances that see the same ones free choose unlike ones.
 const FOREIGN_SPREAD_MS: f64 = 80.0;
 
-/// Expected longest pause, relative to what is allowed, from which a stream counts as likely to be late:
-/// half of those at the average pause that is allowed are.
-const LATE_RATIO: f64 = 0.8;
-
-/// Average longest pause of a route, relative to what is allowed, below which a slow target serves its
-/// streams as well as a quick one.
-pub(crate) const QUIET_RATIO: f64 = 0.1;
+/// Part of the allowed pause from which a target's average counts as likely to be too long: half of the
+/// streams pause for longer than the average.
+const LATE_PART: f64 = 0.8;
 
 /// Pauses of a slow target relative to the average of all; the slow ones are several times as slow.
 const SLOW_PAUSES: f64 = 1.5;
@@ -83,8 +79,10 @@
     pub within: Option<Duration>,
     /// Part of each target's slots that is left to others.
     pub headroom: f64,
-    /// Longest pause of its route's streams relative to what is allowed, on average.
-    pub pauses: f64,
+    /// Longest pause that its stream may have; zero for any.
+    pub pause: Duration,
+    /// Whether its stream is long, if that is known.
+    pub long: Option<bool>,
     /// Whether it waits for a target whose pauses are short enough, if there is one.
     pub picky: bool,
     /// Versions that may take it.
@@ -160,18 +158,18 @@
     let usable = candidates.iter().map(|&index| targets.get(index));
     let usable =
         usable.filter(|target| target.is_usable(place.now) && !target.is_barred(place.now));
-    let (mut least, mut sum, mut count) = (f64::INFINITY, 0.0, 0.0);
+    let (mut quick, mut sum, mut count) = (false, 0.0, 0.0);
     for target in usable {
-        least = least.min(target.pauses);
-        sum += target.pauses;
-        count += 1.0;
+        quick |= !is_late(need, target);
+        sum += target.pauses.known().unwrap_or(0.0);
+        count += f64::from(u8::from(target.pauses.known().is_some()));
     }
-    let slow = SLOW_PAUSES * sum / f64::max(count, 1.0);
+    let slow_ms = SLOW_PAUSES * sum / f64::max(count, 1.0);
     // One that is too slow for the stream is left out while there is a quicker one to wait for.
-    let picky = need.picky && need.pauses * least <= LATE_RATIO;
+    let picky = need.picky && quick;
     for &index in candidates {
         let target = targets.get(index);
-        if picky && is_late(need.pauses, target) {
+        if picky && is_late(need, target) {
             continue;
         }
         if !target.is_usable(place.now) || need.tried.contains(&index) {
@@ -200,8 +198,7 @@
             continue;
         }
         let spread = if foreign { FOREIGN_SPREAD_MS * rng.random::<f64>() } else { 0.0 };
-        let score =
-            score(target, predicted, places, place) + spread + fit(need.pauses, target, slow);
+        let score = score(target, predicted, places, place) + spread + fit(need, target, slow_ms);
         let score = score * (1.0 + JITTER * rng.random::<f64>());
         if best.is_none_or(|(best_score, _)| score < best_score) {
             best = Some((score, index));
@@ -210,16 +207,20 @@
     best.map(|(_, index)| index)
 }
 
-/// Whether a stream with such pauses is likely to pause for too long at `target`.
-fn is_late(pauses: f64, target: &Target) -> bool {
-    pauses * target.pauses > LATE_RATIO
+/// Whether the stream is likely to pause for too long at `target`.
+fn is_late(need: Need<'_>, target: &Target) -> bool {
+    let allowed = need.pause.as_secs_f64() * 1_000.0 * LATE_PART;
+    need.long == Some(true)
+        && allowed > 0.0
+        && target.pauses.known().is_some_and(|millis| millis > allowed)
 }
 
 /// Charge for a target that is too slow for the stream, or so quick that others need it more.
-fn fit(pauses: f64, target: &Target, slow: f64) -> f64 {
-    if is_late(pauses, target) {
+fn fit(need: Need<'_>, target: &Target, slow_ms: f64) -> f64 {
+    let quick = target.pauses.known().is_none_or(|millis| millis < slow_ms);
+    if is_late(need, target) {
         LATE_MS
-    } else if pauses < QUIET_RATIO && target.pauses < slow {
+    } else if need.long == Some(false) && quick {
         QUICK_MS
     } else {
         0.0
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -28,9 +28,6 @@
 /// How long that lasts after one found none: about as long as a request runs.
 const SHORT_TIME: Duration = Duration::from_millis(1_000);
 
-/// Weight of the newest stream in a route's average pause: about the last twenty count.
-const PAUSE_WEIGHT: f64 = 0.05;
-
 /// Requests that may wait while next to nothing leaves the queue.
 const MIN_QUEUE: usize = 2;
 
@@ -41,8 +38,8 @@
     pub(crate) model: bool,
     /// Rank of the most urgent route to it.
     pub(crate) top_rank: u8,
-    /// Longest pause of a stream relative to what is allowed, on average, by route.
-    pauses: HashMap<RouteId, f64>,
+    /// Whether the streams of a route have many events.
+    pub(crate) long_routes: HashMap<RouteId, bool>,
     /// When a request of such a route last found no place.
     pub(crate) short: Option<Time>,
     /// Its targets, retired ones included until they have no requests.
@@ -61,7 +58,7 @@
         Self {
             model: false,
             top_rank: 0,
-            pauses: HashMap::new(),
+            long_routes: HashMap::new(),
             short: None,
             targets: Vec::new(),
             queue: Queue::default(),
@@ -87,18 +84,6 @@
         if short { SHORT_HEADROOM_PART } else { HEADROOM_PART }
     }
 
-    /// Longest pause of a stream of `route` relative to what is allowed, on average; zero if not known.
-    pub(crate) fn pauses(&self, route: &RouteId) -> f64 {
-        self.pauses.get(route).copied().unwrap_or(0.0)
-    }
-
-    /// Takes in a stream's longest pause, relative to what is allowed, and returns the average.
-    pub(crate) fn observe_pause(&mut self, route: &RouteId, ratio: f64) -> f64 {
-        let usual = self.pauses.entry(route.clone()).or_insert(ratio);
-        *usual += PAUSE_WEIGHT * (ratio - *usual);
-        *usual
-    }
-
     /// Takes in that a request of a route of `rank` found no place when it arrived.
     pub(crate) fn found_none(&mut self, rank: u8, now: Time) {
         if rank <= self.top_rank {
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -31,6 +31,9 @@
 /// Weight of the newest sample in a target's pace.
 const PACE_WEIGHT: f64 = 0.25;
 
+/// Longest pause that is counted, in milliseconds, so that one odd stream doesn't take a target out of use.
+const LONGEST_PAUSE_MS: f64 = 1_000.0;
+
 /// Bounds on a target's pace, so that one odd sample doesn't take it out of use.
 const PACE_BOUNDS: (f64, f64) = (0.1, 20.0);
 
@@ -103,8 +106,8 @@
     pub others_prefill: u32,
     /// Time to the first byte relative to the service's estimate.
     pub pace: f64,
-    /// Longest pause of its streams relative to the average of their routes.
-    pub pauses: f64,
+    /// Longest pauses of its long streams.
+    pub pauses: Pauses,
     /// Share of recent attempts that failed.
     pub failure_rate: f64,
     strikes: u32,
@@ -124,7 +127,7 @@
             own_prefill: 0,
             others_prefill: 0,
             pace,
-            pauses: 1.0,
+            pauses: Pauses::default(),
             failure_rate: 0.0,
             strikes: 0,
             barred: Time::ZERO,
@@ -189,11 +192,42 @@
     }
 }
 
-impl Target {
-    /// Takes in a stream's longest pause, relative to the average of its route.
-    pub(crate) fn observe_pause(&mut self, ratio: f64) {
-        let ratio = ratio.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
-        self.pauses += PACE_WEIGHT * (ratio - self.pauses);
+/// Longest pauses of long streams at one target.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Pauses {
+    millis: f64,
+    streams: u32,
+}
+
+impl Pauses {
+    /// The average in milliseconds; zero if not known.
+    pub fn millis(&self) -> u32 {
+        self.millis as u32
+    }
+
+    /// Streams that the average is of.
+    pub fn streams(&self) -> u32 {
+        self.streams
+    }
+
+    /// The average, if it is known.
+    pub fn known(&self) -> Option<f64> {
+        (self.streams > 0).then_some(self.millis)
+    }
+
+    /// Takes in one stream's longest pause.
+    pub(crate) fn observe(&mut self, pause: Duration) {
+        self.streams = self.streams.saturating_add(1);
+        let weight = PACE_WEIGHT.max(1.0 / f64::from(self.streams));
+        let millis = (pause.as_secs_f64() * 1_000.0).min(LONGEST_PAUSE_MS);
+        self.millis += weight * (millis - self.millis);
+    }
+
+    /// Takes what a peer knows, if that rests on more streams.
+    pub(crate) fn learn(&mut self, millis: u32, streams: u32) {
+        if streams > self.streams {
+            *self = Self { millis: f64::from(millis), streams };
+        }
     }
 }
 
--- a/crates/gateway/tests/all/load.rs
+++ b/crates/gateway/tests/all/load.rs
@@ -156,13 +156,13 @@
     let mut bench = bench(2, 0);
     let mut now = 0;
     for _ in 0..100 {
-        for (route, slow, quick) in [("usual", 250, 50), ("bulk", 2, 2)] {
+        for (route, events, slow, quick) in [("usual", 50, 250, 50), ("bulk", 2, 2, 2)] {
             now += 2_000;
             let ticket = bench.arrive(route, 100, at(now));
             let at_slow = bench.dispatch(ticket).expect("a free place").target.as_str() == "m0";
             bench.tell(Event::Started(ticket), at(now + 60));
             let pause = Duration::from_millis(if at_slow { slow } else { quick });
-            bench.tell(Event::Paused(ticket, pause), at(now + 300));
+            bench.tell(Event::Streamed(ticket, events, pause), at(now + 300));
             bench.end(ticket, End::Whole, at(now + 300));
         }
     }
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -15,6 +15,10 @@
     pub requests: u32,
     /// Prompt tokens of those that have not answered yet.
     pub prefill: u32,
+    /// Longest pause of its long streams on average, in milliseconds; zero if not known.
+    pub pause: u32,
+    /// Streams that the average is of.
+    pub streams: u32,
 }
 
 /// Use of a client account's limit, as one instance counts it.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -132,7 +132,8 @@
             self.call.driver.pool.put(connection);
         }
         self.presence.end();
-        self.call.driver.tell(Event::Paused(self.call.ticket, self.call.pace.get().pause));
+        let (events, pause) = (self.scanner.events(), self.call.pace.get().pause);
+        self.call.driver.tell(Event::Streamed(self.call.ticket, events, pause));
         self.call.driver.tell(Event::Ended(self.call.ticket, End::Whole));
         journal::ended(&self.call, "served", "whole", self.scanner.events());
     }
--- a/tests/all/relay/faults.rs
+++ b/tests/all/relay/faults.rs
@@ -35,7 +35,7 @@
         Case { path: "/pay/x", script: vec![Decline], got: Got::Whole, runs: 1 },
         Case {
             path: "/pay/x",
-            script: vec![Decline, Decline, Decline, Decline],
+            script: vec![Decline; 6],
             got: Got::Status(503, true),
             runs: 0,
         },
