--- a/crates/gateway/tests/all/groups.rs
+++ b/crates/gateway/tests/all/groups.rs
@@ -61,19 +61,15 @@
 
     fn tell(&mut self, instance: usize, event: Event<'_>, now: u64) {
         for action in self.gateways[instance].handle(event, at(now)) {
-            match action.step {
-                Step::Dispatch(dispatch) => {
-                    let load = self.load.entry(dispatch.target.clone()).or_default();
-                    *load += 1;
-                    self.sent += 1;
-                    // One request that waits at an engine fills the place of the next that ends.
-                    self.piled += u32::from(*load > ENGINES.1 + 1);
-                    self.flying.insert((instance, action.ticket), dispatch.target);
-                    self.due.push(Reverse((now + WORK_MS.1, instance, action.ticket, true)));
-                    self.due.push(Reverse((now + WORK_MS.0, instance, action.ticket, false)));
-                }
-                _ => {}
-            }
+            let Step::Dispatch(dispatch) = action.step else { continue };
+            let load = self.load.entry(dispatch.target.clone()).or_default();
+            *load += 1;
+            self.sent += 1;
+            // One request that waits at an engine fills the place of the next that ends.
+            self.piled += u32::from(*load > ENGINES.1 + 1);
+            self.flying.insert((instance, action.ticket), dispatch.target);
+            self.due.push(Reverse((now + WORK_MS.1, instance, action.ticket, true)));
+            self.due.push(Reverse((now + WORK_MS.0, instance, action.ticket, false)));
         }
     }
 
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -5,9 +5,10 @@
 
 use sesamewind_adapter::names;
 use sesamewind_standins::relay::Received;
+use sesamewind_standins::relay::configuration::ATTEMPTS;
 
 use crate::callers::BODY;
-use crate::configuration::{ATTEMPTS, LIMIT_BURST, LIMIT_RATE, TOKENS};
+use crate::configuration::{LIMIT_BURST, LIMIT_RATE, TOKENS};
 use crate::process::{DRAIN, GRACE};
 use crate::record::{Ask, Breach, Change, Events, Got, Scope, Sent};
 
--- /dev/null
+++ b/crates/standins/src/relay/configuration.rs
@@ -0,0 +1,41 @@
+//! Parts of the operators' configuration.
+
+use serde_json::{Value, json};
+use sesamewind_adapter::names;
+
+/// Attempts of a request that may be repeated.
+pub const ATTEMPTS: u32 = 2;
+
+/// A route of `kind` to `service`, whose prefix is its name.
+pub fn route(name: &str, kind: &str, service: &str, resumable: bool) -> Value {
+    let repeatable = kind == names::KIND_REPEATABLE || resumable;
+    json!({
+        "name": name, "host": "h.example", "prefix": format!("/{name}/"), "kind": kind,
+        "timeoutMs": 5_000, "targetLatencyMs": 1_000, "targetGapMs": 200, "priority": 0,
+        "service": service, "maxAttempts": if repeatable { ATTEMPTS } else { 1 },
+        "public": false, "sticky": true, "resumable": resumable
+    })
+}
+
+/// A configuration of `version` with these routes and client accounts, a model service and a plain one.
+pub fn configuration(version: u64, routes: &[Value], accounts: &[Value]) -> Value {
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "model", "healthPath": "/healthz", "maxConnections": 600, "engine": {"slots": 4}},
+            {"name": "plain", "healthPath": "/healthz", "maxConnections": 200}
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
+                   "idleTimeoutMs": 15_000},
+        "tenants": accounts
+    })
+}
+
+/// A client account with `key`, and a limit in tokens; zero for none.
+pub fn account(name: &str, key: &str, rate: f64, burst: f64) -> Value {
+    json!({
+        "name": name, "apiKeys": [key], "priority": 1, "unit": names::UNIT_TOKENS,
+        "uncachedTokens": 10, "ratePerS": rate, "burst": burst
+    })
+}
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the users' platform: its store of rows, and targets that register there.
 
+pub mod configuration;
 mod store;
 mod target;
 
--- a/tests/all/relay/faults.rs
+++ b/tests/all/relay/faults.rs
@@ -33,12 +33,7 @@
         Case { path: "/pay/x", script: vec![Unsealed], got: Got::Status(502, false), runs: 1 },
         Case { path: "/pay/x", script: vec![Foreign], got: Got::Status(502, false), runs: 1 },
         Case { path: "/pay/x", script: vec![Decline], got: Got::Whole, runs: 1 },
-        Case {
-            path: "/pay/x",
-            script: vec![Decline; 6],
-            got: Got::Status(503, true),
-            runs: 0,
-        },
+        Case { path: "/pay/x", script: vec![Decline; 6], got: Got::Status(503, true), runs: 0 },
         // Calls that may be repeated.
         Case { path: "/read/x", script: vec![Fail], got: Got::Whole, runs: 2 },
         Case { path: "/read/x", script: vec![Fail, Fail], got: Got::Status(500, false), runs: 2 },
--- a/tests/all/relay/world.rs
+++ b/tests/all/relay/world.rs
@@ -8,8 +8,9 @@
 use std::time::{Duration, Instant};
 
 use reqwest::{Client, Method, Response};
-use serde_json::{Value, json};
+use serde_json::Value;
 use sesamewind_adapter::names;
+use sesamewind_standins::relay::configuration::{self, account, route};
 use sesamewind_standins::relay::{RelayTarget, RowStore, TargetOptions};
 
 use crate::daemon::next_address;
@@ -22,31 +23,13 @@
 
 /// The configuration of most tests, with this version.
 pub fn configuration(version: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
-        json!({
-            "name": name, "host": "h.example", "prefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": 5000, "targetLatencyMs": 1000, "targetGapMs": 200, "priority": 0,
-            "service": service, "maxAttempts": if kind == names::KIND_REPEATABLE || resumable { 2 } else { 1 },
-            "public": false, "sticky": true, "resumable": resumable
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("talk", names::KIND_STREAM, "model", true),
-            route("once-stream", names::KIND_STREAM, "model", false),
-            route("pay", "non_idempotent", "plain", false),
-            route("read", names::KIND_REPEATABLE, "plain", false),
-        ],
-        "services": [
-            {"name": "model", "healthPath": "/healthz", "maxConnections": 600, "engine": {"slots": 4}},
-            {"name": "plain", "healthPath": "/healthz", "maxConnections": 100}
-        ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
-        "tenants": [{"name": "one", "apiKeys": [KEY], "priority": 1, "unit": names::UNIT_TOKENS,
-                     "uncachedTokens": 10, "ratePerS": 0, "burst": 0}]
-    })
+    let routes = [
+        route("talk", names::KIND_STREAM, "model", true),
+        route("once-stream", names::KIND_STREAM, "model", false),
+        route("pay", names::KIND_ONCE, "plain", false),
+        route("read", names::KIND_REPEATABLE, "plain", false),
+    ];
+    configuration::configuration(version, &routes, &[account("one", KEY, 0.0, 0.0)])
 }
 
 /// A running gateway process.
