--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,9 +4,10 @@
 //! socket, reads no clock and draws from a seeded generator only, so a test can play any order of
 //! events. `sesamewind-relay` turns sockets into events and actions into bytes.
 //!
-//! [`table`] holds the configuration in force, [`quota`] the client accounts' limits,
-//! [`budget`] the retry budget, [`queue`] the requests that wait, [`targets`] what is known of
-//! targets, [`place`] the choice among them, `groups` who shares which of them, and [`peers`] what other instances say.
+//! [`table`] holds the configuration in force, [`quota`] the client accounts' limits and `meter` their
+//! use, [`budget`] the retry budget, [`queue`] the requests that wait, [`targets`] what is known of
+//! targets, [`place`] the choice among them, `groups` who shares which of them, and [`peers`] what
+//! other instances say.
 
 pub mod arrival;
 pub mod budget;
@@ -14,6 +15,7 @@
 mod flow;
 pub mod gateway;
 mod groups;
+mod meter;
 pub mod moves;
 pub mod peers;
 pub mod place;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -150,55 +150,20 @@
     rng: &mut impl Rng,
 ) -> Option<Index> {
     let mut best: Option<(f64, Index)> = None;
-    // Barred targets are used only where there are no others, full or not.
-    let all_barred = candidates
-        .iter()
-        .map(|&index| targets.get(index))
-        .all(|target| !target.is_usable(place.now) || target.is_barred(place.now));
-    let usable = candidates.iter().map(|&index| targets.get(index));
-    let usable =
-        usable.filter(|target| target.is_usable(place.now) && !target.is_barred(place.now));
-    let (mut quick, mut sum, mut count) = (false, 0.0, 0.0);
-    for target in usable {
-        quick |= !is_late(need, target);
-        sum += target.pauses.known().unwrap_or(0.0);
-        count += f64::from(u8::from(target.pauses.known().is_some()));
-    }
-    let slow_ms = SLOW_PAUSES * sum / f64::max(count, 1.0);
-    // One that is too slow for the stream is left out while there is a quicker one to wait for.
-    let picky = need.picky && quick;
+    let survey = Survey::new(targets, candidates, need, place.now);
     for &index in candidates {
         let target = targets.get(index);
-        if picky && is_late(need, target) {
-            continue;
-        }
-        if !target.is_usable(place.now) || need.tried.contains(&index) {
-            continue;
-        }
-        if !need.admitted.allows(&target.listed.version) {
-            continue;
-        }
-        if target.is_barred(place.now) && !all_barred {
-            continue;
-        }
-        let margin = if target.preferred { 0 } else { place.margin };
-        let slots = f64::from(target.listed.slots);
-        // Halves are rounded down, so that small targets keep their places in use.
-        let kept = (slots * need.headroom - 0.5).ceil().max(0.0) + f64::from(margin);
-        let places = (slots * place.fill - kept).max(1.0);
-        if f64::from(target.load()) >= places {
-            continue;
-        }
-        let foreign = place.margin > 0 && !target.preferred;
-        if foreign && target.own >= FOREIGN_OWN {
+        if need.tried.contains(&index) || !survey.admits(target, need, place) {
             continue;
         }
         let predicted = target.pace * estimate_ms(need.prompt, target.prefill());
         if need.within.is_some_and(|within| predicted > within.as_secs_f64() * 1_000.0) {
             continue;
         }
-        let spread = if foreign { FOREIGN_SPREAD_MS * rng.random::<f64>() } else { 0.0 };
-        let score = score(target, predicted, places, place) + spread + fit(need, target, slow_ms);
+        let spread = if place.is_foreign(target) { FOREIGN_SPREAD_MS } else { 0.0 };
+        let score = score(target, predicted, need, place)
+            + spread * rng.random::<f64>()
+            + fit(need, target, survey.slow_ms);
         let score = score * (1.0 + JITTER * rng.random::<f64>());
         if best.is_none_or(|(best_score, _)| score < best_score) {
             best = Some((score, index));
@@ -207,6 +172,62 @@
     best.map(|(_, index)| index)
 }
 
+/// What has to be known of all targets before one is chosen.
+#[derive(Debug)]
+struct Survey {
+    /// Barred targets are used only where there are no others, full or not.
+    all_barred: bool,
+    /// Whether targets that are too slow for the stream are left out, since there is a quicker one to wait
+    /// for.
+    picky: bool,
+    /// Longest pauses from which a target counts as slow, in milliseconds.
+    slow_ms: f64,
+}
+
+impl Survey {
+    fn new(targets: &Targets, candidates: &[Index], need: Need<'_>, now: Time) -> Self {
+        let (mut all_barred, mut quick) = (true, false);
+        let (mut sum, mut known) = (0.0, 0.0);
+        let all = candidates.iter().map(|&index| targets.get(index));
+        for target in all.filter(|target| target.is_usable(now) && !target.is_barred(now)) {
+            all_barred = false;
+            quick |= !is_late(need, target);
+            if let Some(millis) = target.pauses.known() {
+                sum += millis;
+                known += 1.0;
+            }
+        }
+        let slow_ms = SLOW_PAUSES * sum / f64::max(known, 1.0);
+        Self { all_barred, picky: need.picky && quick, slow_ms }
+    }
+
+    /// Whether `target` may be given the request and has a place for it.
+    fn admits(&self, target: &Target, need: Need<'_>, place: Place<'_>) -> bool {
+        target.is_usable(place.now)
+            && need.admitted.allows(&target.listed.version)
+            && (self.all_barred || !target.is_barred(place.now))
+            && !(self.picky && is_late(need, target))
+            && f64::from(target.load()) < place.places(target, need)
+            && !(place.is_foreign(target) && target.own >= FOREIGN_OWN)
+    }
+}
+
+impl Place<'_> {
+    /// Whether the target belongs to another group.
+    fn is_foreign(&self, target: &Target) -> bool {
+        self.margin > 0 && !target.preferred
+    }
+
+    /// Requests that the target takes before it is full for such a request.
+    fn places(&self, target: &Target, need: Need<'_>) -> f64 {
+        let slots = f64::from(target.listed.slots);
+        let margin = if self.is_foreign(target) { f64::from(self.margin) } else { 0.0 };
+        // Halves are rounded down, so that small targets keep their places in use.
+        let headroom = (slots * need.headroom - 0.5).ceil().max(0.0);
+        (slots * self.fill - headroom - margin).max(1.0)
+    }
+}
+
 /// Whether the stream is likely to pause for too long at `target`.
 fn is_late(need: Need<'_>, target: &Target) -> bool {
     let allowed = need.pause.as_secs_f64() * 1_000.0 * LATE_PART;
@@ -227,8 +248,8 @@
     }
 }
 
-fn score(target: &Target, predicted: f64, places: f64, place: Place<'_>) -> f64 {
-    let fullness = f64::from(target.load()) / places;
+fn score(target: &Target, predicted: f64, need: Need<'_>, place: Place<'_>) -> f64 {
+    let fullness = f64::from(target.load()) / place.places(target, need);
     let zone = if target.listed.zone == *place.zone { 0.0 } else { ZONE_MS };
     let way = zone + if target.preferred { 0.0 } else { OTHERS_MS };
     let time = predicted + target.pace * FULL_MS * fullness + way;
