--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 use sesamewind_adapter::names;
-use sesamewind_standins::relay::configuration::{self, account, route};
+use sesamewind_standins::relay::configuration::{self, account, route, usual_routes};
 
 /// Key of the account without a limit.
 pub const FREE_KEY: &str = "key-free";
@@ -21,13 +21,8 @@
 
 /// The configuration of `version`, with a route that only this version has.
 pub fn configuration(version: u64) -> Value {
-    let routes = [
-        route("talk", names::KIND_STREAM, "model", true),
-        route("once-stream", names::KIND_STREAM, "model", false),
-        route("pay", names::KIND_ONCE, "plain", false),
-        route("read", names::KIND_REPEATABLE, "plain", false),
-        route(&format!("n{version}"), names::KIND_REPEATABLE, "plain", false),
-    ];
+    let mut routes = usual_routes();
+    routes.push(route(&format!("n{version}"), names::KIND_REPEATABLE, "plain", false));
     let accounts = [
         account("free", FREE_KEY, 0.0, 0.0),
         account("limited", LIMITED_KEY, LIMIT_RATE, LIMIT_BURST),
--- a/crates/standins/src/relay/configuration.rs
+++ b/crates/standins/src/relay/configuration.rs
@@ -17,6 +17,16 @@
     })
 }
 
+/// A route of each kind: `talk` and `once-stream` to the model service, `pay` and `read` to the plain one.
+pub fn usual_routes() -> Vec<Value> {
+    vec![
+        route("talk", names::KIND_STREAM, "model", true),
+        route("once-stream", names::KIND_STREAM, "model", false),
+        route("pay", names::KIND_ONCE, "plain", false),
+        route("read", names::KIND_REPEATABLE, "plain", false),
+    ]
+}
+
 /// A configuration of `version` with these routes and client accounts, a model service and a plain one.
 pub fn configuration(version: u64, routes: &[Value], accounts: &[Value]) -> Value {
     json!({
--- a/tests/all/relay/world.rs
+++ b/tests/all/relay/world.rs
@@ -10,7 +10,7 @@
 use reqwest::{Client, Method, Response};
 use serde_json::Value;
 use sesamewind_adapter::names;
-use sesamewind_standins::relay::configuration::{self, account, route};
+use sesamewind_standins::relay::configuration::{self, account, usual_routes};
 use sesamewind_standins::relay::{RelayTarget, RowStore, TargetOptions};
 
 use crate::daemon::next_address;
@@ -23,13 +23,8 @@
 
 /// The configuration of most tests, with this version.
 pub fn configuration(version: u64) -> Value {
-    let routes = [
-        route("talk", names::KIND_STREAM, "model", true),
-        route("once-stream", names::KIND_STREAM, "model", false),
-        route("pay", names::KIND_ONCE, "plain", false),
-        route("read", names::KIND_REPEATABLE, "plain", false),
-    ];
-    configuration::configuration(version, &routes, &[account("one", KEY, 0.0, 0.0)])
+    let accounts = [account("one", KEY, 0.0, 0.0)];
+    configuration::configuration(version, &usual_routes(), &accounts)
 }
 
 /// A running gateway process.
