--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -6,10 +6,10 @@
 use sesamewind_adapter::names;
 use sesamewind_standins::relay::Received;
 use sesamewind_standins::relay::configuration::ATTEMPTS;
+use sesamewind_standins::relay::settings::{DRAIN, GRACE};
 
 use crate::callers::BODY;
 use crate::configuration::{LIMIT_BURST, LIMIT_RATE, TOKENS};
-use crate::process::{DRAIN, GRACE};
 use crate::record::{Ask, Breach, Change, Events, Got, Scope, Sent};
 
 /// Span over which account limits are counted.
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -6,6 +6,7 @@
 
 use sesamewind_adapter::names;
 use sesamewind_standins::proxy::{FaultProxy, Flow, Side};
+use sesamewind_standins::relay::settings::GRACE;
 use sesamewind_standins::relay::{RelayTarget, RowStore, StoreMode, TargetOptions};
 use tokio::sync::Mutex;
 use tokio::time::sleep;
@@ -13,7 +14,7 @@
 use crate::callers::EVENTS;
 use crate::configuration::configuration;
 use crate::plan::{Fault, LinkFault, Planned};
-use crate::process::{GRACE, Process};
+use crate::process::Process;
 use crate::record::{Change, Record, Scope};
 
 /// Time after which the entry of a target that ended lapses.
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -9,14 +9,9 @@
 use std::time::{Duration, Instant};
 
 use sesamewind_standins::proxy::FaultProxy;
+use sesamewind_standins::relay::settings::{GRACE, GatewaySettings};
 use tokio::time::sleep;
 
-/// Time from the stop signal to the kill, as the platform gives it.
-pub const GRACE: Duration = Duration::from_secs(8);
-
-/// Time within which a leaving target must have no new work.
-pub const DRAIN: Duration = Duration::from_secs(2);
-
 /// Time after which a process handles signals.
 const START_TIME: Duration = Duration::from_millis(500);
 
@@ -153,21 +148,19 @@
     }
 
     fn write_settings(&self, first: bool, reloads: u32) {
-        let Self { name, readiness, .. } = self;
-        let at = |port| SocketAddr::new(readiness.ip(), port);
-        let (callers, inner) = (at(CALLERS_PORT), at(INNER_PORT));
-        let (store, advertise) = (self.store.addr(), self.peers.addr());
-        // A reload changes a bound by next to nothing.
-        let ratio = 0.2 + f64::from(reloads) * 1e-9;
-        let (grace, drain) = (GRACE.as_secs(), DRAIN.as_secs());
-        let text = format!(
-            "[instance]\nname = \"{name}\"\nzone = \"z1\"\nfirst_start = \"{first}\"\n\
-             [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\ninner = \"{inner}\"\n\
-             advertise = \"{advertise}\"\n[store]\naddress = \"{store}\"\n\
-             [bounds]\nretry_ratio = \"{ratio}\"\nretry_extra = \"50\"\nretry_window = \"10s\"\n\
-             quota_window = \"8s\"\nquota_overage = \"0.1\"\nquota_slack = \"1000\"\n\
-             drain = \"{drain}s\"\ngrace = \"{grace}s\"\n[log]\nlevel = \"debug\"\n"
-        );
+        let at = |port| SocketAddr::new(self.readiness.ip(), port);
+        let settings = GatewaySettings {
+            name: &self.name,
+            first_start: first,
+            callers: at(CALLERS_PORT),
+            readiness: self.readiness,
+            inner: at(INNER_PORT),
+            advertise: self.peers.addr(),
+            store: self.store.addr(),
+            // A reload changes a bound by next to nothing.
+            retry_ratio: 0.2 + f64::from(reloads) * 1e-9,
+        };
+        let text = settings.text();
         std::fs::write(&self.settings, text).expect("settings can be written");
     }
 
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the users' platform: its store of rows, and targets that register there.
 
 pub mod configuration;
+pub mod settings;
 mod store;
 mod target;
 
--- /dev/null
+++ b/crates/standins/src/relay/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of a gateway process between stand-ins.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time from the stop signal to the kill.
+pub const GRACE: Duration = Duration::from_secs(8);
+
+/// Time within which a leaving target must have no new work.
+pub const DRAIN: Duration = Duration::from_secs(2);
+
+/// What differs between gateway processes.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewaySettings<'a> {
+    /// Name of the instance.
+    pub name: &'a str,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Questions whether the instance is ready.
+    pub readiness: SocketAddr,
+    /// Peers and metrics.
+    pub inner: SocketAddr,
+    /// Address by which peers reach the inner listener.
+    pub advertise: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// Further attempts for each first one.
+    pub retry_ratio: f64,
+}
+
+impl GatewaySettings<'_> {
+    /// The settings as TOML.
+    pub fn text(&self) -> String {
+        let Self { name, first_start, callers, readiness, inner, advertise, store, retry_ratio } =
+            self;
+        let (grace, drain) = (GRACE.as_secs(), DRAIN.as_secs());
+        format!(
+            "[instance]\nname = \"{name}\"\nzone = \"z1\"\nfirst_start = \"{first_start}\"\n\
+             [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\ninner = \"{inner}\"\n\
+             advertise = \"{advertise}\"\n[store]\naddress = \"{store}\"\n\
+             [bounds]\nretry_ratio = \"{retry_ratio}\"\nretry_extra = \"50\"\nretry_window = \"10s\"\n\
+             quota_window = \"8s\"\nquota_overage = \"0.1\"\nquota_slack = \"1000\"\n\
+             drain = \"{drain}s\"\ngrace = \"{grace}s\"\n[log]\nlevel = \"debug\"\n"
+        )
+    }
+}
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -38,9 +38,18 @@
 }
 
 impl StoreMode {
-    /// Whether calls that wait for changes are answered at once.
-    fn ends_feeds(self) -> bool {
-        matches!(self, Self::Down | Self::Busy | Self::Forgetful)
+    /// How any call is turned away.
+    fn refusal(self) -> Option<StatusCode> {
+        match self {
+            Self::Down => Some(StatusCode::SERVICE_UNAVAILABLE),
+            Self::Busy => Some(StatusCode::TOO_MANY_REQUESTS),
+            _ => None,
+        }
+    }
+
+    /// How a call that waits for changes is turned away, at once also if it waits already.
+    fn feed_refusal(self) -> Option<StatusCode> {
+        if self == Self::Forgetful { Some(StatusCode::GONE) } else { self.refusal() }
     }
 }
 
@@ -186,18 +195,16 @@
             loop {
                 let changed = self.changed.notified();
                 let rows = self.rows(table, Some(after));
-                if !rows.is_empty() || self.state().mode.ends_feeds() {
+                if !rows.is_empty() || self.state().mode.feed_refusal().is_some() {
                     return rows;
                 }
                 changed.await;
             }
         };
         let rows = timeout(wait, arrived).await.unwrap_or_default();
-        match self.state().mode {
-            StoreMode::Up | StoreMode::LosesAnswers | StoreMode::Late(_) => {}
-            StoreMode::Down => return refused(StatusCode::SERVICE_UNAVAILABLE),
-            StoreMode::Busy => return refused(StatusCode::TOO_MANY_REQUESTS),
-            StoreMode::Forgetful => return refused(StatusCode::GONE),
+        let refusal = self.state().mode.feed_refusal();
+        if let Some(status) = refusal {
+            return refused(status);
         }
         self.page(rows)
     }
@@ -231,10 +238,8 @@
             state.calls += 1;
             state.mode
         };
-        match mode {
-            StoreMode::Down => return refused(StatusCode::SERVICE_UNAVAILABLE),
-            StoreMode::Busy => return refused(StatusCode::TOO_MANY_REQUESTS),
-            _ => {}
+        if let Some(status) = mode.refusal() {
+            return refused(status);
         }
         let query: BTreeMap<_, _> = parse(call.query.as_bytes()).into_owned().collect();
         let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
--- a/tests/all/relay/world.rs
+++ b/tests/all/relay/world.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use sesamewind_adapter::names;
 use sesamewind_standins::relay::configuration::{self, account, usual_routes};
+use sesamewind_standins::relay::settings::GatewaySettings;
 use sesamewind_standins::relay::{RelayTarget, RowStore, TargetOptions};
 
 use crate::daemon::next_address;
@@ -55,14 +56,17 @@
     fn spawn(name: &str, address: IpAddr, store: SocketAddr, settings: PathBuf) -> Self {
         let at = |port| SocketAddr::new(address, port);
         let (callers, readiness, inner) = (at(7_001), at(7_002), at(7_003));
-        let text = format!(
-            "[instance]\nname = \"{name}\"\nzone = \"z1\"\nfirst_start = \"true\"\n\
-             [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\ninner = \"{inner}\"\n\
-             [store]\naddress = \"{store}\"\n\
-             [bounds]\nretry_ratio = \"0.2\"\nretry_extra = \"50\"\nretry_window = \"10s\"\n\
-             quota_window = \"8s\"\nquota_overage = \"0.1\"\nquota_slack = \"1000\"\n\
-             drain = \"2s\"\ngrace = \"8s\"\n[log]\nlevel = \"debug\"\n"
-        );
+        let text = GatewaySettings {
+            name,
+            first_start: true,
+            callers,
+            readiness,
+            inner,
+            advertise: inner,
+            store,
+            retry_ratio: 0.2,
+        }
+        .text();
         std::fs::write(&settings, text).expect("settings are written");
         let log = settings.with_extension("log");
         let child = Command::new(env!("CARGO_BIN_EXE_sesamewind-gateway"))
