--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -119,10 +119,13 @@
         request.started = true;
         let took = now.since(attempt.sent).as_secs_f64() * 1_000.0;
         let ratio = took / selection::estimate_ms(prompt, attempt.ahead);
-        attempt.ratio = Some(ratio);
         let target = self.targets.get_mut(attempt.target);
         target.own_prefill = target.own_prefill.saturating_sub(prompt);
         target.observe_latency(ratio);
+        let listed = &target.listed;
+        let route = &request.arrival.route.name;
+        let (id, version) = (&listed.id, &listed.version);
+        self.rollouts.count_start(&request.service, route, (id, version), ratio, now);
     }
 
     /// Learns from a stream's number of events and longest pause how long the route's streams are
@@ -166,13 +169,14 @@
         };
         self.release(&attempt, request.prompt());
         self.record_outcome(attempt.target, outcome, now);
-        if !outcome.is_not_run() && outcome != AttemptOutcome::Expired {
-            let version = &self.targets.get(attempt.target).listed.version;
-            self.rollouts.count(
+        let is_failure = !matches!(outcome, AttemptOutcome::Whole | AttemptOutcome::Expired);
+        if is_failure && !outcome.is_not_run() {
+            let listed = &self.targets.get(attempt.target).listed;
+            self.rollouts.count_failure(
                 &request.service,
-                version,
-                outcome == AttemptOutcome::Whole,
-                attempt.ratio,
+                &request.arrival.route.name,
+                (&listed.id, &listed.version),
+                attempt.started,
             );
         }
         let service = request.service.clone();
@@ -344,7 +348,7 @@
         now: Time,
     ) -> Option<Index> {
         let service = self.services.get(&request.service)?;
-        let versions = self.rollouts.allowed_versions(&request.service, request.arrival.point, now);
+        let versions = self.rollouts.allowed_versions(&request.service, request.arrival.point);
         // A request without a latency limit has waited long enough to use the reserved slots.
         let headroom =
             latency_limit.map_or(0.0, |_| service.headroom(request.arrival.route.rank, now));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sesamewind_protocol::relay::{LeavingEntry, RelayUpdate, RolloutCounts, TargetLoad};
+use sesamewind_protocol::relay::{LeavingEntry, RelayUpdate, TargetLoad};
 use sesamewind_protocol::{Incarnation, InstanceId, Revision, ServiceId, Time, VersionId, ZoneId};
 
 use crate::arrival::Ticket;
@@ -15,7 +15,7 @@
 use crate::peers::Peers;
 use crate::quota::{Quotas, SavedUsage};
 use crate::request::Request;
-use crate::rollouts::{RolloutRecord, Rollouts};
+use crate::rollouts::{RolledBack, RolloutRecord, Rollouts};
 use crate::selection;
 use crate::service::ServiceState;
 use crate::table::RouteTable;
@@ -174,25 +174,27 @@
         self.quotas.restore(saved, age, now);
     }
 
-    /// Evaluates the rollouts in progress. Returns those whose new version has just been rolled
+    /// Evaluates the rollouts in progress. Returns the new versions that have just been rolled
     /// back.
-    pub fn evaluate_rollouts(&mut self) -> Vec<(ServiceId, VersionId, RolloutCounts)> {
-        self.rollouts.evaluate()
+    pub fn evaluate_rollouts(&mut self, now: Time) -> Vec<RolledBack> {
+        let (services, targets) = (&self.services, &self.targets);
+        let capacity = |service: &ServiceId, version: &VersionId| {
+            services
+                .get(service)
+                .map_or(0.0, |state| targets.capacity(&state.targets, version, now))
+        };
+        self.rollouts.evaluate(capacity, now)
     }
 
-    /// Returns the rollout records that the store does not hold yet. Empty unless this instance is
-    /// the one that writes them.
-    pub fn rollouts_to_record(&self, now: Time) -> Vec<RolloutRecord> {
-        if self.peers.is_first(&self.me.instance, now) {
-            self.rollouts.pending_records(now)
-        } else {
-            Vec::new()
-        }
+    /// Returns the rollout records that this instance should write to the store now.
+    pub fn rollouts_to_record(&mut self, now: Time) -> Vec<RolloutRecord> {
+        let position = self.peers.position(&self.me.instance, now);
+        self.rollouts.pending_records(position, now)
     }
 
     /// Applies a rollout record that was read from the store.
-    pub fn rollout_recorded(&mut self, record: &RolloutRecord) {
-        self.rollouts.apply_record(record);
+    pub fn rollout_recorded(&mut self, record: &RolloutRecord, now: Time) {
+        self.rollouts.apply_record(record, now);
     }
 
     /// Applies new limits and weights, except the bounds on account limits and, for services that
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -65,9 +65,14 @@
     /// Returns whether this instance has the smallest name among itself and the recently seen
     /// peers.
     pub(crate) fn is_first(&self, me: &InstanceId, now: Time) -> bool {
-        let mut recent =
+        self.position(me, now) == 0
+    }
+
+    /// Returns the number of recently seen peers with smaller names than this instance's.
+    pub(crate) fn position(&self, me: &InstanceId, now: Time) -> usize {
+        let recent =
             self.peers.iter().filter(|(_, peer)| now.since(peer.last_seen) < LOAD_RETENTION);
-        recent.all(|(name, _)| me < name)
+        recent.filter(|(name, _)| *name < me).count()
     }
 
     /// Returns whether a peer was added or removed since the last call.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -43,8 +43,6 @@
     pub(crate) ahead: u32,
     /// Whether bytes of the response were received.
     pub(crate) started: bool,
-    /// Time to the first byte, relative to the estimate.
-    pub(crate) ratio: Option<f64>,
     /// History before the attempt; see [`Attempt::history`].
     before: History,
 }
@@ -52,7 +50,7 @@
 impl Attempt {
     /// Creates an attempt that is sent at `sent`.
     pub(crate) fn new(target: Index, sent: Time, ahead: u32, before: History) -> Self {
-        Self { target, sent, ahead, started: false, ratio: None, before }
+        Self { target, sent, ahead, started: false, before }
     }
 
     /// Returns whether the request may have run, given the attempt's outcome. The history before
--- /dev/null
+++ b/crates/gateway/src/rollouts/evidence.rs
@@ -0,0 +1,140 @@
+//! Outcomes and latencies that one instance observes during a rollout.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewind_protocol::relay::{
+    ArmCounts, LatencyCounts, RolloutCounts, RouteCounts, TARGET_GROUPS,
+};
+use sesamewind_protocol::{RouteId, TargetId, Time, text_hash};
+
+/// Latencies within this interval count as one, since a pause of an instance or target delays all
+/// requests that are in flight.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Bounds on a latency ratio, so that a single outlier doesn't decide.
+const RATIO_BOUNDS: (f64, f64) = (0.05, 20.0);
+
+/// Version that served a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Arm {
+    /// Any version except the new one.
+    Old,
+    /// The new version, at a target of this group.
+    New(usize),
+}
+
+impl Arm {
+    /// Returns the arm of a target of the new version.
+    pub(super) fn of_new(target: &TargetId) -> Self {
+        let groups = TARGET_GROUPS as u64;
+        Self::New((text_hash(target.as_str()) % groups) as usize)
+    }
+}
+
+/// Average of the latencies in the current interval.
+#[derive(Debug, Clone, Copy, Default)]
+struct Interval {
+    /// Number of the interval since the instance's start.
+    number: u128,
+    requests: u32,
+    logs: f64,
+}
+
+impl Interval {
+    /// Ends the interval if `number` is a later one.
+    fn advance(&mut self, number: u128, counts: &mut LatencyCounts) {
+        if number == self.number {
+            return;
+        }
+        if self.requests > 0 {
+            counts.intervals += 1;
+            counts.logs += self.logs / f64::from(self.requests);
+        }
+        *self = Self { number, requests: 0, logs: 0.0 };
+    }
+}
+
+/// Number of earlier requests of a route, and of earlier intervals, that count at the start of a
+/// rollout. They tell what to expect of any version while the rollout's own counts are small.
+const HISTORY_REQUESTS: u32 = 50;
+const HISTORY_INTERVALS: u32 = 20;
+
+/// Evidence of one instance.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    routes: HashMap<RouteId, RouteCounts>,
+    /// Requests since the start of the rollout.
+    requests: u32,
+    old_latency: LatencyCounts,
+    new_latency: [LatencyCounts; TARGET_GROUPS],
+    old_interval: Interval,
+    new_intervals: [Interval; TARGET_GROUPS],
+}
+
+impl Evidence {
+    /// Returns the evidence at the start of a rollout, from what was counted before.
+    pub(super) fn starting_from(earlier: Self) -> Self {
+        let routes = earlier.routes.into_iter().map(|(route, counts)| {
+            let old = counts.old.reduced_to(HISTORY_REQUESTS);
+            (route.clone(), RouteCounts { old, ..RouteCounts::new(route) })
+        });
+        let mut old_latency = earlier.old_latency;
+        if old_latency.intervals > HISTORY_INTERVALS {
+            let fraction = f64::from(HISTORY_INTERVALS) / f64::from(old_latency.intervals);
+            old_latency.logs *= fraction;
+            old_latency.intervals = HISTORY_INTERVALS;
+        }
+        Self { routes: routes.collect(), old_latency, ..Self::default() }
+    }
+
+    /// Counts a request to a target that has begun to answer, or has failed before.
+    pub(super) fn count_request(&mut self, route: &RouteId, arm: Arm) {
+        self.counts(route, arm).requests += 1;
+        self.requests += 1;
+    }
+
+    /// Counts the failure of a request that was counted before.
+    pub(super) fn count_failure(&mut self, route: &RouteId, arm: Arm) {
+        self.counts(route, arm).failures += 1;
+    }
+
+    /// Counts a time to the first byte, relative to the estimate.
+    pub(super) fn count_latency(&mut self, arm: Arm, ratio: f64, now: Time) {
+        self.advance(now);
+        let interval = match arm {
+            Arm::Old => &mut self.old_interval,
+            Arm::New(group) => &mut self.new_intervals[group],
+        };
+        interval.requests += 1;
+        interval.logs += ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1).ln();
+    }
+
+    /// Ends the intervals that have passed at `now`.
+    pub(super) fn advance(&mut self, now: Time) {
+        let number = now.since(Time::ZERO).as_millis() / INTERVAL.as_millis();
+        self.old_interval.advance(number, &mut self.old_latency);
+        for (interval, counts) in self.new_intervals.iter_mut().zip(&mut self.new_latency) {
+            interval.advance(number, counts);
+        }
+    }
+
+    /// Returns the counts to report to peers.
+    pub(super) fn report(&self) -> RolloutCounts {
+        RolloutCounts {
+            requests: self.requests,
+            routes: self.routes.values().cloned().collect(),
+            old_latency: self.old_latency,
+            new_latency: self.new_latency,
+        }
+    }
+
+    fn counts(&mut self, route: &RouteId, arm: Arm) -> &mut ArmCounts {
+        let counts =
+            self.routes.entry(route.clone()).or_insert_with(|| RouteCounts::new(route.clone()));
+        match arm {
+            Arm::Old => &mut counts.old,
+            Arm::New(group) => &mut counts.new[group],
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -0,0 +1,416 @@
+//! Rollouts of another version of a service's targets.
+//!
+//! A rollout starts by sending the new version a small share of the requests, selected by their
+//! split position so that no instance exceeds the share. All instances count the outcomes of both
+//! versions and add the counts that their peers report. A verdict against the new version sets its
+//! share to zero, immediately on the instance that reaches the verdict and on the others as soon as
+//! they receive it. Without such a verdict, the new version takes all requests well before the
+//! deadline, and the rollout is recorded as complete while there is still time to do so.
+
+mod evidence;
+mod schedule;
+mod verdict;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewind_protocol::relay::{RolloutCounts, RolloutOutcome, RolloutProgress};
+use sesamewind_protocol::{Incarnation, InstanceId, RouteId, ServiceId, TargetId, Time, VersionId};
+
+use self::evidence::{Arm, Evidence};
+use self::schedule::{Progress, Schedule, Stage};
+use self::verdict::Verdict;
+
+/// Delay after which an instance writes an outcome that the instances before it in the order should
+/// have written, for each of those.
+const WRITER_DELAY: Duration = Duration::from_millis(400);
+
+/// Minimum number of requests of the new version for its rollout to complete. Of a version that
+/// fails half of its requests, so many show it.
+const MIN_REQUESTS: u64 = 10;
+
+/// Number of instances that write an outcome if those before them in the order do not.
+const MAX_WRITERS: usize = 4;
+
+/// An operator's order to roll out a version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// Service to update.
+    pub service: ServiceId,
+    /// Version to roll out.
+    pub version: VersionId,
+    /// Duration of the rollout, counted from the order.
+    pub duration: Duration,
+}
+
+/// Versions that may take a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AllowedVersions {
+    /// Any version.
+    Any,
+    /// Only this version.
+    Only(VersionId),
+    /// Any version except this one.
+    Except(VersionId),
+    /// This version, or another one if it has no free slot.
+    Prefer(VersionId),
+}
+
+impl AllowedVersions {
+    /// Returns whether a target of `version` may take the request.
+    pub fn allows(&self, version: &VersionId) -> bool {
+        match self {
+            Self::Any | Self::Prefer(_) => true,
+            Self::Only(only) => only == version,
+            Self::Except(other) => other != version,
+        }
+    }
+}
+
+/// State of one rollout.
+#[derive(Debug)]
+struct Rollout {
+    order: RolloutOrder,
+    schedule: Schedule,
+    /// Age of the rollout at a point in time. The order may be older than this instance.
+    known_age: (Time, Duration),
+    own: Evidence,
+    peers: HashMap<InstanceId, (Incarnation, RolloutCounts)>,
+    /// Current share of the new version.
+    stage: Stage,
+    /// Since when this instance sends all requests to the new version.
+    only_new: Option<Time>,
+    /// Known outcome, and since when it is known.
+    outcome: Option<(RolloutOutcome, Time)>,
+    /// State of the rollout that the store is known to hold.
+    recorded: Option<RecordedState>,
+}
+
+/// State of a rollout in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordedState {
+    /// The rollout is in progress.
+    Running,
+    /// The rollout has ended.
+    Ended(RolloutOutcome),
+}
+
+/// Record of a rollout in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutRecord {
+    /// Service of the rollout.
+    pub service: ServiceId,
+    /// Version that is rolled out.
+    pub version: VersionId,
+    /// State to record.
+    pub state: RecordedState,
+    /// Time since the rollout was ordered.
+    pub age: Duration,
+}
+
+/// A new version that was rolled back, and how its requests ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolledBack {
+    /// Service of the rollout.
+    pub service: ServiceId,
+    /// Version that was rolled back.
+    pub version: VersionId,
+    /// Requests of the new version, and how many of them failed.
+    pub new: (u64, u64),
+    /// Requests of the other versions, and how many of them failed.
+    pub old: (u64, u64),
+}
+
+/// Latest rollout of each service.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    rollouts: HashMap<ServiceId, Rollout>,
+    /// What was observed of services without a rollout.
+    earlier: HashMap<ServiceId, Evidence>,
+}
+
+impl Rollouts {
+    /// Starts the ordered rollout in place of the service's previous one. Does nothing if the
+    /// previous one has the same order.
+    pub fn add_order(&mut self, order: RolloutOrder, now: Time) {
+        if self.rollouts.get(&order.service).is_some_and(|rollout| rollout.order == order) {
+            return;
+        }
+        let schedule = Schedule::new(order.duration);
+        let service = order.service.clone();
+        let earlier = self.earlier.remove(&service).unwrap_or_default();
+        let rollout = Rollout {
+            order,
+            schedule,
+            known_age: (now, Duration::ZERO),
+            own: Evidence::starting_from(earlier),
+            peers: HashMap::new(),
+            stage: Stage::Share(0.0),
+            only_new: None,
+            outcome: None,
+            recorded: None,
+        };
+        self.rollouts.insert(service, rollout);
+    }
+
+    /// Returns the versions that may take a request to `service` at `point`, a split position in
+    /// `[0, 1)`.
+    pub fn allowed_versions(&self, service: &ServiceId, point: f64) -> AllowedVersions {
+        let Some(rollout) = self.rollouts.get(service) else { return AllowedVersions::Any };
+        let version = rollout.order.version.clone();
+        match rollout.outcome {
+            Some((RolloutOutcome::Completed, _)) => return AllowedVersions::Prefer(version),
+            Some((RolloutOutcome::TakenBack, _)) => return AllowedVersions::Except(version),
+            None => {}
+        }
+        match rollout.stage {
+            Stage::Only => AllowedVersions::Only(version),
+            Stage::Preferred => AllowedVersions::Prefer(version),
+            Stage::Share(share) if point < share => AllowedVersions::Prefer(version),
+            Stage::Share(_) => AllowedVersions::Except(version),
+        }
+    }
+
+    /// Counts a request at a target of `version` that has begun to answer. `ratio` is the time to
+    /// the first byte relative to the estimate.
+    pub fn count_start(
+        &mut self,
+        service: &ServiceId,
+        route: &RouteId,
+        target: (&TargetId, &VersionId),
+        ratio: f64,
+        now: Time,
+    ) {
+        let (evidence, arm) = self.evidence(service, target);
+        evidence.count_request(route, arm);
+        evidence.count_latency(arm, ratio, now);
+    }
+
+    /// Counts the failure of a request at a target of `version`. `started` tells whether the
+    /// target had begun to answer.
+    pub fn count_failure(
+        &mut self,
+        service: &ServiceId,
+        route: &RouteId,
+        target: (&TargetId, &VersionId),
+        started: bool,
+    ) {
+        let (evidence, arm) = self.evidence(service, target);
+        if !started {
+            evidence.count_request(route, arm);
+        }
+        evidence.count_failure(route, arm);
+    }
+
+    /// Returns where to count a request at a target: with the running rollout of the service, or
+    /// as what to expect in the next one.
+    fn evidence(
+        &mut self,
+        service: &ServiceId,
+        target: (&TargetId, &VersionId),
+    ) -> (&mut Evidence, Arm) {
+        match self.rollouts.get_mut(service) {
+            Some(rollout) if rollout.outcome.is_none() => {
+                let arm = rollout.arm(target);
+                (&mut rollout.own, arm)
+            }
+            _ => (self.earlier.entry(service.clone()).or_default(), Arm::Old),
+        }
+    }
+
+    /// Returns the progress to report to peers.
+    pub fn progress(&self, now: Time) -> Vec<RolloutProgress> {
+        let progress = self.rollouts.values().map(|rollout| {
+            let outcome = rollout.outcome.map(|(outcome, _)| outcome);
+            RolloutProgress {
+                service: rollout.order.service.clone(),
+                version: rollout.order.version.clone(),
+                age: rollout.age(now),
+                counts: if outcome.is_none() {
+                    rollout.own.report()
+                } else {
+                    RolloutCounts::default()
+                },
+                outcome,
+                recorded: matches!(rollout.recorded, Some(RecordedState::Ended(_))),
+            }
+        });
+        progress.collect()
+    }
+
+    /// Merges the progress that a peer reports. An outcome that the store holds replaces a known
+    /// one; any other outcome of a peer does not.
+    pub fn apply_progress(
+        &mut self,
+        peer: &InstanceId,
+        incarnation: Incarnation,
+        progress: &[RolloutProgress],
+        now: Time,
+    ) {
+        for entry in progress {
+            let Some(rollout) = self.rollouts.get_mut(&entry.service) else { continue };
+            if rollout.order.version != entry.version {
+                continue;
+            }
+            rollout.learn_age(entry.age, now);
+            rollout.peers.insert(peer.clone(), (incarnation, entry.counts.clone()));
+            let Some(outcome) = entry.outcome else { continue };
+            if entry.recorded {
+                rollout.recorded = Some(RecordedState::Ended(outcome));
+                rollout.outcome = Some((outcome, now));
+            } else if rollout.outcome.is_none() {
+                rollout.outcome = Some((outcome, now));
+            }
+        }
+    }
+
+    /// Evaluates all rollouts and updates the shares of the new versions. `capacity` returns the
+    /// slots of the usable targets of a service's version, relative to those of its other versions.
+    /// Returns the new versions that are rolled back by this call.
+    pub fn evaluate(
+        &mut self,
+        capacity: impl Fn(&ServiceId, &VersionId) -> f64,
+        now: Time,
+    ) -> Vec<RolledBack> {
+        let mut rolled_back = Vec::new();
+        for rollout in self.rollouts.values_mut().filter(|rollout| rollout.outcome.is_none()) {
+            rollout.own.advance(now);
+            let own = rollout.own.report();
+            let verdict = Verdict::new(rollout.reports(&own));
+            let (is_bad, is_suspect) = (verdict.is_bad(), verdict.is_suspect());
+            let reports = rollout.reports(&own);
+            let (new, old) = totals(&reports);
+            let requests = reports.iter().map(|report| u64::from(report.requests)).sum();
+            rollout.stage = rollout.schedule.stage(Progress {
+                age: rollout.age(now),
+                requests,
+                new_requests: new.0,
+                is_suspect,
+                capacity: capacity(&rollout.order.service, &rollout.order.version),
+            });
+            rollout.only_new = match rollout.stage {
+                Stage::Only => rollout.only_new.or(Some(now)),
+                Stage::Preferred | Stage::Share(_) => None,
+            };
+            if is_bad {
+                rollout.outcome = Some((RolloutOutcome::TakenBack, now));
+                rolled_back.push(rollout.rolled_back(new, old));
+            }
+        }
+        rolled_back
+    }
+
+    /// Returns the records that the store is not known to hold. `position` is the number of
+    /// instances that should write them before this one.
+    pub fn pending_records(&mut self, position: usize, now: Time) -> Vec<RolloutRecord> {
+        let records = self.rollouts.values_mut().filter_map(|rollout| {
+            if matches!(rollout.recorded, Some(RecordedState::Ended(_))) {
+                return None;
+            }
+            let state = rollout.state_to_record(position, now)?;
+            (rollout.recorded != Some(state)).then(|| RolloutRecord {
+                service: rollout.order.service.clone(),
+                version: rollout.order.version.clone(),
+                state,
+                age: rollout.age(now),
+            })
+        });
+        records.collect()
+    }
+
+    /// Applies a record that was read from the store.
+    pub fn apply_record(&mut self, record: &RolloutRecord, now: Time) {
+        let Some(rollout) = self.rollouts.get_mut(&record.service) else { return };
+        if rollout.order.version != record.version {
+            return;
+        }
+        rollout.learn_age(record.age, now);
+        rollout.recorded = Some(record.state);
+        if let RecordedState::Ended(outcome) = record.state {
+            rollout.outcome = Some((outcome, now));
+        }
+    }
+}
+
+impl Rollout {
+    /// Returns the time since the order.
+    fn age(&self, now: Time) -> Duration {
+        let (at, age) = self.known_age;
+        age + now.since(at)
+    }
+
+    /// Corrects the age by that which another instance knows. An instance that started after the
+    /// order, or that was suspended, takes the rollout for younger than it is.
+    fn learn_age(&mut self, age: Duration, now: Time) {
+        if age > self.age(now) {
+            self.known_age = (now, age);
+        }
+    }
+
+    fn arm(&self, (target, version): (&TargetId, &VersionId)) -> Arm {
+        if self.order.version == *version { Arm::of_new(target) } else { Arm::Old }
+    }
+
+    fn reports<'a>(&'a self, own: &'a RolloutCounts) -> Vec<&'a RolloutCounts> {
+        let peers = self.peers.values().map(|(_, counts)| counts);
+        std::iter::once(own).chain(peers).collect()
+    }
+
+    /// Returns the state that this instance should record, if any.
+    ///
+    /// The first instance in the order records it. Others follow if the outcome stays unrecorded,
+    /// since the first one may be cut off from the store or have ended. A version that is suspect
+    /// when the rollout should complete is rolled back, and so is one that soon after has still not
+    /// taken all requests or has served too few.
+    fn state_to_record(&mut self, position: usize, now: Time) -> Option<RecordedState> {
+        let delay = WRITER_DELAY * u32::try_from(position).unwrap_or(u32::MAX);
+        if position >= MAX_WRITERS {
+            return None;
+        }
+        if let Some((outcome, since)) = self.outcome {
+            return (now.since(since) >= delay).then_some(RecordedState::Ended(outcome));
+        }
+        if self.age(now) < self.schedule.complete + delay {
+            return (position == 0).then_some(RecordedState::Running);
+        }
+        let own = self.own.report();
+        let reports = self.reports(&own);
+        let is_sampled = totals(&reports).0.0 >= MIN_REQUESTS;
+        if Verdict::new(reports).is_suspect() {
+            self.outcome = Some((RolloutOutcome::TakenBack, now));
+            return Some(RecordedState::Ended(RolloutOutcome::TakenBack));
+        }
+        if let Some(since) = self.only_new.filter(|_| is_sampled) {
+            if now.since(since) >= self.schedule.drain {
+                return Some(RecordedState::Ended(RolloutOutcome::Completed));
+            }
+        } else if self.age(now) >= self.schedule.last + delay {
+            self.outcome = Some((RolloutOutcome::TakenBack, now));
+            return Some(RecordedState::Ended(RolloutOutcome::TakenBack));
+        }
+        (position == 0).then_some(RecordedState::Running)
+    }
+
+    fn rolled_back(&self, new: (u64, u64), old: (u64, u64)) -> RolledBack {
+        RolledBack {
+            service: self.order.service.clone(),
+            version: self.order.version.clone(),
+            new,
+            old,
+        }
+    }
+}
+
+/// Returns the requests and failures of the new version and of the others.
+fn totals(reports: &[&RolloutCounts]) -> ((u64, u64), (u64, u64)) {
+    let (mut new, mut old) = ((0, 0), (0, 0));
+    for route in reports.iter().flat_map(|report| &report.routes) {
+        for counts in &route.new {
+            new.0 += u64::from(counts.requests);
+            new.1 += u64::from(counts.failures);
+        }
+        old.0 += u64::from(route.old.requests);
+        old.1 += u64::from(route.old.failures);
+    }
+    (new, old)
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts/schedule.rs
@@ -0,0 +1,152 @@
+//! When a rollout changes the share of its new version.
+
+use std::time::Duration;
+
+/// Share of the requests that the new version receives in the first stage. Deployments allow a bad
+/// version a tenth of the requests; the difference covers what later stages may add before a
+/// verdict.
+const FIRST_SHARE: f64 = 0.05;
+
+/// Upper limit on the share before it grows, for a service with few requests.
+const MAX_FIRST_SHARE: f64 = 0.5;
+
+/// Number of requests of the new version that the first stage aims for, enough for a verdict.
+/// Deployments allow a bad version about twice as many beside its share.
+const FIRST_REQUESTS: f64 = 24.0;
+
+/// Share of a version that is suspect, below the share that deployments allow a bad version.
+const SUSPECT_SHARE: f64 = 0.09;
+
+/// Fraction of the first stage in which [`FIRST_REQUESTS`] should be sent, so that their outcomes
+/// are known when the stage ends.
+const SAMPLE_FRACTION: f64 = 0.6;
+
+/// Fraction of the duration, and shortest time, between the completion and the deadline. The record
+/// must be written in this time even if the store is slow and the writing instance is restarted.
+const RECORD_FRACTION: f64 = 0.2;
+const MIN_RECORD_TIME: Duration = Duration::from_millis(1_500);
+
+/// Upper limit on the time between the completion and the deadline, as a fraction of the duration.
+const MAX_RECORD_FRACTION: f64 = 0.4;
+
+/// Time at which the share starts to grow, as a fraction of the time until the completion.
+const GROWTH_FRACTION: f64 = 0.55;
+
+/// Time at which the new version takes all requests that it has slots for, as a fraction of the
+/// time until the completion.
+const FULL_FRACTION: f64 = 0.7;
+
+/// Time at which the old version stops receiving requests, as a fraction of the time until the
+/// completion. The old targets are stopped as soon as the rollout is complete.
+const ONLY_NEW_FRACTION: f64 = 0.85;
+
+/// Capacity of the new version, relative to the old one's, below which it can't take all requests.
+const MIN_CAPACITY: f64 = 0.5;
+
+/// Part of the time between the completion and the deadline for which a rollout that can't be
+/// completed yet waits before it is rolled back.
+const WAIT_FRACTION: f64 = 1.0 / 3.0;
+
+/// Part of the requests that the new version takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Stage {
+    /// The requests at split positions below this share.
+    Share(f64),
+    /// All requests that the new version has slots for.
+    Preferred,
+    /// All requests.
+    Only,
+}
+
+/// State of a rollout that its stage depends on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Progress {
+    /// Time since the order.
+    pub(super) age: Duration,
+    /// Requests of the service since the order.
+    pub(super) requests: u64,
+    /// Requests of the new version.
+    pub(super) new_requests: u64,
+    /// Whether there is evidence against the new version.
+    pub(super) is_suspect: bool,
+    /// Slots of the new version's usable targets, relative to the old one's.
+    pub(super) capacity: f64,
+}
+
+impl Stage {
+    /// Returns the stage of a new version with this capacity.
+    fn limited_to(self, capacity: f64) -> Self {
+        if capacity >= MIN_CAPACITY {
+            return self;
+        }
+        match self {
+            Self::Share(share) => Self::Share(share.min(capacity)),
+            Self::Preferred | Self::Only => Self::Share(capacity),
+        }
+    }
+}
+
+/// Times of a rollout's stages, counted from its order.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Schedule {
+    growth: Duration,
+    full: Duration,
+    only_new: Duration,
+    /// When the rollout is recorded as complete.
+    pub(super) complete: Duration,
+    /// When the rollout is rolled back if it can't be recorded as complete.
+    pub(super) last: Duration,
+    /// Minimum time for which the old version has received no requests before the completion.
+    pub(super) drain: Duration,
+}
+
+impl Schedule {
+    /// Returns the schedule of a rollout that must end within `duration`.
+    pub(super) fn new(duration: Duration) -> Self {
+        let record = duration.mul_f64(RECORD_FRACTION).max(MIN_RECORD_TIME);
+        let complete = duration - record.min(duration.mul_f64(MAX_RECORD_FRACTION));
+        Self {
+            growth: complete.mul_f64(GROWTH_FRACTION),
+            full: complete.mul_f64(FULL_FRACTION),
+            only_new: complete.mul_f64(ONLY_NEW_FRACTION),
+            complete,
+            last: complete + (duration - complete).mul_f64(WAIT_FRACTION),
+            drain: complete.mul_f64(1.0 - ONLY_NEW_FRACTION),
+        }
+    }
+
+    /// Returns the stage of a rollout.
+    ///
+    /// The share grows exponentially between the first stage and the full one, so that a version
+    /// that is bad under load only is detected before it has all requests. It does not grow while
+    /// the new version is suspect.
+    pub(super) fn stage(&self, progress: Progress) -> Stage {
+        self.unlimited_stage(progress).limited_to(progress.capacity)
+    }
+
+    fn unlimited_stage(&self, progress: Progress) -> Stage {
+        let sample_share = self.sample_share(progress);
+        if progress.is_suspect {
+            return Stage::Share(SUSPECT_SHARE.max(sample_share));
+        }
+        if progress.age >= self.only_new {
+            return Stage::Only;
+        }
+        if progress.age >= self.full {
+            return Stage::Preferred;
+        }
+        let growing = progress.age.saturating_sub(self.growth).as_secs_f64();
+        let grown = growing / (self.full - self.growth).as_secs_f64();
+        Stage::Share(FIRST_SHARE.powf(1.0 - grown).max(sample_share))
+    }
+
+    /// Returns the share with which the new version receives [`FIRST_REQUESTS`] in time.
+    fn sample_share(&self, progress: Progress) -> f64 {
+        if progress.new_requests as f64 >= FIRST_REQUESTS {
+            return FIRST_SHARE;
+        }
+        let rate = progress.requests as f64 / progress.age.as_secs_f64().max(f64::MIN_POSITIVE);
+        let sampled = rate * self.growth.as_secs_f64() * SAMPLE_FRACTION;
+        (FIRST_REQUESTS / sampled.max(1.0)).clamp(FIRST_SHARE, MAX_FIRST_SHARE)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -0,0 +1,302 @@
+//! Decides whether the evidence of all instances shows the new version to be bad.
+//!
+//! Failures are compared route by route, since routes differ in how often their requests fail with
+//! any version. Latencies are compared on a logarithmic scale, by intervals instead of requests.
+//! Evidence that rests on one instance, or on a few of the new version's targets, does not decide:
+//! a crash, a pause or a faulty target is not the version's fault. Without the evidence of the
+//! instance, or of the quarter of the targets, that speaks most against the version, a weaker
+//! difference must remain.
+
+use std::collections::HashMap;
+
+use sesamewind_protocol::RouteId;
+use sesamewind_protocol::relay::{ArmCounts, LatencyCounts, RolloutCounts, TARGET_GROUPS};
+use sesamewind_rollout::rule::MaxSprt;
+
+/// Weight, in requests, of the service's failure rate in the expected rate of one route.
+const PRIOR_REQUESTS: f64 = 5.0;
+
+/// Upper limit on the rate that is expected of a route with few requests.
+const MAX_PRIOR_RATE: f64 = 0.05;
+
+/// Number of requests below which the old version's failure rate is not taken for zero.
+const MIN_BASELINE: f64 = 20.0;
+
+/// Failure rate that any version is allowed.
+const FAILURE_FLOOR: f64 = 0.002;
+
+/// Number of standard deviations added to the expected failures. It compensates for evaluating the
+/// counts many times.
+const EXPECTATION_MARGIN: f64 = 1.0;
+
+/// Standard deviation of an interval's average logarithmic latency ratio.
+const LOG_DEVIATION: f64 = 0.6;
+
+/// Number of standard deviations by which the difference of the average latencies must exceed the
+/// tolerated one.
+const LATENCY_MARGIN: f64 = 2.0;
+
+/// Required strength of the evidence.
+#[derive(Debug, Clone, Copy)]
+struct Thresholds {
+    /// Minimum number of failures.
+    failures: f64,
+    /// Log-likelihood ratio of the failures that must be exceeded.
+    log_ratio: f64,
+    /// Minimum number of intervals with latencies of each version.
+    intervals: f64,
+    /// Tolerated ratio of the average latencies. Bad versions are several times slower, and targets
+    /// of the same version differ among themselves.
+    slowdown: f64,
+}
+
+/// Required strength of all evidence, and of what remains without the most adverse part.
+#[derive(Debug, Clone, Copy)]
+struct Level {
+    all: Thresholds,
+    remainder: Thresholds,
+}
+
+/// Evidence for rolling the version back at any time.
+const BAD: Level = Level {
+    all: Thresholds { failures: 8.0, log_ratio: 4.5, intervals: 8.0, slowdown: 2.0 },
+    remainder: Thresholds { failures: 3.0, log_ratio: 1.0, intervals: 1.0, slowdown: 1.5 },
+};
+
+/// Evidence for not sending the version more requests, and for rolling it back when the rollout
+/// should complete.
+const SUSPECT: Level = Level {
+    all: Thresholds { failures: 4.0, log_ratio: 2.0, intervals: 5.0, slowdown: 1.8 },
+    remainder: Thresholds { failures: 1.0, log_ratio: 0.2, intervals: 1.0, slowdown: 1.5 },
+};
+
+/// Evidence of all instances.
+#[derive(Debug)]
+pub(super) struct Verdict<'a> {
+    reports: Vec<&'a RolloutCounts>,
+    baseline: Baseline<'a>,
+}
+
+/// Counts of one route over several instances.
+#[derive(Debug, Clone, Copy, Default)]
+struct RouteTotal {
+    old: ArmCounts,
+    new: [ArmCounts; TARGET_GROUPS],
+}
+
+/// Parts of the evidence to leave out.
+#[derive(Debug, Clone, Copy, Default)]
+struct Omitted {
+    /// Position of an instance's report.
+    report: Option<usize>,
+    /// Groups of targets.
+    groups: [bool; TARGET_GROUPS],
+}
+
+impl<'a> Verdict<'a> {
+    /// Prepares a verdict on the reports of all instances.
+    pub(super) fn new(reports: Vec<&'a RolloutCounts>) -> Self {
+        let baseline = Baseline::new(&totals(&reports, Omitted::default()));
+        Self { reports, baseline }
+    }
+
+    /// Returns whether the new version is bad.
+    pub(super) fn is_bad(&self) -> bool {
+        self.holds(&BAD)
+    }
+
+    /// Returns whether there is weaker evidence against the new version.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.holds(&SUSPECT)
+    }
+
+    fn holds(&self, level: &Level) -> bool {
+        self.is_failing(level) || self.is_slow(level)
+    }
+
+    fn is_failing(&self, level: &Level) -> bool {
+        let excess =
+            |new: &ArmCounts, rate: f64| f64::from(new.failures) - rate * f64::from(new.requests);
+        let all = Omitted::default();
+        if !self.exceeds_failures(all, &level.all) {
+            return false;
+        }
+        let rates = &self.baseline;
+        let by_group = |group: usize| {
+            let cells = self.reports.iter().flat_map(|report| &report.routes);
+            cells.map(|route| excess(&route.new[group], rates.rate(&route.route))).sum()
+        };
+        let by_report = |report: &RolloutCounts| {
+            let cells = report.routes.iter().flat_map(|route| {
+                let rate = rates.rate(&route.route);
+                route.new.iter().map(move |new| excess(new, rate))
+            });
+            cells.sum()
+        };
+        let requests = |counts: &RolloutCounts, group: usize| {
+            counts.routes.iter().any(|route| route.new[group].requests > 0)
+        };
+        self.without_worst(by_group, by_report, requests)
+            .iter()
+            .all(|&omitted| self.exceeds_failures(omitted, &level.remainder))
+    }
+
+    fn is_slow(&self, level: &Level) -> bool {
+        if !self.exceeds_latency(Omitted::default(), &level.all) {
+            return false;
+        }
+        let old = average(self.reports.iter().map(|report| &report.old_latency));
+        let excess = |new: &LatencyCounts| new.logs - f64::from(new.intervals) * old.0;
+        let by_group = |group: usize| {
+            self.reports.iter().map(|report| excess(&report.new_latency[group])).sum()
+        };
+        let by_report = |report: &RolloutCounts| report.new_latency.iter().map(excess).sum();
+        let timed = |counts: &RolloutCounts, group: usize| counts.new_latency[group].intervals > 0;
+        self.without_worst(by_group, by_report, timed)
+            .iter()
+            .all(|&omitted| self.exceeds_latency(omitted, &level.remainder))
+    }
+
+    /// Returns what to leave out in turn: the quarter of the target groups with the largest
+    /// `by_group`, and the instance with the largest `by_report`. A single group is not left out,
+    /// nor is one of two instances.
+    fn without_worst(
+        &self,
+        by_group: impl Fn(usize) -> f64,
+        by_report: impl Fn(&RolloutCounts) -> f64,
+        is_present: impl Fn(&RolloutCounts, usize) -> bool,
+    ) -> Vec<Omitted> {
+        let mut omitted = Vec::new();
+        let mut groups: Vec<usize> = (0..TARGET_GROUPS)
+            .filter(|&group| self.reports.iter().any(|report| is_present(report, group)))
+            .collect();
+        if groups.len() > 1 {
+            groups.sort_by(|&a, &b| by_group(b).total_cmp(&by_group(a)));
+            let mut worst = Omitted::default();
+            for &group in &groups[..groups.len().div_ceil(4)] {
+                worst.groups[group] = true;
+            }
+            omitted.push(worst);
+        }
+        let mut reports: Vec<usize> = (0..self.reports.len())
+            .filter(|&at| (0..TARGET_GROUPS).any(|group| is_present(self.reports[at], group)))
+            .collect();
+        if reports.len() > 2 {
+            let excess = |at: usize| by_report(self.reports[at]);
+            reports.sort_by(|&a, &b| excess(b).total_cmp(&excess(a)));
+            omitted.push(Omitted { report: reports.first().copied(), ..Omitted::default() });
+        }
+        omitted
+    }
+
+    /// Returns whether the failures of the new version exceed what the old version's failures let
+    /// expect.
+    ///
+    /// The routes are added in the order of their expected failure rates, and the most significant
+    /// of the sums counts: a route whose requests often fail anyway would hide the difference on
+    /// the others.
+    fn exceeds_failures(&self, omitted: Omitted, thresholds: &Thresholds) -> bool {
+        let rates = &self.baseline;
+        let mut routes: Vec<(f64, ArmCounts)> = totals(&self.reports, omitted)
+            .into_iter()
+            .map(|(route, total)| (rates.rate(route), total.new_counts(omitted)))
+            .collect();
+        routes.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let rule = MaxSprt::default();
+        let (mut observed, mut mean) = (0.0, 0.0);
+        routes.iter().any(|(rate, new)| {
+            observed += f64::from(new.failures);
+            mean += rate * f64::from(new.requests);
+            let expected = rule.tolerated * (mean + EXPECTATION_MARGIN * mean.sqrt());
+            observed >= thresholds.failures
+                && MaxSprt::log_ratio(observed, expected) > thresholds.log_ratio
+        })
+    }
+
+    fn exceeds_latency(&self, omitted: Omitted, thresholds: &Thresholds) -> bool {
+        let (old, old_intervals) = average(self.reports.iter().map(|report| &report.old_latency));
+        let reports = self.reports.iter().enumerate();
+        let kept = reports.filter(|(at, _)| omitted.report != Some(*at));
+        let new = kept.flat_map(|(_, report)| report.new_latency.iter().enumerate());
+        let new = new.filter(|(group, _)| !omitted.groups[*group]).map(|(_, counts)| counts);
+        let (new, new_intervals) = average(new);
+        if new_intervals < thresholds.intervals || old_intervals < thresholds.intervals {
+            return false;
+        }
+        let deviation = LOG_DEVIATION * (1.0 / new_intervals + 1.0 / old_intervals).sqrt();
+        new - old > thresholds.slowdown.ln() + LATENCY_MARGIN * deviation
+    }
+}
+
+/// Failure rates to expect of the new version.
+#[derive(Debug)]
+struct Baseline<'a> {
+    service: f64,
+    routes: HashMap<&'a RouteId, f64>,
+}
+
+impl<'a> Baseline<'a> {
+    /// Derives the rates from the old version's requests.
+    fn new(totals: &HashMap<&'a RouteId, RouteTotal>) -> Self {
+        let mut all = ArmCounts::default();
+        for total in totals.values() {
+            all.add(&total.old);
+        }
+        // One failure is added, so that a short run without failures doesn't make the rate zero.
+        let requests = (f64::from(all.requests) + 1.0).max(MIN_BASELINE);
+        let service =
+            ((f64::from(all.failures) + 1.0) / requests).clamp(FAILURE_FLOOR, MAX_PRIOR_RATE);
+        let routes = totals.iter().map(|(&route, total)| {
+            let failures = f64::from(total.old.failures) + PRIOR_REQUESTS * service;
+            let requests = f64::from(total.old.requests) + PRIOR_REQUESTS;
+            let rate = failures / requests;
+            let deviation = (rate / requests).sqrt();
+            (route, (rate + deviation).max(FAILURE_FLOOR))
+        });
+        Self { service, routes: routes.collect() }
+    }
+
+    fn rate(&self, route: &RouteId) -> f64 {
+        self.routes.get(route).copied().unwrap_or(self.service)
+    }
+}
+
+/// Adds up the counts of each route, except those to leave out.
+fn totals<'a>(reports: &[&'a RolloutCounts], omitted: Omitted) -> HashMap<&'a RouteId, RouteTotal> {
+    let mut totals: HashMap<&RouteId, RouteTotal> = HashMap::new();
+    for (at, report) in reports.iter().enumerate() {
+        if omitted.report == Some(at) {
+            continue;
+        }
+        for route in &report.routes {
+            let total = totals.entry(&route.route).or_default();
+            total.old.add(&route.old);
+            for (sum, new) in total.new.iter_mut().zip(&route.new) {
+                sum.add(new);
+            }
+        }
+    }
+    totals
+}
+
+impl RouteTotal {
+    fn new_counts(&self, omitted: Omitted) -> ArmCounts {
+        let mut sum = ArmCounts::default();
+        for (new, is_omitted) in self.new.iter().zip(omitted.groups) {
+            if !is_omitted {
+                sum.add(new);
+            }
+        }
+        sum
+    }
+}
+
+/// Returns the average logarithmic latency ratio and the number of intervals it covers.
+fn average<'c>(counts: impl Iterator<Item = &'c LatencyCounts>) -> (f64, f64) {
+    let (mut intervals, mut logs) = (0.0, 0.0);
+    for counts in counts {
+        intervals += f64::from(counts.intervals);
+        logs += counts.logs;
+    }
+    (if intervals > 0.0 { logs / intervals } else { 0.0 }, intervals)
+}
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -264,6 +264,19 @@
         self.all.iter().enumerate()
     }
 
+    /// Returns the slots of the usable targets of `version`, relative to those of the other usable
+    /// targets in `indexes`; infinite if there are no others.
+    pub(crate) fn capacity(&self, indexes: &[Index], version: &VersionId, now: Time) -> f64 {
+        let (mut own, mut others) = (0, 0);
+        for target in indexes.iter().map(|&index| &self.all[index]) {
+            if target.is_usable(now) {
+                let sum = if target.listed.version == *version { &mut own } else { &mut others };
+                *sum += target.listed.slots;
+            }
+        }
+        if own == 0 { 0.0 } else { f64::from(own) / f64::from(others) }
+    }
+
     /// Applies a change of the target list. `suspect_until` is set soon after a list outage; a
     /// target that is removed then stays usable until that time. Returns the position of a new
     /// target.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod quota;
 mod refusals;
 mod retries;
+mod rollout_simulation;
 mod rollouts;
 mod route;
 mod sse;
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -2,39 +2,19 @@
 
 use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use sesamewind_gateway::rollouts::{
     AllowedVersions, RecordedState, RolloutOrder, RolloutRecord, Rollouts,
 };
 use sesamewind_protocol::relay::RolloutOutcome;
-use sesamewind_protocol::{Incarnation, InstanceId, ServiceId, VersionId};
+use sesamewind_protocol::{Incarnation, InstanceId, RouteId, ServiceId, TargetId, VersionId};
 
+use crate::rollout_simulation::{Fault, RolloutResult, Scenario, Version};
 use crate::support::at;
 
-/// Behavior of the new version.
-#[derive(Debug, Clone, Copy)]
-struct Version {
-    /// Fraction of its responses that fail, and the time after the order from which they do, in
-    /// milliseconds.
-    failing: (f64, u64),
-    /// Factor by which it is slower than the old version.
-    slowdown: f64,
-}
-
-/// Result of a simulated rollout.
-#[derive(Debug)]
-struct RolloutResult {
-    outcome: Option<RolloutOutcome>,
-    /// When the store received the outcome, in milliseconds.
-    ended: u64,
-    /// Number of requests that reached the new version before the outcome, and of all requests.
-    exposed: u64,
-    all: u64,
-}
+/// Number of simulated rollouts of each case.
+const SEEDS: u64 = 200;
 
 const DURATION: u64 = 12_000;
-const INSTANCES: usize = 4;
 
 fn service() -> ServiceId {
     ServiceId::new("s")
@@ -44,135 +24,204 @@
     VersionId::new(name)
 }
 
-/// Simulates a rollout with `rate` requests per second over all instances. Both versions fail at
-/// least the fraction `baseline` of their responses.
-fn run_rollout(new: Version, rate: u64, baseline: f64, seed: u64) -> RolloutResult {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut instances: Vec<Rollouts> = (0..INSTANCES).map(|_| Rollouts::default()).collect();
-    let duration = Duration::from_millis(DURATION);
-    for rollouts in &mut instances {
-        rollouts.add_order(
-            RolloutOrder { service: service(), version: version("v2"), duration },
-            at(0),
-        );
+/// Returns a rollout of a good version without faults.
+fn calm() -> Scenario {
+    Scenario {
+        version: Version::Good,
+        duration: DURATION,
+        rate: 100.0,
+        baseline: 0.004,
+        instances: 4,
+        targets: 6,
+        started: 300,
+        store_delay: 10,
+        faults: Vec::new(),
     }
-    let mut result = RolloutResult { outcome: None, ended: 0, exposed: 0, all: 0 };
-    for now in 0..DURATION {
-        if now * rate / 1_000 > now.saturating_sub(1) * rate / 1_000 {
-            let instance = rng.random_range(0..INSTANCES);
-            let rollouts = &mut instances[instance];
-            let allowed_versions = rollouts.allowed_versions(&service(), rng.random(), at(now));
-            let is_new = match allowed_versions {
-                AllowedVersions::Only(_) | AllowedVersions::Prefer(_) => true,
-                AllowedVersions::Any | AllowedVersions::Except(_) => false,
-            };
-            let failing = if is_new && now >= new.failing.1 { new.failing.0 } else { 0.0 };
-            let ok = rng.random::<f64>() >= failing.max(baseline);
-            let slowdown = if is_new { new.slowdown } else { 1.0 };
-            let ratio = slowdown * rng.random_range(0.5..1.5);
-            let name = version(if is_new { "v2" } else { "v1" });
-            rollouts.count(&service(), &name, ok, Some(ratio));
-            result.all += 1;
-            result.exposed += u64::from(is_new && result.ended == 0);
-        }
-        if now % 100 == 0 {
-            exchange(&mut instances, now);
-            for rollouts in &mut instances {
-                rollouts.evaluate();
-            }
-        }
-        if now % 100 == 50 && result.ended == 0 {
-            for record in instances[0].pending_records(at(now)) {
-                instances[0].apply_record(&record);
-                if let RecordedState::Ended(outcome) = record.state {
-                    result.outcome = Some(outcome);
-                    result.ended = now;
-                }
-            }
-        }
-    }
-    result
 }
 
-fn exchange(instances: &mut [Rollouts], now: u64) {
-    for from in 0..instances.len() {
-        let progress = instances[from].progress(at(now));
-        let name = InstanceId::new(format!("i{from}"));
-        for (to, rollouts) in instances.iter_mut().enumerate() {
-            if to != from {
-                rollouts.apply_progress(&name, Incarnation(1), &progress, at(now));
+/// Bounds that deployments set on the requests of a bad version.
+fn is_within_exposure(result: &RolloutResult) -> bool {
+    result.exposed as f64 <= 0.1 * result.all as f64 + 50.0
+}
+
+fn is_as_wanted(result: &RolloutResult, want: RolloutOutcome, duration: u64) -> bool {
+    let exposed = want == RolloutOutcome::Completed || is_within_exposure(result);
+    result.outcome == Some(want) && result.ended < duration && exposed && !result.contradicted
+}
+
+struct Case {
+    name: &'static str,
+    scenario: Scenario,
+}
+
+/// Simulates all cases and checks that at most one rollout in a hundred of each ends otherwise than
+/// wanted.
+fn check(cases: &[Case], want: RolloutOutcome) {
+    let mut faults = Vec::new();
+    for Case { name, scenario } in cases {
+        let mut wrong = Vec::new();
+        for seed in 1..=SEEDS {
+            let result = scenario.run(seed);
+            if !is_as_wanted(&result, want, scenario.duration) {
+                wrong.push((seed, result));
             }
         }
+        println!("{name}: {} of {SEEDS} as wanted", SEEDS - wrong.len() as u64);
+        if wrong.len() as u64 * 100 > SEEDS {
+            faults.push(format!("{name}: {} wrong, first {:?}", wrong.len(), wrong.first()));
+        }
     }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
 #[test]
-fn rollouts_end_with_the_expected_outcome() {
-    struct Case {
-        name: &'static str,
-        new: Version,
-        rate: u64,
-        baseline: f64,
-        want: RolloutOutcome,
-    }
-    let good = Version { failing: (0.0, 0), slowdown: 1.0 };
+fn good_versions_take_over_in_time() {
+    let with = |faults: &[Fault]| Scenario { faults: faults.to_vec(), ..calm() };
+    let stalls = |length: u64| {
+        let stalls = (1..6).map(|n| Fault::InstanceStall(0, n * 2_000, length));
+        Scenario { faults: stalls.collect(), ..calm() }
+    };
+    let short = Scenario { duration: 5_000, ..calm() };
     let cases = [
-        Case { name: "good", new: good, rate: 150, baseline: 0.0, want: RolloutOutcome::Completed },
+        Case { name: "calm", scenario: calm() },
+        Case { name: "both fail at times", scenario: Scenario { baseline: 0.05, ..calm() } },
+        Case { name: "few requests", scenario: Scenario { rate: 5.0, ..calm() } },
+        Case { name: "many requests", scenario: Scenario { rate: 500.0, ..calm() } },
+        Case { name: "5 s", scenario: short.clone() },
+        Case {
+            name: "5 s, targets start after 2 s",
+            scenario: Scenario { started: 2_000, ..short.clone() },
+        },
+        Case { name: "3 s", scenario: Scenario { duration: 3_000, ..calm() } },
+        Case { name: "60 s", scenario: Scenario { duration: 60_000, rate: 30.0, ..calm() } },
+        Case { name: "stalls of 0.1 s", scenario: stalls(100) },
+        Case { name: "stalls of 0.5 s", scenario: stalls(500) },
+        Case { name: "stalls of 1 s", scenario: stalls(1_000) },
+        Case { name: "stalls of 1.9 s", scenario: stalls(1_900) },
+        Case { name: "stall of 3 s", scenario: with(&[Fault::InstanceStall(0, 7_000, 3_000)]) },
+        Case {
+            name: "only instance stalls for 1 s",
+            scenario: Scenario {
+                instances: 1,
+                duration: 5_000,
+                faults: vec![Fault::InstanceStall(0, 3_000, 1_000)],
+                ..calm()
+            },
+        },
+        Case { name: "target stalls", scenario: with(&[Fault::TargetStall(0, 7_000, 1_500)]) },
+        Case { name: "target crashes", scenario: with(&[Fault::TargetCrash(1, 7_500)]) },
         Case {
-            name: "good, and both fail now and then",
-            new: good,
-            rate: 150,
-            baseline: 0.05,
-            want: RolloutOutcome::Completed,
+            name: "target crashes, many requests",
+            scenario: Scenario {
+                rate: 500.0,
+                faults: vec![Fault::TargetCrash(1, 7_500)],
+                ..calm()
+            },
         },
+        Case { name: "writer restarts", scenario: with(&[Fault::Restart(0, 6_000)]) },
+        Case { name: "writer restarts late", scenario: with(&[Fault::Restart(0, 9_500)]) },
+        Case { name: "all restart", scenario: with(&[Fault::RestartAll(5_000)]) },
+        Case { name: "store away", scenario: with(&[Fault::StoreAway(8_000, 3_000)]) },
         Case {
-            name: "good with few requests",
-            new: good,
-            rate: 5,
-            baseline: 0.0,
-            want: RolloutOutcome::Completed,
+            name: "writer stands still, store loses answers",
+            scenario: with(&[
+                Fault::InstanceStall(0, 9_000, 4_000),
+                Fault::StoreLosesAnswers(9_000, 2_500),
+            ]),
         },
         Case {
-            name: "fails half",
-            new: Version { failing: (0.5, 0), ..good },
-            rate: 150,
-            baseline: 0.0,
-            want: RolloutOutcome::TakenBack,
+            name: "5 s, slow store and restart",
+            scenario: Scenario {
+                store_delay: 700,
+                faults: vec![Fault::Restart(0, 1_000)],
+                ..short.clone()
+            },
         },
+        Case {
+            name: "5 s, all restart",
+            scenario: Scenario { faults: vec![Fault::RestartAll(1_000)], ..short },
+        },
+    ];
+    check(&cases, RolloutOutcome::Completed);
+}
+
+#[test]
+fn good_versions_with_a_faulty_target_take_over_in_time() {
+    let scenario = Scenario { faults: vec![Fault::GreyTarget(0.4)], ..calm() };
+    check(&[Case { name: "grey target", scenario }], RolloutOutcome::Completed);
+}
+
+#[test]
+fn bad_versions_are_rolled_back_in_time() {
+    let bad = |version: Version| Scenario { version, ..calm() };
+    let fails = Version::Fails(0.5, 0.0);
+    let short = Scenario { duration: 5_000, rate: 40.0, ..bad(fails) };
+    let with = |faults: &[Fault]| Scenario { faults: faults.to_vec(), ..short.clone() };
+    let cases = [
+        Case { name: "fails half", scenario: bad(fails) },
+        Case { name: "fails a third", scenario: bad(Version::Fails(0.33, 0.0)) },
         Case {
             name: "fails half beside baseline failures",
-            new: Version { failing: (0.5, 0), ..good },
-            rate: 150,
-            baseline: 0.05,
-            want: RolloutOutcome::TakenBack,
+            scenario: Scenario { baseline: 0.05, ..bad(fails) },
+        },
+        Case { name: "fails a third later", scenario: bad(Version::Fails(0.33, 0.55)) },
+        Case { name: "fails half under load", scenario: bad(Version::FailsUnderLoad(0.5, 0.06)) },
+        Case { name: "fails half on one route", scenario: bad(Version::FailsOnRoute(0.5)) },
+        Case { name: "four times slower", scenario: bad(Version::Slow(4.0)) },
+        Case { name: "eight times slower", scenario: bad(Version::Slow(8.0)) },
+        Case { name: "many requests", scenario: Scenario { rate: 500.0, ..bad(fails) } },
+        Case {
+            name: "60 s, few requests",
+            scenario: Scenario { duration: 60_000, rate: 5.0, ..bad(fails) },
+        },
+        Case { name: "5 s", scenario: short.clone() },
+        Case {
+            name: "5 s, four times slower",
+            scenario: Scenario { version: Version::Slow(4.0), ..short.clone() },
         },
+        Case { name: "3 s", scenario: Scenario { duration: 3_000, ..short.clone() } },
         Case {
-            name: "fails a third after the first stage",
-            new: Version { failing: (0.33, 7_000), ..good },
-            rate: 150,
-            baseline: 0.0,
-            want: RolloutOutcome::TakenBack,
+            name: "5 s, targets start after 2 s",
+            scenario: Scenario { started: 2_000, ..short.clone() },
         },
         Case {
-            name: "four times slower",
-            new: Version { slowdown: 4.0, ..good },
-            rate: 150,
-            baseline: 0.0,
-            want: RolloutOutcome::TakenBack,
+            name: "5 s, targets start when it should complete",
+            scenario: Scenario { started: 4_300, ..short.clone() },
+        },
+        Case {
+            name: "good, but targets never start",
+            scenario: Scenario { started: u64::MAX / 2, ..calm() },
+        },
+        Case { name: "5 s, writer restarts", scenario: with(&[Fault::Restart(0, 1_000)]) },
+        Case { name: "5 s, all restart", scenario: with(&[Fault::RestartAll(1_000)]) },
+        Case { name: "5 s, store away", scenario: with(&[Fault::StoreAway(1_500, 2_500)]) },
+        Case {
+            name: "5 s, slow store that loses answers, writer restarts",
+            scenario: Scenario {
+                store_delay: 700,
+                faults: vec![Fault::Restart(0, 1_000), Fault::StoreLosesAnswers(0, 3_500)],
+                ..short.clone()
+            },
+        },
+        Case {
+            name: "5 s, writer stands still",
+            scenario: with(&[Fault::InstanceStall(0, 1_000, 4_000)]),
         },
     ];
-    for case in cases {
-        for seed in 1..=40 {
-            let result = run_rollout(case.new, case.rate, case.baseline, seed);
-            assert_eq!(result.outcome, Some(case.want), "{} seed {seed}: {result:?}", case.name);
-            assert!(result.ended < DURATION, "{} seed {seed}: {result:?}", case.name);
-            if case.want == RolloutOutcome::TakenBack {
-                let bound = 0.1 * result.all as f64 + 50.0;
-                let exposed = result.exposed as f64;
-                assert!(exposed <= bound, "{} seed {seed}: {result:?}", case.name);
-            }
-        }
-    }
+    check(&cases, RolloutOutcome::TakenBack);
+}
+
+#[test]
+fn versions_bad_on_one_route_are_rolled_back_in_time() {
+    let version = Version::FailsOnRoute(0.5);
+    let scenario = Scenario { version, duration: 5_000, rate: 40.0, ..calm() };
+    check(&[Case { name: "5 s, one route", scenario }], RolloutOutcome::TakenBack);
+}
+
+/// Counts a successful request at the new version.
+fn serve_by_new_version(rollouts: &mut Rollouts, now: u64) {
+    let target = (&TargetId::new("n1"), &version("v2"));
+    rollouts.count_start(&service(), &RouteId::new("r"), target, 1.0, at(now));
 }
 
 /// The old version must receive no requests when the rollout is recorded as complete, since its
@@ -183,23 +232,110 @@
     let duration = Duration::from_millis(DURATION);
     rollouts
         .add_order(RolloutOrder { service: service(), version: version("v2"), duration }, at(0));
-    let allows_old = |rollouts: &Rollouts, now: u64| {
-        rollouts.allowed_versions(&service(), 0.5, at(now)).allows(&version("v1"))
-    };
-    assert!(allows_old(&rollouts, 1_000));
+    let allows_old =
+        |rollouts: &Rollouts| rollouts.allowed_versions(&service(), 0.5).allows(&version("v1"));
+    let allows_new =
+        |rollouts: &Rollouts| rollouts.allowed_versions(&service(), 0.5).allows(&version("v2"));
+    assert!(allows_old(&rollouts));
+    let mut last_old = 0;
     let complete = (0..DURATION).find(|now| {
-        let record = rollouts.pending_records(at(*now));
+        rollouts.evaluate(|_, _| 1.0, at(*now));
+        if allows_new(&rollouts) && *now % 100 == 0 {
+            serve_by_new_version(&mut rollouts, *now);
+        }
+        if allows_old(&rollouts) {
+            last_old = *now;
+        }
+        let record = rollouts.pending_records(0, at(*now));
         record.iter().any(|record| record.state == RecordedState::Ended(RolloutOutcome::Completed))
     });
     let complete = complete.expect("it is complete in time");
     // Requests of more than a second may be in flight.
-    assert!(!allows_old(&rollouts, complete - 1_000));
+    assert!(last_old + 1_000 < complete, "{last_old} {complete}");
     let record = RolloutRecord {
         service: service(),
         version: version("v2"),
         state: RecordedState::Ended(RolloutOutcome::TakenBack),
+        age: Duration::from_millis(complete),
+    };
+    rollouts.apply_record(&record, at(complete));
+    assert!(allows_old(&rollouts));
+    assert!(!rollouts.allowed_versions(&service(), 0.5).allows(&version("v2")));
+}
+
+/// An outcome that the store holds replaces one that an instance concluded by itself, also where
+/// that instance learns of it from a peer only.
+#[test]
+fn recorded_outcome_replaces_a_peers_own() {
+    let order = || RolloutOrder {
+        service: service(),
+        version: version("v2"),
+        duration: Duration::from_millis(DURATION),
+    };
+    let record = |state| RolloutRecord {
+        service: service(),
+        version: version("v2"),
+        state: RecordedState::Ended(state),
+        age: Duration::ZERO,
     };
-    rollouts.apply_record(&record);
-    assert!(allows_old(&rollouts, complete));
-    assert!(!rollouts.allowed_versions(&service(), 0.5, at(complete)).allows(&version("v2")));
+    let (mut writer, mut other) = (Rollouts::default(), Rollouts::default());
+    writer.add_order(order(), at(0));
+    other.add_order(order(), at(0));
+    other.apply_record(&record(RolloutOutcome::TakenBack), at(100));
+    let concluded = other.progress(at(100));
+    let mut third = Rollouts::default();
+    third.add_order(order(), at(0));
+    let unrecorded: Vec<_> = concluded
+        .into_iter()
+        .map(|progress| sesamewind_protocol::relay::RolloutProgress { recorded: false, ..progress })
+        .collect();
+    third.apply_progress(&InstanceId::new("other"), Incarnation(1), &unrecorded, at(100));
+    assert!(!third.allowed_versions(&service(), 0.5).allows(&version("v2")));
+    writer.apply_record(&record(RolloutOutcome::Completed), at(200));
+    let progress = writer.progress(at(200));
+    third.apply_progress(&InstanceId::new("writer"), Incarnation(1), &progress, at(200));
+    assert_eq!(third.allowed_versions(&service(), 0.5), AllowedVersions::Prefer(version("v2")),);
+}
+
+/// An instance that starts during a rollout takes its age from a peer or from the record.
+#[test]
+fn age_of_a_rollout_outlives_a_restart() {
+    let order = RolloutOrder {
+        service: service(),
+        version: version("v2"),
+        duration: Duration::from_millis(DURATION),
+    };
+    let mut old = Rollouts::default();
+    old.add_order(order.clone(), at(0));
+    let progress = old.progress(at(10_000));
+    let record = RolloutRecord {
+        service: service(),
+        version: version("v2"),
+        state: RecordedState::Running,
+        age: Duration::from_secs(10),
+    };
+    struct Case {
+        name: &'static str,
+        learn: fn(&mut Rollouts, &[sesamewind_protocol::relay::RolloutProgress], &RolloutRecord),
+    }
+    let cases = [
+        Case {
+            name: "peer",
+            learn: |rollouts, progress, _| {
+                rollouts.apply_progress(&InstanceId::new("p"), Incarnation(1), progress, at(500));
+            },
+        },
+        Case {
+            name: "record",
+            learn: |rollouts, _, record| rollouts.apply_record(record, at(500)),
+        },
+    ];
+    for case in cases {
+        // The new instance's clock starts at zero.
+        let mut rollouts = Rollouts::default();
+        rollouts.add_order(order.clone(), at(400));
+        (case.learn)(&mut rollouts, &progress, &record);
+        let age = rollouts.progress(at(700))[0].age;
+        assert_eq!(age, Duration::from_millis(10_200), "{}", case.name);
+    }
 }
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AccountId, Incarnation, InstanceId, Revision, ServiceId, TargetId, VersionId, ZoneId};
+use crate::{
+    AccountId, Incarnation, InstanceId, Revision, RouteId, ServiceId, TargetId, VersionId, ZoneId,
+};
 
 /// Load that one instance puts on one target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,45 +96,76 @@
     pub incarnation: Incarnation,
 }
 
-/// How requests ended at targets of one version.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+/// Number of groups that the targets of a new version are divided into by a hash of their names, so
+/// that a fault of a few targets can be told from one of the version.
+pub const TARGET_GROUPS: usize = 8;
+
+/// How requests ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ArmCounts {
-    /// Requests that ended.
-    pub requests: u64,
+    /// Requests whose answer began or that failed.
+    pub requests: u32,
     /// Requests that failed.
-    pub failures: u64,
-    /// Requests whose duration was compared with the estimate.
-    pub timed: u64,
-    /// Sum over the timed requests of the ratio of duration to estimate.
-    pub ratios: f64,
+    pub failures: u32,
 }
 
 impl ArmCounts {
-    fn add(&mut self, other: &Self) {
+    /// Adds other counts.
+    pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.failures += other.failures;
-        self.timed += other.timed;
-        self.ratios += other.ratios;
+    }
+
+    /// Returns counts of at most `requests` requests with the same rate of failures.
+    pub fn reduced_to(self, requests: u32) -> Self {
+        if self.requests <= requests {
+            return self;
+        }
+        let fraction = f64::from(requests) / f64::from(self.requests);
+        Self { requests, failures: (f64::from(self.failures) * fraction).ceil() as u32 }
     }
 }
 
-/// How requests ended since a rollout began.
+/// Times to the first byte, averaged over short intervals.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct RolloutCounts {
-    /// At targets of the new version.
-    pub new: ArmCounts,
-    /// At all other targets.
+pub struct LatencyCounts {
+    /// Intervals in which answers began.
+    pub intervals: u32,
+    /// Sum over the intervals of the average logarithmic ratio of the time to its estimate.
+    pub logs: f64,
+}
+
+/// How requests of one route ended since a rollout began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteCounts {
+    /// The route.
+    pub route: RouteId,
+    /// At targets of other versions.
     pub old: ArmCounts,
+    /// At targets of the new version, by group.
+    pub new: [ArmCounts; TARGET_GROUPS],
 }
 
-impl RolloutCounts {
-    /// Adds the counts of another instance.
-    pub fn add(&mut self, other: &Self) {
-        self.new.add(&other.new);
-        self.old.add(&other.old);
+impl RouteCounts {
+    /// Creates empty counts of a route.
+    pub fn new(route: RouteId) -> Self {
+        Self { route, old: ArmCounts::default(), new: Default::default() }
     }
 }
 
+/// What one instance has observed since a rollout began.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct RolloutCounts {
+    /// Requests since the start of the rollout. The other counts include some earlier ones.
+    pub requests: u32,
+    /// Outcomes by route.
+    pub routes: Vec<RouteCounts>,
+    /// Latencies at targets of other versions.
+    pub old_latency: LatencyCounts,
+    /// Latencies at targets of the new version, by group.
+    pub new_latency: [LatencyCounts; TARGET_GROUPS],
+}
+
 /// How a rollout ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RolloutOutcome {
@@ -151,10 +184,12 @@
     pub version: VersionId,
     /// Time since the rollout was ordered.
     pub age: Duration,
-    /// Requests counted by the instance itself.
+    /// What the instance itself has observed; empty after the end.
     pub counts: RolloutCounts,
     /// How it ended, if it has.
     pub outcome: Option<RolloutOutcome>,
+    /// Whether the store holds the outcome.
+    pub recorded: bool,
 }
 
 /// State of one instance, sent to its peers.
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -176,7 +176,8 @@
             let source = Rc::clone(&self.source);
             spawn_local(watch::follow(Rc::clone(driver), source, Rc::clone(peers), topic));
         }
-        spawn_local(watch::rollouts(Rc::clone(driver), Rc::clone(&self.source)));
+        spawn_local(watch::evaluate_rollouts(Rc::clone(driver)));
+        spawn_local(watch::record_rollouts(Rc::clone(driver), Rc::clone(&self.source)));
         spawn_local(watch::save_usage(Rc::clone(driver), Rc::clone(&self.source)));
         let me = Announcement {
             instance: self.settings.name.clone(),
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -375,37 +375,48 @@
     }
 }
 
-/// Evaluates rollouts periodically and records their state in the store.
-pub async fn rollouts(driver: Rc<Driver>, source: Rc<dyn Source>) {
+/// Evaluates rollouts periodically.
+pub async fn evaluate_rollouts(driver: Rc<Driver>) {
     loop {
         sleep(ROLLOUT_INTERVAL).await;
-        for (service, version, counts) in driver.with_gateway_mut(Gateway::evaluate_rollouts) {
+        let now = driver.now();
+        for rolled_back in driver.with_gateway_mut(|gateway| gateway.evaluate_rollouts(now)) {
             log::warn!(
                 event = "move_taken_back",
-                service = service.as_str(),
-                version = version.as_str(),
-                new_requests = counts.new.requests,
-                new_failures = counts.new.failures,
-                old_requests = counts.old.requests,
-                old_failures = counts.old.failures;
+                service = rolled_back.service.as_str(),
+                version = rolled_back.version.as_str(),
+                new_requests = rolled_back.new.0,
+                new_failures = rolled_back.new.1,
+                old_requests = rolled_back.old.0,
+                old_failures = rolled_back.old.1;
                 "new version rolled back"
             );
         }
+    }
+}
+
+/// Records the state of rollouts in the store.
+pub async fn record_rollouts(driver: Rc<Driver>, source: Rc<dyn Source>) {
+    let mut failures = 0;
+    loop {
+        sleep(if failures > 0 { retry_pause(failures) } else { ROLLOUT_INTERVAL }).await;
         let now = driver.now();
-        for record in driver.with_gateway(|gateway| gateway.rollouts_to_record(now)) {
+        for record in driver.with_gateway_mut(|gateway| gateway.rollouts_to_record(now)) {
             match source.record_rollout(&record).await {
                 Ok(known) => {
+                    failures = 0;
                     let (service, state) = (known.service.as_str(), known.state);
                     log::info!(event = "move_recorded", service, state:?; "rollout state recorded");
-                    driver.with_gateway_mut(|gateway| gateway.rollout_recorded(&known));
+                    let now = driver.now();
+                    driver.with_gateway_mut(|gateway| gateway.rollout_recorded(&known, now));
                 }
                 Err(err) => {
+                    failures += 1;
                     log::warn!(
                         event = "move_not_recorded",
                         cause:% = err;
                         "rollout state could not be recorded"
                     );
-                    sleep(RETRY_PAUSE.1).await;
                 }
             }
         }
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -220,7 +220,12 @@
             let row = state.rows.get(&(text("table"), text("key")));
             let version = row.filter(|row| row.value.is_some()).map_or(0, |row| row.version);
             if condition["rowVersion"].as_u64() != Some(version) {
-                return refusal_response(StatusCode::PRECONDITION_FAILED);
+                drop(state);
+                let rows = self.rows(&text("table"), None);
+                let key = text("key");
+                let current: Vec<_> = rows.into_iter().filter(|row| row["key"] == key).collect();
+                let body = json!({ "rows": current });
+                return server::json(StatusCode::PRECONDITION_FAILED, &body);
             }
         }
         for put in body["puts"].as_array().into_iter().flatten() {
--- a/tests/all/relay/testbed.rs
+++ b/tests/all/relay/testbed.rs
@@ -116,6 +116,13 @@
         self.signal(libc::SIGHUP);
     }
 
+    /// Suspends the process for a while.
+    pub async fn pause(&self, length: Duration) {
+        self.signal(libc::SIGSTOP);
+        tokio::time::sleep(length).await;
+        self.signal(libc::SIGCONT);
+    }
+
     /// Waits until the process exits and returns whether it exited with success.
     pub async fn wait_exit(&mut self) -> bool {
         let start = Instant::now();
