Leave alone targets that say they are leaving or want a rest

Two rules of the platform were not in the code: a target that is leaving says so in all its answers, and one that turns a request away may ask for no requests for a time. The relay read neither; a target known as leaving by a peer became usable again when the list said ready.

Change: the head of each answer gives a notice (leaving, rest), decoded in platform/. Leaving holds for the incarnation, at any address and against the list, is told to peers for 8 s, and closes idle connections. A resting target gets nothing until the end of its rest, which does not count as a failure. While all targets rest, a request waits only if one takes requests again within its wait; otherwise it is refused at once, to return when one does.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -65,6 +65,10 @@
     /// A stream is about to complete; holds its number of events and its longest pause between two
     /// chunks.
     Streamed(Ticket, u64, Duration),
+    /// The target of the attempt stated that it is leaving.
+    TargetLeaving(Ticket),
+    /// The target of the attempt asked for no requests from this instance for a while.
+    TargetResting(Ticket, Duration),
     /// An attempt at a target ended.
     Ended(Ticket, AttemptOutcome),
     /// The caller disconnected; its attempt, if any, was cancelled.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -93,6 +93,17 @@
             state.record_shortage(rank, now);
         }
         self.shorten_queue(&service, wait, now);
+        self.refuse_during_rest(&service, now);
+    }
+
+    /// Refuses the waiting requests whose wait would end before any target takes requests again.
+    fn refuse_during_rest(&mut self, service: &ServiceId, now: Time) {
+        let Some(rest) = self.rest_of_all(service, now) else { return };
+        let Some(state) = self.services.get(service) else { return };
+        for ticket in state.queue.overdue(now + rest) {
+            let Some(request) = self.requests.remove(&ticket) else { continue };
+            self.abandon(ticket, request, now);
+        }
     }
 
     /// Refuses the last requests of a queue that is too long for them to meet their objective, so
@@ -128,6 +139,32 @@
         self.rollouts.count_start(&request.service, route, (id, version), ratio, now);
     }
 
+    /// Stops sending requests to a target that is leaving. Those that wait go elsewhere.
+    pub(crate) fn target_leaving(&mut self, ticket: Ticket, now: Time) {
+        let Some(index) = self.target_of(ticket) else { return };
+        self.targets.get_mut(index).record_leaving(now);
+    }
+
+    /// Sends no requests to a target for the time that it asked for.
+    pub(crate) fn target_resting(&mut self, ticket: Ticket, rest: Duration, now: Time) {
+        let Some(index) = self.target_of(ticket) else { return };
+        self.targets.get_mut(index).record_rest(rest, now);
+    }
+
+    /// Returns the target of a request's attempt.
+    fn target_of(&self, ticket: Ticket) -> Option<Index> {
+        match &self.requests.get(&ticket)?.state {
+            State::InFlight(attempt) => Some(attempt.target),
+            State::Waiting { .. } => None,
+        }
+    }
+
+    /// Returns how long all usable targets of a service want no requests from this instance; none
+    /// if one of them takes requests.
+    fn rest_of_all(&self, service: &ServiceId, now: Time) -> Option<Duration> {
+        self.targets.shortest_rest(&self.services.get(service)?.targets, now)
+    }
+
     /// Learns from a stream's number of events and longest pause how long the route's streams are
     /// and how fast the target is. Streams that were resumed are ignored, since resuming them
     /// caused a pause.
@@ -283,7 +320,8 @@
     }
 
     fn refuse(&mut self, arrival: &Arrival, proof: NotRunProof, reason: RefusalReason, now: Time) {
-        let wait = self.retry_delay(arrival, now);
+        let rest = self.rest_of_all(arrival.route.service_at(arrival.point), now);
+        let wait = self.retry_delay(arrival, now).max(rest.unwrap_or_default());
         self.refuse_with_delay(arrival, proof, reason, wait, now);
     }
 
@@ -331,6 +369,8 @@
                 target.record_failure(now);
                 target.usability = crate::targets::Usability::Retired;
             }
+            // The target has said itself when it takes requests again.
+            AttemptOutcome::Declined if !target.rest_left(now).is_zero() => {}
             AttemptOutcome::Unconnected
             | AttemptOutcome::Declined
             | AttemptOutcome::Broken
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::selection;
 use crate::service::ServiceState;
 use crate::table::RouteTable;
-use crate::targets::{ListedState, TargetChange, Targets, Usability};
+use crate::targets::{TargetChange, Targets, Usability};
 use crate::tuning::Tuning;
 
 /// Fraction of the drain bound during which a suspect target may still be used after its removal
@@ -98,6 +98,8 @@
             Event::Arrive(arrival) => self.arrive(arrival, now),
             Event::Started(ticket) => self.started(ticket, now),
             Event::Streamed(ticket, events, pause) => self.streamed(ticket, events, pause),
+            Event::TargetLeaving(ticket) => self.target_leaving(ticket, now),
+            Event::TargetResting(ticket, rest) => self.target_resting(ticket, rest, now),
             Event::Ended(ticket, outcome) => self.ended(ticket, outcome, now),
             Event::CallerLeft(ticket) => self.caller_left(ticket, now),
             Event::Configured(table) => self.configure(table, now),
@@ -240,10 +242,7 @@
             pause: target.pauses.average_ms(),
             streams: target.pauses.streams(),
         });
-        let leaving = self
-            .targets
-            .iter()
-            .filter(|(_, target)| target.listed.state == ListedState::Leaving && target.load() > 0);
+        let leaving = self.targets.iter().filter(|(_, target)| target.should_report_leaving(now));
         let leaving = leaving.map(|(_, target)| LeavingEntry {
             target: target.listed.id.clone(),
             incarnation: target.listed.incarnation,
@@ -374,7 +373,7 @@
             }
         }
         for entry in &update.leaving {
-            self.targets.retire(&entry.target, entry.incarnation);
+            self.targets.retire(&entry.target, entry.incarnation, now);
         }
         self.dispatch_all_waiting(now);
     }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -203,7 +203,7 @@
         let (mut all_backing_off, mut any_suitable) = (true, false);
         let (mut sum, mut count) = (0.0, 0.0);
         let all = candidates.iter().map(|&index| targets.get(index));
-        for target in all.filter(|target| target.is_usable(now) && !target.is_backing_off(now)) {
+        for target in all.filter(|target| target.is_willing(now) && !target.is_backing_off(now)) {
             all_backing_off = false;
             any_suitable |= !exceeds_pause_limit(request, target);
             if let Some(average_ms) = target.pauses.average() {
@@ -222,7 +222,7 @@
         request: SelectionRequest<'_>,
         context: SelectionContext<'_>,
     ) -> bool {
-        target.is_usable(context.now)
+        target.is_willing(context.now)
             && request.versions.allows(&target.listed.version)
             && (self.all_backing_off || !target.is_backing_off(context.now))
             && !(self.strict_pause && exceeds_pause_limit(request, target))
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -23,6 +23,10 @@
 /// may lie in the network between the peer and the target.
 const WARNING_IGNORE_TIME: Duration = Duration::from_millis(100);
 
+/// Time for which an instance tells its peers that a target is leaving after it has learned that.
+/// It exceeds the interval between exchanges in deployments with hundreds of instances.
+const LEAVING_REPORT_TIME: Duration = Duration::from_secs(8);
+
 /// Maximum number of consecutive failures that increase the backoff.
 const MAX_COUNTED_FAILURES: u32 = 5;
 
@@ -115,6 +119,10 @@
     pub failure_rate: f64,
     failures: u32,
     backoff_until: Time,
+    /// Until when the target wants no requests from this instance.
+    rest_until: Time,
+    /// Until when peers are told that the target is leaving.
+    report_leaving_until: Time,
     /// When an attempt of this instance last succeeded.
     last_success: Time,
 }
@@ -134,6 +142,8 @@
             failure_rate: 0.0,
             failures: 0,
             backoff_until: Time::ZERO,
+            rest_until: Time::ZERO,
+            report_leaving_until: Time::ZERO,
             last_success: Time::ZERO,
         }
     }
@@ -157,6 +167,39 @@
         }
     }
 
+    /// Returns for how long the target wants no more requests from this instance; zero if it takes
+    /// them.
+    pub fn rest_left(&self, now: Time) -> Duration {
+        self.rest_until.since(now)
+    }
+
+    /// Returns whether the target takes requests of this instance, regardless of failures.
+    pub fn is_willing(&self, now: Time) -> bool {
+        self.is_usable(now) && self.rest_left(now).is_zero()
+    }
+
+    /// Records that the target wants no requests from this instance for `rest`.
+    pub(crate) fn record_rest(&mut self, rest: Duration, now: Time) {
+        self.rest_until = self.rest_until.max(now + rest);
+    }
+
+    /// Records that this incarnation of the target is leaving. It never takes requests again, even
+    /// if it is listed as ready.
+    pub(crate) fn record_leaving(&mut self, now: Time) {
+        if self.listed.state != ListedState::Leaving {
+            self.report_leaving_until = now + LEAVING_REPORT_TIME;
+        }
+        self.listed.state = ListedState::Leaving;
+        self.usability = Usability::Retired;
+    }
+
+    /// Returns whether peers should be told that the target is leaving: while requests are there,
+    /// and for some time after this instance has learned it.
+    pub(crate) fn should_report_leaving(&self, now: Time) -> bool {
+        self.listed.state == ListedState::Leaving
+            && (self.load() > 0 || now < self.report_leaving_until)
+    }
+
     /// Returns whether recent failures exclude the target while others are usable. After the
     /// backoff, one request at a time probes whether the target has recovered.
     pub fn is_backing_off(&self, now: Time) -> bool {
@@ -297,15 +340,23 @@
         }
     }
 
-    /// Marks a target as leaving, as reported by a peer or the target itself.
-    pub fn retire(&mut self, id: &TargetId, incarnation: Incarnation) {
+    /// Marks a target as leaving, as reported by a peer.
+    pub fn retire(&mut self, id: &TargetId, incarnation: Incarnation, now: Time) {
         if let Some(index) = self.find(id)
             && self.all[index].listed.incarnation <= incarnation
         {
-            self.all[index].usability = Usability::Retired;
+            self.all[index].record_leaving(now);
         }
     }
 
+    /// Returns the shortest rest of the usable targets in `indexes`; none unless all of them rest.
+    pub(crate) fn shortest_rest(&self, indexes: &[Index], now: Time) -> Option<Duration> {
+        let usable = indexes.iter().map(|&index| &self.all[index]);
+        let rests =
+            usable.filter(|target| target.is_usable(now)).map(|target| target.rest_left(now));
+        rests.min().filter(|rest| !rest.is_zero())
+    }
+
     /// Applies a peer's warning that an attempt at the target has failed. This instance's own
     /// recent attempts take precedence.
     pub(crate) fn apply_warning(&mut self, id: &TargetId, now: Time) {
@@ -343,12 +394,18 @@
             }
             known.usability = Usability::Retired;
         }
+        // The same incarnation may be listed at another address.
+        let was_leaving = self.find(&listed.id).is_some_and(|known| {
+            let known = &self.all[known].listed;
+            known.incarnation == listed.incarnation && known.state == ListedState::Leaving
+        });
         let latency_ratio = self.initial_latency_ratio(&listed.service);
         let index = self.all.len();
         self.names.insert(listed.id.clone(), index);
-        let leaving = listed.state == ListedState::Leaving;
+        let leaving = was_leaving || listed.state == ListedState::Leaving;
         let mut target = Target::new(listed, latency_ratio);
         if leaving {
+            target.listed.state = ListedState::Leaving;
             target.usability = Usability::Retired;
         }
         self.all.push(target);
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod groups;
 mod health;
 mod load;
+mod notices;
 mod quota;
 mod refusals;
 mod retries;
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -263,6 +263,29 @@
     assert!(!rollouts.allowed_versions(&service(), 0.5).allows(&version("v2")));
 }
 
+/// Requests that a pause delays together count as one slow moment, not as many slow requests.
+#[test]
+fn one_stalled_burst_does_not_decide() {
+    let mut rollouts = Rollouts::default();
+    let duration = Duration::from_millis(DURATION);
+    rollouts
+        .add_order(RolloutOrder { service: service(), version: version("v2"), duration }, at(0));
+    let route = RouteId::new("r");
+    let mut count = |id: &str, name: &str, ratio: f64, now: u64| {
+        let target = (&TargetId::new(id), &version(name));
+        rollouts.count_start(&service(), &route, target, ratio, at(now));
+    };
+    for n in 0..40 {
+        count("o1", "v1", 1.0, n * 100);
+        count("n1", "v2", 1.0, n * 100);
+    }
+    for _ in 0..20 {
+        count("n1", "v2", 20.0, 5_000);
+    }
+    assert_eq!(rollouts.evaluate(|_, _| 1.0, at(5_500)), []);
+    assert!(rollouts.allowed_versions(&service(), 0.01).allows(&version("v2")));
+}
+
 /// An outcome that the store holds replaces one that an instance concluded by itself, also where
 /// that instance learns of it from a peer only.
 #[test]
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::driver::Driver;
+use crate::journal;
 use crate::pool::{Connection, SendError};
 use crate::wire_format::{AnswerClass, CallerHead, ForwardHead};
 
@@ -125,6 +126,7 @@
         if let Some(keep) = self.driver.wire_format.keep_alive(&head) {
             connection.set_keep_alive(keep);
         }
+        self.apply_notice(dispatch, &head, &mut connection);
         let kind = self.driver.wire_format.classify_answer(&head, &self.caller.id);
         match kind {
             AnswerClass::Declined => Err(AttemptOutcome::Declined),
@@ -145,6 +147,26 @@
         }
     }
 
+    /// Applies what the target says about itself in the head of its answer.
+    fn apply_notice(
+        &self,
+        dispatch: &Dispatch,
+        head: &response::Parts,
+        connection: &mut Connection,
+    ) {
+        let notice = self.driver.wire_format.target_notice(head, &self.caller.id);
+        if notice.leaving {
+            journal::target_leaving(self, dispatch);
+            self.driver.handle(Event::TargetLeaving(self.ticket));
+            connection.set_keep_alive(Duration::ZERO);
+            self.driver.pool.forget(dispatch.address);
+        }
+        if let Some(rest) = notice.rest {
+            journal::target_resting(self, dispatch, rest);
+            self.driver.handle(Event::TargetResting(self.ticket, rest));
+        }
+    }
+
     async fn send(
         &self,
         dispatch: &Dispatch,
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -4,6 +4,8 @@
 //! request. The identity is empty if the request's head could not be read. `docs/OPERATIONS.md`
 //! lists events and fields.
 
+use std::time::Duration;
+
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::{AttemptOutcome, Refusal};
 
@@ -46,6 +48,27 @@
     );
 }
 
+/// Logs that the target of an attempt stated that it is leaving.
+pub fn target_leaving(call: &Call, dispatch: &Dispatch) {
+    log::info!(
+        event = "target_leaving",
+        request = call.caller.id.as_str(),
+        target = dispatch.target.as_str();
+        "target is leaving"
+    );
+}
+
+/// Logs that the target of an attempt wants no requests for a while.
+pub fn target_resting(call: &Call, dispatch: &Dispatch, rest: Duration) {
+    log::info!(
+        event = "target_resting",
+        request = call.caller.id.as_str(),
+        target = dispatch.target.as_str(),
+        rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+        "target wants no requests for a while"
+    );
+}
+
 /// Logs and counts the end of a request.
 pub fn ended(call: &Call, outcome: &str, cause: &str, events: u64) {
     call.driver.metrics.outcome(&call.route.name, outcome);
--- a/crates/relay/src/wire_format.rs
+++ b/crates/relay/src/wire_format.rs
@@ -82,6 +82,15 @@
     Invalid,
 }
 
+/// What a target says about itself in the head of an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Whether the target is leaving and wants no further requests.
+    pub leaving: bool,
+    /// For how long the target wants no requests from this instance.
+    pub rest: Option<Duration>,
+}
+
 /// Translates between HTTP heads and the values that this crate works with.
 pub trait WireFormat: fmt::Debug {
     /// Decodes a caller's request head.
@@ -97,6 +106,10 @@
     /// Classifies a target's answer to the request `id` by its head.
     fn classify_answer(&self, head: &response::Parts, id: &str) -> AnswerClass;
 
+    /// Returns what the target says about itself in its answer to the request `id`. An answer of
+    /// another target at its address, or to another request, says nothing about it.
+    fn target_notice(&self, head: &response::Parts, id: &str) -> TargetNotice;
+
     /// Returns how long the target keeps an idle connection open. Returns zero if the target closes
     /// the connection, and `None` if the head specifies neither.
     fn keep_alive(&self, head: &response::Parts) -> Option<Duration>;
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod explain;
 mod faults;
+mod notices;
 mod path;
 mod rollouts;
 mod state;
