Follow a store that comes back from an older copy

Rule: the store may lose what it has acknowledged; an era in its answers rises then, and versions are given out again. All code compared plain versions: an answer below the known version was dropped as stale for ever, rows of an earlier era counted as known, and nothing was written again.

Change: StorePosition (era, version) in the watch, the cache of rows, the exchange between peers and the writes of rollout states; a whole read on a new era; an older configuration never replaces the one in force, and lost rows are handed to peers that start in the gap; targets missing in the copy are treated as after an outage of the list, those known to be gone are not brought back by it; announcements and states of rollouts are written again; a peer's word that an outcome is recorded counts within its era only. The stand-in store tells its era and can be set back.

Found by the tests: a target that was removed from the list and registered again as the same incarnation was never used again by any instance, in any situation (it left the service's list of targets and was not put back). Mended, with a test that failed before.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -83,6 +83,11 @@
     ListLost,
     /// The target list is readable again.
     ListRestored,
+    /// The store is in this era, which is later than the last known one: it has come back from an
+    /// older copy, and what this system recorded there may be lost.
+    StoreEra(u64),
+    /// The complete target list was read from the older copy.
+    ListedFromCopy(Vec<TargetChange>),
     /// Operators ordered the rollout of another version of a service.
     RolloutOrdered(RolloutOrder),
     /// A peer reported its state.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sesamewind_protocol::relay::{LeavingEntry, RelayUpdate, TargetLoad};
+use sesamewind_protocol::relay::{LeavingEntry, RelayUpdate, StorePosition, TargetLoad};
 use sesamewind_protocol::{Incarnation, InstanceId, Revision, ServiceId, Time, VersionId, ZoneId};
 
 use crate::arrival::Ticket;
@@ -111,6 +111,8 @@
                     self.list_restored = Some(now);
                 }
             }
+            Event::StoreEra(era) => self.rollouts.enter_era(era),
+            Event::ListedFromCopy(changes) => self.apply_copied_list(changes, now),
             Event::RolloutOrdered(order) => self.rollouts.add_order(order, now),
             Event::PeerUpdate(update) => self.apply_update(update, now),
             Event::Tick => self.tick(now),
@@ -223,12 +225,12 @@
         self.services.values().map(|service| service.queue.len()).sum()
     }
 
-    /// Returns this instance's state for the peer `to`. `list_version` is the newest version of the
+    /// Returns this instance's state for the peer `to`. `list_position` is the newest position of the
     /// target list known here, and `checked` the time of the last contact with the store.
     pub fn peer_update(
         &mut self,
         to: &InstanceId,
-        list_version: u64,
+        list_position: StorePosition,
         checked: Time,
         now: Time,
     ) -> RelayUpdate {
@@ -256,7 +258,7 @@
             address: self.me.address.clone(),
             sequence: self.sequence,
             revision: self.revision(),
-            list_version,
+            list_position,
             store_age: now.since(checked),
             joining: self.quotas.is_joining(),
             loads: loads.collect(),
@@ -292,7 +294,9 @@
             let service = self.targets.get(index).listed.service.clone();
             let state =
                 self.services.entry(service).or_insert_with(|| ServiceState::new(&self.tuning));
-            state.targets.push(index);
+            if !state.targets.contains(&index) {
+                state.targets.push(index);
+            }
         }
         let targets = &mut self.targets;
         for service in self.services.values_mut() {
@@ -338,6 +342,18 @@
         self.apply_changes(changes, now);
     }
 
+    /// Applies the target list of an older copy of the store. Targets that it does not contain stay
+    /// usable for a while, since they may have registered later and will register again. Those that
+    /// are known to be gone stay unused until they register again.
+    fn apply_copied_list(&mut self, mut changes: Vec<TargetChange>, now: Time) {
+        changes.retain(|change| match change {
+            TargetChange::Listed(listed) => !self.targets.is_retired(listed),
+            TargetChange::Removed(_) => true,
+        });
+        self.list_restored = Some(now);
+        self.apply_full_list(changes, now);
+    }
+
     /// Returns until when a target that is removed now stays usable, or `None` if it does not.
     ///
     /// During a list outage, entries of live targets may have expired. These targets are listed
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -125,6 +125,8 @@
 #[derive(Debug, Default)]
 pub struct Rollouts {
     rollouts: HashMap<ServiceId, Rollout>,
+    /// Era of the store; see [`Rollouts::enter_era`].
+    era: u64,
     /// What was observed of services without a rollout.
     earlier: HashMap<ServiceId, Evidence>,
 }
@@ -232,7 +234,10 @@
                     RolloutCounts::default()
                 },
                 outcome,
-                recorded: matches!(rollout.recorded, Some(RecordedState::Ended(_))),
+                recorded: match rollout.recorded {
+                    Some(RecordedState::Ended(_)) => Some(self.era),
+                    Some(RecordedState::Running) | None => None,
+                },
             }
         });
         progress.collect()
@@ -255,7 +260,7 @@
             rollout.learn_age(entry.age, now);
             rollout.peers.insert(peer.clone(), (incarnation, entry.counts.clone()));
             let Some(outcome) = entry.outcome else { continue };
-            if entry.recorded {
+            if entry.recorded.is_some_and(|era| era >= self.era) {
                 rollout.recorded = Some(RecordedState::Ended(outcome));
                 rollout.outcome = Some((outcome, now));
             } else if rollout.outcome.is_none() {
@@ -264,6 +269,16 @@
         }
     }
 
+    /// Enters an era of the store. It may have lost what was written last: the states of all rollouts are written
+    /// again. Their outcomes stay as they are known, and reports that a peer saw one recorded in an
+    /// earlier era no longer count.
+    pub fn enter_era(&mut self, era: u64) {
+        self.era = era;
+        for rollout in self.rollouts.values_mut() {
+            rollout.recorded = None;
+        }
+    }
+
     /// Evaluates all rollouts and updates the shares of the new versions. `capacity` returns the
     /// slots of the usable targets of a service's version, relative to those of its other versions.
     /// Returns the new versions that are rolled back by this call.
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -320,9 +320,16 @@
         if own == 0 { 0.0 } else { f64::from(own) / f64::from(others) }
     }
 
+    /// Returns whether this incarnation of a target is known to be leaving or gone.
+    pub(crate) fn is_retired(&self, listed: &ListedTarget) -> bool {
+        self.find(&listed.id).map(|index| &self.all[index]).is_some_and(|known| {
+            known.listed.incarnation >= listed.incarnation && known.usability == Usability::Retired
+        })
+    }
+
     /// Applies a change of the target list. `suspect_until` is set soon after a list outage; a
-    /// target that is removed then stays usable until that time. Returns the position of a new
-    /// target.
+    /// target that is removed then stays usable until that time. Returns the position of a
+    /// target that is new, or that is usable again after it was gone.
     pub fn apply(&mut self, change: TargetChange, suspect_until: Option<Time>) -> Option<Index> {
         match change {
             TargetChange::Listed(listed) => self.apply_listing(listed),
@@ -383,6 +390,7 @@
                 // An incarnation that has started to leave never accepts requests again, even if it
                 // is listed as ready later.
                 let was_leaving = known.listed.state == ListedState::Leaving;
+                let was_retired = known.usability == Usability::Retired;
                 known.listed = listed;
                 known.usability = if leaving || was_leaving {
                     known.listed.state = ListedState::Leaving;
@@ -390,7 +398,8 @@
                 } else {
                     Usability::Usable
                 };
-                return None;
+                let is_back = was_retired && known.usability == Usability::Usable;
+                return is_back.then_some(index);
             }
             known.usability = Usability::Retired;
         }
--- a/crates/gateway/tests/all/groups.rs
+++ b/crates/gateway/tests/all/groups.rs
@@ -10,6 +10,7 @@
 use sesamewind_gateway::{
     Arrival, AttemptOutcome, Event, Gateway, RouteTable, Step, Ticket, Tuning,
 };
+use sesamewind_protocol::relay::StorePosition;
 use sesamewind_protocol::{InstanceId, TargetId, Time};
 
 use crate::support::{MODEL, at, identity, routing, target};
@@ -99,9 +100,19 @@
                 if !(now + 20 * (a * 7 + b) as u64).is_multiple_of(every) {
                     continue;
                 }
-                let update = self.gateways[a].peer_update(&name(b), 0, Time::ZERO, at(now));
+                let update = self.gateways[a].peer_update(
+                    &name(b),
+                    StorePosition::default(),
+                    Time::ZERO,
+                    at(now),
+                );
                 self.send(b, Event::PeerUpdate(&update), now);
-                let update = self.gateways[b].peer_update(&name(a), 0, Time::ZERO, at(now));
+                let update = self.gateways[b].peer_update(
+                    &name(a),
+                    StorePosition::default(),
+                    Time::ZERO,
+                    at(now),
+                );
                 self.send(a, Event::PeerUpdate(&update), now);
             }
         }
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -2,7 +2,7 @@
 
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{AttemptOutcome, Event, ListedState, RefusalReason};
-use sesamewind_protocol::relay::{LeavingEntry, RelayUpdate};
+use sesamewind_protocol::relay::{LeavingEntry, RelayUpdate, StorePosition};
 use sesamewind_protocol::{Incarnation, InstanceId, Revision, TargetId};
 
 use crate::support::{MODEL, at, bench, target};
@@ -16,7 +16,7 @@
         address: String::new(),
         sequence: 1,
         revision: Revision(1),
-        list_version: 1,
+        list_position: StorePosition { era: 0, version: 1 },
         store_age: std::time::Duration::ZERO,
         joining: false,
         loads: Vec::new(),
--- a/crates/gateway/tests/all/notices.rs
+++ b/crates/gateway/tests/all/notices.rs
@@ -4,6 +4,7 @@
 
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{AttemptOutcome, Event, ListedState, ListedTarget, RefusalReason};
+use sesamewind_protocol::relay::StorePosition;
 use sesamewind_protocol::{Incarnation, InstanceId, Time};
 
 use crate::support::{Bench, PLAIN, at, bench, target};
@@ -89,7 +90,12 @@
     let ticket = send_to(&mut first, "p0", at(10));
     first.send(Event::TargetLeaving(ticket), at(20));
     first.end(ticket, AttemptOutcome::Whole, at(20));
-    let mut update = first.gateway.peer_update(&InstanceId::new("i2"), 1, at(0), at(2_000));
+    let mut update = first.gateway.peer_update(
+        &InstanceId::new("i2"),
+        StorePosition::default(),
+        at(0),
+        at(2_000),
+    );
     update.from = InstanceId::new("i2");
     second.send(Event::PeerUpdate(&update), at(2_000));
     let listed = TargetChange::Listed(entry("p0", 1, ListedState::Ready));
@@ -97,6 +103,35 @@
     assert!(!is_used(&mut second, "p0", at(2_200)));
 }
 
+/// A target whose entry was removed while it could not reach the store, and that registers again
+/// as the same incarnation, is used again. An older copy of the store does not bring it back.
+#[test]
+fn a_removed_target_is_used_again_once_it_registers() {
+    struct Case {
+        name: &'static str,
+        /// Event that lists the target again.
+        event: fn(Vec<TargetChange>) -> Event<'static>,
+        used: bool,
+    }
+    let cases = [
+        Case { name: "registered again", event: Event::Listed, used: true },
+        Case { name: "read with the whole list", event: Event::ListedAll, used: true },
+        Case { name: "in an older copy", event: Event::ListedFromCopy, used: false },
+    ];
+    for case in cases {
+        let mut bench = bench(0, 2);
+        let removed = TargetChange::Removed(target("p0", PLAIN, 4).id);
+        bench.send(Event::Listed(vec![removed]), at(10));
+        assert!(!is_used(&mut bench, "p0", at(20)), "{}: removed", case.name);
+        let listed = [entry("p0", 1, ListedState::Ready), entry("p1", 1, ListedState::Ready)];
+        bench.send((case.event)(listed.map(TargetChange::Listed).to_vec()), at(30));
+        assert_eq!(is_used(&mut bench, "p0", at(40)), case.used, "{}", case.name);
+        let listed = TargetChange::Listed(entry("p0", 1, ListedState::Ready));
+        bench.send(Event::Listed(vec![listed]), at(50));
+        assert!(is_used(&mut bench, "p0", at(60)), "{}: registered again", case.name);
+    }
+}
+
 /// A target that asks for a rest gets nothing from this instance for that time, and is used again
 /// right afterwards.
 #[test]
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -310,7 +310,7 @@
     third.add_order(order(), at(0));
     let unrecorded: Vec<_> = concluded
         .into_iter()
-        .map(|progress| sesamewind_protocol::relay::RolloutProgress { recorded: false, ..progress })
+        .map(|progress| sesamewind_protocol::relay::RolloutProgress { recorded: None, ..progress })
         .collect();
     third.apply_progress(&InstanceId::new("other"), Incarnation(1), &unrecorded, at(100));
     assert!(!third.allowed_versions(&service(), 0.5).allows(&version("v2")));
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -54,6 +54,18 @@
     }
 }
 
+/// Position in the history of the store.
+///
+/// The era rises each time the store comes back from an older copy; versions are then given out
+/// again. A position of a later era is therefore newer, whatever the versions are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StorePosition {
+    /// Number of the era; zero if the store does not tell it.
+    pub era: u64,
+    /// Version within the era.
+    pub version: u64,
+}
+
 /// A row as read from the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRow {
@@ -71,8 +83,8 @@
 pub struct RowsRequest {
     /// The kind of rows.
     pub topic: Topic,
-    /// Newest version that the asking instance has; zero if it has none.
-    pub after: u64,
+    /// Newest position that the asking instance has; zero if it has none.
+    pub after: StorePosition,
 }
 
 /// Rows of the store, forwarded by a peer.
@@ -81,10 +93,12 @@
     /// Whether the reply holds all existing rows rather than only those changed since
     /// [`RowsRequest::after`].
     pub whole: bool,
-    /// Newest row version that the peer has.
-    pub newest: u64,
+    /// Newest position that the peer has; the versions of all rows are of its era.
+    pub newest: StorePosition,
     /// The rows.
     pub rows: Vec<StoreRow>,
+    /// Rows of an earlier era that are newer than what the store has now.
+    pub retained: Vec<StoreRow>,
 }
 
 /// A target that takes no new work, as known to one instance.
@@ -188,8 +202,8 @@
     pub counts: RolloutCounts,
     /// How it ended, if it has.
     pub outcome: Option<RolloutOutcome>,
-    /// Whether the store holds the outcome.
-    pub recorded: bool,
+    /// Era in which the store was seen to hold the outcome.
+    pub recorded: Option<u64>,
 }
 
 /// State of one instance, sent to its peers.
@@ -207,8 +221,8 @@
     pub sequence: u64,
     /// Revision of the configuration in force there.
     pub revision: Revision,
-    /// Newest row version of its target list.
-    pub list_version: u64,
+    /// Newest position of its target list.
+    pub list_position: StorePosition,
     /// Time since its own last answer from the store.
     pub store_age: Duration,
     /// Whether it does not yet know the usage of account limits from before its start.
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -9,6 +9,7 @@
 use sesamewind_protocol::relay::{RelayUpdate, Topic};
 use sesamewind_protocol::{InstanceId, Time};
 use sesamewind_runtime::clock::Clock;
+use tokio::sync::watch::{Receiver, Sender};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
@@ -44,6 +45,8 @@
     pub metrics: Metrics,
     configuration: TopicState,
     targets: TopicState,
+    /// Latest known era of the store.
+    era: Sender<Option<u64>>,
     /// Notified when a peer has newer rows than this instance.
     pub outdated: Notify,
 }
@@ -62,6 +65,7 @@
             metrics: Metrics::new(),
             configuration: TopicState::default(),
             targets: TopicState::default(),
+            era: Sender::new(None),
             outdated: Notify::new(),
         }
     }
@@ -74,6 +78,26 @@
         }
     }
 
+    /// Records the era of the store's answers. If it is a later one, the store has lost some of what
+    /// was written, and the gateway and [`Self::era_changes`] are notified.
+    pub fn observe_era(&self, era: u64) {
+        let known = *self.era.borrow();
+        if known.is_some_and(|known| era <= known) {
+            return;
+        }
+        self.era.send_if_modified(|latest| latest.replace(era).is_some());
+        if let Some(known) = known {
+            log::warn!(event = "store_set_back", era, known; "store came back from an older copy");
+        }
+        self.metrics.store_era(era);
+        self.handle(Event::StoreEra(era));
+    }
+
+    /// Returns a receiver that is notified when the store comes back from an older copy.
+    pub fn era_changes(&self) -> Receiver<Option<u64>> {
+        self.era.subscribe()
+    }
+
     /// Returns the time since the start of the instance.
     pub fn now(&self) -> Time {
         self.clock.now()
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -184,7 +184,7 @@
             zone: self.settings.zone.clone(),
             address: self.settings.listen.advertise,
         };
-        spawn_local(watch::announce(Rc::clone(&self.source), me));
+        spawn_local(watch::announce(Rc::clone(driver), Rc::clone(&self.source), me));
         let source = Rc::clone(&self.source);
         spawn_local(watch::instances(Rc::clone(driver), Rc::clone(peers), source));
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use sesamewind_protocol::RouteId;
@@ -40,6 +41,7 @@
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
     lost: Family<ReasonLabels, Counter>,
+    store_era: Gauge,
     first_byte: RouteHistogram,
     waited: RouteHistogram,
 }
@@ -62,6 +64,7 @@
             refusals: Family::default(),
             attempts: Family::default(),
             lost: Family::default(),
+            store_era: Gauge::default(),
             first_byte: Family::new_with_constructor(histogram),
             waited: Family::new_with_constructor(histogram),
             registry: Registry::default(),
@@ -70,6 +73,7 @@
         registry.register("refusals", "Refusals by reason", this.refusals.clone());
         registry.register("attempts", "Attempts at targets by end", this.attempts.clone());
         registry.register("lost", "Lost dependencies by kind", this.lost.clone());
+        registry.register("store_era", "Latest known era of the store", this.store_era.clone());
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first byte of the answer",
@@ -100,6 +104,11 @@
         self.attempts.get_or_create(&ReasonLabels { reason: end.to_owned() }).inc();
     }
 
+    /// Records the latest era of the store.
+    pub fn store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     /// Counts the loss of a dependency, such as the store or a peer.
     pub fn dependency_lost(&self, kind: &str) {
         self.lost.get_or_create(&ReasonLabels { reason: kind.to_owned() }).inc();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -261,7 +261,7 @@
             self.driver.topic(Topic::Configuration).ahead_peer.set(address);
             self.driver.outdated.notify_waiters();
         }
-        if update.list_version > listed {
+        if update.list_position > listed {
             self.driver.topic(Topic::Targets).ahead_peer.set(address);
             self.driver.outdated.notify_waiters();
         }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -9,7 +9,7 @@
 use sesamewind_gateway::quota::SavedUsage;
 use sesamewind_gateway::rollouts::{RolloutOrder, RolloutRecord};
 use sesamewind_gateway::targets::TargetChange;
-use sesamewind_protocol::relay::{StoreRow, Topic};
+use sesamewind_protocol::relay::{StorePosition, StoreRow, Topic};
 use sesamewind_protocol::{InstanceId, ZoneId};
 
 /// A decoded change of a row.
@@ -33,8 +33,9 @@
 /// Rows returned by a read of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Batch {
-    /// Version of the store up to which the batch is complete.
-    pub version: u64,
+    /// Position of the store up to which the batch is complete. The versions of all rows are of its
+    /// era.
+    pub position: StorePosition,
     /// Changed rows in order, or all rows.
     pub rows: Vec<StoreRow>,
 }
@@ -81,11 +82,12 @@
     /// Reads all rows of `topic`.
     fn read(&self, topic: Topic) -> LocalBoxFuture<'_, Result<Batch, SourceError>>;
 
-    /// Waits up to `wait` for changes of `topic` after version `after`, and returns them.
+    /// Waits up to `wait` for changes of `topic` after `after`, and returns them. If the store's era
+    /// has changed since, the batch only tells the new one and has no rows.
     fn changes(
         &self,
         topic: Topic,
-        after: u64,
+        after: StorePosition,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Batch, SourceError>>;
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{Event, Gateway, RouteTable, Routing};
-use sesamewind_protocol::relay::{RowsRequest, StoreRow, Topic};
+use sesamewind_protocol::relay::{RowsReply, RowsRequest, StorePosition, StoreRow, Topic};
 use tokio::time::sleep;
 
 use crate::driver::Driver;
@@ -64,11 +64,10 @@
 
 /// Keeps the local state of `topic` up to date for as long as the instance runs.
 pub async fn follow(driver: Rc<Driver>, source: Rc<dyn Source>, peers: Rc<Peers>, topic: Topic) {
-    let mut watch = Watch { driver, source, peers, topic, version: None, failures: 0 };
+    let known = StorePosition::default();
+    let mut watch = Watch { driver, source, peers, topic, known, read: false, failures: 0 };
     loop {
-        if watch.version.is_some()
-            && watch.driver.with_gateway(|g| g.follows_peers(watch.driver.now()))
-        {
+        if watch.read && watch.driver.with_gateway(|g| g.follows_peers(watch.driver.now())) {
             watch.poll_peer().await;
         } else {
             watch.poll_store().await;
@@ -82,37 +81,44 @@
     source: Rc<dyn Source>,
     peers: Rc<Peers>,
     topic: Topic,
-    /// Newest version of the store that was read; none if all rows must be read.
-    version: Option<u64>,
+    /// Newest position of the store that was read.
+    known: StorePosition,
+    /// Whether all rows up to `known` were read, so that reading changes is enough.
+    read: bool,
     failures: u32,
 }
 
 impl Watch {
     /// Reads changes from the store, or all rows.
     async fn poll_store(&mut self) {
-        let result = match self.version {
-            None => self.source.read(self.topic).await,
+        let after = self.known;
+        let whole = !self.read;
+        let result = if whole {
+            self.source.read(self.topic).await
+        } else if self.failures > 0 {
             // While the store is unreachable, calls without a wait detect its recovery sooner.
-            Some(after) if self.failures > 0 => {
-                self.source.changes(self.topic, after, Duration::ZERO).await
-            }
-            Some(after) => tokio::select! {
+            self.source.changes(self.topic, after, Duration::ZERO).await
+        } else {
+            tokio::select! {
                 result = self.source.changes(self.topic, after, self.watch_wait()) => result,
                 () = peer_ahead(&self.driver) => {
-                    self.source.changes(self.topic, after, Duration::ZERO).await
+                    let result = self.source.changes(self.topic, after, Duration::ZERO).await;
+                    self.read_retained().await;
+                    result
                 }
-            },
+            }
         };
         match result {
-            Ok(batch) => self.apply_batch(batch).await,
+            Ok(batch) => self.apply_batch(batch, whole).await,
             Err(SourceError::HistoryGone) => {
                 log::warn!(
                     event = "history_gone",
                     topic = self.topic.as_str(),
-                    after = self.version;
+                    after = after.version;
                     "change history not available; reading all rows"
                 );
-                self.version = None;
+                self.read = false;
+                sleep(retry_pause(0)).await;
             }
             Err(err) => {
                 self.failures += 1;
@@ -139,7 +145,8 @@
         if self.driver.with_gateway(Gateway::shares_watch) { SHARED_WATCH_WAIT } else { WATCH_WAIT }
     }
 
-    async fn apply_batch(&mut self, batch: Batch) {
+    /// Applies rows read from the store: all of them if `whole`, else those that changed.
+    async fn apply_batch(&mut self, batch: Batch, whole: bool) {
         if self.failures > 0 {
             let failures = std::mem::take(&mut self.failures);
             log::info!(
@@ -153,15 +160,23 @@
             }
         }
         self.driver.topic(self.topic).checked.set(self.driver.now());
-        let known = self.version;
-        // A stale replica may answer with an older version.
-        if known.is_some_and(|known| batch.version < known) {
+        // A stale replica may answer from an earlier position.
+        if batch.position < self.known {
+            return;
+        }
+        self.driver.observe_era(batch.position.era);
+        if !whole && batch.position.era > self.known.era {
+            // The changes since `known` are lost, and its version has another meaning now. Instances
+            // read the copy at different times.
+            self.read = false;
+            sleep(retry_pause(0)).await;
             return;
         }
-        self.version = Some(batch.version);
+        self.known = batch.position;
+        self.read = true;
         let changed = !batch.rows.is_empty();
         let unconfigured = self.driver.with_gateway(|gateway| gateway.table().is_none());
-        self.apply_rows(batch.rows, known.is_none());
+        self.apply_rows(batch.rows, batch.position.era, whole);
         if self.topic == Topic::Configuration && unconfigured {
             restore_usage(&self.driver, self.source.as_ref()).await;
         }
@@ -181,11 +196,7 @@
         let Some(address) = state.ahead_peer.take() else { return };
         let after = state.cache.borrow().newest();
         match self.peers.rows(address, RowsRequest { topic: self.topic, after }).await {
-            Ok(reply) if reply.newest >= after => {
-                self.version = self.version.max(Some(reply.newest));
-                self.apply_rows(reply.rows, reply.whole);
-            }
-            Ok(_) => {}
+            Ok(reply) => self.apply_reply(reply, after),
             Err(err) => {
                 log::warn!(
                     event = "peer_rows_lost",
@@ -197,21 +208,63 @@
         }
     }
 
-    /// Applies changed rows, or all rows if `whole`.
-    fn apply_rows(&self, rows: Vec<StoreRow>, whole: bool) {
+    /// Applies the rows of a peer that has more than this instance had at `after`.
+    fn apply_reply(&mut self, reply: RowsReply, after: StorePosition) {
+        if reply.newest >= after {
+            self.driver.observe_era(reply.newest.era);
+            self.known = self.known.max(reply.newest);
+            self.apply_rows(reply.rows, reply.newest.era, reply.whole);
+        }
+        self.apply_retained(&reply.retained);
+    }
+
+    /// Asks a peer with a newer configuration for rows that the store has lost.
+    async fn read_retained(&self) {
+        let state = self.driver.topic(self.topic);
+        let Some(address) = state.ahead_peer.take() else { return };
+        let after = state.cache.borrow().newest();
+        match self.peers.rows(address, RowsRequest { topic: self.topic, after }).await {
+            Ok(reply) => self.apply_retained(&reply.retained),
+            Err(err) => log::debug!("retained rows could not be read from {address}: {err}"),
+        }
+    }
+
+    /// Installs a configuration that the store has lost. Other lost rows are left to their writers.
+    fn apply_retained(&self, rows: &[StoreRow]) {
+        for notice in self.source.decode(self.topic, rows) {
+            if let Notice::Routing(routing) = notice {
+                install_routing(&self.driver, *routing);
+            }
+        }
+    }
+
+    /// Updates the local copy of the rows. Returns those to apply, and whether they are all rows of
+    /// an older copy of the store.
+    fn update_cache(&self, rows: Vec<StoreRow>, era: u64, whole: bool) -> (Vec<StoreRow>, bool) {
         let mut cache = self.driver.topic(self.topic).cache.borrow_mut();
-        let rows = if whole {
-            cache.replace(&rows);
-            rows
+        let known = cache.newest();
+        if !whole {
+            return (cache.apply_changes(rows), false);
+        }
+        let set_back = known != StorePosition::default() && era > known.era;
+        if set_back && self.topic == Topic::Configuration {
+            cache.replace_and_retain(&rows, era);
         } else {
-            cache.apply_changes(rows)
-        };
-        let newest = cache.newest();
-        drop(cache);
+            cache.replace(&rows, era);
+        }
+        (rows, set_back)
+    }
+
+    /// Applies changed rows, or all rows if `whole`, read in `era`.
+    fn apply_rows(&self, rows: Vec<StoreRow>, era: u64, whole: bool) {
+        let (rows, set_back) = self.update_cache(rows, era, whole);
+        let newest = self.driver.topic(self.topic).cache.borrow().newest().version;
         let mut changes = Vec::new();
         for notice in self.source.decode(self.topic, &rows) {
             match notice {
                 Notice::Routing(routing) => install_routing(&self.driver, *routing),
+                // The copy may hold the order before the latest one, which must not run again.
+                Notice::Order(_) if set_back => {}
                 Notice::Order(order) => {
                     let (service, version) = (order.service.as_str(), order.version.as_str());
                     let duration_ms = order.duration.as_millis() as u64;
@@ -239,7 +292,9 @@
                 }
             }
         }
-        if self.topic == Topic::Targets && whole {
+        if self.topic == Topic::Targets && set_back {
+            self.driver.handle(Event::ListedFromCopy(changes));
+        } else if self.topic == Topic::Targets && whole {
             self.driver.handle(Event::ListedAll(changes));
         } else if !changes.is_empty() {
             self.driver.handle(Event::Listed(changes));
@@ -284,19 +339,27 @@
     }
 }
 
-/// Writes this instance's announcement to the store, with retries until it succeeds.
-pub async fn announce(source: Rc<dyn Source>, me: Announcement) {
-    let mut failures = 0;
-    while let Err(err) = source.announce(&me).await {
-        failures += 1;
-        if failures == 1 {
-            log::warn!(
-                event = "announce_failed",
-                cause:% = err;
-                "announcement could not be written"
-            );
+/// Writes this instance's announcement to the store, with retries until it succeeds, and again each
+/// time the store comes back from an older copy.
+pub async fn announce(driver: Rc<Driver>, source: Rc<dyn Source>, me: Announcement) {
+    let mut era = driver.era_changes();
+    loop {
+        let mut failures = 0;
+        while let Err(err) = source.announce(&me).await {
+            failures += 1;
+            if failures == 1 {
+                log::warn!(
+                    event = "announce_failed",
+                    cause:% = err;
+                    "announcement could not be written"
+                );
+            }
+            sleep(retry_pause(failures)).await;
+        }
+        if era.changed().await.is_err() {
+            return;
         }
-        sleep(retry_pause(failures)).await;
+        sleep(retry_pause(0)).await;
     }
 }
 
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -6,5 +6,5 @@
 mod store;
 mod target;
 
-pub use store::{RowStore, StoreMode};
+pub use store::{RowStore, Snapshot, StoreMode};
 pub use target::{Behaviour, Received, RelayTarget, Script, TargetOptions, body, event};
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -8,7 +8,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use form_urlencoded::parse;
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use serde::Serialize;
 use serde_json::{Value, json};
 use sesamewind_adapter::names;
@@ -54,7 +54,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Row {
     value: Option<Vec<u8>>,
     version: u64,
@@ -64,6 +64,8 @@
 struct State {
     mode: StoreMode,
     version: u64,
+    /// Rises each time the store is set back.
+    era: u64,
     /// Rows by table and key; removed rows stay without a value.
     rows: BTreeMap<(String, String), Row>,
     calls: u64,
@@ -76,6 +78,13 @@
     start: Instant,
 }
 
+/// Copy of a store's rows.
+#[derive(Debug)]
+pub struct Snapshot {
+    version: u64,
+    rows: BTreeMap<(String, String), Row>,
+}
+
 /// A running row store; dropping it stops it.
 #[derive(Debug)]
 pub struct RowStore {
@@ -111,6 +120,22 @@
         self.core.changed.notify_waiters();
     }
 
+    /// Returns a copy of all rows.
+    pub fn snapshot(&self) -> Snapshot {
+        let state = self.core.state();
+        Snapshot { version: state.version, rows: state.rows.clone() }
+    }
+
+    /// Loses all that was written since the copy was made. Versions go back and are given out again.
+    pub fn set_back(&self, snapshot: Snapshot) {
+        let mut state = self.core.state();
+        state.version = snapshot.version;
+        state.rows = snapshot.rows;
+        state.era += 1;
+        drop(state);
+        self.core.changed.notify_waiters();
+    }
+
     /// Writes a row with a JSON value.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().into_bytes());
@@ -192,11 +217,19 @@
     }
 
     async fn feed(&self, table: &str, after: u64, wait: Duration) -> Response {
+        if after > self.state().version {
+            return refusal_response(StatusCode::GONE);
+        }
+        let era = self.state().era;
         let changes = async {
             loop {
                 let changed = self.changed.notified();
                 let rows = self.rows(table, Some(after));
-                if !rows.is_empty() || self.state().mode.feed_refusal_status().is_some() {
+                let is_changed = {
+                    let state = self.state();
+                    state.mode.feed_refusal_status().is_some() || state.era != era
+                };
+                if is_changed || !rows.is_empty() {
                     return rows;
                 }
                 changed.await;
@@ -239,6 +272,15 @@
 
 impl Handler for Core {
     async fn handle(self: Arc<Self>, call: Call) -> Response {
+        let mut answer = Arc::clone(&self).answer(call).await;
+        let era = HeaderValue::from(self.state().era);
+        answer.headers_mut().insert(names::STORE_ERA, era);
+        answer
+    }
+}
+
+impl Core {
+    async fn answer(self: Arc<Self>, call: Call) -> Response {
         let mode = {
             let mut state = self.state();
             state.calls += 1;
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -5,6 +5,7 @@
 mod notices;
 mod path;
 mod rollouts;
+mod set_back;
 mod state;
 mod stops;
 mod testbed;
