Bound the time in which a request's body arrives

A body was read without a time-out (a caller that sends a byte now and then held its connection and memory for ever), one that broke off was answered as 'outcome unknown' though nothing was sent to a target, one over the limit wrote no line, and one whose stated length exceeds the limit was read up to it first.

Change: the body must arrive within the time that the caller waits; then 503 (not run). A broken one is answered 400, one over the limit 413, at once if its length is stated; each writes a rejected line with its cause.

HeadError is RequestError now, since it covers the body.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -7,18 +7,20 @@
 use bytes::Bytes;
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use sesamewind_gateway::sse::EventScanner;
 use sesamewind_gateway::{
-    Arrival, AttemptOutcome, Event, Gateway, Refusal, RefusalReason, Repeat, Step,
+    Arrival, AttemptOutcome, Event, Gateway, Refusal, RefusalReason, Repeat, Route, Step,
 };
 use sesamewind_protocol::{RequestKey, text_hash};
+use tokio::time::timeout;
 
 use crate::answer::{Answer, AnswerBody};
 use crate::attempt::{Call, Received};
 use crate::driver::{CallerGuard, Driver};
 use crate::journal;
 use crate::stream;
+use crate::wire_format::{CallerHead, RequestError};
 
 /// Retry delay for callers of an instance that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -47,12 +49,19 @@
             return driver.wire_format.rejected(rejection);
         }
     };
-    let body = match Limited::new(body, table.limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(err) if err.is::<LengthLimitError>() => return driver.wire_format.too_large(),
-        Err(err) => {
-            journal::rejected(&caller.id, &err.to_string(), table.revision.0);
-            return driver.wire_format.failed(AttemptOutcome::Broken);
+    let wait = wait_time(&caller, &resolved.route);
+    let body = match read_body(body, table.limits.body_bytes, wait).await {
+        Ok(body) => body,
+        Err(error) => {
+            journal::rejected(&caller.id, error.as_str(), table.revision.0);
+            return match error {
+                BodyError::TooLarge => driver.wire_format.too_large(),
+                BodyError::Broken => driver.wire_format.malformed(RequestError::BrokenBody),
+                BodyError::TooSlow => {
+                    let refusal = Refusal::before_arrival(RefusalReason::Expired, Duration::ZERO);
+                    driver.wire_format.refused(&refusal)
+                }
+            };
         }
     };
     let ticket = driver.new_ticket();
@@ -70,10 +79,52 @@
     call.serve().await
 }
 
+/// Why the body of a request was not read to its end. The request has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyError {
+    /// It exceeds the limit.
+    TooLarge,
+    /// The connection failed, or the body is not framed as its head says.
+    Broken,
+    /// It did not arrive before the request's deadline.
+    TooSlow,
+}
+
+impl BodyError {
+    /// Returns the error as written in logs.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::TooLarge => "body too large",
+            Self::Broken => "body broken",
+            Self::TooSlow => "body too slow",
+        }
+    }
+}
+
+/// Reads a body of at most `limit` bytes within `wait`, however slowly its bytes arrive.
+async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, BodyError> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > limit {
+        return Err(BodyError::TooLarge);
+    }
+    match timeout(wait, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Ok(Err(err)) => {
+            log::debug!("body could not be read: {err}");
+            Err(BodyError::Broken)
+        }
+        Err(_) => Err(BodyError::TooSlow),
+    }
+}
+
+/// Returns how long the caller of a request waits for its answer.
+fn wait_time(caller: &CallerHead, route: &Route) -> Duration {
+    caller.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout))
+}
+
 impl Call {
     fn arrival(&self) -> Arrival {
-        let timeout = self.route.timeout;
-        let wait = self.caller.timeout.map_or(timeout, |caller| caller.min(timeout));
         Arrival {
             ticket: self.ticket,
             route: self.route.clone(),
@@ -82,7 +133,7 @@
             output_tokens: self.caller.output_tokens,
             prefix: self.caller.prefix,
             point: split_point(&self.caller.id),
-            deadline: self.arrived + wait,
+            deadline: self.arrived + wait_time(&self.caller, &self.route),
         }
     }
 
--- a/crates/relay/src/wire_format.rs
+++ b/crates/relay/src/wire_format.rs
@@ -33,21 +33,24 @@
     pub last_event: Option<String>,
 }
 
-/// Error in a caller's request head.
+/// Error in a caller's request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum HeadError {
+pub enum RequestError {
     /// The request has no identity, or one that is empty or not valid text.
     NoIdentity,
     /// The request has no host.
     NoHost,
+    /// The request's body broke off, or is not framed as the head says.
+    BrokenBody,
 }
 
-impl HeadError {
+impl RequestError {
     /// Returns the error as written in logs and answers.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoIdentity => "no request identity",
             Self::NoHost => "no host",
+            Self::BrokenBody => "broken body",
         }
     }
 }
@@ -97,8 +100,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`HeadError`] if the request can't be forwarded.
-    fn read_caller(&self, head: &request::Parts) -> Result<CallerHead, HeadError>;
+    /// Returns a [`RequestError`] if the request can't be forwarded.
+    fn read_caller(&self, head: &request::Parts) -> Result<CallerHead, RequestError>;
 
     /// Returns the headers of the request to a target.
     fn target_headers(&self, caller: &request::Parts, forward: &ForwardHead<'_>) -> HeaderMap;
@@ -125,7 +128,7 @@
     fn rejected(&self, rejection: Rejection) -> Answer;
 
     /// Returns the answer to a request with an invalid head.
-    fn malformed(&self, error: HeadError) -> Answer;
+    fn malformed(&self, error: RequestError) -> Answer;
 
     /// Returns the answer to a request whose body exceeds the limit.
     fn too_large(&self) -> Answer;
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of real gateway processes against stand-ins of the users' platform.
 
+mod bodies;
 mod explain;
 mod faults;
 mod notices;
