Apply all bounds of reloaded settings

A reload said so in the log but kept the bounds on account limits and the window of the retry budget of known services. Now the limits are recomputed, and the window is replaced. Tests: quota::new_bounds_apply_at_once and retries::a_new_window_applies_to_a_budget_in_use; both calls did not exist before.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -42,10 +42,11 @@
         Self { ratio, extra, window, buckets: VecDeque::new(), first: 0, retries: 0 }
     }
 
-    /// Replaces `ratio` and `extra`. The window stays as it is.
-    pub fn retune(&mut self, ratio: f64, extra: f64) {
+    /// Replaces `ratio`, `extra` and `window`.
+    pub fn retune(&mut self, ratio: f64, extra: f64, window: Duration) {
         self.ratio = ratio;
         self.extra = extra;
+        self.window = window;
     }
 
     /// Counts a first attempt.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -201,12 +201,13 @@
         self.rollouts.apply_record(record, now);
     }
 
-    /// Applies new limits and weights, except the bounds on account limits and, for services that
-    /// are already known, the window of the retry budget.
-    pub fn retune(&mut self, tuning: Tuning) {
+    /// Applies new limits and weights.
+    pub fn retune(&mut self, tuning: Tuning, now: Time) {
         for service in self.services.values_mut() {
-            service.budget.retune(tuning.retry_ratio, tuning.retry_extra);
+            service.budget.retune(tuning.retry_ratio, tuning.retry_extra, tuning.retry_window);
         }
+        let accounts = self.table.iter().flat_map(|table| table.accounts());
+        self.quotas.retune(tuning.quota, accounts.map(Arc::as_ref), now);
         self.tuning = tuning;
     }
 
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -144,6 +144,17 @@
         }
     }
 
+    /// Replaces the bounds on the limits of all accounts.
+    pub fn retune<'a>(
+        &mut self,
+        bounds: QuotaBounds,
+        accounts: impl Iterator<Item = &'a Account>,
+        now: Time,
+    ) {
+        self.bounds = bounds;
+        self.configure(accounts, now);
+    }
+
     /// Applies the accounts of a new configuration.
     pub fn configure<'a>(&mut self, accounts: impl Iterator<Item = &'a Account>, now: Time) {
         let first = self.meters.is_empty() && self.joined;
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -6,10 +6,11 @@
 use rand_chacha::ChaCha8Rng;
 use sesamewind_gateway::quota::{QuotaBounds, Quotas, SavedUsage};
 use sesamewind_gateway::table::Account;
+use sesamewind_gateway::{RefusalReason, Ticket, Tuning};
 use sesamewind_protocol::{AccountId, Incarnation, InstanceId, Time};
 use sesamewind_seeded::Cases;
 
-use crate::support::{account, at};
+use crate::support::{Bench, MODEL, account, at, routing, target};
 
 const BOUNDS: QuotaBounds =
     QuotaBounds { window: Duration::from_secs(8), overage: 0.1, slack: 1_000.0 };
@@ -329,3 +330,37 @@
     let all = (0..count).flat_map(move |from| (0..count).map(move |to| (from, to)));
     all.filter(|(from, to)| from != to)
 }
+
+/// New bounds apply to limits that are already in use.
+#[test]
+fn new_bounds_apply_at_once() {
+    struct Case {
+        name: &'static str,
+        bounds: QuotaBounds,
+        /// Requests that are accepted after the bounds are replaced.
+        more: usize,
+    }
+    // Each request costs 200 units, and the account gets 100 a second.
+    let bounds =
+        |seconds, slack| QuotaBounds { window: Duration::from_secs(seconds), overage: 0.0, slack };
+    let cases = [
+        Case { name: "unchanged", bounds: bounds(10, 0.0), more: 0 },
+        Case { name: "longer window", bounds: bounds(20, 0.0), more: 5 },
+        Case { name: "slack", bounds: bounds(10, 1_000.0), more: 3 },
+    ];
+    for case in cases {
+        let mut routing = routing();
+        routing.accounts[0].rate = 100.0;
+        let first = Tuning { quota: bounds(10, 0.0), ..Tuning::default() };
+        let mut bench = Bench::new(routing, vec![target("m0", MODEL, 50)], first.clone());
+        let accepted = |bench: &mut Bench| {
+            let tickets: Vec<_> = (0..20).map(|_| bench.arrive("usual", 100, at(10))).collect();
+            let is_over =
+                |ticket: &&Ticket| bench.reason(**ticket) == Some(RefusalReason::OverLimit);
+            tickets.len() - tickets.iter().filter(is_over).count()
+        };
+        assert_eq!(accepted(&mut bench), 5, "{}", case.name);
+        bench.gateway.retune(Tuning { quota: case.bounds, ..first }, at(10));
+        assert_eq!(accepted(&mut bench), case.more, "{}", case.name);
+    }
+}
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -119,3 +119,15 @@
         assert!(!retries.is_empty());
     }
 }
+
+/// A longer window keeps counting the retries that a shorter one would have dropped.
+#[test]
+fn a_new_window_applies_to_a_budget_in_use() {
+    let mut budget = RetryBudget::new(0.0, 10.0, Duration::from_secs(1));
+    let taken =
+        |budget: &mut RetryBudget, now: u64| (0..20).filter(|_| budget.acquire(1, at(now))).count();
+    assert_eq!(taken(&mut budget, 0), 7);
+    budget.retune(0.0, 10.0, Duration::from_secs(10));
+    assert_eq!(taken(&mut budget, 3_000), 0);
+    assert_eq!(taken(&mut budget, 12_000), 7);
+}
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -204,7 +204,9 @@
         }
         match RelaySettings::load(self.path) {
             Ok(settings) => {
-                driver.with_gateway_mut(|gateway| gateway.retune(gateway_tuning(&settings)));
+                let tuning = gateway_tuning(&settings);
+                let now = driver.now();
+                driver.with_gateway_mut(|gateway| gateway.retune(tuning, now));
                 log::info!(event = "reloaded", asked; "settings reloaded");
             }
             Err(faults) => {
