--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -96,16 +96,6 @@
         self.refuse_during_rest(&service, now);
     }
 
-    /// Refuses the waiting requests whose wait would end before any target takes requests again.
-    fn refuse_during_rest(&mut self, service: &ServiceId, now: Time) {
-        let Some(rest) = self.rest_of_all(service, now) else { return };
-        let Some(state) = self.services.get(service) else { return };
-        for ticket in state.queue.overdue(now + rest) {
-            let Some(request) = self.requests.remove(&ticket) else { continue };
-            self.abandon(ticket, request, now);
-        }
-    }
-
     /// Refuses the last requests of a queue that is too long for them to meet their objective, so
     /// that their callers are refused immediately instead of later.
     fn shorten_queue(&mut self, service: &ServiceId, wait: Duration, now: Time) {
@@ -139,32 +129,6 @@
         self.rollouts.count_start(&request.service, route, (id, version), ratio, now);
     }
 
-    /// Stops sending requests to a target that is leaving. Those that wait go elsewhere.
-    pub(crate) fn target_leaving(&mut self, ticket: Ticket, now: Time) {
-        let Some(index) = self.target_of(ticket) else { return };
-        self.targets.get_mut(index).record_leaving(now);
-    }
-
-    /// Sends no requests to a target for the time that it asked for.
-    pub(crate) fn target_resting(&mut self, ticket: Ticket, rest: Duration, now: Time) {
-        let Some(index) = self.target_of(ticket) else { return };
-        self.targets.get_mut(index).record_rest(rest, now);
-    }
-
-    /// Returns the target of a request's attempt.
-    fn target_of(&self, ticket: Ticket) -> Option<Index> {
-        match &self.requests.get(&ticket)?.state {
-            State::InFlight(attempt) => Some(attempt.target),
-            State::Waiting { .. } => None,
-        }
-    }
-
-    /// Returns how long all usable targets of a service want no requests from this instance; none
-    /// if one of them takes requests.
-    fn rest_of_all(&self, service: &ServiceId, now: Time) -> Option<Duration> {
-        self.targets.shortest_rest(&self.services.get(service)?.targets, now)
-    }
-
     /// Learns from a stream's number of events and longest pause how long the route's streams are
     /// and how fast the target is. Streams that were resumed are ignored, since resuming them
     /// caused a pause.
@@ -521,7 +485,7 @@
         }
     }
 
-    fn abandon(&mut self, ticket: Ticket, request: Request, now: Time) {
+    pub(crate) fn abandon(&mut self, ticket: Ticket, request: Request, now: Time) {
         let usable = self.services.get(&request.service).is_some_and(|service| {
             service.targets.iter().any(|&index| self.targets.get(index).is_usable(now))
         });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gateway;
 mod groups;
 mod meter;
+mod notices;
 pub mod peers;
 pub mod proof;
 pub mod queue;
--- /dev/null
+++ b/crates/gateway/src/notices.rs
@@ -0,0 +1,49 @@
+//! What targets say about themselves in their answers: that they are leaving, or that they want no
+//! requests from this instance for a while.
+
+use std::time::Duration;
+
+use sesamewind_protocol::{ServiceId, Time};
+
+use crate::arrival::Ticket;
+use crate::gateway::Gateway;
+use crate::request::State;
+use crate::targets::Index;
+
+impl Gateway {
+    /// Stops sending requests to a target that is leaving. Those that wait go elsewhere.
+    pub(crate) fn target_leaving(&mut self, ticket: Ticket, now: Time) {
+        let Some(index) = self.target_of(ticket) else { return };
+        self.targets.get_mut(index).record_leaving(now);
+    }
+
+    /// Sends no requests to a target for the time that it asked for.
+    pub(crate) fn target_resting(&mut self, ticket: Ticket, rest: Duration, now: Time) {
+        let Some(index) = self.target_of(ticket) else { return };
+        self.targets.get_mut(index).record_rest(rest, now);
+    }
+
+    /// Returns the target of a request's attempt.
+    fn target_of(&self, ticket: Ticket) -> Option<Index> {
+        match &self.requests.get(&ticket)?.state {
+            State::InFlight(attempt) => Some(attempt.target),
+            State::Waiting { .. } => None,
+        }
+    }
+
+    /// Returns how long all usable targets of a service want no requests from this instance; none
+    /// if one of them takes requests.
+    pub(crate) fn rest_of_all(&self, service: &ServiceId, now: Time) -> Option<Duration> {
+        self.targets.shortest_rest(&self.services.get(service)?.targets, now)
+    }
+
+    /// Refuses the waiting requests whose wait would end before any target takes requests again.
+    pub(crate) fn refuse_during_rest(&mut self, service: &ServiceId, now: Time) {
+        let Some(rest) = self.rest_of_all(service, now) else { return };
+        let Some(state) = self.services.get(service) else { return };
+        for ticket in state.queue.overdue(now + rest) {
+            let Some(request) = self.requests.remove(&ticket) else { continue };
+            self.abandon(ticket, request, now);
+        }
+    }
+}
