--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -226,8 +226,8 @@
         self.services.values().map(|service| service.queue.len()).sum()
     }
 
-    /// Returns this instance's state for the peer `to`. `list_position` is the newest position of the
-    /// target list known here, and `checked` the time of the last contact with the store.
+    /// Returns this instance's state for the peer `to`. `list_position` is the newest position of
+    /// the target list known here, and `checked` the time of the last contact with the store.
     pub fn peer_update(
         &mut self,
         to: &InstanceId,
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -269,9 +269,9 @@
         }
     }
 
-    /// Enters an era of the store. It may have lost what was written last: the states of all rollouts are written
-    /// again. Their outcomes stay as they are known, and reports that a peer saw one recorded in an
-    /// earlier era no longer count.
+    /// Enters an era of the store, which may have lost what was written last: the states of all
+    /// rollouts are written again. Their outcomes stay as they are known, and reports that a peer
+    /// saw one recorded in an earlier era no longer count.
     pub fn enter_era(&mut self, era: u64) {
         self.era = era;
         for rollout in self.rollouts.values_mut() {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -160,8 +160,12 @@
             }
         }
         self.driver.topic(self.topic).checked.set(self.driver.now());
-        // A stale replica may answer from an earlier position.
+        // A stale replica may answer from an earlier position. All rows are read again at once, which
+        // must not become a loop without a pause.
         if batch.position < self.known {
+            if whole {
+                sleep(retry_pause(1)).await;
+            }
             return;
         }
         self.driver.observe_era(batch.position.era);
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -136,6 +136,15 @@
         self.core.changed.notify_waiters();
     }
 
+    /// Serves a copy without a new era, as a replica does that is behind.
+    pub fn serve_copy(&self, snapshot: Snapshot) {
+        let mut state = self.core.state();
+        state.version = snapshot.version;
+        state.rows = snapshot.rows;
+        drop(state);
+        self.core.changed.notify_waiters();
+    }
+
     /// Writes a row with a JSON value.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().into_bytes());
--- a/tests/all/relay/set_back.rs
+++ b/tests/all/relay/set_back.rs
@@ -116,6 +116,27 @@
     }
 }
 
+/// A replica that is behind changes nothing, and is not asked without a pause until it has caught up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stale_replica_is_asked_with_pauses() {
+    let testbed = Testbed::start(0, 1).await;
+    let behind = testbed.store.snapshot();
+    testbed.store.configure(&moved_to("/moved/", 5));
+    until("the route is served", async || status(&testbed, "/moved/x").await == 200).await;
+    let ahead = testbed.store.snapshot();
+    testbed.store.serve_copy(behind);
+    let before = testbed.store.calls();
+    // The pending calls for changes end after 3 s. In the next two, two watches read all rows with
+    // pauses of 0.1 s or more.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let calls = testbed.store.calls() - before;
+    assert!(calls < 60, "{calls} calls");
+    assert_eq!(status(&testbed, "/moved/x").await, 200);
+    testbed.store.serve_copy(ahead);
+    testbed.store.configure(&moved_to("/again/", 6));
+    until("the next one is in force", async || status(&testbed, "/again/x").await == 200).await;
+}
+
 /// What the instance wrote is written again: its announcement, and the outcome of a rollout.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn own_rows_are_written_again() {
