--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -71,6 +71,13 @@
     calls: u64,
 }
 
+/// Rows as of one moment, and the version of the store at that moment.
+#[derive(Debug)]
+struct Page {
+    version: u64,
+    rows: Vec<Value>,
+}
+
 #[derive(Debug)]
 struct Core {
     state: Mutex<State>,
@@ -199,15 +206,16 @@
         self.changed.notify_waiters();
     }
 
-    fn page(&self, rows: Vec<Value>) -> Response {
+    fn page(&self, Page { version, rows }: Page) -> Response {
         let now = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let version = self.state().version;
         let body = json!({"rows": rows, "hasMore": false, "rowVersion": version, "nowMs": now});
         server::json(StatusCode::OK, &body)
     }
 
-    fn rows(&self, table: &str, after: Option<u64>) -> Vec<Value> {
+    /// Returns all rows of a table, or those that changed after a version.
+    fn rows(&self, table: &str, after: Option<u64>) -> Page {
         let state = self.state();
+        let version = state.version;
         let mut rows: Vec<_> = state.rows.iter().filter(|((t, _), _)| t == table).collect();
         rows.retain(|(_, row)| after.map_or(row.value.is_some(), |after| row.version > after));
         if after.is_some() {
@@ -222,7 +230,7 @@
             }
             wire
         });
-        wire.collect()
+        Page { version, rows: wire.collect() }
     }
 
     async fn feed(&self, table: &str, after: u64, wait: Duration) -> Response {
@@ -233,23 +241,25 @@
         let changes = async {
             loop {
                 let changed = self.changed.notified();
-                let rows = self.rows(table, Some(after));
+                let page = self.rows(table, Some(after));
                 let is_changed = {
                     let state = self.state();
                     state.mode.feed_refusal_status().is_some() || state.era != era
                 };
-                if is_changed || !rows.is_empty() {
-                    return rows;
+                if is_changed || !page.rows.is_empty() {
+                    return page;
                 }
                 changed.await;
             }
         };
-        let rows = timeout(wait, changes).await.unwrap_or_default();
+        let page = timeout(wait, changes).await;
+        // Without a change, the version is that of the call: a later one might hide a change.
+        let page = page.unwrap_or(Page { version: after, rows: Vec::new() });
         let refusal_status = self.state().mode.feed_refusal_status();
         if let Some(status) = refusal_status {
             return refusal_response(status);
         }
-        self.page(rows)
+        self.page(page)
     }
 
     fn transact(&self, body: &[u8]) -> Response {
@@ -263,7 +273,7 @@
             let version = row.filter(|row| row.value.is_some()).map_or(0, |row| row.version);
             if condition["rowVersion"].as_u64() != Some(version) {
                 drop(state);
-                let rows = self.rows(&text("table"), None);
+                let rows = self.rows(&text("table"), None).rows;
                 let key = text("key");
                 let current: Vec<_> = rows.into_iter().filter(|row| row["key"] == key).collect();
                 let body = json!({ "rows": current });
@@ -275,7 +285,8 @@
             let value = STANDARD.decode(text("value")).unwrap_or_default();
             self.write(&text("table"), &text("key"), Some(value));
         }
-        self.page(Vec::new())
+        let version = self.state().version;
+        self.page(Page { version, rows: Vec::new() })
     }
 }
 
@@ -304,9 +315,9 @@
         match (&call.method, call.path.as_str()) {
             (&Method::GET, names::ROWS_PATH) => {
                 let from = query.get("from").map_or("", String::as_str);
-                let mut rows = self.rows(table, None);
-                rows.retain(|row| row["key"].as_str().is_some_and(|key| key >= from));
-                self.page(rows)
+                let mut page = self.rows(table, None);
+                page.rows.retain(|row| row["key"].as_str().is_some_and(|key| key >= from));
+                self.page(page)
             }
             (&Method::GET, names::FEED_PATH) => {
                 let wait = Duration::from_millis(number("waitMs"));
--- a/tests/all/relay/state.rs
+++ b/tests/all/relay/state.rs
@@ -142,3 +142,33 @@
     })
     .await;
 }
+
+/// The stand-in's pages are of one moment, as the platform's are: a reader that goes on from the
+/// version of each page sees every row, whatever is written meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reader_of_changes_misses_no_row() {
+    const ROWS: usize = 50_000;
+    let store = std::sync::Arc::new(RowStore::start().await);
+    let writing = std::sync::Arc::clone(&store);
+    let writer = std::thread::spawn(move || {
+        for number in 0..ROWS {
+            writing.put("table", &format!("k{number}"), &json!(number));
+        }
+    });
+    let (mut after, mut seen) = (0, std::collections::BTreeSet::new());
+    let client = reqwest::Client::new();
+    until("all rows are read", async || {
+        let path = names::FEED_PATH;
+        let url = format!("http://{}{path}?table=table&after={after}&waitMs=100", store.addr());
+        let answer = client.get(url).send().await.expect("the store answers");
+        let page: serde_json::Value =
+            serde_json::from_slice(&answer.bytes().await.expect("a body")).expect("a page");
+        for row in page["rows"].as_array().expect("rows") {
+            seen.insert(row["key"].as_str().expect("a key").to_owned());
+        }
+        after = page["rowVersion"].as_u64().expect("a version");
+        writer.is_finished() && (seen.len() == ROWS || page["rows"] == json!([]))
+    })
+    .await;
+    assert_eq!(seen.len(), ROWS);
+}
