--- a/crates/gateway/src/rollouts/evidence.rs
+++ b/crates/gateway/src/rollouts/evidence.rs
@@ -1,6 +1,6 @@
 //! Outcomes and latencies that one instance observes during a rollout.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sesamewind_protocol::relay::{
@@ -63,7 +63,7 @@
 /// Evidence of one instance.
 #[derive(Debug, Default)]
 pub(super) struct Evidence {
-    routes: HashMap<RouteId, RouteCounts>,
+    routes: BTreeMap<RouteId, RouteCounts>,
     /// Requests since the start of the rollout.
     requests: u32,
     old_latency: LatencyCounts,
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -11,7 +11,7 @@
 mod schedule;
 mod verdict;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use sesamewind_protocol::relay::{RolloutCounts, RolloutOutcome, RolloutProgress};
@@ -75,7 +75,7 @@
     /// Age of the rollout at a point in time. The order may be older than this instance.
     known_age: (Time, Duration),
     own: Evidence,
-    peers: HashMap<InstanceId, (Incarnation, RolloutCounts)>,
+    peers: BTreeMap<InstanceId, (Incarnation, RolloutCounts)>,
     /// Current share of the new version.
     stage: Stage,
     /// Since when this instance sends all requests to the new version.
@@ -146,7 +146,7 @@
             schedule,
             known_age: (now, Duration::ZERO),
             own: Evidence::starting_from(earlier),
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
             stage: Stage::Share(0.0),
             only_new: None,
             outcome: None,
--- a/crates/gateway/src/rollouts/verdict.rs
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -7,7 +7,7 @@
 //! instance, or of the quarter of the targets, that speaks most against the version, a weaker
 //! difference must remain.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use sesamewind_protocol::RouteId;
 use sesamewind_protocol::relay::{ArmCounts, LatencyCounts, RolloutCounts, TARGET_GROUPS};
@@ -232,12 +232,12 @@
 #[derive(Debug)]
 struct Baseline<'a> {
     service: f64,
-    routes: HashMap<&'a RouteId, f64>,
+    routes: BTreeMap<&'a RouteId, f64>,
 }
 
 impl<'a> Baseline<'a> {
     /// Derives the rates from the old version's requests.
-    fn new(totals: &HashMap<&'a RouteId, RouteTotal>) -> Self {
+    fn new(totals: &BTreeMap<&'a RouteId, RouteTotal>) -> Self {
         let mut all = ArmCounts::default();
         for total in totals.values() {
             all.add(&total.old);
@@ -262,8 +262,11 @@
 }
 
 /// Adds up the counts of each route, except those to leave out.
-fn totals<'a>(reports: &[&'a RolloutCounts], omitted: Omitted) -> HashMap<&'a RouteId, RouteTotal> {
-    let mut totals: HashMap<&RouteId, RouteTotal> = HashMap::new();
+fn totals<'a>(
+    reports: &[&'a RolloutCounts],
+    omitted: Omitted,
+) -> BTreeMap<&'a RouteId, RouteTotal> {
+    let mut totals: BTreeMap<&RouteId, RouteTotal> = BTreeMap::new();
     for (at, report) in reports.iter().enumerate() {
         if omitted.report == Some(at) {
             continue;
