Sum up evidence once, and ask peers for lost rows only where there are any

Found on reading the whole change again; no test, bound or threshold is changed.

- The counts of a rollout were tuples added up by hand beside ArmCounts::add; they are ArmCounts now.
Reports were gathered twice and route totals summed three times per evaluation; both are done once.
Two equal branches that roll a version back at the completion are one.
- Reading rows from a peer that is ahead stood twice in the watch.
One of the two held up the store's answer until the peer had answered (0.5 s at most), and also ran for the target list, where no rows are retained.
It runs after the store's rows are applied, for the configuration only.
A failure there is a peer_rows_lost warning instead of a debug line.
- The age of a rollout was read from the store also when it had ended, where it is of no use: one call less.
- While no request waits, no target is looked at for rests on an arrival.

--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -39,8 +39,10 @@
 
     /// Refuses the waiting requests whose wait would end before any target takes requests again.
     pub(crate) fn refuse_during_rest(&mut self, service: &ServiceId, now: Time) {
+        let Some(state) = self.services.get(service).filter(|state| !state.queue.is_empty()) else {
+            return;
+        };
         let Some(rest) = self.rest_of_all(service, now) else { return };
-        let Some(state) = self.services.get(service) else { return };
         for ticket in state.queue.overdue(now + rest) {
             let Some(request) = self.requests.remove(&ticket) else { continue };
             self.abandon(ticket, request, now);
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use sesamewind_protocol::relay::{RolloutCounts, RolloutOutcome, RolloutProgress};
+use sesamewind_protocol::relay::{ArmCounts, RolloutCounts, RolloutOutcome, RolloutProgress};
 use sesamewind_protocol::{Incarnation, InstanceId, RouteId, ServiceId, TargetId, Time, VersionId};
 
 use self::evidence::{Arm, Evidence};
@@ -27,7 +27,7 @@
 
 /// Minimum number of requests of the new version for its rollout to complete. Of a version that
 /// fails half of its requests, so many show it.
-const MIN_REQUESTS: u64 = 10;
+const MIN_REQUESTS: u32 = 10;
 
 /// Number of instances that write an outcome if those before them in the order do not.
 const MAX_WRITERS: usize = 4;
@@ -115,10 +115,10 @@
     pub service: ServiceId,
     /// Version that was rolled back.
     pub version: VersionId,
-    /// Requests of the new version, and how many of them failed.
-    pub new: (u64, u64),
-    /// Requests of the other versions, and how many of them failed.
-    pub old: (u64, u64),
+    /// Requests of the new version.
+    pub new: ArmCounts,
+    /// Requests of the other versions.
+    pub old: ArmCounts,
 }
 
 /// Latest rollout of each service.
@@ -291,15 +291,15 @@
         for rollout in self.rollouts.values_mut().filter(|rollout| rollout.outcome.is_none()) {
             rollout.own.advance(now);
             let own = rollout.own.report();
-            let verdict = Verdict::new(rollout.reports(&own));
-            let (is_bad, is_suspect) = (verdict.is_bad(), verdict.is_suspect());
             let reports = rollout.reports(&own);
             let (new, old) = totals(&reports);
             let requests = reports.iter().map(|report| u64::from(report.requests)).sum();
+            let verdict = Verdict::new(reports);
+            let (is_bad, is_suspect) = (verdict.is_bad(), verdict.is_suspect());
             rollout.stage = rollout.schedule.stage(Progress {
                 age: rollout.age(now),
                 requests,
-                new_requests: new.0,
+                new_requests: new.requests,
                 is_suspect,
                 capacity: capacity(&rollout.order.service, &rollout.order.version),
             });
@@ -309,7 +309,8 @@
             };
             if is_bad {
                 rollout.outcome = Some((RolloutOutcome::TakenBack, now));
-                rolled_back.push(rollout.rolled_back(new, old));
+                let RolloutOrder { service, version, .. } = rollout.order.clone();
+                rolled_back.push(RolledBack { service, version, new, old });
             }
         }
         rolled_back
@@ -390,42 +391,28 @@
         }
         let own = self.own.report();
         let reports = self.reports(&own);
-        let is_sampled = totals(&reports).0.0 >= MIN_REQUESTS;
-        if Verdict::new(reports).is_suspect() {
+        let is_sampled = totals(&reports).0.requests >= MIN_REQUESTS;
+        let full_since = self.only_new.filter(|_| is_sampled);
+        let is_overdue = full_since.is_none() && self.age(now) >= self.schedule.last + delay;
+        if is_overdue || Verdict::new(reports).is_suspect() {
             self.outcome = Some((RolloutOutcome::TakenBack, now));
             return Some(RecordedState::Ended(RolloutOutcome::TakenBack));
         }
-        if let Some(since) = self.only_new.filter(|_| is_sampled) {
-            if now.since(since) >= self.schedule.drain {
-                return Some(RecordedState::Ended(RolloutOutcome::Completed));
-            }
-        } else if self.age(now) >= self.schedule.last + delay {
-            self.outcome = Some((RolloutOutcome::TakenBack, now));
-            return Some(RecordedState::Ended(RolloutOutcome::TakenBack));
+        if full_since.is_some_and(|since| now.since(since) >= self.schedule.drain) {
+            return Some(RecordedState::Ended(RolloutOutcome::Completed));
         }
         (position == 0).then_some(RecordedState::Running)
     }
-
-    fn rolled_back(&self, new: (u64, u64), old: (u64, u64)) -> RolledBack {
-        RolledBack {
-            service: self.order.service.clone(),
-            version: self.order.version.clone(),
-            new,
-            old,
-        }
-    }
 }
 
-/// Returns the requests and failures of the new version and of the others.
-fn totals(reports: &[&RolloutCounts]) -> ((u64, u64), (u64, u64)) {
-    let (mut new, mut old) = ((0, 0), (0, 0));
+/// Returns the counts of the new version and of the others over all routes.
+fn totals(reports: &[&RolloutCounts]) -> (ArmCounts, ArmCounts) {
+    let (mut new, mut old) = (ArmCounts::default(), ArmCounts::default());
     for route in reports.iter().flat_map(|report| &report.routes) {
         for counts in &route.new {
-            new.0 += u64::from(counts.requests);
-            new.1 += u64::from(counts.failures);
+            new.add(counts);
         }
-        old.0 += u64::from(route.old.requests);
-        old.1 += u64::from(route.old.failures);
+        old.add(&route.old);
     }
     (new, old)
 }
--- a/crates/gateway/src/rollouts/schedule.rs
+++ b/crates/gateway/src/rollouts/schedule.rs
@@ -66,7 +66,7 @@
     /// Requests of the service since the order.
     pub(super) requests: u64,
     /// Requests of the new version.
-    pub(super) new_requests: u64,
+    pub(super) new_requests: u32,
     /// Whether there is evidence against the new version.
     pub(super) is_suspect: bool,
     /// Slots of the new version's usable targets, relative to the old one's.
@@ -142,7 +142,7 @@
 
     /// Returns the share with which the new version receives [`FIRST_REQUESTS`] in time.
     fn sample_share(&self, progress: Progress) -> f64 {
-        if progress.new_requests as f64 >= FIRST_REQUESTS {
+        if f64::from(progress.new_requests) >= FIRST_REQUESTS {
             return FIRST_SHARE;
         }
         let rate = progress.requests as f64 / progress.age.as_secs_f64().max(f64::MIN_POSITIVE);
--- a/crates/gateway/src/rollouts/verdict.rs
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -74,6 +74,8 @@
 #[derive(Debug)]
 pub(super) struct Verdict<'a> {
     reports: Vec<&'a RolloutCounts>,
+    /// Counts of all reports.
+    totals: BTreeMap<&'a RouteId, RouteTotal>,
     baseline: Baseline<'a>,
 }
 
@@ -96,8 +98,9 @@
 impl<'a> Verdict<'a> {
     /// Prepares a verdict on the reports of all instances.
     pub(super) fn new(reports: Vec<&'a RolloutCounts>) -> Self {
-        let baseline = Baseline::new(&totals(&reports, Omitted::default()));
-        Self { reports, baseline }
+        let totals = totals(&reports, None);
+        let baseline = Baseline::new(&totals);
+        Self { reports, totals, baseline }
     }
 
     /// Returns whether the new version is bad.
@@ -197,9 +200,12 @@
     /// the others.
     fn exceeds_failures(&self, omitted: Omitted, thresholds: &Thresholds) -> bool {
         let rates = &self.baseline;
-        let mut routes: Vec<(f64, ArmCounts)> = totals(&self.reports, omitted)
-            .into_iter()
-            .map(|(route, total)| (rates.rate(route), total.new_counts(omitted)))
+        let reduced = omitted.report.map(|report| totals(&self.reports, Some(report)));
+        let mut routes: Vec<(f64, ArmCounts)> = reduced
+            .as_ref()
+            .unwrap_or(&self.totals)
+            .iter()
+            .map(|(route, total)| (rates.rate(route), total.new_counts(omitted.groups)))
             .collect();
         routes.sort_by(|a, b| a.0.total_cmp(&b.0));
         let rule = MaxSprt::default();
@@ -261,14 +267,14 @@
     }
 }
 
-/// Adds up the counts of each route, except those to leave out.
+/// Adds up the counts of each route, except those of the report at `omitted`.
 fn totals<'a>(
     reports: &[&'a RolloutCounts],
-    omitted: Omitted,
+    omitted: Option<usize>,
 ) -> BTreeMap<&'a RouteId, RouteTotal> {
     let mut totals: BTreeMap<&RouteId, RouteTotal> = BTreeMap::new();
     for (at, report) in reports.iter().enumerate() {
-        if omitted.report == Some(at) {
+        if omitted == Some(at) {
             continue;
         }
         for route in &report.routes {
@@ -283,9 +289,9 @@
 }
 
 impl RouteTotal {
-    fn new_counts(&self, omitted: Omitted) -> ArmCounts {
+    fn new_counts(&self, omitted: [bool; TARGET_GROUPS]) -> ArmCounts {
         let mut sum = ArmCounts::default();
-        for (new, is_omitted) in self.new.iter().zip(omitted.groups) {
+        for (new, is_omitted) in self.new.iter().zip(omitted) {
             if !is_omitted {
                 sum.add(new);
             }
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -5,7 +5,7 @@
 use sesamewind_gateway::rollouts::{
     AllowedVersions, RecordedState, RolloutOrder, RolloutRecord, Rollouts,
 };
-use sesamewind_protocol::relay::RolloutOutcome;
+use sesamewind_protocol::relay::{RolloutOutcome, RolloutProgress};
 use sesamewind_protocol::{Incarnation, InstanceId, RouteId, ServiceId, TargetId, VersionId};
 
 use crate::rollout_simulation::{Fault, RolloutResult, Scenario, Version};
@@ -24,6 +24,12 @@
     VersionId::new(name)
 }
 
+/// Returns the order of a rollout that lasts [`DURATION`].
+fn order() -> RolloutOrder {
+    let duration = Duration::from_millis(DURATION);
+    RolloutOrder { service: service(), version: version("v2"), duration }
+}
+
 /// Returns a rollout of a good version without faults.
 fn calm() -> Scenario {
     Scenario {
@@ -229,9 +235,7 @@
 #[test]
 fn old_version_gets_no_requests_before_completion() {
     let mut rollouts = Rollouts::default();
-    let duration = Duration::from_millis(DURATION);
-    rollouts
-        .add_order(RolloutOrder { service: service(), version: version("v2"), duration }, at(0));
+    rollouts.add_order(order(), at(0));
     let allows_old =
         |rollouts: &Rollouts| rollouts.allowed_versions(&service(), 0.5).allows(&version("v1"));
     let allows_new =
@@ -267,9 +271,7 @@
 #[test]
 fn one_stalled_burst_does_not_decide() {
     let mut rollouts = Rollouts::default();
-    let duration = Duration::from_millis(DURATION);
-    rollouts
-        .add_order(RolloutOrder { service: service(), version: version("v2"), duration }, at(0));
+    rollouts.add_order(order(), at(0));
     let route = RouteId::new("r");
     let mut count = |id: &str, name: &str, ratio: f64, now: u64| {
         let target = (&TargetId::new(id), &version(name));
@@ -290,11 +292,6 @@
 /// that instance learns of it from a peer only.
 #[test]
 fn recorded_outcome_replaces_a_peers_own() {
-    let order = || RolloutOrder {
-        service: service(),
-        version: version("v2"),
-        duration: Duration::from_millis(DURATION),
-    };
     let record = |state| RolloutRecord {
         service: service(),
         version: version("v2"),
@@ -310,7 +307,7 @@
     third.add_order(order(), at(0));
     let unrecorded: Vec<_> = concluded
         .into_iter()
-        .map(|progress| sesamewind_protocol::relay::RolloutProgress { recorded: None, ..progress })
+        .map(|progress| RolloutProgress { recorded: None, ..progress })
         .collect();
     third.apply_progress(&InstanceId::new("other"), Incarnation(1), &unrecorded, at(100));
     assert!(!third.allowed_versions(&service(), 0.5).allows(&version("v2")));
@@ -323,13 +320,8 @@
 /// An instance that starts during a rollout takes its age from a peer or from the record.
 #[test]
 fn age_of_a_rollout_outlives_a_restart() {
-    let order = RolloutOrder {
-        service: service(),
-        version: version("v2"),
-        duration: Duration::from_millis(DURATION),
-    };
     let mut old = Rollouts::default();
-    old.add_order(order.clone(), at(0));
+    old.add_order(order(), at(0));
     let progress = old.progress(at(10_000));
     let record = RolloutRecord {
         service: service(),
@@ -339,7 +331,7 @@
     };
     struct Case {
         name: &'static str,
-        learn: fn(&mut Rollouts, &[sesamewind_protocol::relay::RolloutProgress], &RolloutRecord),
+        learn: fn(&mut Rollouts, &[RolloutProgress], &RolloutRecord),
     }
     let cases = [
         Case {
@@ -356,7 +348,7 @@
     for case in cases {
         // The new instance's clock starts at zero.
         let mut rollouts = Rollouts::default();
-        rollouts.add_order(order.clone(), at(400));
+        rollouts.add_order(order(), at(400));
         (case.learn)(&mut rollouts, &progress, &record);
         let age = rollouts.progress(at(700))[0].age;
         assert_eq!(age, Duration::from_millis(10_200), "{}", case.name);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -93,6 +93,7 @@
     async fn poll_store(&mut self) {
         let after = self.known;
         let whole = !self.read;
+        let mut is_peer_ahead = false;
         let result = if whole {
             self.source.read(self.topic).await
         } else if self.failures > 0 {
@@ -102,14 +103,18 @@
             tokio::select! {
                 result = self.source.changes(self.topic, after, self.watch_wait()) => result,
                 () = peer_ahead(&self.driver) => {
-                    let result = self.source.changes(self.topic, after, Duration::ZERO).await;
-                    self.read_retained().await;
-                    result
+                    is_peer_ahead = true;
+                    self.source.changes(self.topic, after, Duration::ZERO).await
                 }
             }
         };
         match result {
-            Ok(batch) => self.apply_batch(batch, whole).await,
+            Ok(batch) => {
+                self.apply_batch(batch, whole).await;
+                if is_peer_ahead && self.topic == Topic::Configuration {
+                    self.read_retained().await;
+                }
+            }
             Err(SourceError::HistoryGone) => {
                 log::warn!(
                     event = "history_gone",
@@ -196,11 +201,19 @@
             () = self.driver.outdated.notified() => {}
             () = sleep(FOLLOW_INTERVAL) => {}
         }
+        if let Some((after, reply)) = self.read_peer().await {
+            self.apply_reply(reply, after);
+        }
+    }
+
+    /// Reads the rows of a peer that has newer ones. Also returns the position after which they were
+    /// asked for.
+    async fn read_peer(&self) -> Option<(StorePosition, RowsReply)> {
         let state = self.driver.topic(self.topic);
-        let Some(address) = state.ahead_peer.take() else { return };
+        let address = state.ahead_peer.take()?;
         let after = state.cache.borrow().newest();
         match self.peers.rows(address, RowsRequest { topic: self.topic, after }).await {
-            Ok(reply) => self.apply_reply(reply, after),
+            Ok(reply) => Some((after, reply)),
             Err(err) => {
                 log::warn!(
                     event = "peer_rows_lost",
@@ -208,6 +221,7 @@
                     address:%;
                     "rows could not be read from a peer: {err}"
                 );
+                None
             }
         }
     }
@@ -224,12 +238,8 @@
 
     /// Asks a peer with a newer configuration for rows that the store has lost.
     async fn read_retained(&self) {
-        let state = self.driver.topic(self.topic);
-        let Some(address) = state.ahead_peer.take() else { return };
-        let after = state.cache.borrow().newest();
-        match self.peers.rows(address, RowsRequest { topic: self.topic, after }).await {
-            Ok(reply) => self.apply_retained(&reply.retained),
-            Err(err) => log::debug!("retained rows could not be read from {address}: {err}"),
+        if let Some((_, reply)) = self.read_peer().await {
+            self.apply_retained(&reply.retained);
         }
     }
 
@@ -452,10 +462,10 @@
                 event = "move_taken_back",
                 service = rolled_back.service.as_str(),
                 version = rolled_back.version.as_str(),
-                new_requests = rolled_back.new.0,
-                new_failures = rolled_back.new.1,
-                old_requests = rolled_back.old.0,
-                old_failures = rolled_back.old.1;
+                new_requests = rolled_back.new.requests,
+                new_failures = rolled_back.new.failures,
+                old_requests = rolled_back.old.requests,
+                old_failures = rolled_back.old.failures;
                 "new version rolled back"
             );
         }
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -135,21 +135,14 @@
 
     /// Loses all that was written since the copy was made. Versions go back and are given out again.
     pub fn set_back(&self, snapshot: Snapshot) {
-        let mut state = self.core.state();
-        state.version = snapshot.version;
-        state.rows = snapshot.rows;
-        state.era += 1;
-        drop(state);
-        self.core.changed.notify_waiters();
+        let era = self.core.state().era + 1;
+        self.core.load(snapshot, era);
     }
 
     /// Serves a copy without a new era, as a replica does that is behind.
     pub fn serve_copy(&self, snapshot: Snapshot) {
-        let mut state = self.core.state();
-        state.version = snapshot.version;
-        state.rows = snapshot.rows;
-        drop(state);
-        self.core.changed.notify_waiters();
+        let era = self.core.state().era;
+        self.core.load(snapshot, era);
     }
 
     /// Writes a row with a JSON value.
@@ -197,6 +190,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Replaces all rows by those of a copy.
+    fn load(&self, snapshot: Snapshot, era: u64) {
+        let mut state = self.state();
+        state.version = snapshot.version;
+        state.rows = snapshot.rows;
+        state.era = era;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.state();
         state.version += 1;
