Log why a request or a connection ends without a complete answer

The lines of an instance could not tell a stream ended here from a caller that left, from a connection closed while a request arrived, and from a fault of the program.

Change, without any change of decisions: - `ended` has `no_retry`: which condition for a further attempt was not met. The gateway returns it in `Step::Fail`. - `caller_left` has the stage of the request, its age, and the events and bytes passed on; `request_cut` and `request_panicked` are the same for an exit of the process and a panic. - `connection_closed` with reason, what the connection was used for, and bytes of a head that were read; counted in `sesamewind_connections_closed_total`. - `panic` with the location, counted.

Tests: relay::unanswered (5 tests with processes), closes and panics of sesamewind-relay.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -124,6 +124,49 @@
     pub once: bool,
 }
 
+/// Why a request was not sent to a further target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoRetry {
+    /// Its route does not allow it to run again.
+    NotRepeatable,
+    /// As many targets as its route allows may have run it.
+    AttemptsUsed,
+    /// It was sent as often as any request may be, including attempts that did not run it.
+    SendsUsed,
+    /// Its deadline has passed.
+    DeadlinePassed,
+    /// The service's retry budget is exhausted.
+    BudgetExhausted,
+    /// No target had a free slot in time.
+    NoTarget,
+    /// The gateway made no decision, which is a fault of this program.
+    Undecided,
+}
+
+impl NoRetry {
+    /// Returns the reason as written in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not_repeatable",
+            Self::AttemptsUsed => "attempts_used",
+            Self::SendsUsed => "sends_used",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::BudgetExhausted => "budget_exhausted",
+            Self::NoTarget => "no_target",
+            Self::Undecided => "undecided",
+        }
+    }
+}
+
+/// The end of a request that may have run and has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failure {
+    /// How its last attempt ended.
+    pub outcome: AttemptOutcome,
+    /// Why there is no further attempt.
+    pub no_retry: NoRetry,
+}
+
 /// Next step of a request.
 #[derive(Debug)]
 pub enum Step {
@@ -134,7 +177,7 @@
     /// Pass the target's failure response on to the caller.
     DeliverFailure,
     /// Answer the caller that the outcome is unknown, or break off its stream.
-    Fail(AttemptOutcome),
+    Fail(Failure),
 }
 
 /// Output of the gateway.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -6,7 +6,7 @@
 use sesamewind_protocol::{ServiceId, Time};
 
 use crate::arrival::{Arrival, Ticket};
-use crate::event::{Action, AttemptOutcome, Dispatch, Step};
+use crate::event::{Action, AttemptOutcome, Dispatch, Failure, NoRetry, Step};
 use crate::gateway::Gateway;
 use crate::proof::{NotRunProof, Refusal, RefusalReason};
 use crate::request::{Attempt, History, Request, State};
@@ -184,7 +184,8 @@
         match outcome {
             AttemptOutcome::Whole => {}
             AttemptOutcome::Expired => {
-                self.finish(ticket, &request, attempt.history(outcome), outcome, now);
+                let failure = Failure { outcome, no_retry: NoRetry::DeadlinePassed };
+                self.finish(ticket, &request, attempt.history(outcome), failure, now);
             }
             _ => self.retry_elsewhere(ticket, request, attempt, outcome, now),
         }
@@ -206,19 +207,9 @@
             request.runs += 1;
         }
         request.tried.push(target);
-        let repeatable = outcome.is_not_run()
-            || match request.arrival.route.repeat {
-                Repeat::Never => false,
-                Repeat::Whole => true,
-                Repeat::Resume => outcome != AttemptOutcome::Failing || !request.started,
-            };
-        let allowed = repeatable
-            && request.runs < request.arrival.route.attempts
-            && request.sends < MAX_SENDS
-            && now < request.arrival.deadline
-            && self.acquire_retry(&request.service, outcome, now);
-        if !allowed {
-            return self.finish(ticket, &request, history, outcome, now);
+        if let Some(no_retry) = self.retry_obstacle(&request, outcome, now) {
+            let failure = Failure { outcome, no_retry };
+            return self.finish(ticket, &request, history, failure, now);
         }
         let choice = self.select_target(&request, None, now).or_else(|| {
             request.tried.clear();
@@ -230,7 +221,40 @@
             None if outcome != AttemptOutcome::Failing => {
                 self.requeue(ticket, request, history, now);
             }
-            None => self.finish(ticket, &request, history, outcome, now),
+            None => {
+                let failure = Failure { outcome, no_retry: NoRetry::NoTarget };
+                self.finish(ticket, &request, history, failure, now);
+            }
+        }
+    }
+
+    /// Returns why the request may not be sent again; `None` if it may, which is then charged to
+    /// the retry budget.
+    fn retry_obstacle(
+        &mut self,
+        request: &Request,
+        outcome: AttemptOutcome,
+        now: Time,
+    ) -> Option<NoRetry> {
+        let route = &request.arrival.route;
+        let repeatable = outcome.is_not_run()
+            || match route.repeat {
+                Repeat::Never => false,
+                Repeat::Whole => true,
+                Repeat::Resume => outcome != AttemptOutcome::Failing || !request.started,
+            };
+        if !repeatable {
+            Some(NoRetry::NotRepeatable)
+        } else if request.runs >= route.attempts {
+            Some(NoRetry::AttemptsUsed)
+        } else if request.sends >= MAX_SENDS {
+            Some(NoRetry::SendsUsed)
+        } else if now >= request.arrival.deadline {
+            Some(NoRetry::DeadlinePassed)
+        } else if !self.acquire_retry(&request.service, outcome, now) {
+            Some(NoRetry::BudgetExhausted)
+        } else {
+            None
         }
     }
 
@@ -260,23 +284,23 @@
         ticket: Ticket,
         request: &Request,
         history: History,
-        outcome: AttemptOutcome,
+        failure: Failure,
         now: Time,
     ) {
         match history {
             History::NotRun(proof) => {
                 self.refund(request, now);
-                let reason = match outcome {
+                let reason = match failure.outcome {
                     AttemptOutcome::Expired => RefusalReason::Expired,
                     _ => RefusalReason::Refused,
                 };
                 self.refuse(&request.arrival, proof, reason, now);
             }
             History::MayHaveRun => {
-                let step = if outcome == AttemptOutcome::Failing {
+                let step = if failure.outcome == AttemptOutcome::Failing {
                     Step::DeliverFailure
                 } else {
-                    Step::Fail(outcome)
+                    Step::Fail(failure)
                 };
                 self.out.push(Action { ticket, step });
             }
@@ -500,7 +524,11 @@
             State::Waiting { history: History::NotRun(proof), .. } => {
                 self.refuse(&request.arrival, proof, reason, now);
             }
-            _ => self.out.push(Action { ticket, step: Step::Fail(AttemptOutcome::Expired) }),
+            _ => {
+                let failure =
+                    Failure { outcome: AttemptOutcome::Expired, no_retry: NoRetry::NoTarget };
+                self.out.push(Action { ticket, step: Step::Fail(failure) });
+            }
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,7 +34,7 @@
 pub mod tuning;
 
 pub use arrival::{Arrival, Ticket};
-pub use event::{Action, AttemptOutcome, Event, Step};
+pub use event::{Action, AttemptOutcome, Event, Failure, NoRetry, Step};
 pub use gateway::Gateway;
 pub use proof::{Refusal, RefusalReason};
 pub use table::{Account, Repeat, Route, RouteTable, Routing, Service};
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -10,7 +10,8 @@
 use hyper::body::{Body, Incoming};
 use sesamewind_gateway::sse::EventScanner;
 use sesamewind_gateway::{
-    Arrival, AttemptOutcome, Event, Gateway, Refusal, RefusalReason, Repeat, Route, Step,
+    Arrival, AttemptOutcome, Event, Failure, Gateway, NoRetry, Refusal, RefusalReason, Repeat,
+    Route, Step,
 };
 use sesamewind_protocol::{RequestKey, text_hash};
 use tokio::time::timeout;
@@ -25,6 +26,10 @@
 /// Retry delay for callers of an instance that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// End of a request for which the gateway has made no decision.
+const UNDECIDED: Failure =
+    Failure { outcome: AttemptOutcome::Expired, no_retry: NoRetry::Undecided };
+
 /// Serves one request. Dropping the future means that the caller disconnected.
 pub async fn serve(driver: Rc<Driver>, request: Request<Incoming>) -> Answer {
     let arrived = driver.now();
@@ -50,9 +55,11 @@
         }
     };
     let wait = wait_time(&caller, &resolved.route);
+    let mut guard = CallerGuard::new(Rc::clone(&driver), &caller.id, arrived);
     let body = match read_body(body, table.limits.body_bytes, wait).await {
         Ok(body) => body,
         Err(error) => {
+            guard.disarm();
             journal::rejected(&caller.id, error.as_str(), table.revision.0);
             return match error {
                 BodyError::TooLarge => driver.wire_format.too_large(),
@@ -65,6 +72,7 @@
         }
     };
     let ticket = driver.new_ticket();
+    guard.enter_gateway(ticket);
     let call = Call {
         driver,
         ticket,
@@ -76,7 +84,7 @@
         arrived,
         timing: Cell::default(),
     };
-    call.serve().await
+    call.serve(guard).await
 }
 
 /// Why the body of a request was not read to its end. The request has not run.
@@ -137,14 +145,13 @@
         }
     }
 
-    async fn serve(self) -> Answer {
-        let mut guard = CallerGuard::new(Rc::clone(&self.driver), self.ticket, &self.caller.id);
+    async fn serve(self, mut guard: CallerGuard) -> Answer {
         let resumed = self.caller.last_event.as_deref();
         let mut scanner = EventScanner::after(resumed.filter(|_| self.is_resumable()));
         let mut step = self.driver.next_step(self.ticket, Event::Arrive(self.arrival()));
         let mut held = None;
         loop {
-            let next = step.await.unwrap_or(Step::Fail(AttemptOutcome::Expired));
+            let next = step.await.unwrap_or(Step::Fail(UNDECIDED));
             let dispatch = match next {
                 Step::Dispatch(dispatch) => dispatch,
                 last => {
@@ -200,11 +207,11 @@
                 self.driver.wire_format.refused(&refusal)
             }
             (_, Some((head, body))) => {
-                journal::ended(self, "failed", AttemptOutcome::Failing.as_str(), 0);
+                journal::answered(self, "failed", AttemptOutcome::Failing.as_str(), 0);
                 self.answer(head, AnswerBody::Whole(body))
             }
-            (Step::Fail(outcome), None) => {
-                journal::ended(self, "unknown", outcome.as_str(), 0);
+            (Step::Fail(Failure { outcome, no_retry }), None) => {
+                journal::unanswered(self, "unknown", outcome.as_str(), no_retry, 0);
                 self.driver.wire_format.failed(outcome)
             }
             (Step::DeliverFailure | Step::Dispatch(_), None) => {
@@ -219,7 +226,7 @@
 
     fn whole_answer(self, head: response::Parts, body: Bytes) -> Answer {
         self.driver.handle(Event::Ended(self.ticket, AttemptOutcome::Whole));
-        journal::ended(&self, "served", "whole", 0);
+        journal::answered(&self, "served", "whole", 0);
         self.answer(head, AnswerBody::Whole(body))
     }
 
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
+use crate::journal::{self, Progress};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::row_cache::RowCache;
@@ -42,7 +43,9 @@
     /// Format of requests from callers and answers from targets.
     pub wire_format: Rc<dyn WireFormat>,
     /// Metrics of the instance.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
+    /// Whether the process exits, which ends all requests that are still open.
+    pub exiting: Cell<bool>,
     configuration: TopicState,
     targets: TopicState,
     /// Latest known era of the store.
@@ -62,7 +65,8 @@
             origin: Instant::now(),
             pool: Pool::default(),
             wire_format,
-            metrics: Metrics::new(),
+            metrics: Rc::new(Metrics::new()),
+            exiting: Cell::new(false),
             configuration: TopicState::default(),
             targets: TopicState::default(),
             era: Sender::new(None),
@@ -160,37 +164,72 @@
     }
 }
 
-/// Notifies the gateway that the caller has disconnected if dropped before the request's end.
+/// Notifies the gateway that the caller has disconnected if dropped before the request's end, and
+/// logs how the request ended.
 #[derive(Debug)]
 pub struct CallerGuard {
     driver: Rc<Driver>,
-    ticket: Ticket,
     /// Identity of the request, for the log.
     request: String,
+    arrived: Time,
+    /// Handle of the request once it is in the gateway.
+    ticket: Option<Ticket>,
+    events: u64,
+    bytes: u64,
     armed: bool,
 }
 
 impl CallerGuard {
-    /// Creates a guard for the request `ticket`; `request` is its identity in the log.
-    pub fn new(driver: Rc<Driver>, ticket: Ticket, request: &str) -> Self {
-        Self { driver, ticket, request: request.to_owned(), armed: true }
+    /// Creates a guard for a request whose head arrived at `arrived`; `request` is its identity in
+    /// the log.
+    pub fn new(driver: Rc<Driver>, request: &str, arrived: Time) -> Self {
+        let request = request.to_owned();
+        Self { driver, request, arrived, ticket: None, events: 0, bytes: 0, armed: true }
+    }
+
+    /// Records that the request enters the gateway with this handle.
+    pub fn enter_gateway(&mut self, ticket: Ticket) {
+        self.ticket = Some(ticket);
+    }
+
+    /// Records that `bytes` more of a stream, which has `events` events so far, are passed to the
+    /// caller's connection.
+    pub fn forwarded(&mut self, bytes: usize, events: u64) {
+        self.bytes += bytes as u64;
+        self.events = events;
     }
 
     /// Marks the request as ended, so that dropping the guard has no effect.
     pub fn disarm(&mut self) {
         self.armed = false;
     }
+
+    fn progress(&self) -> Progress {
+        let stage = match self.ticket {
+            None => "body",
+            Some(_) if self.bytes == 0 => "gateway",
+            Some(_) => "answer",
+        };
+        let ran = self.driver.now().since(self.arrived);
+        Progress { stage, ran, events: self.events, bytes: self.bytes }
+    }
 }
 
 impl Drop for CallerGuard {
     fn drop(&mut self) {
-        if self.armed {
-            log::info!(
-                event = "caller_left",
-                request = self.request.as_str();
-                "caller disconnected"
-            );
-            self.driver.caller_left(self.ticket);
+        if !self.armed {
+            return;
+        }
+        let progress = self.progress();
+        if std::thread::panicking() {
+            journal::panicked(&self.request, progress);
+        } else if self.driver.exiting.get() {
+            journal::cut(&self.request, progress);
+        } else {
+            journal::caller_left(&self.request, progress);
+        }
+        if let Some(ticket) = self.ticket {
+            self.driver.caller_left(ticket);
         }
     }
 }
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -22,8 +22,10 @@
 use crate::answer::{Answer, AnswerBody};
 use crate::callers;
 use crate::driver::Driver;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::server::{self, Limits, Phase};
+use crate::pulse::{self, Pulse};
+use crate::server::{self, Limits, Phase, Shared};
 use crate::source::{Announcement, Source};
 use crate::watch;
 use crate::wire_format::WireFormat;
@@ -114,6 +116,7 @@
             settings.zone.clone(),
             settings.token.clone(),
         ));
+        pulse::log_panics(&driver.metrics);
         let phase = Sender::new(Phase::Serving);
         self.listen(&driver, &peers, &phase)?;
         self.follow(&driver, &peers);
@@ -125,13 +128,18 @@
             "instance started"
         );
         let mut text = std::fs::read_to_string(self.path).ok();
+        let mut pulse = Pulse::new(TICK_INTERVAL);
         let mut tick = interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut sweep = interval(SWEEP_INTERVAL);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                _ = tick.tick() => driver.handle(Event::Tick),
+                _ = tick.tick() => {
+                    let revision = driver.with_gateway(Gateway::revision);
+                    pulse.turn(driver.now(), revision, &driver.metrics);
+                    driver.handle(Event::Tick);
+                }
                 _ = sweep.tick() => {
                     driver.pool.sweep();
                     self.report_dropped();
@@ -159,15 +167,17 @@
         let shared = Rc::clone(driver);
         let configured =
             move || shared.with_gateway(|g| limits(g.table().map(|table| table.limits)));
+        let metrics = &driver.metrics;
         let shared = Rc::clone(driver);
         let serve = move |request| callers::serve(Rc::clone(&shared), request);
-        spawn_local(server::serve(callers, serve, configured, phase.subscribe()));
+        spawn_local(server::serve(callers, serve, common("callers", configured, phase, metrics)));
         let shared = Rc::clone(driver);
         let ready = move |_| std::future::ready(readiness_answer(&shared));
-        spawn_local(server::serve(readiness, ready, || limits(None), phase.subscribe()));
+        let default = || limits(None);
+        spawn_local(server::serve(readiness, ready, common("readiness", default, phase, metrics)));
         let shared = Rc::clone(peers);
         let serve = move |request| Rc::clone(&shared).serve(request);
-        spawn_local(server::serve(inner, serve, || limits(None), phase.subscribe()));
+        spawn_local(server::serve(inner, serve, common("inner", default, phase, metrics)));
         Ok(())
     }
 
@@ -260,7 +270,9 @@
     // finish writing complete answers.
     driver.handle(Event::Stop);
     sleep_until(end.min(Instant::now() + STOP_POLL_INTERVAL)).await;
-    log::info!(event = "stopped", cut = open; "instance stopped");
+    let level = if open == 0 { log::Level::Info } else { log::Level::Warn };
+    log::log!(level, event = "stopped", cut = open; "instance stopped");
+    driver.exiting.set(true);
 }
 
 fn readiness_answer(driver: &Driver) -> Answer {
@@ -270,6 +282,15 @@
     answer
 }
 
+fn common<L>(
+    name: &'static str,
+    limits: L,
+    phase: &Sender<Phase>,
+    metrics: &Rc<Metrics>,
+) -> Shared<L> {
+    Shared { name, limits, phase: phase.subscribe(), metrics: Rc::clone(metrics) }
+}
+
 fn limits(limits: Option<CallerLimits>) -> Limits {
     let limits = limits.unwrap_or_default();
     Limits {
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -7,13 +7,16 @@
 use std::time::Duration;
 
 use sesamewind_gateway::event::Dispatch;
-use sesamewind_gateway::{AttemptOutcome, Refusal};
+use sesamewind_gateway::{AttemptOutcome, NoRetry, Refusal};
 
 use crate::attempt::Call;
 
 /// Value of `first_ms` for a request that received no byte from a target.
 const NO_ANSWER: i64 = -1;
 
+/// Value of `no_retry` for a request that got an answer of its target.
+const NO_RETRY_NEEDED: &str = "";
+
 /// Logs the start of an attempt.
 pub fn dispatched(call: &Call, dispatch: &Dispatch) {
     log::info!(
@@ -69,8 +72,17 @@
     );
 }
 
-/// Logs and counts the end of a request.
-pub fn ended(call: &Call, outcome: &str, cause: &str, events: u64) {
+/// Logs and counts a request whose target's complete answer is passed on.
+pub fn answered(call: &Call, outcome: &str, cause: &str, events: u64) {
+    ended(call, outcome, cause, NO_RETRY_NEEDED, events);
+}
+
+/// Logs and counts a request without a complete answer, and why there was no further attempt.
+pub fn unanswered(call: &Call, outcome: &str, cause: &str, no_retry: NoRetry, events: u64) {
+    ended(call, outcome, cause, no_retry.as_str(), events);
+}
+
+fn ended(call: &Call, outcome: &str, cause: &str, no_retry: &str, events: u64) {
     call.driver.metrics.outcome(&call.route.name, outcome);
     let timing = call.timing.get();
     let level = if outcome == "served" { log::Level::Info } else { log::Level::Warn };
@@ -82,6 +94,7 @@
         account = call.account.as_ref().map_or("", |account| account.name.as_str()),
         outcome,
         cause,
+        no_retry,
         first_ms = timing.first_byte.map_or(NO_ANSWER, |first| first.as_millis() as i64),
         pause_ms = timing.longest_pause.as_millis() as u64,
         events;
@@ -109,3 +122,44 @@
 pub fn rejected(request: &str, cause: &str, revision: u64) {
     log::warn!(event = "rejected", request, cause, revision; "request rejected");
 }
+
+/// How far a request was processed when it ended without a decision of the gateway.
+#[derive(Debug, Clone, Copy)]
+pub struct Progress {
+    /// Where the request was: `body`, `gateway` or `answer`.
+    pub stage: &'static str,
+    /// Time since it arrived.
+    pub ran: Duration,
+    /// Stream events that were passed to the caller's connection.
+    pub events: u64,
+    /// Bytes of the answer that were passed to the caller's connection.
+    pub bytes: u64,
+}
+
+/// Logs a request whose caller closed the connection before the answer was complete.
+pub fn caller_left(request: &str, progress: Progress) {
+    unfinished(log::Level::Info, "caller_left", request, progress);
+}
+
+/// Logs a request that is cut off by a fault of this program.
+pub fn panicked(request: &str, progress: Progress) {
+    unfinished(log::Level::Error, "request_panicked", request, progress);
+}
+
+/// Logs a request that is cut off by the exit of the process.
+pub fn cut(request: &str, progress: Progress) {
+    unfinished(log::Level::Warn, "request_cut", request, progress);
+}
+
+fn unfinished(level: log::Level, event: &str, request: &str, progress: Progress) {
+    log::log!(
+        level,
+        event,
+        request,
+        stage = progress.stage,
+        ran_ms = progress.ran.as_millis() as u64,
+        events = progress.events,
+        bytes = progress.bytes;
+        "request ended without a complete answer"
+    );
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`Instance`] starts and stops the process.
 //! - [`callers`] serves callers' requests, which arrive through [`server`].
+//! - [`activity`] observes what happens on a caller's connection, and [`pulse`] the event loop.
 //! - [`attempt`] sends a request to a target over a connection of [`pool`], and [`stream`] forwards
 //!   event streams to the caller.
 //! - [`driver`] passes events to the gateway and delivers its actions to the waiting requests.
@@ -11,6 +12,7 @@
 //!   with other instances.
 //! - [`WireFormat`] is the interface to the format of requests and answers.
 
+pub mod activity;
 pub mod answer;
 pub mod attempt;
 pub mod callers;
@@ -20,6 +22,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod pool;
+pub mod pulse;
 pub mod row_cache;
 pub mod server;
 pub mod source;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of one instance in the OpenMetrics text format.
 
+use std::time::Duration;
+
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -41,6 +43,10 @@
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
     lost: Family<ReasonLabels, Counter>,
+    closed: Family<ReasonLabels, Counter>,
+    panics: Counter,
+    stalls: Counter,
+    longest_stall: Gauge,
     store_era: Gauge,
     first_byte: RouteHistogram,
     waited: RouteHistogram,
@@ -64,6 +70,10 @@
             refusals: Family::default(),
             attempts: Family::default(),
             lost: Family::default(),
+            closed: Family::default(),
+            panics: Counter::default(),
+            stalls: Counter::default(),
+            longest_stall: Gauge::default(),
             store_era: Gauge::default(),
             first_byte: Family::new_with_constructor(histogram),
             waited: Family::new_with_constructor(histogram),
@@ -73,6 +83,18 @@
         registry.register("refusals", "Refusals by reason", this.refusals.clone());
         registry.register("attempts", "Attempts at targets by end", this.attempts.clone());
         registry.register("lost", "Lost dependencies by kind", this.lost.clone());
+        registry.register(
+            "connections_closed",
+            "Connections of the listeners that ended, by reason",
+            this.closed.clone(),
+        );
+        registry.register("panics", "Panics of this program", this.panics.clone());
+        registry.register("loop_stalls", "Late turns of the event loop", this.stalls.clone());
+        registry.register(
+            "longest_loop_stall_milliseconds",
+            "Longest delay of a turn of the event loop",
+            this.longest_stall.clone(),
+        );
         registry.register("store_era", "Latest known era of the store", this.store_era.clone());
         registry.register(
             "first_byte_seconds",
@@ -114,6 +136,23 @@
         self.lost.get_or_create(&ReasonLabels { reason: kind.to_owned() }).inc();
     }
 
+    /// Counts the end of a listener's connection.
+    pub fn connection_closed(&self, reason: &str) {
+        self.closed.get_or_create(&ReasonLabels { reason: reason.to_owned() }).inc();
+    }
+
+    /// Returns the counter of panics, which any thread may increment.
+    pub fn panics(&self) -> Counter {
+        self.panics.clone()
+    }
+
+    /// Counts a late turn of the event loop.
+    pub fn loop_stalled(&self, delay: Duration) {
+        self.stalls.inc();
+        let millis = i64::try_from(delay.as_millis()).unwrap_or(i64::MAX);
+        self.longest_stall.set(self.longest_stall.get().max(millis));
+    }
+
     /// Observes the time to the first byte, in seconds.
     pub fn first_byte(&self, route: &RouteId, seconds: f64) {
         let labels = RouteLabels { route: route.as_str().to_owned() };
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::sse::EventScanner;
-use sesamewind_gateway::{AttemptOutcome, Event, Step};
+use sesamewind_gateway::{AttemptOutcome, Event, NoRetry, Step};
 use tokio::time::timeout_at;
 
 use crate::answer::AnswerAborted;
@@ -55,13 +55,13 @@
     if let Some(first) = relay.first.take()
         && !first.is_empty()
     {
-        return Some((Ok(first), Some(relay)));
+        return Some((Ok(relay.forward(first)), Some(relay)));
     }
     loop {
         let outcome = match relay.read().await {
             Ok(Some(bytes)) => {
                 relay.call.record_part();
-                return Some((Ok(bytes), Some(relay)));
+                return Some((Ok(relay.forward(bytes)), Some(relay)));
             }
             Ok(None) => {
                 relay.complete();
@@ -71,13 +71,19 @@
         };
         match relay.resume(outcome).await {
             Some(bytes) if bytes.is_empty() => {}
-            Some(bytes) => return Some((Ok(bytes), Some(relay))),
+            Some(bytes) => return Some((Ok(relay.forward(bytes)), Some(relay))),
             None => return Some((Err(AnswerAborted), None)),
         }
     }
 }
 
 impl StreamRelay {
+    /// Records that `bytes` are passed to the caller.
+    fn forward(&mut self, bytes: Bytes) -> Bytes {
+        self.guard.forwarded(bytes.len(), self.scanner.events());
+        bytes
+    }
+
     /// Reads the next complete events; none at the end of the stream.
     async fn read(&mut self) -> Result<Option<Bytes>, AttemptOutcome> {
         if self.ended {
@@ -115,10 +121,15 @@
                 .call
                 .driver
                 .next_step(self.call.ticket, Event::Ended(self.call.ticket, outcome));
-            let Ok(Step::Dispatch(dispatch)) = step.await else {
-                self.guard.disarm();
-                journal::ended(&self.call, "broken_off", outcome.as_str(), self.scanner.events());
-                return None;
+            let dispatch = match step.await {
+                Ok(Step::Dispatch(dispatch)) => dispatch,
+                last => {
+                    let no_retry = no_retry(last.ok().as_ref());
+                    self.guard.disarm();
+                    let (cause, events) = (outcome.as_str(), self.scanner.events());
+                    journal::unanswered(&self.call, "broken_off", cause, no_retry, events);
+                    return None;
+                }
             };
             self.dispatch = dispatch;
             journal::dispatched(&self.call, &self.dispatch);
@@ -142,6 +153,17 @@
         let (events, pause) = (self.scanner.events(), self.call.timing.get().longest_pause);
         self.call.driver.handle(Event::Streamed(self.call.ticket, events, pause));
         self.call.driver.handle(Event::Ended(self.call.ticket, AttemptOutcome::Whole));
-        journal::ended(&self.call, "served", "whole", self.scanner.events());
+        journal::answered(&self.call, "served", "whole", self.scanner.events());
+    }
+}
+
+/// Returns why a stream whose last step is `step` is not resumed.
+fn no_retry(step: Option<&Step>) -> NoRetry {
+    match step {
+        Some(Step::Fail(failure)) => failure.no_retry,
+        // The target's failure can't be passed on within a stream.
+        Some(Step::DeliverFailure) => NoRetry::NotRepeatable,
+        Some(Step::Refuse(_)) => NoRetry::NoTarget,
+        Some(Step::Dispatch(_)) | None => NoRetry::Undecided,
     }
 }
--- /dev/null
+++ b/crates/relay/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the listener with sockets, without a gateway.
+
+#![allow(unreachable_pub, reason = "modules of one test program")]
+
+mod closes;
+mod panics;
+mod support;
--- /dev/null
+++ b/crates/relay/tests/all/support.rs
@@ -0,0 +1,101 @@
+//! A listener under test, the log lines of the process, and callers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Metadata, Record};
+use sesamewind_relay::answer::Answer;
+use sesamewind_relay::metrics::Metrics;
+use sesamewind_relay::server::{self, Limits, Phase, Shared};
+use tokio::sync::watch::Sender;
+use tokio::task::spawn_local;
+
+/// Lines of the process: the event, and its other fields as text.
+static LINES: Mutex<Vec<(String, String)>> = Mutex::new(Vec::new());
+
+struct Recorder;
+
+impl log::Log for Recorder {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        struct Fields(String, String);
+        impl<'kvs> VisitSource<'kvs> for Fields {
+            fn visit_pair(
+                &mut self,
+                key: Key<'kvs>,
+                value: Value<'kvs>,
+            ) -> Result<(), log::kv::Error> {
+                if key.as_str() == "event" {
+                    self.0 = value.to_string();
+                } else {
+                    self.1 += &format!("{key}={value} ");
+                }
+                Ok(())
+            }
+        }
+        let mut fields = Fields(String::new(), format!("{} ", record.args()));
+        record.key_values().visit(&mut fields).expect("fields can be read");
+        LINES.lock().unwrap_or_else(PoisonError::into_inner).push((fields.0, fields.1));
+    }
+
+    fn flush(&self) {}
+}
+
+/// Starts to record the lines of the process.
+pub fn record_lines() {
+    static ONCE: OnceLock<()> = OnceLock::new();
+    ONCE.get_or_init(|| {
+        log::set_logger(&Recorder).expect("no other logger");
+        log::set_max_level(LevelFilter::Debug);
+    });
+}
+
+/// Returns the fields of all lines with this event.
+pub fn lines(event: &str) -> Vec<String> {
+    let lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+    lines.iter().filter(|(name, _)| name == event).map(|(_, fields)| fields.clone()).collect()
+}
+
+/// A running listener.
+pub struct Listener {
+    /// Address of the listener.
+    pub addr: SocketAddr,
+    /// Metrics of the listener.
+    pub metrics: Rc<Metrics>,
+    /// Progress of a planned stop.
+    pub phase: Sender<Phase>,
+}
+
+impl Listener {
+    /// Starts a listener on the current `LocalSet`.
+    pub fn start<H, F>(handler: H, limits: impl Fn() -> Limits + Clone + 'static) -> Self
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        F: Future<Output = Answer> + 'static,
+    {
+        let listener = server::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let (metrics, phase) = (Rc::new(Metrics::new()), Sender::new(Phase::Serving));
+        let shared = Shared {
+            name: "callers",
+            limits,
+            phase: phase.subscribe(),
+            metrics: Rc::clone(&metrics),
+        };
+        spawn_local(server::serve(listener, handler, shared));
+        Self { addr, metrics, phase }
+    }
+}
+
+/// Limits with this idle time.
+pub fn limits(idle_timeout: Duration) -> Limits {
+    Limits { head_bytes: 16_384, head_timeout: Duration::from_millis(500), idle_timeout }
+}
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -10,3 +10,4 @@
 mod state;
 mod stops;
 mod testbed;
+mod unanswered;
