Log the evidence on running rollouts

Callers saw a slow new version get more requests than its bound allows. The log told when a rollout was ordered and how it ended, but not what the evidence was in between, nor when and why the share grew.

Change: each instance writes `move_progress` for a running rollout once a second, and at each change of the stage, of its reason or of the level of the evidence: the share and its reason, the requests sent to the new version and those answered, the failures, the intervals and average latency ratio of both versions, and the level with and without the most adverse part. Requests sent are counted and exchanged for that (`new_sent`). The decisions are unchanged.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -428,6 +428,8 @@
         target.own_requests += 1;
         target.own_prefill = target.own_prefill.saturating_add(prompt);
         request.sends += 1;
+        let (id, version) = (&target.listed.id, &target.listed.version);
+        self.rollouts.count_sent(&request.service, (id, version));
         let route = &request.arrival.route;
         let left = request.arrival.deadline.since(now);
         let silence = match (route.repeat, route.stream) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::peers::Peers;
 use crate::quota::{Quotas, SavedUsage};
 use crate::request::Request;
-use crate::rollouts::{RolledBack, RolloutRecord, Rollouts};
+use crate::rollouts::{RolledBack, RolloutRecord, RolloutStatus, Rollouts};
 use crate::selection;
 use crate::service::ServiceState;
 use crate::table::RouteTable;
@@ -190,6 +190,11 @@
         self.rollouts.evaluate(capacity, now)
     }
 
+    /// Returns the statuses of running rollouts that are due for a log line.
+    pub fn due_rollout_statuses(&mut self, now: Time) -> Vec<RolloutStatus> {
+        self.rollouts.due_statuses(now)
+    }
+
     /// Returns the rollout records that this instance should write to the store now.
     pub fn rollouts_to_record(&mut self, now: Time) -> Vec<RolloutRecord> {
         let position = self.peers.position(&self.me.instance, now);
--- a/crates/gateway/src/rollouts/evidence.rs
+++ b/crates/gateway/src/rollouts/evidence.rs
@@ -66,6 +66,8 @@
     routes: BTreeMap<RouteId, RouteCounts>,
     /// Requests since the start of the rollout.
     requests: u32,
+    /// Requests sent to the new version since then.
+    new_sent: u32,
     old_latency: LatencyCounts,
     new_latency: [LatencyCounts; TARGET_GROUPS],
     old_interval: Interval,
@@ -88,6 +90,11 @@
         Self { routes: routes.collect(), old_latency, ..Self::default() }
     }
 
+    /// Counts a request sent to a target.
+    pub(super) fn count_sent(&mut self, arm: Arm) {
+        self.new_sent += u32::from(arm != Arm::Old);
+    }
+
     /// Counts a request to a target that has begun to answer, or has failed before.
     pub(super) fn count_request(&mut self, route: &RouteId, arm: Arm) {
         self.counts(route, arm).requests += 1;
@@ -123,6 +130,7 @@
     pub(super) fn report(&self) -> RolloutCounts {
         RolloutCounts {
             requests: self.requests,
+            new_sent: self.new_sent,
             routes: self.routes.values().cloned().collect(),
             old_latency: self.old_latency,
             new_latency: self.new_latency,
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -9,6 +9,7 @@
 
 mod evidence;
 mod schedule;
+mod status;
 mod verdict;
 
 use std::collections::{BTreeMap, HashMap};
@@ -19,6 +20,9 @@
 
 use self::evidence::{Arm, Evidence};
 use self::schedule::{Progress, Schedule, Stage};
+use self::status::StatusLimit;
+pub use self::status::{LatencyAverage, LatencyComparison, RolloutStatus};
+pub use self::verdict::EvidenceLevel;
 use self::verdict::Verdict;
 
 /// Delay after which an instance writes an outcome that the instances before it in the order should
@@ -84,6 +88,9 @@
     outcome: Option<(RolloutOutcome, Time)>,
     /// State of the rollout that the store is known to hold.
     recorded: Option<RecordedState>,
+    /// Latest status, and what limits how often it is returned.
+    status: Option<RolloutStatus>,
+    status_limit: StatusLimit,
 }
 
 /// State of a rollout in the store.
@@ -151,6 +158,8 @@
             only_new: None,
             outcome: None,
             recorded: None,
+            status: None,
+            status_limit: StatusLimit::default(),
         };
         self.rollouts.insert(service, rollout);
     }
@@ -173,6 +182,12 @@
         }
     }
 
+    /// Counts a request sent to a target of `version`.
+    pub fn count_sent(&mut self, service: &ServiceId, target: (&TargetId, &VersionId)) {
+        let (evidence, arm) = self.evidence(service, target);
+        evidence.count_sent(arm);
+    }
+
     /// Counts a request at a target of `version` that has begun to answer. `ratio` is the time to
     /// the first byte relative to the estimate.
     pub fn count_start(
@@ -294,20 +309,39 @@
             let reports = rollout.reports(&own);
             let (new, old) = totals(&reports);
             let requests = reports.iter().map(|report| u64::from(report.requests)).sum();
+            let age = rollout.age(now);
             let verdict = Verdict::new(reports);
-            let (is_bad, is_suspect) = (verdict.is_bad(), verdict.is_suspect());
-            rollout.stage = rollout.schedule.stage(Progress {
-                age: rollout.age(now),
+            let level = verdict.level();
+            let capacity = capacity(&rollout.order.service, &rollout.order.version);
+            let (stage, reason) = rollout.schedule.stage(Progress {
+                age,
                 requests,
                 new_requests: new.requests,
-                is_suspect,
-                capacity: capacity(&rollout.order.service, &rollout.order.version),
+                is_suspect: level >= EvidenceLevel::Suspect,
+                capacity,
             });
+            let status = RolloutStatus {
+                service: rollout.order.service.clone(),
+                version: rollout.order.version.clone(),
+                age,
+                share: stage.share(),
+                is_exclusive: stage == Stage::Only,
+                reason: reason.as_str(),
+                capacity,
+                level,
+                level_of_all: verdict.level_of_all(),
+                new_sent: verdict.new_sent(),
+                new,
+                old,
+                latency: verdict.latency(),
+            };
+            rollout.stage = stage;
+            rollout.status = Some(status);
             rollout.only_new = match rollout.stage {
                 Stage::Only => rollout.only_new.or(Some(now)),
                 Stage::Preferred | Stage::Share(_) => None,
             };
-            if is_bad {
+            if level == EvidenceLevel::Bad {
                 rollout.outcome = Some((RolloutOutcome::TakenBack, now));
                 let RolloutOrder { service, version, .. } = rollout.order.clone();
                 rolled_back.push(RolledBack { service, version, new, old });
@@ -316,6 +350,16 @@
         rolled_back
     }
 
+    /// Returns the latest statuses that are due: those that differ in stage or evidence level from
+    /// the one returned before, and those of rollouts without one for a second.
+    pub fn due_statuses(&mut self, now: Time) -> Vec<RolloutStatus> {
+        let statuses = self.rollouts.values_mut().filter_map(|rollout| {
+            let status = rollout.status.take()?;
+            rollout.status_limit.admits(&status, now).then_some(status)
+        });
+        statuses.collect()
+    }
+
     /// Returns the records that the store is not known to hold. `position` is the number of
     /// instances that should write them before this one.
     pub fn pending_records(&mut self, position: usize, now: Time) -> Vec<RolloutRecord> {
@@ -394,7 +438,7 @@
         let is_sampled = totals(&reports).0.requests >= MIN_REQUESTS;
         let full_since = self.only_new.filter(|_| is_sampled);
         let is_overdue = full_since.is_none() && self.age(now) >= self.schedule.last + delay;
-        if is_overdue || Verdict::new(reports).is_suspect() {
+        if is_overdue || Verdict::new(reports).level() >= EvidenceLevel::Suspect {
             self.outcome = Some((RolloutOutcome::TakenBack, now));
             return Some(RecordedState::Ended(RolloutOutcome::TakenBack));
         }
--- a/crates/gateway/src/rollouts/schedule.rs
+++ b/crates/gateway/src/rollouts/schedule.rs
@@ -58,6 +58,31 @@
     Only,
 }
 
+/// What a stage follows from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StageReason {
+    /// The time since the order.
+    Time,
+    /// The service has few requests, and the new version has received too few of them.
+    FewRequests,
+    /// Evidence against the new version.
+    Evidence,
+    /// The new version has few slots.
+    Capacity,
+}
+
+impl StageReason {
+    /// Returns the reason as written in logs.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Time => "time",
+            Self::FewRequests => "few_requests",
+            Self::Evidence => "evidence",
+            Self::Capacity => "capacity",
+        }
+    }
+}
+
 /// State of a rollout that its stage depends on.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Progress {
@@ -74,6 +99,14 @@
 }
 
 impl Stage {
+    /// Returns the share of the requests that the new version may take.
+    pub(super) fn share(self) -> f64 {
+        match self {
+            Self::Share(share) => share,
+            Self::Preferred | Self::Only => 1.0,
+        }
+    }
+
     /// Returns the stage of a new version with this capacity.
     fn limited_to(self, capacity: f64) -> Self {
         if capacity >= MIN_CAPACITY {
@@ -115,29 +148,35 @@
         }
     }
 
-    /// Returns the stage of a rollout.
+    /// Returns the stage of a rollout and what it follows from.
     ///
     /// The share grows exponentially between the first stage and the full one, so that a version
     /// that is bad under load only is detected before it has all requests. It does not grow while
     /// the new version is suspect.
-    pub(super) fn stage(&self, progress: Progress) -> Stage {
-        self.unlimited_stage(progress).limited_to(progress.capacity)
+    pub(super) fn stage(&self, progress: Progress) -> (Stage, StageReason) {
+        let (unlimited, reason) = self.unlimited_stage(progress);
+        let stage = unlimited.limited_to(progress.capacity);
+        (stage, if stage == unlimited { reason } else { StageReason::Capacity })
     }
 
-    fn unlimited_stage(&self, progress: Progress) -> Stage {
+    fn unlimited_stage(&self, progress: Progress) -> (Stage, StageReason) {
         let sample_share = self.sample_share(progress);
-        if progress.is_suspect {
-            return Stage::Share(SUSPECT_SHARE.max(sample_share));
-        }
-        if progress.age >= self.only_new {
-            return Stage::Only;
-        }
-        if progress.age >= self.full {
-            return Stage::Preferred;
+        let (share, reason) = if progress.is_suspect {
+            (SUSPECT_SHARE, StageReason::Evidence)
+        } else if progress.age >= self.only_new {
+            return (Stage::Only, StageReason::Time);
+        } else if progress.age >= self.full {
+            return (Stage::Preferred, StageReason::Time);
+        } else {
+            let growing = progress.age.saturating_sub(self.growth).as_secs_f64();
+            let grown = growing / (self.full - self.growth).as_secs_f64();
+            (FIRST_SHARE.powf(1.0 - grown), StageReason::Time)
+        };
+        if sample_share > share {
+            (Stage::Share(sample_share), StageReason::FewRequests)
+        } else {
+            (Stage::Share(share), reason)
         }
-        let growing = progress.age.saturating_sub(self.growth).as_secs_f64();
-        let grown = growing / (self.full - self.growth).as_secs_f64();
-        Stage::Share(FIRST_SHARE.powf(1.0 - grown).max(sample_share))
     }
 
     /// Returns the share with which the new version receives [`FIRST_REQUESTS`] in time.
--- a/crates/gateway/src/rollouts/verdict.rs
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -13,6 +13,8 @@
 use sesamewind_protocol::relay::{ArmCounts, LatencyCounts, RolloutCounts, TARGET_GROUPS};
 use sesamewind_rollout::rule::MaxSprt;
 
+use super::status::{LatencyAverage, LatencyComparison};
+
 /// Weight, in requests, of the service's failure rate in the expected rate of one route.
 const PRIOR_REQUESTS: f64 = 5.0;
 
@@ -70,6 +72,29 @@
     remainder: Thresholds { failures: 1.0, log_ratio: 0.2, intervals: 1.0, slowdown: 1.5 },
 };
 
+/// Strength of the evidence against a new version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EvidenceLevel {
+    /// There is none, or not enough.
+    #[default]
+    None,
+    /// The version must not receive more requests.
+    Suspect,
+    /// The version must be rolled back.
+    Bad,
+}
+
+impl EvidenceLevel {
+    /// Returns the level as written in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Suspect => "suspect",
+            Self::Bad => "bad",
+        }
+    }
+}
+
 /// Evidence of all instances.
 #[derive(Debug)]
 pub(super) struct Verdict<'a> {
@@ -103,18 +128,31 @@
         Self { reports, totals, baseline }
     }
 
-    /// Returns whether the new version is bad.
-    pub(super) fn is_bad(&self) -> bool {
-        self.holds(&BAD)
+    /// Returns the strongest level that also holds without the most adverse part.
+    pub(super) fn level(&self) -> EvidenceLevel {
+        strongest(|level| self.is_failing(level) || self.is_slow(level))
     }
 
-    /// Returns whether there is weaker evidence against the new version.
-    pub(super) fn is_suspect(&self) -> bool {
-        self.holds(&SUSPECT)
+    /// Returns the strongest level that all evidence holds for.
+    pub(super) fn level_of_all(&self) -> EvidenceLevel {
+        let all = Omitted::default();
+        strongest(|level| {
+            self.exceeds_failures(all, &level.all) || self.exceeds_latency(all, &level.all)
+        })
     }
 
-    fn holds(&self, level: &Level) -> bool {
-        self.is_failing(level) || self.is_slow(level)
+    /// Returns the number of requests sent to the new version.
+    pub(super) fn new_sent(&self) -> u64 {
+        self.reports.iter().map(|report| u64::from(report.new_sent)).sum()
+    }
+
+    /// Returns the times to the first byte at both versions.
+    pub(super) fn latency(&self) -> LatencyComparison {
+        let average = |(log, intervals): (f64, f64)| LatencyAverage { intervals, ratio: log.exp() };
+        LatencyComparison {
+            new: average(self.new_average(Omitted::default())),
+            old: average(self.old_average()),
+        }
     }
 
     fn is_failing(&self, level: &Level) -> bool {
@@ -148,7 +186,7 @@
         if !self.exceeds_latency(Omitted::default(), &level.all) {
             return false;
         }
-        let old = average(self.reports.iter().map(|report| &report.old_latency));
+        let old = self.old_average();
         let excess = |new: &LatencyCounts| new.logs - f64::from(new.intervals) * old.0;
         let by_group = |group: usize| {
             self.reports.iter().map(|report| excess(&report.new_latency[group])).sum()
@@ -219,13 +257,23 @@
         })
     }
 
-    fn exceeds_latency(&self, omitted: Omitted, thresholds: &Thresholds) -> bool {
-        let (old, old_intervals) = average(self.reports.iter().map(|report| &report.old_latency));
+    /// Returns the average logarithmic latency ratio of the new version and the number of intervals
+    /// it covers.
+    fn new_average(&self, omitted: Omitted) -> (f64, f64) {
         let reports = self.reports.iter().enumerate();
         let kept = reports.filter(|(at, _)| omitted.report != Some(*at));
         let new = kept.flat_map(|(_, report)| report.new_latency.iter().enumerate());
-        let new = new.filter(|(group, _)| !omitted.groups[*group]).map(|(_, counts)| counts);
-        let (new, new_intervals) = average(new);
+        average(new.filter(|(group, _)| !omitted.groups[*group]).map(|(_, counts)| counts))
+    }
+
+    /// Returns the same of the other versions.
+    fn old_average(&self) -> (f64, f64) {
+        average(self.reports.iter().map(|report| &report.old_latency))
+    }
+
+    fn exceeds_latency(&self, omitted: Omitted, thresholds: &Thresholds) -> bool {
+        let (old, old_intervals) = self.old_average();
+        let (new, new_intervals) = self.new_average(omitted);
         if new_intervals < thresholds.intervals || old_intervals < thresholds.intervals {
             return false;
         }
@@ -234,6 +282,17 @@
     }
 }
 
+/// Returns the strongest level that `holds`.
+fn strongest(holds: impl Fn(&Level) -> bool) -> EvidenceLevel {
+    if holds(&BAD) {
+        EvidenceLevel::Bad
+    } else if holds(&SUSPECT) {
+        EvidenceLevel::Suspect
+    } else {
+        EvidenceLevel::None
+    }
+}
+
 /// Failure rates to expect of the new version.
 #[derive(Debug)]
 struct Baseline<'a> {
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sesamewind_gateway::rollouts::{
-    AllowedVersions, RecordedState, RolloutOrder, RolloutRecord, Rollouts,
+    AllowedVersions, EvidenceLevel, RecordedState, RolloutOrder, RolloutRecord, Rollouts,
 };
 use sesamewind_protocol::relay::{RolloutOutcome, RolloutProgress};
 use sesamewind_protocol::{Incarnation, InstanceId, RouteId, ServiceId, TargetId, VersionId};
@@ -354,3 +354,31 @@
         assert_eq!(age, Duration::from_millis(10_200), "{}", case.name);
     }
 }
+
+/// A running rollout has a status each second, and one at once when the evidence changes.
+#[test]
+fn statuses_are_due_each_second_and_on_changes() {
+    let mut rollouts = Rollouts::default();
+    rollouts.add_order(order(), at(0));
+    let mut due = Vec::new();
+    for now in 0..4_000 {
+        if now >= 2_500 && now % 50 == 0 {
+            let (route, target) = (RouteId::new("r"), TargetId::new(format!("n{}", now / 50)));
+            let target = (&target, &version("v2"));
+            rollouts.count_sent(&service(), target);
+            rollouts.count_start(&service(), &route, target, 1.0, at(now));
+            rollouts.count_failure(&service(), &route, target, true);
+        }
+        if now % 100 == 0 {
+            rollouts.evaluate(|_, _| 1.0, at(now));
+            due.extend(rollouts.due_statuses(at(now)).into_iter().map(|status| (now, status)));
+        }
+    }
+    let calm: Vec<u64> = due.iter().map(|(now, _)| *now).filter(|now| *now < 2_500).collect();
+    assert_eq!(calm, [0, 1_000, 2_000]);
+    let (_, last) = due.last().expect("a status");
+    assert_eq!(last.level, EvidenceLevel::Bad);
+    assert_eq!(last.new_sent, u64::from(last.new.requests));
+    assert_eq!(last.new.requests, last.new.failures);
+    assert!(due.iter().any(|(_, status)| status.level == EvidenceLevel::Suspect));
+}
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -172,6 +172,8 @@
 pub struct RolloutCounts {
     /// Requests since the start of the rollout. The other counts include some earlier ones.
     pub requests: u32,
+    /// Requests sent to the new version since the start of the rollout.
+    pub new_sent: u32,
     /// Outcomes by route.
     pub routes: Vec<RouteCounts>,
     /// Latencies at targets of other versions.
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use sesamewind_gateway::event::Dispatch;
+use sesamewind_gateway::rollouts::RolloutStatus;
 use sesamewind_gateway::{AttemptOutcome, NoRetry, Refusal};
 
 use crate::attempt::Call;
@@ -163,3 +164,29 @@
         "request ended without a complete answer"
     );
 }
+
+/// Logs the evidence on a running rollout and the share that follows from it.
+pub fn rollout_progress(status: &RolloutStatus) {
+    log::info!(
+        event = "move_progress",
+        service = status.service.as_str(),
+        version = status.version.as_str(),
+        age_ms = status.age.as_millis() as u64,
+        share = status.share,
+        exclusive = status.is_exclusive,
+        reason = status.reason,
+        capacity = status.capacity,
+        evidence = status.level.as_str(),
+        evidence_of_all = status.level_of_all.as_str(),
+        new_sent = status.new_sent,
+        new_requests = status.new.requests,
+        new_failures = status.new.failures,
+        old_requests = status.old.requests,
+        old_failures = status.old.failures,
+        new_intervals = status.latency.new.intervals,
+        new_ratio = status.latency.new.ratio,
+        old_intervals = status.latency.old.intervals,
+        old_ratio = status.latency.old.ratio;
+        "rollout in progress"
+    );
+}
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::driver::Driver;
+use crate::journal;
 use crate::peers::Peers;
 use crate::source::{Announcement, Batch, Notice, Source, SourceError};
 
@@ -457,7 +458,11 @@
     loop {
         sleep(ROLLOUT_INTERVAL).await;
         let now = driver.now();
-        for rolled_back in driver.with_gateway_mut(|gateway| gateway.evaluate_rollouts(now)) {
+        let evaluated = driver.with_gateway_mut(|gateway| gateway.evaluate_rollouts(now));
+        for status in driver.with_gateway_mut(|gateway| gateway.due_rollout_statuses(now)) {
+            journal::rollout_progress(&status);
+        }
+        for rolled_back in evaluated {
             log::warn!(
                 event = "move_taken_back",
                 service = rolled_back.service.as_str(),
