Suspend the instance in a test only after its configuration was installed

relay::unanswered::a_stall_of_the_event_loop_is_logged failed once (39 of 40 tests of relay passed): the line told 'configured' true with revision 1. Cause: the instance was suspended less than one turn of its loop after it had installed the configuration, so the line was right. The test waits for some turns before the suspension; its checks are the same.

--- a/tests/all/relay/unanswered.rs
+++ b/tests/all/relay/unanswered.rs
@@ -182,6 +182,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stall_of_the_event_loop_is_logged() {
     let testbed = Testbed::start(0, 1).await;
+    // Lets turns of the loop pass after the configuration was installed.
+    tokio::time::sleep(Duration::from_millis(200)).await;
     testbed.gateway.pause(Duration::from_millis(400)).await;
     let long = |line: &Value| {
         line["event"] == "loop_stalled" && line["stalled_ms"].as_u64().is_some_and(|ms| ms >= 300)
