Don't count a stall of the instance as silence of its targets

Callers saw all streams of an instance break off at once after its process had been suspended.

Cause: after a stall, the timers of all attempts expire in the first turn of the event loop, before the tasks that read the connections have passed on what has arrived meanwhile. Evidence, on: 20 streams from two targets that send an event every 50 ms, the process suspended for 1.2 s (SIGSTOP): 20 log lines attempt_ended with end silent, for both targets, within the same few milliseconds, and the callers' bodies end early.

Change: the driver's tick and each expired timer record that the event loop runs. A gap of 150 ms or more is a stall; what an attempt waited before its end is not counted, and the gateway is asked at the earliest 250 ms after it.

The detector is the one that reports loop_stalled, now for gaps of 150 ms or more; there is one copy.

--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -16,6 +16,7 @@
 use crate::journal::{self, Progress};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::pulse::Pulse;
 use crate::row_cache::RowCache;
 use crate::wire_format::WireFormat;
 
@@ -38,6 +39,8 @@
     next_ticket: Cell<Ticket>,
     clock: Clock,
     origin: Instant,
+    /// Detector of times in which the instance did not run.
+    pub pulse: Pulse,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Format of requests from callers and answers from targets.
@@ -63,6 +66,7 @@
             next_ticket: Cell::new(0),
             clock,
             origin: Instant::now(),
+            pulse: Pulse::new(Instant::now()),
             pool: Pool::default(),
             wire_format,
             metrics: Rc::new(Metrics::new()),
@@ -112,6 +116,11 @@
         self.origin + time.since(Time::ZERO)
     }
 
+    /// Records that the event loop runs at `now`.
+    pub fn observe_turn(&self, now: Instant) {
+        self.pulse.turn(now, self.with_gateway(Gateway::revision), &self.metrics);
+    }
+
     /// Returns an unused ticket for a new request.
     pub fn new_ticket(&self) -> Ticket {
         let ticket = self.next_ticket.get();
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -24,7 +24,7 @@
 use crate::driver::Driver;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::pulse::{self, Pulse};
+use crate::pulse;
 use crate::server::{self, Limits, Phase, Shared};
 use crate::source::{Announcement, Source};
 use crate::watch;
@@ -128,7 +128,6 @@
             "instance started"
         );
         let mut text = std::fs::read_to_string(self.path).ok();
-        let mut pulse = Pulse::new(TICK_INTERVAL);
         let mut tick = interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut sweep = interval(SWEEP_INTERVAL);
@@ -136,8 +135,7 @@
         loop {
             tokio::select! {
                 _ = tick.tick() => {
-                    let revision = driver.with_gateway(Gateway::revision);
-                    pulse.turn(driver.now(), revision, &driver.metrics);
+                    driver.observe_turn(Instant::now());
                     driver.handle(Event::Tick);
                 }
                 _ = sweep.tick() => {
@@ -251,6 +249,7 @@
     let balancer_done = start + BALANCER_DELAY;
     loop {
         sleep(STOP_POLL_INTERVAL).await;
+        driver.observe_turn(Instant::now());
         driver.handle(Event::Tick);
         let now = Instant::now();
         if now >= balancer_done {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! - [`Instance`] starts and stops the process.
 //! - [`callers`] serves callers' requests, which arrive through [`server`].
-//! - [`activity`] observes what happens on a caller's connection, and [`pulse`] the event loop.
+//! - [`activity`] observes what happens on a caller's connection, and [`pulse`] times in which
+//!   the instance did not run.
 //! - [`attempt`] sends a request to a target over a connection of [`pool`], [`silence`] waits
 //!   for its answer, and [`stream`] forwards event streams to the caller.
 //! - [`driver`] passes events to the gateway and delivers its actions to the waiting requests.
--- a/crates/relay/src/pulse.rs
+++ b/crates/relay/src/pulse.rs
@@ -1,46 +1,55 @@
 //! Observes the event loop and panics, so that their effects can be told from those of targets.
 
+use std::cell::Cell;
 use std::panic;
 use std::time::Duration;
 
-use sesamewind_protocol::{Revision, Time};
+use sesamewind_protocol::Revision;
+use tokio::time::Instant;
 
 use crate::metrics::Metrics;
 
-/// Delay of a turn of the event loop from which it is reported. A timeout of a target is several
-/// times as long.
-const STALL: Duration = Duration::from_millis(100);
+/// Time without a turn of the event loop after which the instance counts as stalled: several times
+/// the interval of its ticks.
+const MIN_STALL: Duration = Duration::from_millis(150);
 
-/// Detects late turns of the event loop.
+/// Detects stalls of the event loop: the process was suspended, or a turn took long.
 #[derive(Debug)]
 pub struct Pulse {
-    interval: Duration,
-    last: Option<(Time, Revision)>,
+    /// Time of the last turn, and the configuration in force then.
+    last_turn: Cell<(Instant, Revision)>,
+    stall_end: Cell<Option<Instant>>,
 }
 
 impl Pulse {
-    /// Creates a detector for turns that are expected every `interval`.
-    pub fn new(interval: Duration) -> Self {
-        Self { interval, last: None }
+    /// Creates a detector at `now`.
+    pub fn new(now: Instant) -> Self {
+        Self { last_turn: Cell::new((now, Revision::default())), stall_end: Cell::new(None) }
     }
 
-    /// Records a turn at `now`, with the configuration `revision` in force. Reports it if it is
-    /// late.
-    pub fn turn(&mut self, now: Time, revision: Revision, metrics: &Metrics) {
-        let Some((last, before)) = self.last.replace((now, revision)) else { return };
-        let delay = now.since(last).saturating_sub(self.interval);
-        if delay < STALL {
+    /// Records that the event loop runs at `now`, with the configuration `revision` in force.
+    /// Reports a stall.
+    pub fn turn(&self, now: Instant, revision: Revision, metrics: &Metrics) {
+        let (last, before) = self.last_turn.replace((now, revision));
+        let gap = now.duration_since(last);
+        if gap < MIN_STALL {
             return;
         }
-        metrics.loop_stalled(delay);
+        self.stall_end.set(Some(now));
+        metrics.loop_stalled(gap);
         log::warn!(
             event = "loop_stalled",
-            stalled_ms = delay.as_millis() as u64,
+            stalled_ms = gap.as_millis() as u64,
             configured = before != revision,
             revision = revision.0;
-            "turn of the event loop was late"
+            "event loop did not run"
         );
     }
+
+    /// Returns when the last stall ended, if that was after `start`.
+    pub fn stall_end_after(&self, start: Instant) -> Option<Instant> {
+        self.stall_end.get().filter(|end| *end > start)
+    }
 }
 
 /// Logs and counts each panic of the process, in addition to what the previous hook does.
--- a/crates/relay/src/silence.rs
+++ b/crates/relay/src/silence.rs
@@ -13,6 +13,10 @@
 /// Time after which the gateway is asked again whether another target can take the request.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Shortest wait for a target after a stall of this instance, in which the data that has arrived
+/// meanwhile is read.
+const STALL_WAIT: Duration = Duration::from_millis(250);
+
 /// Time without progress of an attempt, while this instance was waiting for it.
 #[derive(Debug, Default)]
 pub struct Silence {
@@ -22,10 +26,31 @@
 }
 
 impl Silence {
+    /// Returns the length at which the gateway is asked; none if it never is.
+    fn limit(&self, dispatch: &Dispatch) -> Option<Duration> {
+        self.asked.map(|asked| asked + ASK_INTERVAL).or(dispatch.silence_timeout)
+    }
+
     /// Returns the time left until the gateway is asked; none if it never is.
     fn time_left(&self, dispatch: &Dispatch) -> Option<Duration> {
-        let limit = self.asked.map(|asked| asked + ASK_INTERVAL).or(dispatch.silence_timeout)?;
-        Some(limit.saturating_sub(self.length))
+        self.limit(dispatch).map(|limit| limit.saturating_sub(self.length))
+    }
+
+    /// Adds a wait from `start` to `now`. What came before the end of a stall, at `stall_end`, is not
+    /// counted, since data may have arrived meanwhile.
+    fn add(
+        &mut self,
+        dispatch: &Dispatch,
+        start: Instant,
+        stall_end: Option<Instant>,
+        now: Instant,
+    ) {
+        if stall_end.is_some()
+            && let Some(limit) = self.limit(dispatch)
+        {
+            self.length = self.length.min(limit.saturating_sub(STALL_WAIT));
+        }
+        self.length += now.duration_since(stall_end.unwrap_or(start));
     }
 }
 
@@ -48,12 +73,16 @@
             let start = Instant::now();
             let ask_at = silence.time_left(dispatch).map_or(deadline, |left| start + left);
             let part = timeout_at(ask_at.min(deadline), next.as_mut()).await;
-            silence.length += start.elapsed();
+            let now = Instant::now();
+            self.driver.observe_turn(now);
+            let stall_end = self.driver.pulse.stall_end_after(start);
+            silence.add(dispatch, start, stall_end, now);
             match part {
                 Ok(part) => return Ok(part),
-                Err(_) if Instant::now() >= deadline => {
+                Err(_) if now >= deadline => {
                     return Err(AttemptEnd::Outcome(AttemptOutcome::Expired));
                 }
+                Err(_) if stall_end.is_some() => {}
                 Err(_) => self.ask(dispatch, silence).await?,
             }
         }
--- a/tests/all/relay/silence.rs
+++ b/tests/all/relay/silence.rs
@@ -121,3 +121,32 @@
     let runs: usize = testbed.models.iter().map(|target| target.runs(&id)).sum();
     assert_eq!(runs, 1, "{:?}", testbed.trace(&id));
 }
+
+/// Guards against counting the time in which the instance itself was suspended as its targets'
+/// silence.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspended_instance_does_not_take_its_targets_for_silent() {
+    for millis in [1_200, 3_000] {
+        let options = TargetOptions {
+            events: 60,
+            slots: 20,
+            delay: Duration::from_millis(50),
+            ..TargetOptions::default()
+        };
+        let testbed = Testbed::start_with(2, 0, options).await;
+        let mut streams = Vec::new();
+        for _ in 0..20 {
+            let (id, answer) = testbed.send("/talk/x").await;
+            assert_eq!(answer.status(), 200, "{:?}", testbed.trace(&id));
+            streams.push((id, tokio::spawn(answer.text())));
+        }
+        testbed.gateway.pause(Duration::from_millis(millis)).await;
+        for (id, stream) in streams {
+            let text = stream.await.expect("the task ends").expect("a whole stream");
+            let want: String = (1..=60).map(|number| event(&id, number)).collect();
+            assert_eq!(text, want, "{:?}", testbed.trace(&id));
+            let trace = testbed.trace(&id);
+            assert!(!trace.iter().any(|(_, cause)| cause == "silent"), "{millis} ms: {trace:?}");
+        }
+    }
+}
