Close only connections that are idle

Cause: the idle time counted from the head of the last answer and ended within a longer stream, after which the connection closed although the stream's head had not said so. And the HTTP library's shutdown drops the bytes of a next head that it has read, if the connection counts as idle to it. Both belong to one class: a close that is decided without looking at what the connection is used for.

Change: crates/relay/src/connection.rs has the life cycle of a connection (idle, head, request, closing), and one function that decides from usage, limits, phase and time. The connection is read before each decision. A connection is in use until the body of its answer has ended; a head that has arrived in part has the head timeout, also during a stop, and is answered. If the HTTP library has read bytes of a further request together with the last one, the connection is served on with these bytes. An answer before the end of the request's body says that the connection closes, so bytes of a body are never read as a head.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -17,12 +18,14 @@
 /// What a connection is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Usage {
-    /// No byte of a further request has been read.
+    /// All answers have ended, and no byte of a further request has been read.
     Idle,
     /// Part of a request's head has been read.
     Head,
     /// A request is being read or answered.
     Request,
+    /// The last answer has ended. No further request is read.
+    Closing,
 }
 
 impl Usage {
@@ -32,10 +35,20 @@
             Self::Idle => "idle",
             Self::Head => "head",
             Self::Request => "request",
+            Self::Closing => "closing",
         }
     }
 }
 
+/// The side that ends a connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// The caller's request said so.
+    Caller,
+    /// The answer says so.
+    Answer,
+}
+
 /// State of a connection, shared by its parts.
 #[derive(Debug)]
 pub struct Activity {
@@ -44,6 +57,12 @@
     opened: Instant,
     served: Cell<u64>,
     head_bytes: Cell<usize>,
+    /// Whether the socket takes no more bytes of an answer at present.
+    blocked: Cell<bool>,
+    /// Whether the body of the current request was read to its end.
+    body_ended: Cell<bool>,
+    /// Which side said that no request follows the current one.
+    last: Cell<Option<Side>>,
 }
 
 impl Activity {
@@ -55,6 +74,9 @@
             opened: now,
             served: Cell::new(0),
             head_bytes: Cell::new(0),
+            blocked: Cell::new(false),
+            body_ended: Cell::new(false),
+            last: Cell::new(None),
         }
     }
 
@@ -78,24 +100,46 @@
         self.head_bytes.get()
     }
 
-    /// Records that the head of a request was read.
-    pub fn request_started(&self, now: Instant) {
+    /// Returns whether bytes of an answer wait for the socket.
+    pub fn is_blocked(&self) -> bool {
+        self.blocked.get()
+    }
+
+    /// Records that the head of a request was read; `last` tells whether its caller sends no other.
+    pub fn request_started(&self, last: bool, now: Instant) {
         self.enter(Usage::Request, now);
         self.head_bytes.set(0);
+        self.body_ended.set(false);
+        self.last.set(last.then_some(Side::Caller));
+    }
+
+    /// Records that the answer to the current request is the connection's last one.
+    pub fn set_last(&self) {
+        self.last.set(self.last.get().or(Some(Side::Answer)));
+    }
+
+    /// Returns which side said that no request follows the current one.
+    pub fn last(&self) -> Option<Side> {
+        self.last.get()
+    }
+
+    /// Returns whether the body of the current request was read to its end. If not, bytes that
+    /// follow are not a head.
+    pub fn has_body_ended(&self) -> bool {
+        self.body_ended.get()
     }
 
     fn bytes_read(&self, bytes: usize, now: Instant) {
-        if self.usage.get() == Usage::Request {
-            return;
-        }
-        if self.usage.get() == Usage::Idle {
-            self.enter(Usage::Head, now);
+        match self.usage.get() {
+            Usage::Request | Usage::Closing => return,
+            Usage::Idle => self.enter(Usage::Head, now),
+            Usage::Head => {}
         }
         self.head_bytes.set(self.head_bytes.get() + bytes);
     }
 
     fn answer_ended(&self, now: Instant) {
-        self.enter(Usage::Idle, now);
+        self.enter(if self.last.get().is_some() { Usage::Closing } else { Usage::Idle }, now);
         self.served.set(self.served.get() + 1);
     }
 
@@ -105,17 +149,24 @@
     }
 }
 
-/// A socket whose reads are recorded.
+/// A socket whose reads and writes are recorded.
 #[derive(Debug)]
 pub struct WatchedStream {
     stream: TcpStream,
     activity: Rc<Activity>,
+    /// Bytes that were read before and are read again.
+    unread: Bytes,
 }
 
 impl WatchedStream {
-    /// Creates a socket that records its reads in `activity`.
+    /// Creates a socket that records its reads and writes in `activity`.
     pub fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
-        Self { stream, activity }
+        Self { stream, activity, unread: Bytes::new() }
+    }
+
+    /// Returns bytes to the socket, which are read before all others.
+    pub fn unread(&mut self, bytes: Bytes) {
+        self.unread = bytes;
     }
 }
 
@@ -126,7 +177,13 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let result = if self.unread.is_empty() {
+            Pin::new(&mut self.stream).poll_read(context, buffer)
+        } else {
+            let length = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread.split_to(length));
+            Poll::Ready(Ok(()))
+        };
         let bytes = buffer.filled().len() - before;
         if bytes > 0 {
             self.activity.bytes_read(bytes, Instant::now());
@@ -135,13 +192,21 @@
     }
 }
 
+impl WatchedStream {
+    fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.activity.blocked.set(result.is_pending());
+        result
+    }
+}
+
 impl AsyncWrite for WatchedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(result)
     }
 
     fn poll_write_vectored(
@@ -149,7 +214,8 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.record_write(result)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -165,6 +231,45 @@
     }
 }
 
+/// The body of a request, which records that it was read to its end.
+#[derive(Debug)]
+pub struct RequestBody {
+    body: Incoming,
+    activity: Rc<Activity>,
+}
+
+impl RequestBody {
+    /// Creates a body that records its end in `activity`.
+    pub fn new(body: Incoming, activity: Rc<Activity>) -> Self {
+        activity.body_ended.set(body.is_end_stream());
+        Self { body, activity }
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) {
+            self.activity.body_ended.set(true);
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The body of an answer, which records that it was passed on to its end.
 pub struct WatchedBody {
     body: AnswerBody,
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use sesamewind_gateway::sse::EventScanner;
 use sesamewind_gateway::{
     Arrival, AttemptOutcome, Event, Failure, Gateway, Refusal, RefusalReason, Repeat, Route, Step,
@@ -15,6 +15,7 @@
 use sesamewind_protocol::{RequestKey, text_hash};
 use tokio::time::timeout;
 
+use crate::activity::RequestBody;
 use crate::answer::{Answer, AnswerBody};
 use crate::attempt::{Call, Received};
 use crate::driver::{CallerGuard, Driver};
@@ -26,7 +27,7 @@
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Serves one request. Dropping the future means that the caller disconnected.
-pub async fn serve(driver: Rc<Driver>, request: Request<Incoming>) -> Answer {
+pub async fn serve(driver: Rc<Driver>, request: Request<RequestBody>) -> Answer {
     let arrived = driver.now();
     let (head, body) = request.into_parts();
     let caller = match driver.wire_format.read_caller(&head) {
@@ -105,7 +106,7 @@
 }
 
 /// Reads a body of at most `limit` bytes within `wait`, however slowly its bytes arrive.
-async fn read_body(body: Incoming, limit: usize, wait: Duration) -> Result<Bytes, BodyError> {
+async fn read_body(body: RequestBody, limit: usize, wait: Duration) -> Result<Bytes, BodyError> {
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if stated > limit {
         return Err(BodyError::TooLarge);
--- /dev/null
+++ b/crates/relay/src/connection.rs
@@ -0,0 +1,324 @@
+//! Life cycle of a caller's connection, from its accept to its end.
+//!
+//! The task of a connection polls the HTTP library first, which reads all bytes that have arrived,
+//! and then decides from what the connection is used for whether to close it. Only an idle
+//! connection is closed.
+
+use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Version, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::{HttpService, service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use crate::activity::{Activity, RequestBody, Side, Usage, WatchedBody, WatchedStream};
+use crate::answer::{Answer, AnswerBody};
+use crate::metrics::Metrics;
+use crate::server::{Limits, Phase, Shared};
+
+/// Smallest read buffer that the HTTP library accepts, in bytes.
+const MIN_HEAD_BYTES: usize = 8_192;
+
+/// Why a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseReason {
+    /// It was idle for too long.
+    Idle,
+    /// The instance stops.
+    Stop,
+    /// A request's head did not arrive in time.
+    HeadTimeout,
+    /// An answer asked for it.
+    Announced,
+    /// The caller closed it or asked for it.
+    Caller,
+    /// The caller closed it within a request.
+    Incomplete,
+    /// An answer could not be completed.
+    Aborted,
+    /// What arrived is not a request.
+    Malformed,
+    /// The socket failed.
+    Error,
+    /// A request's task panicked.
+    Panic,
+    /// The process exited.
+    Exit,
+}
+
+impl CloseReason {
+    fn of_error(err: &hyper::Error) -> Self {
+        if err.is_timeout() {
+            Self::HeadTimeout
+        } else if err.is_user() {
+            Self::Aborted
+        } else if err.is_parse() {
+            Self::Malformed
+        } else if err.is_incomplete_message() {
+            Self::Incomplete
+        } else {
+            Self::Error
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Stop => "stop",
+            Self::HeadTimeout => "head_timeout",
+            Self::Announced => "announced",
+            Self::Caller => "caller",
+            Self::Incomplete => "incomplete",
+            Self::Aborted => "aborted",
+            Self::Malformed => "malformed",
+            Self::Error => "error",
+            Self::Panic => "panic",
+            Self::Exit => "exit",
+        }
+    }
+}
+
+/// Logs and counts the end of a connection when dropped, also by a panic or the process's exit.
+#[derive(Debug)]
+struct CloseRecord {
+    listener: &'static str,
+    activity: Rc<Activity>,
+    metrics: Rc<Metrics>,
+    reason: Option<CloseReason>,
+}
+
+impl Drop for CloseRecord {
+    fn drop(&mut self) {
+        let reason = self.reason.unwrap_or(if std::thread::panicking() {
+            CloseReason::Panic
+        } else {
+            CloseReason::Exit
+        });
+        self.metrics.connection_closed(reason.as_str());
+        let (usage, since) = self.activity.usage();
+        let failed = matches!(
+            reason,
+            CloseReason::Aborted | CloseReason::Malformed | CloseReason::Error | CloseReason::Panic
+        );
+        let level =
+            if failed || usage != Usage::Idle { log::Level::Info } else { log::Level::Debug };
+        log::log!(
+            level,
+            event = "connection_closed",
+            listener = self.listener,
+            reason = reason.as_str(),
+            usage = usage.as_str(),
+            usage_ms = since.elapsed().as_millis() as u64,
+            head_bytes = self.activity.head_bytes(),
+            served = self.activity.served(),
+            open_ms = self.activity.opened().elapsed().as_millis() as u64;
+            "connection closed"
+        );
+    }
+}
+
+/// What to do with a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    /// Serve it, and decide again at this time unless its usage changes before.
+    Serve(Option<Instant>),
+    /// Close it.
+    Close(CloseReason),
+}
+
+/// Decides whether to close a connection at `now`.
+///
+/// In the last phase of a stop, a connection without any request so far may have been opened for
+/// one that is on its way.
+fn decide(activity: &Activity, limits: Limits, phase: Phase, now: Instant) -> Verdict {
+    let (usage, since) = activity.usage();
+    let is_stopping = phase == Phase::Closed;
+    let (reason, limit) = match usage {
+        Usage::Request => return Verdict::Serve(None),
+        _ if activity.is_blocked() => return Verdict::Serve(None),
+        Usage::Head => (CloseReason::HeadTimeout, limits.head_timeout),
+        Usage::Closing => (CloseReason::Announced, limits.head_timeout),
+        Usage::Idle if is_stopping && activity.served() > 0 => {
+            return Verdict::Close(CloseReason::Stop);
+        }
+        Usage::Idle if is_stopping => (CloseReason::Stop, limits.head_timeout),
+        Usage::Idle => (CloseReason::Idle, limits.idle_timeout),
+    };
+    let end = since + limit;
+    if now >= end { Verdict::Close(reason) } else { Verdict::Serve(Some(end)) }
+}
+
+/// Returns whether answers with this status have no body.
+fn is_bodiless(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
+/// Returns whether the headers say that the connection is closed after this message.
+fn announces_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options = values.filter_map(|value| value.to_str().ok()).flat_map(|v| v.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
+/// Answers a request whose task has panicked. It may have run.
+fn panic_answer() -> Answer {
+    let mut answer = Answer::new(AnswerBody::Whole(Bytes::new()));
+    *answer.status_mut() = StatusCode::BAD_GATEWAY;
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
+/// Answers one request with `handler`, and records its progress in `activity`.
+async fn respond<F>(
+    request: Request<Incoming>,
+    handler: impl Fn(Request<RequestBody>) -> F,
+    activity: Rc<Activity>,
+    phase: watch::Receiver<Phase>,
+) -> Result<http::Response<WatchedBody>, Infallible>
+where
+    F: Future<Output = Answer>,
+{
+    let is_last = request.version() != Version::HTTP_11 || announces_close(request.headers());
+    activity.request_started(is_last, Instant::now());
+    let is_head = request.method() == Method::HEAD;
+    let request = request.map(|body| RequestBody::new(body, Rc::clone(&activity)));
+    let answer = AssertUnwindSafe(handler(request)).catch_unwind().await;
+    // The hook that logs panics has reported the panic's payload.
+    let mut answer = answer.unwrap_or_else(|_| panic_answer());
+    if *phase.borrow() != Phase::Serving || !activity.has_body_ended() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    if announces_close(answer.headers()) {
+        activity.set_last();
+    }
+    let unsent = is_head || is_bodiless(answer.status());
+    Ok(answer.map(|body| WatchedBody::new(body, unsent, activity)))
+}
+
+/// How the task of a connection stops serving it.
+#[derive(Debug)]
+enum End {
+    /// The HTTP library has closed the connection.
+    Ended(Result<(), hyper::Error>),
+    /// The connection is to be closed.
+    Close(CloseReason),
+}
+
+type Connection<S> = http1::Connection<TokioIo<WatchedStream>, S>;
+
+/// Serves `connection` until it ends or is to be closed.
+fn poll_end<S>(
+    connection: &mut Connection<S>,
+    verdict: impl Fn(Instant) -> Verdict,
+    mut timer: Pin<&mut Sleep>,
+    context: &mut Context<'_>,
+) -> Poll<End>
+where
+    S: HttpService<Incoming, ResBody = WatchedBody>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    if let Poll::Ready(result) = Pin::new(connection).poll(context) {
+        return Poll::Ready(End::Ended(result));
+    }
+    loop {
+        match verdict(Instant::now()) {
+            Verdict::Close(reason) => return Poll::Ready(End::Close(reason)),
+            Verdict::Serve(None) => return Poll::Pending,
+            Verdict::Serve(Some(until)) => {
+                if timer.deadline() != until {
+                    timer.as_mut().reset(until);
+                }
+                ready!(timer.as_mut().poll(context));
+            }
+        }
+    }
+}
+
+/// Serves the requests of a connection until it ends.
+pub(crate) async fn serve<L, H, F>(stream: TcpStream, handler: H, shared: Shared<L>)
+where
+    L: Fn() -> Limits + 'static,
+    H: Fn(Request<RequestBody>) -> F + Clone + 'static,
+    F: Future<Output = Answer> + 'static,
+{
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY could not be set: {err}");
+    }
+    let limits = (shared.limits)();
+    let mut phase = shared.phase;
+    let activity = Rc::new(Activity::new(Instant::now()));
+    let mut record = CloseRecord {
+        listener: shared.name,
+        activity: Rc::clone(&activity),
+        metrics: shared.metrics,
+        reason: None,
+    };
+    let service = {
+        let (activity, phase) = (Rc::clone(&activity), phase.clone());
+        service_fn(move |request| {
+            respond(request, handler.clone(), Rc::clone(&activity), phase.clone())
+        })
+    };
+    let mut stream = WatchedStream::new(stream, Rc::clone(&activity));
+    let mut timer = std::pin::pin!(sleep_until(Instant::now() + limits.idle_timeout));
+    loop {
+        let mut connection = http1::Builder::new()
+            .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
+            .serve_connection(TokioIo::new(stream), &service);
+        let end = loop {
+            let current = *phase.borrow_and_update();
+            let verdict = |now| decide(&activity, limits, current, now);
+            let end = std::future::poll_fn(|context| {
+                poll_end(&mut connection, verdict, timer.as_mut(), context)
+            });
+            tokio::select! {
+                biased;
+                end = end => break end,
+                () = changed(&mut phase) => {}
+            }
+        };
+        let reason = match end {
+            End::Ended(result) => {
+                record.reason = Some(end_reason(&activity, &result));
+                if let Err(err) = result {
+                    log::debug!("connection of a client ended: {err}");
+                }
+                return;
+            }
+            End::Close(reason) => reason,
+        };
+        let parts = connection.into_parts();
+        // A request that was sent together with the last one may have arrived in part.
+        if reason != CloseReason::Idle && reason != CloseReason::Stop || parts.read_buf.is_empty() {
+            record.reason = Some(reason);
+            return;
+        }
+        stream = parts.io.into_inner();
+        stream.unread(parts.read_buf);
+    }
+}
+
+fn end_reason(activity: &Activity, result: &Result<(), hyper::Error>) -> CloseReason {
+    match result {
+        Err(err) => CloseReason::of_error(err),
+        Ok(()) if activity.last() == Some(Side::Answer) => CloseReason::Announced,
+        Ok(()) => CloseReason::Caller,
+    }
+}
+
+/// Completes when the value changes; never if it can't change any more.
+async fn changed<T>(receiver: &mut watch::Receiver<T>) {
+    if receiver.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod callers;
+mod connection;
 pub mod driver;
 pub mod instance;
 pub mod journal;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -12,8 +12,8 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body::Body;
 use http_body_util::{BodyExt, Collected, Full, Limited};
-use hyper::body::Incoming;
 use rand::RngExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -24,6 +24,7 @@
 use sesamewind_settings::Secret;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::activity::RequestBody;
 use crate::answer::{Answer, AnswerBody};
 use crate::driver::Driver;
 use crate::pool::Pool;
@@ -268,7 +269,7 @@
     }
 
     /// Serves a request on the inner listener.
-    pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+    pub async fn serve(self: Rc<Self>, request: Request<RequestBody>) -> Answer {
         let (head, body) = request.into_parts();
         match (&head.method, head.uri.path()) {
             (&Method::GET, METRICS_PATH) => {
@@ -312,7 +313,10 @@
     }
 }
 
-async fn read(body: Incoming) -> Result<Bytes, String> {
+async fn read<B>(body: B) -> Result<Bytes, String>
+where
+    B: Body<Data = Bytes, Error = hyper::Error>,
+{
     let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
     body.map(Collected::to_bytes).map_err(|err| err.to_string())
 }
--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use http::Request;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use sesamewind_relay::activity::RequestBody;
 use sesamewind_relay::answer::{Answer, AnswerBody};
 use sesamewind_relay::server::{Limits, Phase};
 use tokio::task::LocalSet;
@@ -28,7 +28,7 @@
 
 /// Answers with [`DONE`] after the request's body has arrived; `/stream` sends it in an event after
 /// several times the idle time.
-async fn answer(request: Request<Incoming>) -> Answer {
+async fn answer(request: Request<RequestBody>) -> Answer {
     let is_stream = request.uri().path() == "/stream";
     if request.into_body().collect().await.is_err() {
         return Answer::new(AnswerBody::Whole(Bytes::from_static(b"broken")));
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use http::Request;
-use hyper::body::Incoming;
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Metadata, Record};
+use sesamewind_relay::activity::RequestBody;
 use sesamewind_relay::answer::Answer;
 use sesamewind_relay::metrics::Metrics;
 use sesamewind_relay::server::{self, Limits, Phase, Shared};
@@ -92,7 +92,7 @@
     /// Starts a listener on the current `LocalSet`.
     pub fn start<H, F>(handler: H, limits: Limits) -> Self
     where
-        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        H: Fn(Request<RequestBody>) -> F + Clone + 'static,
         F: Future<Output = Answer> + 'static,
     {
         let listener = server::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
