Apply changed limits to open connections

What callers saw: an open connection kept the limits of the configuration that held when it was accepted. After a change to a longer idle time, a caller that reused its connection within four fifths of the new limit met a close; after a change to larger heads, a 431.

Cause: the limits were read once, at the accept.

Change: limits are looked up when they apply. A time that has begun can only become longer, since the caller may rely on the limit that held when its connection became idle; a shorter limit holds from the next idle time on. The read buffer follows the limit of heads while the connection is idle.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -4,6 +4,7 @@
 //! and then decides from what the connection is used for whether to close it. Only an idle
 //! connection is closed.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
@@ -127,6 +128,37 @@
     }
 }
 
+/// The limits that hold for a connection. A change may only lengthen a time that has begun, since
+/// the caller may rely on the limits that held then.
+struct Grant<'a> {
+    current: &'a dyn Fn() -> Limits,
+    /// When the current usage began, and the limits at that time.
+    begun: Cell<Option<(Instant, Limits)>>,
+}
+
+impl Grant<'_> {
+    /// Returns the limits for a usage that began at `since`.
+    fn limits(&self, since: Instant) -> Limits {
+        let current = (self.current)();
+        match self.begun.get() {
+            Some((begun, limits)) if begun == since => Limits {
+                head_bytes: current.head_bytes,
+                head_timeout: limits.head_timeout.max(current.head_timeout),
+                idle_timeout: limits.idle_timeout.max(current.idle_timeout),
+            },
+            _ => {
+                self.begun.set(Some((since, current)));
+                current
+            }
+        }
+    }
+
+    /// Returns the size of a read buffer for the largest head that is allowed now.
+    fn buffer_bytes(&self) -> usize {
+        (self.current)().head_bytes.max(MIN_HEAD_BYTES)
+    }
+}
+
 /// What to do with a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Verdict {
@@ -140,12 +172,15 @@
 ///
 /// In the last phase of a stop, a connection without any request so far may have been opened for
 /// one that is on its way.
-fn decide(activity: &Activity, limits: Limits, phase: Phase, now: Instant) -> Verdict {
+fn decide(activity: &Activity, grant: &Grant, phase: Phase, now: Instant) -> Verdict {
     let (usage, since) = activity.usage();
+    if activity.is_blocked() {
+        return Verdict::Serve(None);
+    }
+    let limits = grant.limits(since);
     let is_stopping = phase == Phase::Closed;
     let (reason, limit) = match usage {
         Usage::Request => return Verdict::Serve(None),
-        _ if activity.is_blocked() => return Verdict::Serve(None),
         Usage::Head => (CloseReason::HeadTimeout, limits.head_timeout),
         Usage::Closing => (CloseReason::Announced, limits.head_timeout),
         Usage::Idle if is_stopping && activity.served() > 0 => {
@@ -212,6 +247,8 @@
     Ended(Result<(), hyper::Error>),
     /// The connection is to be closed.
     Close(CloseReason),
+    /// The connection needs a read buffer of another size, before the next head is read.
+    Resize,
 }
 
 type Connection<S> = http1::Connection<TokioIo<WatchedStream>, S>;
@@ -219,6 +256,7 @@
 /// Serves `connection` until it ends or is to be closed.
 fn poll_end<S>(
     connection: &mut Connection<S>,
+    is_outdated: impl Fn() -> bool,
     verdict: impl Fn(Instant) -> Verdict,
     mut timer: Pin<&mut Sleep>,
     context: &mut Context<'_>,
@@ -227,6 +265,9 @@
     S: HttpService<Incoming, ResBody = WatchedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    if is_outdated() {
+        return Poll::Ready(End::Resize);
+    }
     if let Poll::Ready(result) = Pin::new(connection).poll(context) {
         return Poll::Ready(End::Ended(result));
     }
@@ -254,7 +295,7 @@
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY could not be set: {err}");
     }
-    let limits = (shared.limits)();
+    let grant = Grant { current: &shared.limits, begun: Cell::new(None) };
     let mut phase = shared.phase;
     let activity = Rc::new(Activity::new(Instant::now()));
     let mut record = CloseRecord {
@@ -270,16 +311,21 @@
         })
     };
     let mut stream = WatchedStream::new(stream, Rc::clone(&activity));
-    let mut timer = std::pin::pin!(sleep_until(Instant::now() + limits.idle_timeout));
+    let mut timer = std::pin::pin!(sleep_until(Instant::now()));
     loop {
+        let buffer_bytes = grant.buffer_bytes();
         let mut connection = http1::Builder::new()
-            .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
+            .max_buf_size(buffer_bytes)
             .serve_connection(TokioIo::new(stream), &service);
         let end = loop {
             let current = *phase.borrow_and_update();
-            let verdict = |now| decide(&activity, limits, current, now);
+            let is_outdated = || {
+                let is_quiet = activity.usage().0 == Usage::Idle && !activity.is_blocked();
+                is_quiet && grant.buffer_bytes() != buffer_bytes
+            };
+            let verdict = |now| decide(&activity, &grant, current, now);
             let end = std::future::poll_fn(|context| {
-                poll_end(&mut connection, verdict, timer.as_mut(), context)
+                poll_end(&mut connection, is_outdated, verdict, timer.as_mut(), context)
             });
             tokio::select! {
                 biased;
@@ -295,12 +341,14 @@
                 }
                 return;
             }
-            End::Close(reason) => reason,
+            End::Close(reason) => Some(reason),
+            End::Resize => None,
         };
         let parts = connection.into_parts();
-        // A request that was sent together with the last one may have arrived in part.
-        if reason != CloseReason::Idle && reason != CloseReason::Stop || parts.read_buf.is_empty() {
-            record.reason = Some(reason);
+        // Bytes of a request that was sent together with the last one. Its head is read first.
+        let is_cut = matches!(reason, Some(CloseReason::HeadTimeout | CloseReason::Announced));
+        if reason.is_some() && (is_cut || parts.read_buf.is_empty()) {
+            record.reason = reason;
             return;
         }
         stream = parts.io.into_inner();
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -58,7 +58,7 @@
 pub struct Shared<L> {
     /// Name of the listener in the log.
     pub name: &'static str,
-    /// Returns the limits of a new connection.
+    /// Returns the limits that hold now.
     pub limits: L,
     /// Progress of a planned stop.
     pub phase: watch::Receiver<Phase>,
