Answer heads that do not arrive in time

What callers saw: no answer to a head that stopped part way; its time included the idle time, and the connection closed without a word.

Cause: the HTTP library has one timeout from the last answer to the end of a head, and answers nothing when it passes.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -164,6 +164,16 @@
         Self { stream, activity, unread: Bytes::new() }
     }
 
+    /// Writes the last bytes before the socket is closed, without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if the bytes do not fit into the socket's buffer.
+    pub fn write_last(&self, bytes: &[u8]) -> io::Result<()> {
+        let written = self.stream.try_write(bytes)?;
+        if written < bytes.len() { Err(io::ErrorKind::WriteZero.into()) } else { Ok(()) }
+    }
+
     /// Returns bytes to the socket, which are read before all others.
     pub fn unread(&mut self, bytes: Bytes) {
         self.unread = bytes;
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -30,6 +30,10 @@
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 
+/// Answer to a head that did not arrive in time. Its request has not run.
+const HEAD_TIMEOUT_ANSWER: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Why a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CloseReason {
@@ -347,11 +351,16 @@
         let parts = connection.into_parts();
         // Bytes of a request that was sent together with the last one. Its head is read first.
         let is_cut = matches!(reason, Some(CloseReason::HeadTimeout | CloseReason::Announced));
+        stream = parts.io.into_inner();
         if reason.is_some() && (is_cut || parts.read_buf.is_empty()) {
             record.reason = reason;
+            if reason == Some(CloseReason::HeadTimeout)
+                && let Err(err) = stream.write_last(HEAD_TIMEOUT_ANSWER)
+            {
+                log::debug!("late head could not be answered: {err}");
+            }
             return;
         }
-        stream = parts.io.into_inner();
         stream.unread(parts.read_buf);
     }
 }
