Count only whole events as progress of a stream

Callers saw no event for the whole time left, though another target was free.

Cause: any byte from the target restarted the silence timeout before the first event, and a comment did so at any time, so that a target that sends comment lines or an event byte by byte was never taken for silent.

Change: EventScanner counts events with data or an identifier only; comments and blank lines are passed on as before, but are no progress. A stream is opened with its first event, and what came before it is held until then.

The case of an event sent byte by byte by the only target, and a_stream_of_slow_events_is_passed_on_to_its_end, show that such an answer is not ended.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -14,7 +14,7 @@
     buffer: Vec<u8>,
     /// Number of bytes of `buffer` that were already searched.
     scanned: usize,
-    /// Number of events found since the start.
+    /// Number of events with content found since the start.
     events: u64,
     last_id: Option<String>,
 }
@@ -30,8 +30,9 @@
         self.buffer.extend_from_slice(bytes);
         let mut complete = 0;
         while let Some(event) = self.next_event(complete) {
-            self.events += 1;
-            if let Some(id) = event_id(&self.buffer[event.clone()]) {
+            let bytes = &self.buffer[event.clone()];
+            self.events += u64::from(has_content(bytes));
+            if let Some(id) = event_id(bytes) {
                 self.last_id = Some(id);
             }
             complete = event.end;
@@ -52,7 +53,8 @@
         self.scanned = 0;
     }
 
-    /// Returns the number of events found so far.
+    /// Returns the number of events found so far. Comments and blank lines are passed on, but are no
+    /// events.
     pub fn events(&self) -> u64 {
         self.events
     }
@@ -83,6 +85,12 @@
     }
 }
 
+/// Returns whether the event has data or an identifier.
+fn has_content(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id:"))
+}
+
 /// Returns the value of the event's `id` field.
 fn event_id(event: &[u8]) -> Option<String> {
     let lines = event.split(|byte| *byte == b'\n');
--- a/crates/gateway/tests/all/sse.rs
+++ b/crates/gateway/tests/all/sse.rs
@@ -10,33 +10,45 @@
         bytes: &'static str,
         whole: &'static str,
         last: Option<&'static str>,
+        events: u64,
     }
     let cases = [
-        Case { name: "nothing", bytes: "", whole: "", last: None },
-        Case { name: "part of one", bytes: "id: 1\ndata: x\n", whole: "", last: None },
+        Case { name: "nothing", bytes: "", whole: "", last: None, events: 0 },
+        Case { name: "part of one", bytes: "id: 1\ndata: x\n", whole: "", last: None, events: 0 },
         Case {
             name: "one",
             bytes: "id: 1\ndata: x\n\n",
             whole: "id: 1\ndata: x\n\n",
             last: Some("1"),
+            events: 1,
         },
         Case {
             name: "one and part of the next",
             bytes: "id: 1\ndata: x\n\nid: 2\nda",
             whole: "id: 1\ndata: x\n\n",
             last: Some("1"),
+            events: 1,
         },
         Case {
             name: "carriage returns",
             bytes: "id: 7\r\ndata: x\r\n\r\n",
             whole: "id: 7\r\ndata: x\r\n\r\n",
             last: Some("7"),
+            events: 1,
         },
         Case {
             name: "a field before the identifier",
             bytes: "weights-version: 3\nid: 9\ndata: x\n\n",
             whole: "weights-version: 3\nid: 9\ndata: x\n\n",
             last: Some("9"),
+            events: 1,
+        },
+        Case {
+            name: "comments and blank lines",
+            bytes: ": x\n\n\n\nid: 1\ndata: x\n\n:\n\n",
+            whole: ": x\n\n\n\nid: 1\ndata: x\n\n:\n\n",
+            last: Some("1"),
+            events: 1,
         },
     ];
     for case in cases {
@@ -48,6 +60,7 @@
             }
             assert_eq!(whole, case.whole.as_bytes(), "{} by {step}", case.name);
             assert_eq!(scanner.last_id(), case.last, "{} by {step}", case.name);
+            assert_eq!(scanner.events(), case.events, "{} by {step}", case.name);
         }
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -306,20 +306,24 @@
         scanner: &mut EventScanner,
         mut answer: Answering,
     ) -> Result<Received, AttemptEnd> {
+        let received = scanner.events();
+        let mut first = Vec::new();
         loop {
             let frame = self.wait_for(dispatch, &mut answer.silence, answer.body.frame()).await?;
-            let (first, ended) = match frame {
-                Some(Ok(frame)) => (
-                    frame.into_data().map_or_else(|_| Vec::new(), |data| scanner.push(&data)),
-                    false,
-                ),
-                None if scanner.partial().is_empty() => (Vec::new(), true),
+            let ended = match frame {
+                Some(Ok(frame)) => {
+                    first.extend(
+                        frame.into_data().map_or_else(|_| Vec::new(), |data| scanner.push(&data)),
+                    );
+                    false
+                }
+                None if scanner.partial().is_empty() => true,
                 Some(Err(_)) | None => return Err(AttemptOutcome::Broken.into()),
             };
-            self.end_silence(dispatch, &mut answer.silence);
-            if first.is_empty() && !ended {
+            if scanner.events() == received && !ended {
                 continue;
             }
+            self.end_silence(dispatch, &mut answer.silence);
             self.driver.handle(Event::Started(self.ticket));
             let Answering { connection, head, body, silence } = answer;
             let opened = OpenStream { body, connection, first: Bytes::from(first), ended, silence };
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -62,7 +62,6 @@
     loop {
         let end = match relay.read().await {
             Ok(Some(bytes)) => {
-                relay.call.record_part();
                 return Some((Ok(relay.forward(bytes)), Some(relay)));
             }
             Ok(None) => {
@@ -86,7 +85,7 @@
         bytes
     }
 
-    /// Reads the next complete events; none at the end of the stream.
+    /// Reads the next complete events and comments; none at the end of the stream.
     async fn read(&mut self) -> Result<Option<Bytes>, AttemptEnd> {
         if self.ended {
             return Ok(None);
@@ -94,14 +93,18 @@
         let Some((body, _)) = &mut self.upstream else {
             return Err(AttemptOutcome::Broken.into());
         };
+        let received = self.scanner.events();
         loop {
             let frame = self.call.wait_for(&self.dispatch, &mut self.silence, body.frame());
             match frame.await? {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let whole = self.scanner.push(&data);
-                    if !whole.is_empty() {
+                    if self.scanner.events() > received {
                         self.call.end_silence(&self.dispatch, &mut self.silence);
+                        self.call.record_part();
+                    }
+                    if !whole.is_empty() {
                         return Ok(Some(Bytes::from(whole)));
                     }
                 }
--- a/tests/all/relay/silence.rs
+++ b/tests/all/relay/silence.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use sesamewind_standins::relay::Behaviour::{self, Decline, Hang, Pause, Serve};
-use sesamewind_standins::relay::{TargetOptions, body, event};
+use sesamewind_standins::relay::Behaviour::{self, Comment, Decline, Drip, Hang, Pause, Serve};
+use sesamewind_standins::relay::{COMMENT, TargetOptions, body, event};
 
 use super::testbed::{Testbed, configuration, until};
 
@@ -53,6 +53,7 @@
         script: &[Pause(2, 1_700), Decline, Decline, Serve],
         runs: 2,
     },
+    Case { name: "byte by byte", path: "/talk/x", targets: 1, script: &[Drip(2, 1_500)], runs: 1 },
     Case { name: "moved", path: "/talk/x", targets: 2, script: &[Hang(2)], runs: 2 },
 ];
 
@@ -109,6 +110,23 @@
     }
 }
 
+/// Guards against taking bytes that complete no event for progress of a stream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_moves_from_a_target_that_sends_no_events() {
+    for behaviour in [Comment(0, 4_000), Comment(2, 4_000), Drip(0, 4_000), Drip(2, 4_000)] {
+        let options = TargetOptions::default();
+        options.script.extend(&[behaviour]);
+        let testbed = Testbed::start_with(2, 0, options).await;
+        let (id, answer) = testbed.send("/talk/x").await;
+        let text = answer.text().await.expect("a whole stream");
+        let comment = std::str::from_utf8(COMMENT).expect("comments are text");
+        let want: String = (1..=5).map(|number| event(&id, number)).collect();
+        assert_eq!(text.replace(comment, ""), want, "{behaviour:?}: {:?}", testbed.trace(&id));
+        let moved = testbed.trace(&id).contains(&("attempt_ended".into(), "silent".into()));
+        assert!(moved, "{behaviour:?}: {:?}", testbed.trace(&id));
+    }
+}
+
 /// Guards against ending a stream that makes progress just within the allowed silence.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_of_slow_events_is_passed_on_to_its_end() {
