Soak: check that accepted requests are answered beside configuration changes

The soak could not have seen it: its callers sent whole requests, its configurations changed one route only, its targets never paused, and only planned stops were checked for requests that were cut.

New guarantees. "accepted requests": what an undisturbed instance has read, at sound targets and with time left, ends with a complete answer or a refusal. "kept connection": an instance that is not stopping keeps an idle connection open for four fifths of each idle limit that may be in force. The report counts what was cut and what failed.

The plans and callers of runs with faults are unchanged for a seed; their configuration has a service, a key and a route more, which they don't use. Existing checks: "planned stop" counts the 200 ms of a crossing from the last byte written instead of from the first, which is the same moment for the callers that existed; "served again" leaves out the new kinds that a configuration may refuse, as it does for routes of one version.

The branch of "accepted requests" for requests without any answer, and its branch for requests that were not passed on, were not seen to fail.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use http::HeaderMap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use reqwest::{Client, Method, Response};
 use sesamewind_adapter::names;
-use sesamewind_standins::relay::{body, event};
+use sesamewind_standins::relay::{self, event};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -23,10 +24,10 @@
 pub const BODY: &str = "the body";
 
 /// How long a caller waits for its answer, which it also sends as the deadline.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
+pub const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Time over its timeout after which a caller stops waiting for an overdue answer.
-const TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+pub const TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 
 /// Interval between readiness checks by the load balancer.
 const BALANCER_INTERVAL: Duration = Duration::from_secs(1);
@@ -35,7 +36,7 @@
 const BALANCER_FAILURES: u32 = 2;
 
 /// Bounds on a caller's pause between two requests in milliseconds.
-const PAUSE_MS: (u64, u64) = (5, 60);
+pub const PAUSE_MS: (u64, u64) = (5, 60);
 
 /// One in this many requests is abandoned by its caller.
 const LEAVE_ONE_IN: u32 = 25;
@@ -133,6 +134,7 @@
                 limited,
                 instance: (instance, incarnation),
                 at,
+                written: at,
                 timeout: CALLER_TIMEOUT,
                 ended: Instant::now(),
                 outcome,
@@ -140,7 +142,8 @@
         }
     }
 
-    fn draw_kind(&self, rng: &mut ChaCha8Rng) -> RequestKind {
+    /// Draws a kind of request that every run has.
+    pub fn draw_kind(&self, rng: &mut ChaCha8Rng) -> RequestKind {
         let version = self.version.load(Ordering::Relaxed);
         match rng.random_range(0..20) {
             0..7 => RequestKind::Pay,
@@ -162,17 +165,10 @@
     ) -> Outcome {
         let url = format!("http://{}{}", self.processes[instance].callers.addr(), kind.path());
         let key = if limited { LIMITED_KEY } else { FREE_KEY };
-        let request = client
-            .request(Method::POST, url)
-            .header("host", "h.example")
-            .header(names::REQUEST_ID, id)
-            .header("authorization", format!("{}{key}", names::KEY_SCHEME))
-            // Only the gateway may set these headers; it has to replace the forged values.
-            .header(names::ACCOUNT, "forged")
-            .header(names::EXPECT_TARGET, "forged")
-            .header(names::DEADLINE, CALLER_TIMEOUT.as_millis().to_string())
-            .header(names::TOKENS, format!("{},{}", TOKENS.0, TOKENS.1))
-            .body(BODY);
+        let mut request = client.request(Method::POST, url).body(BODY);
+        for (name, value) in headers(id, key) {
+            request = request.header(name, value);
+        }
         match request.send().await {
             Ok(answer) => read_outcome(answer, id, kind).await,
             Err(err) => Outcome::NoAnswer(format!("{err:?}")),
@@ -180,22 +176,48 @@
     }
 }
 
+/// Returns the headers of a request.
+pub fn headers(id: &str, key: &str) -> [(&'static str, String); 7] {
+    [
+        ("host", "h.example".to_owned()),
+        (names::REQUEST_ID, id.to_owned()),
+        ("authorization", format!("{}{key}", names::KEY_SCHEME)),
+        // Only the gateway may set these headers; it has to replace the forged values.
+        (names::ACCOUNT, "forged".to_owned()),
+        (names::EXPECT_TARGET, "forged".to_owned()),
+        (names::DEADLINE, CALLER_TIMEOUT.as_millis().to_string()),
+        (names::TOKENS, format!("{},{}", TOKENS.0, TOKENS.1)),
+    ]
+}
+
 fn client() -> Client {
     Client::builder().pool_max_idle_per_host(1).http1_only().build().unwrap_or_default()
 }
 
 async fn read_outcome(answer: Response, id: &str, kind: RequestKind) -> Outcome {
     let status = answer.status().as_u16();
-    let retry_after = answer.headers().contains_key("retry-after");
-    let sealed = answer.headers().contains_key(names::SEAL);
-    let Ok(text) = answer.text().await else { return Outcome::Incomplete };
+    let headers = answer.headers().clone();
+    outcome(status, &headers, answer.text().await.ok(), id, kind)
+}
+
+/// Returns the outcome of a request from its answer, whose body is none if it was cut off.
+pub fn outcome(
+    status: u16,
+    headers: &HeaderMap,
+    body: Option<String>,
+    id: &str,
+    kind: RequestKind,
+) -> Outcome {
+    let retry_after = headers.contains_key("retry-after");
+    let sealed = headers.contains_key(names::SEAL);
+    let Some(text) = body else { return Outcome::Incomplete };
     if status != 200 {
         return Outcome::Status(status, retry_after);
     }
     let expected: String = if kind.is_stream() {
         (1..=EVENTS).map(|number| event(id, number)).collect()
     } else {
-        body(id)
+        relay::body(id)
     };
     match (sealed, text == expected) {
         (true, true) => Outcome::Complete,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -25,7 +25,7 @@
 const RETRY_BOUND: (f64, f64) = (0.2, 50.0);
 
 /// Time after the acknowledgement of a configuration within which it must come into force.
-const APPLY_TIME: Duration = Duration::from_secs(2);
+pub const APPLY_TIME: Duration = Duration::from_secs(2);
 
 /// Time after an instance has served a configuration during which it may still serve older ones.
 const REVERT_SLACK: Duration = Duration::from_millis(250);
@@ -36,9 +36,9 @@
 /// Margin over a caller's timeout within which its answer must arrive.
 const ANSWER_SLACK: Duration = Duration::from_secs(1);
 
-/// Time after a request was sent during which the gateway may close the connection without having
+/// Time after a request was written during which the gateway may close the connection without having
 /// read the request, because the request and the close cross in transit.
-const CROSSING_TIME: Duration = Duration::from_millis(200);
+pub const CROSSING_TIME: Duration = Duration::from_millis(200);
 
 /// Minimum fraction of the requests at the end of a run that must be served.
 const SERVED_FRACTION: f64 = 0.95;
@@ -58,7 +58,8 @@
 }
 
 impl Arrived {
-    fn id(&self) -> &str {
+    /// Returns the id of the request.
+    pub fn id(&self) -> &str {
         self.received.header(names::REQUEST_ID)
     }
 }
@@ -94,7 +95,8 @@
     breaches
 }
 
-fn breach(guarantee: &'static str, seen: String) -> Breach {
+/// Returns a breach.
+pub fn breach(guarantee: &'static str, seen: String) -> Breach {
     Breach { guarantee, seen }
 }
 
@@ -355,7 +357,8 @@
                 && sent.ended <= *at + GRACE + Duration::from_secs(1)
         });
         let scopes = [Scope::Instance(sent.instance.0), Scope::Targets];
-        let was_read = sent.ended > sent.at + CROSSING_TIME || arrived.contains(sent.id.as_str());
+        let was_read =
+            sent.ended > sent.written + CROSSING_TIME || arrived.contains(sent.id.as_str());
         if was_cut
             && was_read
             && stop.is_some()
@@ -373,8 +376,8 @@
     let last = evidence.events.sent.iter().filter(|sent| {
         sent.at + FINAL_WINDOW > end
             && !sent.limited
-            && !matches!(sent.kind, RequestKind::Marker(_))
-            && sent.outcome != Outcome::CallerLeft
+            && !sent.kind.is_optional()
+            && !matches!(sent.outcome, Outcome::CallerLeft | Outcome::Closed)
     });
     let got: Vec<&Outcome> = last.map(|sent| &sent.outcome).collect();
     let served = got.iter().filter(|got| ***got == Outcome::Complete).count();
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -1,5 +1,6 @@
 //! Injects the planned faults.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -7,12 +8,12 @@
 use sesamewind_adapter::names;
 use sesamewind_standins::proxy::{FaultProxy, Flow, Side};
 use sesamewind_standins::relay::settings::GRACE;
-use sesamewind_standins::relay::{RelayTarget, RowStore, StoreMode, TargetOptions};
+use sesamewind_standins::relay::{Behaviour, RelayTarget, RowStore, StoreMode, TargetOptions};
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 
 use crate::callers::EVENTS;
-use crate::configuration::configuration;
+use crate::configuration::{Aspect, SPARE_SERVICE, configuration, idle_limit_ms};
 use crate::plan::{Fault, LinkFault, PlannedFault};
 use crate::process::Process;
 use crate::record::{Change, Record, Scope};
@@ -52,15 +53,26 @@
     pub record: Arc<Record>,
     /// Version of the configuration that was written last.
     pub version: Arc<AtomicU64>,
+    /// Aspects of that configuration that are in their second form.
+    pub changed: Mutex<HashSet<Aspect>>,
 }
 
 impl Deployment {
     /// Starts and registers a target: a plain service or a model engine.
     pub async fn add_target(&self, plain: bool) {
+        self.add_target_of(if plain { "plain" } else { "model" }, plain).await;
+    }
+
+    /// Starts and registers a target of the spare service.
+    pub async fn add_spare_target(&self) {
+        self.add_target_of(SPARE_SERVICE, true).await;
+    }
+
+    async fn add_target_of(&self, service: &str, plain: bool) {
         let mut targets = self.targets.lock().await;
         let options = TargetOptions {
             id: format!("i-{}{}", if plain { "p" } else { "m" }, targets.len()),
-            service: if plain { "plain" } else { "model" }.into(),
+            service: service.to_owned(),
             stream: !plain,
             events: EVENTS,
             delay: EVENT_DELAY,
@@ -70,13 +82,25 @@
     }
 
     /// Writes a new configuration.
-    pub fn configure(&self) {
+    pub async fn configure(&self) {
+        let changed = self.changed.lock().await;
         let version = self.version.load(Ordering::Relaxed) + 3;
-        self.store.configure(&configuration(version));
+        self.store.configure(&configuration(version, &changed));
         self.record.changed(Change::Configured(version));
+        self.record.changed(Change::IdleLimit(idle_limit_ms(&changed)));
         self.version.store(version, Ordering::Relaxed);
     }
 
+    /// Changes an aspect of the configuration to its other form, and writes the configuration.
+    async fn change(&self, aspect: Aspect) {
+        let mut changed = self.changed.lock().await;
+        if !changed.remove(&aspect) {
+            changed.insert(aspect);
+        }
+        drop(changed);
+        self.configure().await;
+    }
+
     /// Injects a planned fault and, if the fault has a duration, ends it afterwards.
     pub async fn inject(&self, planned: PlannedFault) {
         let length = planned.length;
@@ -87,6 +111,9 @@
                 self.kill(&all, length).await;
             }
             Fault::Stop(instance) => self.stop(instance).await,
+            Fault::StopWithSignals(instance) => {
+                tokio::join!(self.stop(instance), self.signal_stopping(instance, length));
+            }
             Fault::RollingStop => {
                 for instance in 0..self.processes.len() / 2 {
                     self.stop(instance).await;
@@ -132,6 +159,9 @@
             }
             Fault::TargetCrash(number) => self.crash(number, length).await,
             Fault::TargetLeaves(number) => self.leave(number).await,
+            Fault::TargetPause(number, events, millis) => {
+                self.pause(number, Behaviour::Pause(events, millis)).await;
+            }
             Fault::TargetScript(number, behaviour) => {
                 let disturbance = self.record.begin_disturbance(Scope::Targets);
                 self.target(number).await.script().extend(&[behaviour; SCRIPTED_REQUESTS]);
@@ -141,13 +171,28 @@
             }
             Fault::Configure(count) => {
                 for _ in 0..count {
-                    self.configure();
+                    self.configure().await;
+                    sleep(CONFIGURE_PAUSE).await;
+                }
+            }
+            Fault::Change(aspect, count) => {
+                for _ in 0..count {
+                    self.change(aspect).await;
                     sleep(CONFIGURE_PAUSE).await;
                 }
             }
         }
     }
 
+    /// Makes one target, or all targets, pause in some answers, which does not disturb them.
+    async fn pause(&self, number: Option<usize>, pause: Behaviour) {
+        let targets = self.targets.lock().await;
+        let chosen = number.map_or(0..targets.len(), |number| number..number + 1);
+        for target in &targets[chosen] {
+            target.script().extend(&[pause; SCRIPTED_REQUESTS]);
+        }
+    }
+
     async fn target(&self, number: usize) -> Arc<RelayTarget> {
         Arc::clone(&self.targets.lock().await[number])
     }
@@ -193,6 +238,14 @@
         process.start();
     }
 
+    /// Signals a process to reload and to stop while it is already stopping.
+    async fn signal_stopping(&self, instance: usize, length: Duration) {
+        for signal in [libc::SIGHUP, libc::SIGTERM] {
+            sleep(length / 3).await;
+            self.processes[instance].signal_if_stopping(signal);
+        }
+    }
+
     async fn disturb_link(
         &self,
         scope: Scope,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,14 +9,21 @@
 //! Some guarantees hold at all times. Others have a time bound, and hold only for instances without
 //! a disturbance for a while. [`check::timed`] checks the latter; CI leaves them out, since they
 //! depend on the machine's load.
+//!
+//! The plan of [`changes`] has no faults except kills: it changes the configuration and signals the
+//! processes, and [`accepted`] checks that all requests that were read are answered.
 
+pub mod accepted;
 pub mod callers;
+pub mod changes;
 pub mod check;
 pub mod configuration;
+pub mod connection;
 pub mod inject;
+pub mod kept;
 pub mod plan;
 pub mod process;
 pub mod record;
 pub mod run;
 
-pub use run::{Options, Report, run};
+pub use run::{Options, Profile, Report, run};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,10 +1,12 @@
 //! Runs the soak test with the given seeds.
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use sesamewind_soak::{Options, run};
+use sesamewind_soak::record::Breach;
+use sesamewind_soak::{Options, Profile, run};
 
 /// Default length of a run in seconds.
 const LENGTH_S: u64 = 30;
@@ -32,12 +34,30 @@
             optional --program path: PathBuf
             /// Folder for settings and logs; the default is one in the folder for temporary files.
             optional --folder path: PathBuf
+            /// Changes the configuration and signals processes, without other faults.
+            optional --changes
             /// Checks only the guarantees without a time bound.
             optional --untimed
         }
     }
 }
 
+/// Number of breaches of each guarantee that are printed in full.
+const PRINTED: usize = 3;
+
+fn print_breaches(breaches: &[Breach]) {
+    let mut by_guarantee: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for breach in breaches {
+        by_guarantee.entry(breach.guarantee).or_default().push(&breach.seen);
+    }
+    for (guarantee, seen) in by_guarantee {
+        println!("  {guarantee}: {} times", seen.len());
+        for seen in seen.iter().take(PRINTED) {
+            println!("    {seen}");
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let flags = flags::SesamewindSoak::from_env_or_exit();
@@ -53,6 +73,7 @@
             program: program.clone(),
             folder: folder.join(format!("{}-{seed}", std::process::id())),
             seed,
+            profile: if flags.changes { Profile::Changes } else { Profile::Faults },
             instances: flags.instances.unwrap_or(INSTANCES),
             length: Duration::from_secs(flags.length.unwrap_or(LENGTH_S)),
             timed: !flags.untimed,
@@ -62,11 +83,10 @@
         let (faults, breaches) = (report.planned.len(), report.breaches.len());
         println!(
             "seed {seed}: {faults} faults, {requests} requests, {served} served, \
-             {refused} refused, {breaches} breaches"
+             {refused} refused, {} cut, {} failed, {breaches} breaches",
+            report.cut, report.failed
         );
-        for breach in report.breaches.iter().take(10) {
-            println!("  {}: {}", breach.guarantee, breach.seen);
-        }
+        print_breaches(&report.breaches);
         if breaches > 0 {
             failed.push(seed);
             println!("  logs: {}", options.folder.display());
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -6,6 +6,8 @@
 use sesamewind_standins::proxy::Side;
 use sesamewind_standins::relay::{Behaviour, StoreMode};
 
+use crate::configuration::Aspect;
+
 /// Mean time between the starts of two faults.
 const MEAN_INTERVAL: Duration = Duration::from_millis(1_100);
 
@@ -44,6 +46,8 @@
     KillAll,
     /// A process is stopped with a signal and restarted.
     Stop(usize),
+    /// A process is stopped, is signalled to reload and to stop while it stops, and is restarted.
+    StopWithSignals(usize),
     /// Half of the processes are stopped and restarted, one after the other.
     RollingStop,
     /// A process is suspended.
@@ -66,8 +70,13 @@
     TargetLeaves(usize),
     /// A target handles some requests with this behaviour.
     TargetScript(usize, Behaviour),
+    /// One target, or all targets, pause after this many events for this many milliseconds, in some
+    /// answers.
+    TargetPause(Option<usize>, u64, u64),
     /// This many new configurations are written, one after the other.
     Configure(u32),
+    /// This many new configurations are written, each with this aspect changed.
+    Change(Aspect, u32),
 }
 
 /// A fault with its start and duration.
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -185,6 +185,13 @@
         unsafe { libc::kill(id, signal) };
     }
 
+    /// Sends a signal to the process if it was told to stop and has not exited.
+    pub fn signal_if_stopping(&self, signal: libc::c_int) {
+        if self.state().stopping {
+            self.signal(signal);
+        }
+    }
+
     /// Kills the process; returns false if it is not running or is stopping.
     pub fn kill(&self) -> bool {
         let mut state = self.state();
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -30,6 +30,10 @@
     OnceStream,
     /// A route that only the configuration of this version has.
     Marker(u64),
+    /// A resumable stream on a route that changes remove.
+    Moving,
+    /// A call that may be repeated, with an API key that changes remove.
+    Revocable,
 }
 
 impl RequestKind {
@@ -40,17 +44,23 @@
 
     /// Returns whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Talk | Self::OnceStream)
+        matches!(self, Self::Talk | Self::OnceStream | Self::Moving)
+    }
+
+    /// Returns whether configurations of the run exist that refuse the request.
+    pub fn is_optional(self) -> bool {
+        matches!(self, Self::Marker(_) | Self::Moving | Self::Revocable)
     }
 
     /// Returns the path of the request.
     pub fn path(self) -> String {
         match self {
             Self::Pay => "/pay/x".to_owned(),
-            Self::Read => "/read/x".to_owned(),
+            Self::Read | Self::Revocable => "/read/x".to_owned(),
             Self::Talk => "/talk/x".to_owned(),
             Self::OnceStream => "/once-stream/x".to_owned(),
             Self::Marker(version) => format!("/n{version}/x"),
+            Self::Moving => "/moving/x".to_owned(),
         }
     }
 }
@@ -70,6 +80,9 @@
     NoAnswer(String),
     /// The caller disconnected before the answer.
     CallerLeft,
+    /// The connection ended with the answer to an earlier request, or that answer announced that no
+    /// further request would be read.
+    Closed,
 }
 
 /// A request as its caller saw it.
@@ -83,8 +96,10 @@
     pub limited: bool,
     /// The instance, and its incarnation.
     pub instance: (usize, u32),
-    /// When it was sent.
+    /// When it was sent, or when the answer before it on its connection ended, if that was later.
     pub at: Instant,
+    /// When its last byte was written.
+    pub written: Instant,
     /// How long the caller waits for the answer.
     pub timeout: Duration,
     /// When it ended.
@@ -98,12 +113,28 @@
 pub enum Change {
     /// The configuration of this version was written.
     Configured(u64),
+    /// A configuration with this idle limit of connections in milliseconds was written.
+    IdleLimit(u64),
     /// The entry of this target was marked as leaving.
     Leaving(String),
     /// The instance with this index was signalled to stop.
     Stopping(usize),
 }
 
+/// A connection that an instance closed while its caller left it idle, without having announced it
+/// with the last answer.
+#[derive(Debug, Clone)]
+pub struct IdleClose {
+    /// The instance, and its incarnation.
+    pub instance: (usize, u32),
+    /// Status of the last answer.
+    pub status: u16,
+    /// When the last answer ended.
+    pub from: Instant,
+    /// When the connection was closed.
+    pub at: Instant,
+}
+
 /// A guarantee that was not kept.
 #[derive(Debug, Clone)]
 pub struct Breach {
@@ -124,6 +155,8 @@
 pub struct Events {
     /// Requests that ended.
     pub sent: Vec<Sent>,
+    /// Idle connections that instances closed.
+    pub idle_closes: Vec<IdleClose>,
     /// Disturbances with their start and end; the end is none while they last.
     pub disturbances: Vec<(Scope, Instant, Option<Instant>)>,
     /// Acknowledged changes.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,7 +12,9 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::accepted;
 use crate::callers::{Callers, Rotation};
+use crate::changes;
 use crate::check::{self, Arrived, Evidence};
 use crate::inject::Deployment;
 use crate::plan::{self, PlannedFault};
@@ -28,9 +30,27 @@
 /// Number of targets of each of the two services at the start.
 const TARGETS_PER_SERVICE: usize = 3;
 
+/// Number of targets of the spare service in runs with changes.
+const SPARE_TARGETS: usize = 2;
+
 /// Number of callers per instance.
 const CALLERS_PER_INSTANCE: u64 = 3;
 
+/// Number of callers per instance that keep their connections, in runs with changes.
+const KEEPERS_PER_INSTANCE: u64 = 2;
+
+/// Maximum number of callers of each sort; more would exceed what the targets can serve.
+const MOST_CALLERS: u64 = 30;
+
+/// Which plan a run follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Profile {
+    /// Faults of all kinds.
+    Faults,
+    /// Changes of the configuration, with signals to the processes.
+    Changes,
+}
+
 /// Options of a run.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -40,6 +60,8 @@
     pub folder: PathBuf,
     /// Seed of the faults and of the callers.
     pub seed: u64,
+    /// The plan.
+    pub profile: Profile,
     /// Number of instances.
     pub instances: usize,
     /// Length of the run.
@@ -59,6 +81,10 @@
     pub served: usize,
     /// Number of requests that were refused with status 429 or 503.
     pub refused: usize,
+    /// Number of requests whose answer was cut off or missing.
+    pub cut: usize,
+    /// Number of requests that failed with status 500, 502 or 504.
+    pub failed: usize,
     /// Guarantees that were not kept.
     pub breaches: Vec<Breach>,
 }
@@ -86,11 +112,17 @@
         targets: Mutex::default(),
         record: Arc::clone(&record),
         version: Arc::clone(&version),
+        changed: Mutex::default(),
     });
-    deployment.configure();
+    deployment.configure().await;
     for number in 0..2 * TARGETS_PER_SERVICE {
         deployment.add_target(!number.is_multiple_of(2)).await;
     }
+    if options.profile == Profile::Changes {
+        for _ in 0..SPARE_TARGETS {
+            deployment.add_spare_target().await;
+        }
+    }
     for process in processes.iter() {
         process.start();
     }
@@ -104,9 +136,15 @@
         stopping: AtomicBool::new(false),
     });
     let mut caller_tasks = JoinSet::new();
-    for number in 0..CALLERS_PER_INSTANCE * options.instances as u64 {
+    let instances = options.instances as u64;
+    for number in 0..MOST_CALLERS.min(CALLERS_PER_INSTANCE * instances) {
         caller_tasks.spawn(Arc::clone(&callers).call(number, options.seed));
     }
+    if options.profile == Profile::Changes {
+        for number in 0..MOST_CALLERS.min(KEEPERS_PER_INSTANCE * instances) {
+            caller_tasks.spawn(Arc::clone(&callers).call_on_kept_connections(number, options.seed));
+        }
+    }
     let watch_task = tokio::spawn(watch(Arc::clone(&deployment)));
     let planned = inject_faults(options, &deployment).await;
     callers.stopping.store(true, Ordering::Relaxed);
@@ -123,7 +161,11 @@
 async fn inject_faults(options: &Options, deployment: &Arc<Deployment>) -> Vec<PlannedFault> {
     let start = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-    let planned = plan::plan(&mut rng, options.length, options.instances, 2 * TARGETS_PER_SERVICE);
+    let (instances, targets) = (options.instances, 2 * TARGETS_PER_SERVICE);
+    let planned = match options.profile {
+        Profile::Faults => plan::plan(&mut rng, options.length, instances, targets),
+        Profile::Changes => changes::plan(&mut rng, options.length, instances, targets),
+    };
     let mut tasks = JoinSet::new();
     for &planned_fault in &planned {
         let deployment = Arc::clone(deployment);
@@ -194,6 +236,9 @@
     if options.timed {
         breaches.extend(check::timed(&evidence, end));
     }
+    if options.timed || options.profile == Profile::Changes {
+        breaches.extend(accepted::check(&evidence));
+    }
     let count =
         |wanted: fn(&Outcome) -> bool| events.sent.iter().filter(|s| wanted(&s.outcome)).count();
     Report {
@@ -201,6 +246,8 @@
         requests: events.sent.len(),
         served: count(|got| *got == Outcome::Complete),
         refused: count(|got| matches!(got, Outcome::Status(429 | 503, _))),
+        cut: count(|got| matches!(got, Outcome::Incomplete | Outcome::NoAnswer(_))),
+        failed: count(|got| matches!(got, Outcome::Status(500 | 502 | 504, _))),
         breaches,
     }
 }
--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -99,7 +99,8 @@
     /// It sends nothing more after this many events and keeps the connection open.
     Hang(u64),
     /// It sends nothing for the second number of milliseconds after the first number of events, and
-    /// then goes on. Before the first event, the head of the answer waits as well.
+    /// then goes on. Before the first event, the head of the answer waits as well; a plain answer is
+    /// late by that time.
     Pause(u64, u64),
     /// Like `Pause`, but it sends a comment line every tenth of a second in the meantime.
     Comment(u64, u64),
@@ -250,7 +251,9 @@
             }
             Behaviour::Replaced => return server::text(StatusCode::MISDIRECTED_REQUEST, "another"),
             Behaviour::Hang(0) => return std::future::pending().await,
-            Behaviour::Pause(0, millis) => sleep(Duration::from_millis(millis)).await,
+            Behaviour::Pause(events, millis) if events == 0 || !self.options.stream => {
+                sleep(Duration::from_millis(millis)).await;
+            }
             _ => {}
         }
         let id = call.header(names::REQUEST_ID).unwrap_or_default().to_owned();
