Wait in a stop for requests that are on their way in

What callers saw: during a planned stop, a request whose head or body arrived slowly was cut by the exit of the process, without an answer or a refusal.

Cause: the stop ended when the gateway had no open request. A request enters the gateway after its body has been read, so the stop did not know of those whose head or body was arriving, nor of answers that were not written yet.

Change: callers' connections count as in use from the first byte of a head until the answer is written, and the stop waits for them within the grace time; the head timeout bounds the wait for heads.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -63,11 +63,31 @@
     body_ended: Cell<bool>,
     /// Which side said that no request follows the current one.
     last: Cell<Option<Side>>,
+    in_use: UseCount,
+    counted: Cell<bool>,
+}
+
+/// Number of connections that are in use: part of a request was read whose answer is not written
+/// yet.
+#[derive(Debug, Clone, Default)]
+pub struct UseCount(Rc<Cell<usize>>);
+
+impl UseCount {
+    /// Returns the number of connections in use.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+impl Drop for Activity {
+    fn drop(&mut self) {
+        self.set_counted(false);
+    }
 }
 
 impl Activity {
-    /// Creates the state of a connection that was opened at `now`.
-    pub fn new(now: Instant) -> Self {
+    /// Creates the state of a connection that was opened at `now` and is counted in `in_use`.
+    pub fn new(in_use: UseCount, now: Instant) -> Self {
         Self {
             usage: Cell::new(Usage::Idle),
             since: Cell::new(now),
@@ -77,6 +97,8 @@
             blocked: Cell::new(false),
             body_ended: Cell::new(false),
             last: Cell::new(None),
+            in_use,
+            counted: Cell::new(false),
         }
     }
 
@@ -146,6 +168,26 @@
     fn enter(&self, usage: Usage, now: Instant) {
         self.usage.set(usage);
         self.since.set(now);
+        self.count();
+    }
+
+    fn set_blocked(&self, blocked: bool) {
+        self.blocked.set(blocked);
+        self.count();
+    }
+
+    fn count(&self) {
+        let has_request = matches!(self.usage.get(), Usage::Head | Usage::Request);
+        self.set_counted(has_request || self.blocked.get());
+    }
+
+    fn set_counted(&self, counted: bool) {
+        let in_use = &self.in_use.0;
+        match (self.counted.replace(counted), counted) {
+            (false, true) => in_use.set(in_use.get() + 1),
+            (true, false) => in_use.set(in_use.get() - 1),
+            (false, false) | (true, true) => {}
+        }
     }
 }
 
@@ -204,7 +246,7 @@
 
 impl WatchedStream {
     fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.activity.blocked.set(result.is_pending());
+        self.activity.set_blocked(result.is_pending());
         result
     }
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -301,7 +301,7 @@
     }
     let grant = Grant { current: &shared.limits, begun: Cell::new(None) };
     let mut phase = shared.phase;
-    let activity = Rc::new(Activity::new(Instant::now()));
+    let activity = Rc::new(Activity::new(shared.in_use, Instant::now()));
     let mut record = CloseRecord {
         listener: shared.name,
         activity: Rc::clone(&activity),
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -19,6 +19,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
 
+use crate::activity::UseCount;
 use crate::answer::{Answer, AnswerBody};
 use crate::callers;
 use crate::driver::Driver;
@@ -118,7 +119,7 @@
         ));
         pulse::log_panics(&driver.metrics);
         let phase = Sender::new(Phase::Serving);
-        self.listen(&driver, &peers, &phase)?;
+        let in_use = self.listen(&driver, &peers, &phase)?;
         self.follow(&driver, &peers);
         log::info!(
             event = "started",
@@ -147,16 +148,17 @@
                 _ = terminate.recv() => break,
             }
         }
-        stop(&driver, &phase, self.settings.bounds.grace).await;
+        stop(&driver, &phase, &in_use, self.settings.bounds.grace).await;
         Ok(())
     }
 
+    /// Starts the listeners. Returns the number of callers' connections in use.
     fn listen(
         &self,
         driver: &Rc<Driver>,
         peers: &Rc<Peers>,
         phase: &Sender<Phase>,
-    ) -> Result<(), Report<StartError>> {
+    ) -> Result<UseCount, Report<StartError>> {
         let listen = &self.settings.listen;
         let bind = |address| server::bind(address).change_context(StartError::Bind);
         let callers = bind(listen.callers)?;
@@ -168,7 +170,9 @@
         let metrics = &driver.metrics;
         let shared = Rc::clone(driver);
         let serve = move |request| callers::serve(Rc::clone(&shared), request);
-        spawn_local(server::serve(callers, serve, common("callers", configured, phase, metrics)));
+        let shared = common("callers", configured, phase, metrics);
+        let in_use = shared.in_use.clone();
+        spawn_local(server::serve(callers, serve, shared));
         let shared = Rc::clone(driver);
         let ready = move |_| std::future::ready(readiness_answer(&shared));
         let default = || limits(None);
@@ -176,7 +180,7 @@
         let shared = Rc::clone(peers);
         let serve = move |request| Rc::clone(&shared).serve(request);
         spawn_local(server::serve(inner, serve, common("inner", default, phase, metrics)));
-        Ok(())
+        Ok(in_use)
     }
 
     fn follow(&self, driver: &Rc<Driver>, peers: &Rc<Peers>) {
@@ -237,8 +241,8 @@
 }
 
 /// Performs a planned stop: reports not ready at once, asks callers to close their connections, and
-/// returns when no request is open or the grace time is over.
-async fn stop(driver: &Driver, phase: &Sender<Phase>, grace: Duration) {
+/// returns when no request is open, on its way in or being answered, or the grace time is over.
+async fn stop(driver: &Driver, phase: &Sender<Phase>, in_use: &UseCount, grace: Duration) {
     let start = Instant::now();
     let open = driver.with_gateway(Gateway::open_requests);
     log::info!(event = "stopping", open; "instance stopping");
@@ -260,7 +264,7 @@
             driver.handle(Event::Stop);
         }
         let open = driver.with_gateway(Gateway::open_requests);
-        if now >= end || (now >= balancer_done && open == 0) {
+        if now >= end || (now >= balancer_done && open == 0 && in_use.get() == 0) {
             break;
         }
     }
@@ -270,7 +274,7 @@
     driver.handle(Event::Stop);
     sleep_until(end.min(Instant::now() + STOP_POLL_INTERVAL)).await;
     let level = if open == 0 { log::Level::Info } else { log::Level::Warn };
-    log::log!(level, event = "stopped", cut = open; "instance stopped");
+    log::log!(level, event = "stopped", cut = open, in_use = in_use.get(); "instance stopped");
     driver.exiting.set(true);
 }
 
@@ -287,7 +291,13 @@
     phase: &Sender<Phase>,
     metrics: &Rc<Metrics>,
 ) -> Shared<L> {
-    Shared { name, limits, phase: phase.subscribe(), metrics: Rc::clone(metrics) }
+    Shared {
+        name,
+        limits,
+        phase: phase.subscribe(),
+        metrics: Rc::clone(metrics),
+        in_use: UseCount::default(),
+    }
 }
 
 fn limits(limits: Option<CallerLimits>) -> Limits {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
-use crate::activity::RequestBody;
+use crate::activity::{RequestBody, UseCount};
 use crate::answer::Answer;
 use crate::connection;
 use crate::metrics::Metrics;
@@ -64,6 +64,8 @@
     pub phase: watch::Receiver<Phase>,
     /// Metrics of the instance.
     pub metrics: Rc<Metrics>,
+    /// Connections of the listener that are in use.
+    pub in_use: UseCount,
 }
 
 /// Accepts connections on `listener` and answers their requests with `handler` for as long as the
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -9,7 +9,7 @@
 use http::Request;
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Metadata, Record};
-use sesamewind_relay::activity::RequestBody;
+use sesamewind_relay::activity::{RequestBody, UseCount};
 use sesamewind_relay::answer::Answer;
 use sesamewind_relay::metrics::Metrics;
 use sesamewind_relay::server::{self, Limits, Phase, Shared};
@@ -105,6 +105,7 @@
             limits: move || current.get(),
             phase: phase.subscribe(),
             metrics: Rc::clone(&metrics),
+            in_use: UseCount::default(),
         };
         spawn_local(server::serve(listener, handler, shared));
         Self { addr, metrics, phase, limits }
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of real gateway processes against stand-ins of the users' platform.
 
 mod bodies;
+mod crossings;
 mod explain;
 mod faults;
 mod notices;
