Compare the pace of streams when judging a new version

Cause: speed was judged by the time to the first byte alone. Engines add a fixed time to it, and the waits in front of them are the same for both versions, so that 4.4 times the work is 1.95 times the first byte on average. The verdict starts at 1.8 plus two standard deviations. Before it, the share grew by time.

Change: each stream reports the average time between its first five events (three for a short one), once they are there and not at its end, since the streams of a slow version end late. The times are counted, exchanged, averaged over intervals and compared like those to the first byte, and either measure can show a version to be slow. The lines move_progress carry both.

Test: rollouts::versions_that_stream_slowly_are_rolled_back_in_time, with a simulation of streams at targets of unlike speeds and limited slots, and rollouts::good_versions_of_model_engines_take_over_in_time.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -66,6 +66,8 @@
     /// A stream is about to complete; holds its number of events and its longest pause between two
     /// chunks.
     Streamed(Ticket, u64, Duration),
+    /// The first events of a stream were received; holds the average time between them.
+    Paced(Ticket, Duration),
     /// The target of the attempt stated that it is leaving.
     TargetLeaving(Ticket),
     /// The target of the attempt asked for no requests from this instance for a while.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -131,6 +131,13 @@
         self.rollouts.count_start(&request.service, route, (id, version), ratio, now);
     }
 
+    pub(crate) fn paced(&mut self, ticket: Ticket, pace: Duration, now: Time) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let State::InFlight(attempt) = &request.state else { return };
+        let listed = &self.targets.get(attempt.target).listed;
+        self.rollouts.count_pace(&request.service, (&listed.id, &listed.version), pace, now);
+    }
+
     /// Learns from a stream's number of events and longest pause how long the route's streams are
     /// and how fast the target is. Streams that were resumed are ignored, since resuming them
     /// caused a pause.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -98,6 +98,7 @@
             Event::Arrive(arrival) => self.arrive(arrival, now),
             Event::Started(ticket) => self.started(ticket, now),
             Event::Streamed(ticket, events, pause) => self.streamed(ticket, events, pause),
+            Event::Paced(ticket, pace) => self.paced(ticket, pace, now),
             Event::TargetLeaving(ticket) => self.target_leaving(ticket, now),
             Event::TargetResting(ticket, rest) => self.target_resting(ticket, rest, now),
             Event::Silent(ticket) => self.silent(ticket, now),
--- a/crates/gateway/src/rollouts/evidence.rs
+++ b/crates/gateway/src/rollouts/evidence.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sesamewind_protocol::relay::{
-    ArmCounts, LatencyCounts, RolloutCounts, RouteCounts, TARGET_GROUPS,
+    ArmCounts, LatencyCounts, LatencyReport, RolloutCounts, RouteCounts, TARGET_GROUPS,
 };
 use sesamewind_protocol::{RouteId, TargetId, Time, text_hash};
 
@@ -15,6 +15,10 @@
 /// Bounds on a latency ratio, so that a single outlier doesn't decide.
 const RATIO_BOUNDS: (f64, f64) = (0.05, 20.0);
 
+/// Time between two events that counts as a ratio of 1. It only places the usual times within the
+/// bounds, since versions are compared with each other.
+const USUAL_PACE: Duration = Duration::from_millis(30);
+
 /// Version that served a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Arm {
@@ -60,6 +64,46 @@
 const HISTORY_REQUESTS: u32 = 50;
 const HISTORY_INTERVALS: u32 = 20;
 
+/// Times of one kind that one instance observes.
+#[derive(Debug, Default)]
+struct Latencies {
+    counts: LatencyReport,
+    old_interval: Interval,
+    new_intervals: [Interval; TARGET_GROUPS],
+}
+
+impl Latencies {
+    /// Returns the latencies at the start of a rollout, from what was counted before.
+    fn starting_from(earlier: &Self) -> Self {
+        let mut old = earlier.counts.old;
+        if old.intervals > HISTORY_INTERVALS {
+            old.logs *= f64::from(HISTORY_INTERVALS) / f64::from(old.intervals);
+            old.intervals = HISTORY_INTERVALS;
+        }
+        Self { counts: LatencyReport { old, ..LatencyReport::default() }, ..Self::default() }
+    }
+
+    /// Counts a time, relative to the estimate.
+    fn count(&mut self, arm: Arm, ratio: f64, now: Time) {
+        self.advance(now);
+        let interval = match arm {
+            Arm::Old => &mut self.old_interval,
+            Arm::New(group) => &mut self.new_intervals[group],
+        };
+        interval.requests += 1;
+        interval.logs += ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1).ln();
+    }
+
+    /// Ends the intervals that have passed at `now`.
+    fn advance(&mut self, now: Time) {
+        let number = now.since(Time::ZERO).as_millis() / INTERVAL.as_millis();
+        self.old_interval.advance(number, &mut self.counts.old);
+        for (interval, counts) in self.new_intervals.iter_mut().zip(&mut self.counts.new) {
+            interval.advance(number, counts);
+        }
+    }
+}
+
 /// Evidence of one instance.
 #[derive(Debug, Default)]
 pub(super) struct Evidence {
@@ -68,10 +112,10 @@
     requests: u32,
     /// Requests sent to the new version since then.
     new_sent: u32,
-    old_latency: LatencyCounts,
-    new_latency: [LatencyCounts; TARGET_GROUPS],
-    old_interval: Interval,
-    new_intervals: [Interval; TARGET_GROUPS],
+    /// Times to the first byte.
+    latencies: Latencies,
+    /// Times between two events of a stream.
+    paces: Latencies,
 }
 
 impl Evidence {
@@ -81,13 +125,12 @@
             let old = counts.old.reduced_to(HISTORY_REQUESTS);
             (route.clone(), RouteCounts { old, ..RouteCounts::new(route) })
         });
-        let mut old_latency = earlier.old_latency;
-        if old_latency.intervals > HISTORY_INTERVALS {
-            let fraction = f64::from(HISTORY_INTERVALS) / f64::from(old_latency.intervals);
-            old_latency.logs *= fraction;
-            old_latency.intervals = HISTORY_INTERVALS;
+        Self {
+            routes: routes.collect(),
+            latencies: Latencies::starting_from(&earlier.latencies),
+            paces: Latencies::starting_from(&earlier.paces),
+            ..Self::default()
         }
-        Self { routes: routes.collect(), old_latency, ..Self::default() }
     }
 
     /// Counts a request sent to a target.
@@ -108,22 +151,19 @@
 
     /// Counts a time to the first byte, relative to the estimate.
     pub(super) fn count_latency(&mut self, arm: Arm, ratio: f64, now: Time) {
-        self.advance(now);
-        let interval = match arm {
-            Arm::Old => &mut self.old_interval,
-            Arm::New(group) => &mut self.new_intervals[group],
-        };
-        interval.requests += 1;
-        interval.logs += ratio.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1).ln();
+        self.latencies.count(arm, ratio, now);
+    }
+
+    /// Counts the average time between the first events of a stream.
+    pub(super) fn count_pace(&mut self, arm: Arm, pace: Duration, now: Time) {
+        let ratio = pace.as_secs_f64() / USUAL_PACE.as_secs_f64();
+        self.paces.count(arm, ratio, now);
     }
 
     /// Ends the intervals that have passed at `now`.
     pub(super) fn advance(&mut self, now: Time) {
-        let number = now.since(Time::ZERO).as_millis() / INTERVAL.as_millis();
-        self.old_interval.advance(number, &mut self.old_latency);
-        for (interval, counts) in self.new_intervals.iter_mut().zip(&mut self.new_latency) {
-            interval.advance(number, counts);
-        }
+        self.latencies.advance(now);
+        self.paces.advance(now);
     }
 
     /// Returns the counts to report to peers.
@@ -132,8 +172,8 @@
             requests: self.requests,
             new_sent: self.new_sent,
             routes: self.routes.values().cloned().collect(),
-            old_latency: self.old_latency,
-            new_latency: self.new_latency,
+            latency: self.latencies.counts,
+            pace: self.paces.counts,
         }
     }
 
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -23,7 +23,7 @@
 use self::status::StatusLimit;
 pub use self::status::{LatencyAverage, LatencyComparison, RolloutStatus};
 pub use self::verdict::EvidenceLevel;
-use self::verdict::Verdict;
+use self::verdict::{Measure, Verdict};
 
 /// Delay after which an instance writes an outcome that the instances before it in the order should
 /// have written, for each of those.
@@ -203,6 +203,18 @@
         evidence.count_latency(arm, ratio, now);
     }
 
+    /// Counts the average time between the first events of a stream from a target of `version`.
+    pub fn count_pace(
+        &mut self,
+        service: &ServiceId,
+        target: (&TargetId, &VersionId),
+        pace: Duration,
+        now: Time,
+    ) {
+        let (evidence, arm) = self.evidence(service, target);
+        evidence.count_pace(arm, pace, now);
+    }
+
     /// Counts the failure of a request at a target of `version`. `started` tells whether the
     /// target had begun to answer.
     pub fn count_failure(
@@ -333,7 +345,8 @@
                 new_sent: verdict.new_sent(),
                 new,
                 old,
-                latency: verdict.latency(),
+                latency: verdict.comparison(Measure::Latency),
+                pace: verdict.comparison(Measure::Pace),
             };
             rollout.stage = stage;
             rollout.status = Some(status);
--- a/crates/gateway/src/rollouts/status.rs
+++ b/crates/gateway/src/rollouts/status.rs
@@ -57,6 +57,8 @@
     pub old: ArmCounts,
     /// Times to the first byte.
     pub latency: LatencyComparison,
+    /// Times between two events of a stream.
+    pub pace: LatencyComparison,
 }
 
 impl RolloutStatus {
--- a/crates/gateway/src/rollouts/verdict.rs
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -10,7 +10,9 @@
 use std::collections::BTreeMap;
 
 use sesamewind_protocol::RouteId;
-use sesamewind_protocol::relay::{ArmCounts, LatencyCounts, RolloutCounts, TARGET_GROUPS};
+use sesamewind_protocol::relay::{
+    ArmCounts, LatencyCounts, LatencyReport, RolloutCounts, TARGET_GROUPS,
+};
 use sesamewind_rollout::rule::MaxSprt;
 
 use super::status::{LatencyAverage, LatencyComparison};
@@ -95,6 +97,27 @@
     }
 }
 
+/// What is measured of the speed of a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Measure {
+    /// Time to the first byte.
+    Latency,
+    /// Time between two events of a stream. A slow version lengthens all of it, but only a part of
+    /// the time to the first byte.
+    Pace,
+}
+
+impl Measure {
+    const ALL: [Self; 2] = [Self::Latency, Self::Pace];
+
+    fn of(self, counts: &RolloutCounts) -> &LatencyReport {
+        match self {
+            Self::Latency => &counts.latency,
+            Self::Pace => &counts.pace,
+        }
+    }
+}
+
 /// Evidence of all instances.
 #[derive(Debug)]
 pub(super) struct Verdict<'a> {
@@ -130,14 +153,20 @@
 
     /// Returns the strongest level that also holds without the most adverse part.
     pub(super) fn level(&self) -> EvidenceLevel {
-        strongest(|level| self.is_failing(level) || self.is_slow(level))
+        strongest(|level| {
+            self.is_failing(level)
+                || Measure::ALL.iter().any(|&measure| self.is_slow(measure, level))
+        })
     }
 
     /// Returns the strongest level that all evidence holds for.
     pub(super) fn level_of_all(&self) -> EvidenceLevel {
         let all = Omitted::default();
         strongest(|level| {
-            self.exceeds_failures(all, &level.all) || self.exceeds_latency(all, &level.all)
+            self.exceeds_failures(all, &level.all)
+                || Measure::ALL
+                    .iter()
+                    .any(|&measure| self.exceeds_latency(measure, all, &level.all))
         })
     }
 
@@ -146,12 +175,12 @@
         self.reports.iter().map(|report| u64::from(report.new_sent)).sum()
     }
 
-    /// Returns the times to the first byte at both versions.
-    pub(super) fn latency(&self) -> LatencyComparison {
+    /// Returns the averages of one measure at both versions.
+    pub(super) fn comparison(&self, measure: Measure) -> LatencyComparison {
         let average = |(log, intervals): (f64, f64)| LatencyAverage { intervals, ratio: log.exp() };
         LatencyComparison {
-            new: average(self.new_average(Omitted::default())),
-            old: average(self.old_average()),
+            new: average(self.new_average(measure, Omitted::default())),
+            old: average(self.old_average(measure)),
         }
     }
 
@@ -182,20 +211,21 @@
             .all(|&omitted| self.exceeds_failures(omitted, &level.remainder))
     }
 
-    fn is_slow(&self, level: &Level) -> bool {
-        if !self.exceeds_latency(Omitted::default(), &level.all) {
+    fn is_slow(&self, measure: Measure, level: &Level) -> bool {
+        if !self.exceeds_latency(measure, Omitted::default(), &level.all) {
             return false;
         }
-        let old = self.old_average();
-        let excess = |new: &LatencyCounts| new.logs - f64::from(new.intervals) * old.0;
+        let (old, _) = self.old_average(measure);
+        let excess = |new: &LatencyCounts| new.logs - f64::from(new.intervals) * old;
         let by_group = |group: usize| {
-            self.reports.iter().map(|report| excess(&report.new_latency[group])).sum()
+            self.reports.iter().map(|report| excess(&measure.of(report).new[group])).sum()
         };
-        let by_report = |report: &RolloutCounts| report.new_latency.iter().map(excess).sum();
-        let timed = |counts: &RolloutCounts, group: usize| counts.new_latency[group].intervals > 0;
+        let by_report = |report: &RolloutCounts| measure.of(report).new.iter().map(excess).sum();
+        let timed =
+            |counts: &RolloutCounts, group: usize| measure.of(counts).new[group].intervals > 0;
         self.without_worst(by_group, by_report, timed)
             .iter()
-            .all(|&omitted| self.exceeds_latency(omitted, &level.remainder))
+            .all(|&omitted| self.exceeds_latency(measure, omitted, &level.remainder))
     }
 
     /// Returns what to leave out in turn: the quarter of the target groups with the largest
@@ -257,23 +287,23 @@
         })
     }
 
-    /// Returns the average logarithmic latency ratio of the new version and the number of intervals
-    /// it covers.
-    fn new_average(&self, omitted: Omitted) -> (f64, f64) {
+    /// Returns the average logarithmic ratio of the new version and the number of intervals it
+    /// covers.
+    fn new_average(&self, measure: Measure, omitted: Omitted) -> (f64, f64) {
         let reports = self.reports.iter().enumerate();
         let kept = reports.filter(|(at, _)| omitted.report != Some(*at));
-        let new = kept.flat_map(|(_, report)| report.new_latency.iter().enumerate());
+        let new = kept.flat_map(|(_, report)| measure.of(report).new.iter().enumerate());
         average(new.filter(|(group, _)| !omitted.groups[*group]).map(|(_, counts)| counts))
     }
 
     /// Returns the same of the other versions.
-    fn old_average(&self) -> (f64, f64) {
-        average(self.reports.iter().map(|report| &report.old_latency))
+    fn old_average(&self, measure: Measure) -> (f64, f64) {
+        average(self.reports.iter().map(|report| &measure.of(report).old))
     }
 
-    fn exceeds_latency(&self, omitted: Omitted, thresholds: &Thresholds) -> bool {
-        let (old, old_intervals) = self.old_average();
-        let (new, new_intervals) = self.new_average(omitted);
+    fn exceeds_latency(&self, measure: Measure, omitted: Omitted, thresholds: &Thresholds) -> bool {
+        let (old, old_intervals) = self.old_average(measure);
+        let (new, new_intervals) = self.new_average(measure, omitted);
         if new_intervals < thresholds.intervals || old_intervals < thresholds.intervals {
             return false;
         }
--- a/crates/gateway/tests/all/rollout_simulation.rs
+++ b/crates/gateway/tests/all/rollout_simulation.rs
@@ -33,6 +33,33 @@
 /// Failure rate of any version on the last route, where requests often fail.
 const FAILING_ROUTE: f64 = 0.14;
 
+/// Time to the first byte of a stream at a load of zero, besides the time for the prompt.
+const FIRST_MS: f64 = 47.0;
+
+/// Average time for the prompt of a stream.
+const PROMPT_MS: f64 = 30.0;
+
+/// Time between two events of a stream.
+const GAP_MS: f64 = 15.0;
+
+/// Average number of events in the streams of each route.
+const EVENTS: [f64; 3] = [60.0, 50.0, 4.0];
+
+/// Relative durations of the work of a version's targets, in turn.
+const SPEEDS: [f64; 3] = [0.68, 0.68, 3.0];
+
+/// Number of gaps over which the pace of a stream is measured, and fewest gaps of a shorter one.
+const PACE_GAPS: (f64, f64) = (4.0, 2.0);
+
+/// What the targets do for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Work {
+    /// They answer at once after about [`WORK`].
+    Plain,
+    /// They send a stream of events, and run so many streams at a time.
+    Streams(u32),
+}
+
 /// How the new version is bad.
 #[derive(Debug, Clone, Copy)]
 pub enum Version {
@@ -60,6 +87,8 @@
     TargetCrash(usize, u64),
     /// A share of the responses of the first target of the new version fails.
     GreyTarget(f64),
+    /// The first target of the new version takes this many times as long.
+    SlowTarget(f64),
     /// An instance is started again at a time.
     Restart(usize, u64),
     /// All instances are started again at a time.
@@ -75,6 +104,8 @@
 pub struct Scenario {
     /// How the new version is bad.
     pub version: Version,
+    /// What the targets do for a request.
+    pub work: Work,
     /// Duration in milliseconds.
     pub duration: u64,
     /// Requests per second over all instances.
@@ -108,7 +139,20 @@
     pub contradicted: bool,
 }
 
-/// A request in flight.
+/// What happens to a request in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Moment {
+    /// The first byte arrives.
+    Start,
+    /// The pace of the stream is known, in microseconds.
+    Pace(u64),
+    /// The stream, which began at this time, ends.
+    End(u64),
+    /// The stream breaks.
+    Break,
+}
+
+/// A request in flight, and what happens to it next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct InFlight {
     ends: u64,
@@ -119,6 +163,9 @@
     target: usize,
     is_new: bool,
     ok: bool,
+    moment: Moment,
+    /// Expected time to the first byte in microseconds.
+    estimate: u64,
 }
 
 /// A write to the store.
@@ -140,6 +187,8 @@
     instances: Vec<Rollouts>,
     incarnations: Vec<u64>,
     in_flight: BinaryHeap<Reverse<InFlight>>,
+    /// Streams at each target of the old and the new version.
+    streams: [Vec<u32>; 2],
     /// Number of targets of the new version that have ended; the first ones.
     crashed: usize,
     /// Record in the store, and when it was ordered.
@@ -171,6 +220,7 @@
             instances: (0..self.instances).map(|_| Rollouts::default()).collect(),
             incarnations: vec![0; self.instances],
             in_flight: BinaryHeap::new(),
+            streams: [vec![0; self.targets], vec![0; self.targets]],
             crashed: 0,
             record: None,
             ordered: 0,
@@ -252,10 +302,18 @@
     /// Ends the first `count` targets of the new version and the requests that they serve.
     fn crash(&mut self, count: usize, now: u64) {
         self.crashed = count;
-        let broken = std::mem::take(&mut self.in_flight).into_iter().map(|Reverse(request)| {
-            let is_hit = request.is_new && request.target < count;
+        let is_hit = |request: &InFlight| request.is_new && request.target < count;
+        let left = std::mem::take(&mut self.in_flight).into_iter().filter(|Reverse(request)| {
+            !is_hit(request) || !matches!(request.moment, Moment::Pace(_))
+        });
+        let broken = left.map(|Reverse(request)| {
+            let is_hit = is_hit(&request);
+            let moment = match request.moment {
+                Moment::End(started) if is_hit && started <= now => Moment::Break,
+                moment => moment,
+            };
             let ends = if is_hit { now } else { request.ends };
-            Reverse(InFlight { ok: request.ok && !is_hit, ends, ..request })
+            Reverse(InFlight { ok: request.ok && !is_hit, ends, moment, ..request })
         });
         self.in_flight = broken.collect();
     }
@@ -274,8 +332,7 @@
         let point: f64 = self.rng.random();
         let allowed = self.instances[instance].allowed_versions(&service(), point);
         let is_new = matches!(allowed, AllowedVersions::Only(_) | AllowedVersions::Prefer(_));
-        let first = if is_new { self.crashed } else { 0 };
-        let target = self.rng.random_range(first..self.scenario.targets);
+        let Some((is_new, target)) = self.select(is_new, &allowed) else { return };
         let position: f64 = self.rng.random();
         let route = if position < ROUTES[0] {
             0
@@ -288,16 +345,14 @@
             self.result.all += 1;
             self.result.exposed += u64::from(is_new);
         }
+        let id = TargetId::new(format!("{}{target}", if is_new { "n" } else { "o" }));
+        let sent_to = (&id, &version(is_new));
+        self.instances[instance].count_sent(&service(), sent_to);
         let ok = self.rng.random::<f64>() >= self.failure_rate(is_new, route, target, now);
-        let slowdown = match self.scenario.version {
-            Version::Slow(factor) if is_new => factor,
-            _ => 1.0,
-        };
-        let work = WORK * slowdown * self.rng.random_range(0.5..1.5);
-        let ends = self.delayed_end(instance, is_new, target, now + work as u64);
+        let slowdown = if is_new { self.slowdown() } else { 1.0 };
         let incarnation = self.incarnations[instance];
-        self.in_flight.push(Reverse(InFlight {
-            ends,
+        let request = InFlight {
+            ends: now,
             sent: now,
             instance,
             incarnation,
@@ -305,7 +360,82 @@
             target,
             is_new,
             ok,
-        }));
+            moment: Moment::Start,
+            estimate: (WORK * 1_000.0) as u64,
+        };
+        match self.scenario.work {
+            Work::Plain => {
+                let work = WORK * slowdown * self.rng.random_range(0.5..1.5);
+                let ends = self.delayed_end(instance, is_new, target, now + work as u64);
+                self.in_flight.push(Reverse(InFlight { ends, ..request }));
+            }
+            Work::Streams(_) => self.stream(request, slowdown),
+        }
+    }
+
+    /// Selects a target; none if there is no free slot.
+    fn select(&mut self, is_new: bool, allowed: &AllowedVersions) -> Option<(bool, usize)> {
+        let first = if is_new { self.crashed } else { 0 };
+        let targets = first..self.scenario.targets;
+        let Work::Streams(slots) = self.scenario.work else {
+            return Some((is_new, self.rng.random_range(targets)));
+        };
+        let streams = &self.streams[usize::from(is_new)];
+        let free: Vec<usize> = targets.filter(|&target| streams[target] < slots).collect();
+        if free.is_empty() {
+            let may_spill = is_new && matches!(allowed, AllowedVersions::Prefer(_));
+            return if may_spill { self.select(false, allowed) } else { None };
+        }
+        let one = free[self.rng.random_range(0..free.len())];
+        let other = free[self.rng.random_range(0..free.len())];
+        Some((is_new, if streams[one] <= streams[other] { one } else { other }))
+    }
+
+    /// Schedules what happens to a stream that is sent now.
+    fn stream(&mut self, request: InFlight, slowdown: f64) {
+        let InFlight { sent, instance, is_new, target, .. } = request;
+        self.streams[usize::from(is_new)][target] += 1;
+        let speed = SPEEDS[target % SPEEDS.len()] * slowdown * self.target_slowdown(is_new, target);
+        let prompt = PROMPT_MS * self.exponential();
+        let first = FIRST_MS + prompt * speed * self.rng.random_range(0.7..1.5);
+        let starts = self.delayed_end(instance, is_new, target, sent + first as u64);
+        let gap = GAP_MS * speed * self.rng.random_range(0.7..1.5);
+        let gaps = (EVENTS[request.route] * self.exponential()).floor();
+        let at = |simulation: &Self, gaps: f64| {
+            simulation.delayed_end(instance, is_new, target, starts + (gaps * gap) as u64)
+        };
+        let measured = gaps.min(PACE_GAPS.0);
+        if request.ok && measured >= PACE_GAPS.1 {
+            let ends = at(self, measured);
+            let pace = ((ends - starts) as f64 / measured * 1_000.0) as u64;
+            self.in_flight.push(Reverse(InFlight { ends, moment: Moment::Pace(pace), ..request }));
+        }
+        let estimate = ((FIRST_MS + prompt) * 1_000.0) as u64;
+        self.in_flight.push(Reverse(InFlight { ends: starts, estimate, ..request }));
+        let ends = if request.ok { at(self, gaps) } else { starts };
+        self.in_flight.push(Reverse(InFlight { ends, moment: Moment::End(starts), ..request }));
+    }
+
+    /// Returns how many times as long a slow target takes.
+    fn target_slowdown(&self, is_new: bool, target: usize) -> f64 {
+        let slow = self.scenario.faults.iter().find_map(|fault| match fault {
+            Fault::SlowTarget(factor) if is_new && target == 0 => Some(*factor),
+            _ => None,
+        });
+        slow.unwrap_or(1.0)
+    }
+
+    /// Returns a random number with an exponential distribution and a mean of 1.
+    fn exponential(&mut self) -> f64 {
+        -self.rng.random_range(f64::EPSILON..1.0).ln()
+    }
+
+    /// Returns how many times as long the new version takes.
+    fn slowdown(&self) -> f64 {
+        match self.scenario.version {
+            Version::Slow(factor) => factor,
+            _ => 1.0,
+        }
     }
 
     fn failure_rate(&self, is_new: bool, route: usize, target: usize, now: u64) -> f64 {
@@ -353,6 +483,9 @@
     }
 
     fn end(&mut self, request: InFlight, now: u64) {
+        if matches!(request.moment, Moment::End(_) | Moment::Break) {
+            self.streams[usize::from(request.is_new)][request.target] -= 1;
+        }
         if self.incarnations[request.instance] != request.incarnation {
             return;
         }
@@ -361,10 +494,22 @@
         let prefix = if request.is_new { "n" } else { "o" };
         let id = TargetId::new(format!("{prefix}{}", request.target));
         let version = version(request.is_new);
-        let ratio = (now - request.sent) as f64 / WORK;
-        rollouts.count_start(&service(), &route, (&id, &version), ratio, at(now));
-        if !request.ok {
-            rollouts.count_failure(&service(), &route, (&id, &version), true);
+        match request.moment {
+            Moment::Start => {
+                let ratio = (now - request.sent) as f64 * 1_000.0 / request.estimate as f64;
+                rollouts.count_start(&service(), &route, (&id, &version), ratio, at(now));
+                if !request.ok {
+                    rollouts.count_failure(&service(), &route, (&id, &version), true);
+                }
+            }
+            Moment::Pace(micros) => {
+                let pace = Duration::from_micros(micros);
+                rollouts.count_pace(&service(), (&id, &version), pace, at(now));
+            }
+            Moment::End(_) => {}
+            Moment::Break => {
+                rollouts.count_failure(&service(), &route, (&id, &version), true);
+            }
         }
     }
 
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -8,7 +8,7 @@
 use sesamewind_protocol::relay::{RolloutOutcome, RolloutProgress};
 use sesamewind_protocol::{Incarnation, InstanceId, RouteId, ServiceId, TargetId, VersionId};
 
-use crate::rollout_simulation::{Fault, RolloutResult, Scenario, Version};
+use crate::rollout_simulation::{Fault, RolloutResult, Scenario, Version, Work};
 use crate::support::at;
 
 /// Number of simulated rollouts of each case.
@@ -34,6 +34,7 @@
 fn calm() -> Scenario {
     Scenario {
         version: Version::Good,
+        work: Work::Plain,
         duration: DURATION,
         rate: 100.0,
         baseline: 0.004,
@@ -45,6 +46,18 @@
     }
 }
 
+/// Returns a rollout of a good version of model engines, whose targets differ in speed.
+fn streams() -> Scenario {
+    Scenario {
+        work: Work::Streams(16),
+        duration: 15_000,
+        instances: 6,
+        targets: 9,
+        started: 400,
+        ..calm()
+    }
+}
+
 /// Bounds that deployments set on the requests of a bad version.
 fn is_within_exposure(result: &RolloutResult) -> bool {
     result.exposed as f64 <= 0.1 * result.all as f64 + 50.0
@@ -224,6 +237,62 @@
     check(&[Case { name: "5 s, one route", scenario }], RolloutOutcome::TakenBack);
 }
 
+#[test]
+fn versions_that_stream_slowly_are_rolled_back_in_time() {
+    let slow = |factor: f64| Scenario { version: Version::Slow(factor), ..streams() };
+    let cases = [
+        Case { name: "2.5 times slower", scenario: slow(2.5) },
+        Case { name: "3 times slower", scenario: slow(3.0) },
+        Case { name: "4 times slower", scenario: slow(4.0) },
+        Case { name: "8 times slower", scenario: slow(8.0) },
+        Case {
+            name: "6 slots, few requests",
+            scenario: Scenario { rate: 36.0, work: Work::Streams(6), ..slow(4.0) },
+        },
+        Case {
+            name: "5 requests a second, 60 s",
+            scenario: Scenario { rate: 5.0, duration: 60_000, ..slow(4.0) },
+        },
+        Case {
+            name: "many requests, instances and targets",
+            scenario: Scenario { rate: 500.0, instances: 24, targets: 45, ..slow(4.0) },
+        },
+        Case { name: "5 s", scenario: Scenario { duration: 5_000, ..slow(4.0) } },
+        Case { name: "3 s", scenario: Scenario { duration: 3_000, ..slow(4.0) } },
+        Case { name: "60 s", scenario: Scenario { duration: 60_000, rate: 40.0, ..slow(3.0) } },
+    ];
+    check(&cases, RolloutOutcome::TakenBack);
+}
+
+#[test]
+fn good_versions_of_model_engines_take_over_in_time() {
+    let with = |faults: &[Fault]| Scenario { faults: faults.to_vec(), ..streams() };
+    let cases = [
+        Case { name: "calm", scenario: streams() },
+        Case {
+            name: "6 slots, few requests",
+            scenario: Scenario { rate: 36.0, work: Work::Streams(6), ..streams() },
+        },
+        Case {
+            name: "5 requests a second, 60 s",
+            scenario: Scenario { rate: 5.0, duration: 60_000, ..streams() },
+        },
+        Case {
+            name: "many requests, instances and targets",
+            scenario: Scenario { rate: 500.0, instances: 24, targets: 45, ..streams() },
+        },
+        Case { name: "5 s", scenario: Scenario { duration: 5_000, ..streams() } },
+        Case { name: "3 s", scenario: Scenario { duration: 3_000, ..streams() } },
+        Case { name: "60 s", scenario: Scenario { duration: 60_000, rate: 40.0, ..streams() } },
+        Case { name: "instance stalls", scenario: with(&[Fault::InstanceStall(0, 6_000, 1_900)]) },
+        Case { name: "target stalls", scenario: with(&[Fault::TargetStall(0, 6_000, 1_500)]) },
+        Case { name: "slow target", scenario: with(&[Fault::SlowTarget(5.0)]) },
+        Case { name: "writer restarts late", scenario: with(&[Fault::Restart(0, 11_000)]) },
+        Case { name: "all restart", scenario: with(&[Fault::RestartAll(6_000)]) },
+    ];
+    check(&cases, RolloutOutcome::Completed);
+}
+
 /// Counts a successful request at the new version.
 fn serve_by_new_version(rollouts: &mut Rollouts, now: u64) {
     let target = (&TargetId::new("n1"), &version("v2"));
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -140,15 +140,24 @@
     }
 }
 
-/// Times to the first byte, averaged over short intervals.
+/// Times of one kind, averaged over short intervals.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct LatencyCounts {
-    /// Intervals in which answers began.
+    /// Intervals in which there were times.
     pub intervals: u32,
     /// Sum over the intervals of the average logarithmic ratio of the time to its estimate.
     pub logs: f64,
 }
 
+/// Times of one kind at both versions.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct LatencyReport {
+    /// At targets of other versions.
+    pub old: LatencyCounts,
+    /// At targets of the new version, by group.
+    pub new: [LatencyCounts; TARGET_GROUPS],
+}
+
 /// How requests of one route ended since a rollout began.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteCounts {
@@ -176,10 +185,10 @@
     pub new_sent: u32,
     /// Outcomes by route.
     pub routes: Vec<RouteCounts>,
-    /// Latencies at targets of other versions.
-    pub old_latency: LatencyCounts,
-    /// Latencies at targets of the new version, by group.
-    pub new_latency: [LatencyCounts; TARGET_GROUPS],
+    /// Times to the first byte.
+    pub latency: LatencyReport,
+    /// Times between two events of a stream.
+    pub pace: LatencyReport,
 }
 
 /// How a rollout ended.
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -214,7 +214,11 @@
         new_intervals = status.latency.new.intervals,
         new_ratio = status.latency.new.ratio,
         old_intervals = status.latency.old.intervals,
-        old_ratio = status.latency.old.ratio;
+        old_ratio = status.latency.old.ratio,
+        new_paces = status.pace.new.intervals,
+        new_pace_ratio = status.pace.new.ratio,
+        old_paces = status.pace.old.intervals,
+        old_pace_ratio = status.pace.old.ratio;
         "rollout in progress"
     );
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod instance;
 pub mod journal;
 pub mod metrics;
+pub mod pace;
 pub mod peers;
 pub mod pool;
 pub mod pulse;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,6 +13,7 @@
 use crate::attempt::{AttemptEnd, Call, OpenStream, Received};
 use crate::driver::CallerGuard;
 use crate::journal;
+use crate::pace::PaceMeter;
 use crate::pool::Connection;
 use crate::silence::Silence;
 
@@ -23,6 +24,7 @@
     scanner: EventScanner,
     guard: CallerGuard,
     upstream: Option<(Incoming, Connection)>,
+    pace: PaceMeter,
     /// Complete events that were already received when the stream was opened.
     first: Option<Bytes>,
     ended: bool,
@@ -38,6 +40,7 @@
     opened: OpenStream,
 ) -> LocalBoxStream<'static, Result<Bytes, AnswerAborted>> {
     let relay = StreamRelay {
+        pace: PaceMeter::new(scanner.events(), call.driver.now()),
         call,
         dispatch,
         scanner,
@@ -62,6 +65,7 @@
     loop {
         let end = match relay.read().await {
             Ok(Some(bytes)) => {
+                relay.record_pace();
                 return Some((Ok(relay.forward(bytes)), Some(relay)));
             }
             Ok(None) => {
@@ -140,6 +144,7 @@
                     self.upstream = Some((opened.body, opened.connection));
                     self.ended = opened.ended;
                     self.silence = opened.silence;
+                    self.pace = PaceMeter::new(self.scanner.events(), self.call.driver.now());
                     return Some(opened.first);
                 }
                 Received::Whole(..) | Received::Failing(..) => {
@@ -150,7 +155,16 @@
         }
     }
 
+    fn record_pace(&mut self) {
+        if let Some(pace) = self.pace.record(self.scanner.events(), self.call.driver.now()) {
+            self.call.driver.handle(Event::Paced(self.call.ticket, pace));
+        }
+    }
+
     fn complete(&mut self) {
+        if let Some(pace) = self.pace.finish() {
+            self.call.driver.handle(Event::Paced(self.call.ticket, pace));
+        }
         if let Some((_, connection)) = self.upstream.take() {
             self.call.driver.pool.put(connection);
         }
