--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
+mod answered;
 mod groups;
 mod health;
 mod load;
