Read what is left of a request before a connection is closed

What callers saw: no answer to a whole request that was rejected before its body had been read (404 for a route that a configuration removed, 401 for a key that it took away, 413): the answer was lost when the connection was reset.

Cause: after an answer that comes before the end of a large body, the connection was shut down and its socket closed with unread bytes, which resets it. The answer, and what the caller is still writing, is lost then.

Change: what arrives after the last answer is read and discarded within the head timeout, and up to 16 MiB.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -20,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep_until, timeout};
@@ -38,6 +39,9 @@
 /// How long the rest of a body may take to arrive.
 const MAX_SKIP_TIME: Duration = Duration::from_millis(20);
 
+/// Longest rest of a body that is discarded after the last answer of a connection, in bytes.
+const MAX_DISCARDED_BYTES: u64 = 16 << 20;
+
 /// Answer to a head that did not arrive in time. Its request has not run.
 const HEAD_TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -234,6 +238,17 @@
     }
 }
 
+/// Reads and discards what arrives on a connection that has been shut down, for at most `limit`. A
+/// socket that is closed with unread bytes is reset, and its caller may lose the answer.
+async fn discard(stream: WatchedStream, limit: Duration) {
+    let mut rest = stream.take(MAX_DISCARDED_BYTES);
+    match timeout(limit, tokio::io::copy(&mut rest, &mut tokio::io::sink())).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(err)) => log::debug!("rest of a request could not be read: {err}"),
+        Err(_) => log::debug!("the rest of a request did not arrive in time"),
+    }
+}
+
 /// Answers one request with `handler`, and records its progress in `activity`.
 async fn respond<F>(
     request: Request<Incoming>,
@@ -362,8 +377,13 @@
         let reason = match end {
             End::Ended(result) => {
                 record.reason = Some(end_reason(&activity, &result));
-                if let Err(err) = result {
-                    log::debug!("connection of a client ended: {err}");
+                match result {
+                    Ok(()) if !activity.has_body_ended() => {
+                        let limit = grant.limits(Instant::now()).head_timeout;
+                        discard(connection.into_parts().io.into_inner(), limit).await;
+                    }
+                    Ok(()) => {}
+                    Err(err) => log::debug!("connection of a client ended: {err}"),
                 }
                 return;
             }
--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -304,3 +304,24 @@
         LocalSet::new().run_until(run).await;
     }
 }
+
+/// Guards against a reset that destroys an answer because its request's body was not read.
+#[tokio::test]
+async fn an_answer_before_the_end_of_a_large_body_reaches_its_caller() {
+    let run = async {
+        let early = |_| std::future::ready(Answer::new(AnswerBody::Whole(DONE.into())));
+        let listener = Listener::start(early, limits(IDLE));
+        let mut caller = Caller::connect(&listener).await;
+        let length = 4 << 20;
+        let head =
+            format!("POST /x HTTP/1.1\r\nhost: h.example\r\ncontent-length: {length}\r\n\r\n");
+        caller.send(&head).await;
+        for _ in 0..length / 65_536 {
+            caller.send(&"x".repeat(65_536)).await;
+            sleep(Duration::from_millis(2)).await;
+        }
+        let text = caller.read_until(DONE).await;
+        assert!(text.starts_with("HTTP/1.1 200") && text.contains("connection: close"), "{text}");
+    };
+    LocalSet::new().run_until(run).await;
+}
