--- a/crates/gateway/tests/all/answered.rs
+++ b/crates/gateway/tests/all/answered.rs
@@ -67,7 +67,7 @@
             let Some(Waits::Decision(deadline)) = waits else {
                 panic!("{ticket} got {step:?} after {text} and waits for {waits:?}");
             };
-            if let Step::Dispatch(_) = step {
+            if let Step::Dispatch(_) | Step::Wait = step {
                 self.open.insert(ticket, Waits::Attempt(deadline));
             }
         }
@@ -167,12 +167,19 @@
                 }
             }
             55..62 => {
-                if let Some((ticket, _)) = self.attempt() {
+                if let Some((ticket, deadline)) = self.attempt() {
                     let rest = Duration::from_millis(self.rng.next_u64() % 3_000);
-                    match self.rng.random_range(0..3) {
+                    match self.rng.random_range(0..5) {
                         0 => self.send(Event::Started(ticket)),
                         1 => self.send(Event::TargetLeaving(ticket)),
-                        _ => self.send(Event::TargetResting(ticket, rest)),
+                        2 => self.send(Event::TargetResting(ticket, rest)),
+                        3 => self.send(Event::SilenceEnded(ticket)),
+                        _ => {
+                            self.open.insert(ticket, Waits::Decision(deadline));
+                            self.send(Event::Silent(ticket));
+                            let waits = self.open.get(&ticket);
+                            assert_eq!(waits, Some(&Waits::Attempt(deadline)), "no answer");
+                        }
                     }
                 }
             }
