Test the pace of streams through real processes

relay::rollouts::a_version_that_streams_slowly_is_rolled_back plays a version that takes four times as long for each event, and reads the measured paces from the line move_progress. Seen to fail (new_paces 0) with a relay that drops what it measures. The order of a rollout in these tests takes the service as an argument; their checks are unchanged.

--- a/tests/all/relay/rollouts.rs
+++ b/tests/all/relay/rollouts.rs
@@ -9,12 +9,21 @@
 use super::testbed::{Testbed, until};
 
 /// Returns the state of the rollout that the store holds.
-fn rollout_state(testbed: &Testbed) -> Option<String> {
-    let row =
-        testbed.store.row(names::STATUS_TABLE, &format!("{}plain", names::ROLLOUT_KEY_PREFIX))?;
+fn rollout_state(testbed: &Testbed, service: &str) -> Option<String> {
+    let key = format!("{}{service}", names::ROLLOUT_KEY_PREFIX);
+    let row = testbed.store.row(names::STATUS_TABLE, &key)?;
     Some(row["state"].as_str()?.to_owned())
 }
 
+/// Orders the rollout of `v2` and waits until its state is recorded.
+async fn order_rollout(testbed: &Testbed, service: &str, seconds: u64) {
+    let entry = json!({"service": service, "target": "v2", "durationS": seconds});
+    let key = format!("{}{service}", names::ROLLOUT_KEY_PREFIX);
+    testbed.store.put(names::OPERATOR_TABLE, &key, &entry);
+    until("the rollout state is recorded", async || rollout_state(testbed, service).is_some())
+        .await;
+}
+
 /// Starts a rollout to a second version, whose target follows `script`, and sends calls until the
 /// store has an outcome. The gateway is suspended as told by `pause`, a time after the order and a
 /// length. Returns the outcome, the calls to the new version, and those to the old.
@@ -39,18 +48,12 @@
     };
     let new_target = RelayTarget::start(options, &testbed.store).await;
     testbed.wait_listed(2).await;
-    let entry = json!({"service": "plain", "target": "v2", "durationS": seconds});
-    testbed.store.put(
-        names::OPERATOR_TABLE,
-        &format!("{}plain", names::ROLLOUT_KEY_PREFIX),
-        &entry,
-    );
-    until("the rollout state is recorded", async || rollout_state(&testbed).is_some()).await;
-    assert_eq!(rollout_state(&testbed).as_deref(), Some(names::ROLLOUT_RUNNING));
+    order_rollout(&testbed, "plain", seconds).await;
+    assert_eq!(rollout_state(&testbed, "plain").as_deref(), Some(names::ROLLOUT_RUNNING));
     let ended = until("the rollout has ended", async || {
         let calls = (0..20).map(|_| testbed.send("/pay/x"));
         futures_util::future::join_all(calls).await;
-        rollout_state(&testbed).as_deref() != Some(names::ROLLOUT_RUNNING)
+        rollout_state(&testbed, "plain").as_deref() != Some(names::ROLLOUT_RUNNING)
     });
     let pause = async {
         if let Some((after, length)) = pause {
@@ -59,7 +62,7 @@
         }
     };
     tokio::join!(ended, pause);
-    let outcome = rollout_state(&testbed).expect("a state");
+    let outcome = rollout_state(&testbed, "plain").expect("a state");
     (outcome, new_target.received().len(), testbed.plains[0].received().len())
 }
 
@@ -88,3 +91,37 @@
     assert_eq!(outcome, names::ROLLOUT_ROLLED_BACK);
     assert!(new as f64 <= 0.1 * (new + old) as f64 + 50.0, "{new} new, {old} old");
 }
+
+/// The log line of the rollout shows that the pace of the streams was measured.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_that_streams_slowly_is_rolled_back() {
+    let stream = |id: &str, version: &str, delay: u64| TargetOptions {
+        id: id.into(),
+        version: version.into(),
+        slots: 50,
+        delay: Duration::from_millis(delay),
+        ..TargetOptions::default()
+    };
+    let testbed = Testbed::start_with(1, 0, stream("", "v1", 15)).await;
+    let new_target = RelayTarget::start(stream("i-new", "v2", 60), &testbed.store).await;
+    testbed.wait_listed(2).await;
+    order_rollout(&testbed, "model", 15).await;
+    until("the rollout has ended", async || {
+        let calls = (0..20).map(|_| async {
+            let (_, answer) = testbed.send("/talk/x").await;
+            answer.bytes().await
+        });
+        futures_util::future::join_all(calls).await;
+        rollout_state(&testbed, "model").as_deref() != Some(names::ROLLOUT_RUNNING)
+    })
+    .await;
+    assert_eq!(rollout_state(&testbed, "model").as_deref(), Some(names::ROLLOUT_ROLLED_BACK));
+    let (new, old) = (new_target.received().len(), testbed.models[0].received().len());
+    assert!(new as f64 <= 0.1 * (new + old) as f64 + 50.0, "{new} new, {old} old");
+    let lines = testbed.gateway.log_lines();
+    let mut progress = lines.iter().filter(|line| line["event"] == "move_progress");
+    let last = progress.next_back().expect("a line");
+    assert!(last["new_paces"].as_f64() >= Some(3.0), "{last}");
+    let ratio = |field: &str| last[field].as_f64().expect("a ratio");
+    assert!(ratio("new_pace_ratio") > 2.0 * ratio("old_pace_ratio"), "{last}");
+}
