Soak: replace the settings of an instance in one step

A reload truncated the file and wrote it again while the process of a restart was reading it. The file is now renamed into place.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -163,7 +163,10 @@
             retry_ratio: 0.2 + f64::from(reloads) * 1e-9,
         };
         let text = settings.text();
-        std::fs::write(&self.settings, text).expect("settings can be written");
+        // A process that is starting must not read half a file.
+        let new = self.settings.with_extension("new");
+        std::fs::write(&new, text).expect("settings can be written");
+        std::fs::rename(new, &self.settings).expect("settings can be replaced");
     }
 
     /// Changes the settings and signals the process to reload them.
