Soak: count the time of a pipelined request from its start if its connection ended

The second had its time counted from the end of the first, so it never looked late. Only requests whose connection goes on are counted from there.

--- a/crates/soak/src/kept.rs
+++ b/crates/soak/src/kept.rs
@@ -105,7 +105,9 @@
             let outcome = if open { self.read(&request, &mut open).await } else { Outcome::Closed };
             let ended = Instant::now();
             self.record(request, (at, written, ended), outcome);
-            at = ended;
+            if open {
+                at = ended;
+            }
         }
         open && sent.is_ok() && self.idle(rng).await
     }
