Read on after any last answer that comes before the end of its request

What callers saw: an answer before the end of a request (413, 431, or a rejection before a long body) was followed by a close with unread bytes in the socket. A caller that was still sending saw a reset, and may never have read the answer.

The write side is closed and up to 16 MiB are read and dropped, for at most 2 s. The end of the connection is logged and counted before that.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -157,6 +157,11 @@
         self.enter(Usage::Head, now);
     }
 
+    /// Records that no further request is read.
+    pub fn closes(&self, now: Instant) {
+        self.enter(Usage::Closing, now);
+    }
+
     fn bytes_read(&self, bytes: usize, now: Instant) {
         match self.usage.get() {
             Usage::Request | Usage::Closing => return,
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -20,7 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep_until, timeout};
@@ -39,8 +39,11 @@
 /// How long the rest of a body may take to arrive.
 const MAX_SKIP_TIME: Duration = Duration::from_millis(20);
 
-/// Longest rest of a body that is discarded after the last answer of a connection, in bytes.
-const MAX_DISCARDED_BYTES: u64 = 16 << 20;
+/// How long a connection is read after its last answer if its caller is still sending.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
+/// Number of bytes that are read after the last answer of a connection.
+const MAX_LINGER_BYTES: u64 = 16 << 20;
 
 /// Answer to a head that did not arrive in time. Its request has not run.
 const HEAD_TIMEOUT_ANSWER: &[u8] =
@@ -238,17 +241,6 @@
     }
 }
 
-/// Reads and discards what arrives on a connection that has been shut down, for at most `limit`. A
-/// socket that is closed with unread bytes is reset, and its caller may lose the answer.
-async fn discard(stream: WatchedStream, limit: Duration) {
-    let mut rest = stream.take(MAX_DISCARDED_BYTES);
-    match timeout(limit, tokio::io::copy(&mut rest, &mut tokio::io::sink())).await {
-        Ok(Ok(_)) => {}
-        Ok(Err(err)) => log::debug!("rest of a request could not be read: {err}"),
-        Err(_) => log::debug!("the rest of a request did not arrive in time"),
-    }
-}
-
 /// Answers one request with `handler`, and records its progress in `activity`.
 async fn respond<F>(
     request: Request<Incoming>,
@@ -377,13 +369,14 @@
         let reason = match end {
             End::Ended(result) => {
                 record.reason = Some(end_reason(&activity, &result));
-                match result {
-                    Ok(()) if !activity.has_body_ended() => {
-                        let limit = grant.limits(Instant::now()).head_timeout;
-                        discard(connection.into_parts().io.into_inner(), limit).await;
-                    }
-                    Ok(()) => {}
-                    Err(err) => log::debug!("connection of a client ended: {err}"),
+                let is_sending = has_unread_request(&activity, &result);
+                if let Err(err) = result {
+                    log::debug!("connection of a client ended: {err}");
+                }
+                drop(record);
+                if is_sending {
+                    activity.closes(Instant::now());
+                    linger(connection.into_parts().io.into_inner()).await;
                 }
                 return;
             }
@@ -410,6 +403,27 @@
     }
 }
 
+/// Returns whether a connection has ended after an answer to a request that was not read to its end.
+fn has_unread_request(activity: &Activity, result: &Result<(), hyper::Error>) -> bool {
+    match result {
+        Ok(()) => activity.usage().0 == Usage::Closing && !activity.has_body_ended(),
+        Err(err) => err.is_parse(),
+    }
+}
+
+/// Reads what the caller still sends after its last answer. If the socket were closed with unread
+/// bytes, the caller would see a reset, possibly before the answer.
+async fn linger(mut stream: WatchedStream) {
+    let skip = async {
+        stream.shutdown().await?;
+        let mut sent = stream.take(MAX_LINGER_BYTES);
+        tokio::io::copy(&mut sent, &mut tokio::io::sink()).await
+    };
+    if !matches!(timeout(LINGER_TIME, skip).await, Ok(Ok(_))) {
+        log::debug!("a connection is closed while its caller sends");
+    }
+}
+
 /// Tells the caller of a late head that it was not run. The socket closes when it is dropped.
 fn close(stream: &WatchedStream, reason: CloseReason) {
     if reason == CloseReason::HeadTimeout
--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -305,23 +305,52 @@
     }
 }
 
-/// Guards against a reset that destroys an answer because its request's body was not read.
+/// The caller sends its whole request before it reads the answer, which comes before the end.
 #[tokio::test]
-async fn an_answer_before_the_end_of_a_large_body_reaches_its_caller() {
-    let run = async {
-        let early = |_| std::future::ready(Answer::new(AnswerBody::Whole(DONE.into())));
-        let listener = Listener::start(early, limits(IDLE));
-        let mut caller = Caller::connect(&listener).await;
-        let length = 4 << 20;
-        let head =
-            format!("POST /x HTTP/1.1\r\nhost: h.example\r\ncontent-length: {length}\r\n\r\n");
-        caller.send(&head).await;
-        for _ in 0..length / 65_536 {
-            caller.send(&"x".repeat(65_536)).await;
-            sleep(Duration::from_millis(2)).await;
-        }
-        let text = caller.read_until(DONE).await;
-        assert!(text.starts_with("HTTP/1.1 200") && text.contains("connection: close"), "{text}");
-    };
-    LocalSet::new().run_until(run).await;
+async fn an_early_answer_reaches_a_caller_that_is_still_sending() {
+    const LENGTH: usize = 4 << 20;
+    struct Case {
+        name: &'static str,
+        head: String,
+        status: &'static str,
+        /// Last bytes of the answer.
+        last: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "body",
+            head: format!("content-length: {LENGTH}"),
+            status: "HTTP/1.1 413",
+            last: DONE,
+        },
+        Case {
+            name: "head",
+            head: "filler: ".to_owned(),
+            status: "HTTP/1.1 431",
+            last: "\r\n\r\n",
+        },
+    ];
+    for case in cases {
+        let run = async {
+            let early = |_| {
+                let mut answer = Answer::new(AnswerBody::Whole(DONE.into()));
+                *answer.status_mut() = http::StatusCode::PAYLOAD_TOO_LARGE;
+                std::future::ready(answer)
+            };
+            let listener = Listener::start(early, limits(IDLE * 100));
+            let mut caller = Caller::connect(&listener).await;
+            let end = if case.name == "body" { "\r\n\r\n" } else { "" };
+            caller
+                .send(&format!("POST /x HTTP/1.1\r\nhost: h.example\r\n{}{end}", case.head))
+                .await;
+            for _ in 0..LENGTH / 65_536 {
+                caller.send(&"x".repeat(65_536)).await;
+                sleep(IDLE / 100).await;
+            }
+            let text = caller.read_until(case.last).await;
+            assert!(text.starts_with(case.status) && text.ends_with(case.last), "{text}");
+            assert!(text.contains("connection: close"), "{}: {text}", case.name);
+        };
+        LocalSet::new().run_until(run).await;
+    }
 }
