Bound the memory of answers without end, and end them as broken

On the commit before this one, a target that sends interim answers without end keeps the instance busy until the deadline (24 calls at once are answered 504, and a call that may be repeated is not sent to the other target), an event without its blank line and comments before the first event are collected until the deadline, and each of the plain answers in progress may hold 16 MB.

Change: interim answers before an answer are limited to 16 and the read buffer of connections to targets, peers and the store to 64 KB; events and what comes before the first one to 64 KB; plain answers, until their callers have received them, to 16 MB of a target and 64 MB in total, beyond which each target still has 64 KB. What exceeds this ends the attempt as broken; its connection is closed.

Tests, and how they were seen to fail: relay::floods::an_answer_without_end_is_a_broken_one without the limit of interim answers, with unbounded memory, with unbounded events, and with unbounded comments (each switched off alone); a_request_is_sent_again_after_an_answer_without_end without the limit of interim answers; a_store_or_peer_without_end_leaves_the_process_running timed out there as well. bytes_after_a_complete_answer_reach_no_caller and a_request_without_end_is_rejected_and_its_connection_closed passed before: the HTTP library closes these connections. relay::memory and sse::an_event_that_is_too_long_is_an_error test the new limits directly. sse::events_are_found and sse::input_bytes_are_output_exactly_once only unwrap the new result.

Events that arrive together with one that is too long are returned before the error, so that a stream is never resumed after an event that its caller has not received: sse::events_before_one_that_is_too_long_are_returned, seen to fail with the check before the events.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -3,11 +3,28 @@
 //! Only complete events are passed on, so that a stream that breaks off within an event can be
 //! resumed at another target after the last event that the caller received.
 
+use std::error::Error;
+use std::fmt;
 use std::ops::Range;
 
 /// Maximum length of a stored event identifier, in bytes.
 const MAX_ID_BYTES: usize = 64;
 
+/// Largest event, in bytes.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// An event exceeds the largest size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventTooLong;
+
+impl fmt::Display for EventTooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "event exceeds {MAX_EVENT_BYTES} bytes")
+    }
+}
+
+impl Error for EventTooLong {}
+
 /// Finds complete events. Buffers the bytes of an event until its end.
 #[derive(Debug, Default)]
 pub struct EventScanner {
@@ -26,7 +43,11 @@
     }
 
     /// Adds bytes and returns all complete events, possibly none.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EventTooLong`] if no event is complete and the incomplete one is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
         let mut complete = 0;
         while let Some(event) = self.next_event(complete) {
@@ -37,9 +58,13 @@
             }
             complete = event.end;
         }
+        // Events that were found are returned first: `last_id` tells that they are passed on.
+        if complete == 0 && self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
         self.scanned = self.buffer.len() - complete;
         let rest = self.buffer.split_off(complete);
-        std::mem::replace(&mut self.buffer, rest)
+        Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
     /// Returns the bytes of the incomplete event.
--- a/crates/gateway/tests/all/sse.rs
+++ b/crates/gateway/tests/all/sse.rs
@@ -1,6 +1,6 @@
 //! Complete events are found regardless of how the bytes are split into chunks.
 
-use sesamewind_gateway::sse::EventScanner;
+use sesamewind_gateway::sse::{EventScanner, MAX_EVENT_BYTES};
 use sesamewind_seeded::Cases;
 
 #[test]
@@ -56,7 +56,7 @@
             let mut scanner = EventScanner::default();
             let mut whole = Vec::new();
             for chunk in case.bytes.as_bytes().chunks(step) {
-                whole.extend(scanner.push(chunk));
+                whole.extend(scanner.push(chunk).expect("short events"));
             }
             assert_eq!(whole, case.whole.as_bytes(), "{} by {step}", case.name);
             assert_eq!(scanner.last_id(), case.last, "{} by {step}", case.name);
@@ -76,12 +76,53 @@
         let mut chunked = EventScanner::default();
         let mut whole = Vec::new();
         for chunk in bytes.chunks(usize::from(step % 7) + 1) {
-            whole.extend(chunked.push(chunk));
+            whole.extend(chunked.push(chunk).expect("short events"));
         }
         let mut once = EventScanner::default();
-        assert_eq!(whole, once.push(&bytes), "seed {seed}");
+        assert_eq!(whole, once.push(&bytes).expect("short events"), "seed {seed}");
         assert_eq!(chunked.last_id(), once.last_id(), "seed {seed}");
         whole.extend_from_slice(chunked.partial());
         assert_eq!(whole, bytes, "seed {seed}");
     });
 }
+
+/// Guards against an event without end that fills the memory.
+#[test]
+fn an_event_that_is_too_long_is_an_error() {
+    struct Case {
+        name: &'static str,
+        start: &'static str,
+        block: &'static str,
+        is_error: bool,
+    }
+    let cases = [
+        Case { name: "data", start: "data: ", block: "x", is_error: true },
+        Case { name: "lines", start: "", block: "data: x\n", is_error: true },
+        Case { name: "comment", start: ":", block: "x", is_error: true },
+        Case { name: "after an event", start: "data: x\n\n", block: "x", is_error: true },
+        Case { name: "events", start: "", block: "data: x\n\n", is_error: false },
+    ];
+    for case in cases {
+        let mut scanner = EventScanner::default();
+        let mut result = scanner.push(case.start.as_bytes());
+        let block = case.block.repeat(1_000);
+        for _ in 0..200 {
+            if result.is_ok() {
+                result = scanner.push(block.as_bytes());
+                assert!(scanner.partial().len() <= 2 * MAX_EVENT_BYTES, "{}", case.name);
+            }
+        }
+        assert_eq!(result.is_err(), case.is_error, "{}", case.name);
+    }
+}
+
+/// Guards against losing events that arrive together with one that is too long.
+#[test]
+fn events_before_one_that_is_too_long_are_returned() {
+    let mut scanner = EventScanner::default();
+    let first = "id: 1\ndata: x\n\n";
+    let whole = scanner.push(format!("{first}{}", "x".repeat(2 * MAX_EVENT_BYTES)).as_bytes());
+    assert_eq!(whole.expect("the first event"), first.as_bytes());
+    assert_eq!(scanner.last_id(), Some("1"));
+    assert!(scanner.push(b"x").is_err());
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,16 +1,17 @@
 //! Sends one attempt of a request to a target and reads its answer.
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use sesamewind_gateway::event::Dispatch;
-use sesamewind_gateway::sse::EventScanner;
+use sesamewind_gateway::sse::{EventScanner, EventTooLong, MAX_EVENT_BYTES};
 use sesamewind_gateway::{Account, AttemptOutcome, Event, Failure, Route, Step, Ticket};
 use sesamewind_protocol::Time;
 
@@ -26,9 +27,6 @@
 /// request is sent, it is unknown whether the request ran.
 const ONCE_MAX_IDLE: Duration = Duration::from_millis(1_500);
 
-/// Largest answer that is read into memory, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-
 /// A caller's request in progress.
 #[derive(Debug)]
 pub struct Call {
@@ -232,13 +230,18 @@
                     return Err(AttemptOutcome::Unconnected.into());
                 }
                 Err(SendError::Broken(err)) => {
-                    log::debug!(request = self.caller.id.as_str(); "{err}");
-                    return Err(AttemptOutcome::Broken.into());
+                    return Err(self.broken(&err));
                 }
             }
         }
     }
 
+    /// Logs why the answer can't be passed on, and returns the end of the attempt.
+    pub fn broken(&self, reason: &dyn fmt::Display) -> AttemptEnd {
+        log::debug!(request = self.caller.id.as_str(); "{reason}");
+        AttemptOutcome::Broken.into()
+    }
+
     async fn connect(
         &self,
         dispatch: &Dispatch,
@@ -283,19 +286,16 @@
         silence: &mut Silence,
         mut body: Incoming,
     ) -> Result<Bytes, AttemptEnd> {
-        let mut bytes = BytesMut::new();
+        let mut answer = self.driver.memory.buffer(dispatch.address);
         loop {
             let frame = match self.wait_for(dispatch, silence, body.frame()).await? {
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return Err(AttemptOutcome::Broken.into()),
-                None => return Ok(bytes.freeze()),
+                None => return Ok(answer.freeze()),
             };
             self.end_silence(dispatch, silence);
             if let Ok(data) = frame.into_data() {
-                bytes.extend_from_slice(&data);
-            }
-            if bytes.len() > MAX_ANSWER_BYTES {
-                return Err(AttemptOutcome::Broken.into());
+                answer.push(&data).map_err(|err| self.broken(&err))?;
             }
         }
     }
@@ -312,15 +312,18 @@
             let frame = self.wait_for(dispatch, &mut answer.silence, answer.body.frame()).await?;
             let ended = match frame {
                 Some(Ok(frame)) => {
-                    first.extend(
-                        frame.into_data().map_or_else(|_| Vec::new(), |data| scanner.push(&data)),
-                    );
+                    if let Ok(data) = frame.into_data() {
+                        first.extend(scanner.push(&data).map_err(|err| self.broken(&err))?);
+                    }
                     false
                 }
                 None if scanner.partial().is_empty() => true,
                 Some(Err(_)) | None => return Err(AttemptOutcome::Broken.into()),
             };
             if scanner.events() == received && !ended {
+                if first.len() > MAX_EVENT_BYTES {
+                    return Err(self.broken(&EventTooLong));
+                }
                 continue;
             }
             self.end_silence(dispatch, &mut answer.silence);
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::journal::{self, Progress};
+use crate::memory::AnswerMemory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::pulse::Pulse;
@@ -41,6 +42,8 @@
     origin: Instant,
     /// Detector of times in which the instance did not run.
     pub pulse: Pulse,
+    /// Memory for answers of targets.
+    pub memory: AnswerMemory,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Format of requests from callers and answers from targets.
@@ -67,6 +70,7 @@
             clock,
             origin: Instant::now(),
             pulse: Pulse::new(Instant::now()),
+            memory: AnswerMemory::default(),
             pool: Pool::default(),
             wire_format,
             metrics: Rc::new(Metrics::new()),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`activity`] observes what happens on a caller's connection, and [`pulse`] times in which
 //!   the instance did not run.
 //! - [`attempt`] sends a request to a target over a connection of [`pool`], [`silence`] waits
-//!   for its answer, and [`stream`] forwards event streams to the caller.
+//!   for its answer, which [`memory`] holds, and [`stream`] forwards event streams to the caller.
 //! - [`driver`] passes events to the gateway and delivers its actions to the waiting requests.
 //! - [`watch`] follows the platform's store through a [`Source`], and [`peers`] exchanges state
 //!   with other instances.
@@ -21,6 +21,7 @@
 pub mod driver;
 pub mod instance;
 pub mod journal;
+pub mod memory;
 pub mod metrics;
 pub mod pace;
 pub mod peers;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,6 +3,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -26,6 +29,12 @@
 /// the remote side closes the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Size of a connection's read buffer, and so of the largest head of an answer, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
+/// Maximum number of interim answers before an answer.
+const MAX_INTERIM: u32 = 16;
+
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
@@ -78,7 +87,10 @@
         if let Err(err) = stream.set_nodelay(true) {
             log::debug!("TCP_NODELAY could not be set: {err}");
         }
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) =
             handshake.map_err(|err| SendError::Unconnected(err.to_string()))?;
         let task = tokio::task::spawn_local(async move {
@@ -103,12 +115,19 @@
     /// Returns a [`SendError`] that indicates whether bytes may have been written.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<(response::Parts, Incoming), SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::Unsent);
         }
-        match self.sender.try_send_request(request).await {
+        let too_many = limit_interim(&mut request);
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(request) => sent,
+            () = too_many.notified() => {
+                return Err(SendError::Broken("too many interim answers".to_owned()));
+            }
+        };
+        match sent {
             Ok(response) => Ok(response.into_parts()),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(SendError::Unsent),
@@ -128,6 +147,18 @@
     }
 }
 
+/// Returns a notification of too many interim answers to `request`.
+fn limit_interim(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let (shared, count) = (Arc::clone(&too_many), AtomicU32::new(0));
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM {
+            shared.notify_one();
+        }
+    });
+    too_many
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -103,7 +103,7 @@
             match frame.await? {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    let whole = self.scanner.push(&data);
+                    let whole = self.scanner.push(&data).map_err(|err| self.call.broken(&err))?;
                     if self.scanner.events() > received {
                         self.call.end_silence(&self.dispatch, &mut self.silence);
                         self.call.record_part();
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -2,9 +2,11 @@
 //! configuration and settings that gateways run with.
 
 pub mod configuration;
+mod flood;
 pub mod settings;
 mod store;
 mod target;
 
+pub use flood::{Flood, FloodServer};
 pub use store::{RowStore, Snapshot, StoreMode};
 pub use target::{Behaviour, COMMENT, Received, RelayTarget, Script, TargetOptions, body, event};
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -4,6 +4,8 @@
 mod crossings;
 mod explain;
 mod faults;
+mod floods;
+mod memory;
 mod notices;
 mod path;
 mod rollouts;
--- a/tests/all/relay/testbed.rs
+++ b/tests/all/relay/testbed.rs
@@ -106,6 +106,15 @@
         &self.settings
     }
 
+    /// Returns the largest amount of memory that the process has had resident, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process lives");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a line");
+        let kilobytes = line.trim().strip_suffix(" kB").expect("a unit");
+        kilobytes.parse::<u64>().expect("a number") * 1_024
+    }
+
     /// Sends the process a stop signal.
     pub fn terminate(&self) {
         self.signal(libc::SIGTERM);
