Move the watched socket and the records of closes to modules of their own

No change of behaviour: close.rs has the reasons for which connections end and their records, watched.rs the socket and the bodies that record what happens on a connection, activity.rs its state.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -15,12 +15,12 @@
 use sesamewind_protocol::{RequestKey, text_hash};
 use tokio::time::timeout;
 
-use crate::activity::RequestBody;
 use crate::answer::{Answer, AnswerBody};
 use crate::attempt::{Call, Received};
 use crate::driver::{CallerGuard, Driver};
 use crate::journal;
 use crate::stream;
+use crate::watched::RequestBody;
 use crate::wire_format::{CallerHead, RequestError};
 
 /// Retry delay for callers of an instance that has no configuration yet.
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -25,10 +25,11 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep_until, timeout};
 
-use crate::activity::{Activity, RequestBody, Side, Usage, WatchedBody, WatchedStream};
+use crate::activity::{Activity, Side, Usage};
 use crate::answer::{Answer, AnswerBody};
-use crate::metrics::Metrics;
+use crate::close::{CloseReason, CloseRecord};
 use crate::server::{Limits, Phase, Shared};
+use crate::watched::{RequestBody, WatchedBody, WatchedStream};
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
@@ -49,104 +50,6 @@
 const HEAD_TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// Why a connection ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CloseReason {
-    /// It was idle for too long.
-    Idle,
-    /// The instance stops.
-    Stop,
-    /// A request's head did not arrive in time.
-    HeadTimeout,
-    /// An answer asked for it.
-    Announced,
-    /// The caller closed it or asked for it.
-    Caller,
-    /// The caller closed it within a request.
-    Incomplete,
-    /// An answer could not be completed.
-    Aborted,
-    /// What arrived is not a request.
-    Malformed,
-    /// The socket failed.
-    Error,
-    /// A request's task panicked.
-    Panic,
-    /// The process exited.
-    Exit,
-}
-
-impl CloseReason {
-    fn of_error(err: &hyper::Error) -> Self {
-        if err.is_timeout() {
-            Self::HeadTimeout
-        } else if err.is_user() {
-            Self::Aborted
-        } else if err.is_parse() {
-            Self::Malformed
-        } else if err.is_incomplete_message() {
-            Self::Incomplete
-        } else {
-            Self::Error
-        }
-    }
-
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Idle => "idle",
-            Self::Stop => "stop",
-            Self::HeadTimeout => "head_timeout",
-            Self::Announced => "announced",
-            Self::Caller => "caller",
-            Self::Incomplete => "incomplete",
-            Self::Aborted => "aborted",
-            Self::Malformed => "malformed",
-            Self::Error => "error",
-            Self::Panic => "panic",
-            Self::Exit => "exit",
-        }
-    }
-}
-
-/// Logs and counts the end of a connection when dropped, also by a panic or the process's exit.
-#[derive(Debug)]
-struct CloseRecord {
-    listener: &'static str,
-    activity: Rc<Activity>,
-    metrics: Rc<Metrics>,
-    reason: Option<CloseReason>,
-}
-
-impl Drop for CloseRecord {
-    fn drop(&mut self) {
-        let reason = self.reason.unwrap_or(if std::thread::panicking() {
-            CloseReason::Panic
-        } else {
-            CloseReason::Exit
-        });
-        self.metrics.connection_closed(reason.as_str());
-        let (usage, since) = self.activity.usage();
-        let failed = matches!(
-            reason,
-            CloseReason::Aborted | CloseReason::Malformed | CloseReason::Error | CloseReason::Panic
-        );
-        let level =
-            if failed || usage != Usage::Idle { log::Level::Info } else { log::Level::Debug };
-        log::log!(
-            level,
-            event = "connection_closed",
-            listener = self.listener,
-            reason = reason.as_str(),
-            usage = usage.as_str(),
-            usage_ms = since.elapsed().as_millis() as u64,
-            head_bytes = self.activity.head_bytes(),
-            served = self.activity.served(),
-            open_ms = self.activity.opened().elapsed().as_millis() as u64;
-            "connection closed"
-        );
-    }
-}
-
 /// The limits that hold for a connection. A change may only lengthen a time that has begun, since
 /// the caller may rely on the limits that held then.
 struct Grant<'a> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,8 +4,8 @@
 //!
 //! - [`Instance`] starts and stops the process.
 //! - [`callers`] serves callers' requests, which arrive through [`server`].
-//! - [`activity`] observes what happens on a caller's connection, and [`pulse`] times in which
-//!   the instance did not run.
+//! - [`activity`] is the state of a caller's connection, which [`watched`] records, and [`pulse`]
+//!   detects times in which the instance did not run.
 //! - [`attempt`] sends a request to a target over a connection of [`pool`], [`silence`] waits
 //!   for its answer, which [`memory`] holds, and [`stream`] forwards event streams to the caller.
 //! - [`driver`] passes events to the gateway and delivers its actions to the waiting requests.
@@ -17,6 +17,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod callers;
+mod close;
 mod connection;
 pub mod driver;
 pub mod instance;
@@ -33,6 +34,7 @@
 pub mod source;
 pub mod stream;
 pub mod watch;
+pub mod watched;
 pub mod wire_format;
 
 pub use instance::{Instance, StartError};
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,11 +24,11 @@
 use sesamewind_settings::Secret;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::activity::RequestBody;
 use crate::answer::{Answer, AnswerBody};
 use crate::driver::Driver;
 use crate::pool::Pool;
 use crate::source::Announcement;
+use crate::watched::RequestBody;
 
 /// Path of the exchange on the inner listener.
 const EXCHANGE_PATH: &str = "/peers/exchange";
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -8,10 +8,11 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
-use crate::activity::{RequestBody, UseCount};
+use crate::activity::UseCount;
 use crate::answer::Answer;
 use crate::connection;
 use crate::metrics::Metrics;
+use crate::watched::RequestBody;
 
 /// Maximum number of connections waiting to be accepted. A burst of callers opens many at once.
 const ACCEPT_BACKLOG: u32 = 1_024;
--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -6,9 +6,9 @@
 use futures_util::StreamExt;
 use http::Request;
 use http_body_util::BodyExt;
-use sesamewind_relay::activity::RequestBody;
 use sesamewind_relay::answer::{Answer, AnswerBody};
 use sesamewind_relay::server::{Limits, Phase};
+use sesamewind_relay::watched::RequestBody;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
