Keep bytes that were returned to a socket and not read again

A precaution; no failure was seen. If a connection is taken over twice, bytes of the first time that were not read again yet follow those of the second, and are not replaced by them.

--- a/crates/relay/src/watched.rs
+++ b/crates/relay/src/watched.rs
@@ -58,7 +58,11 @@
 
     /// Returns bytes to the socket, which are read before all others.
     pub fn unread(&mut self, bytes: Bytes) {
-        self.unread = bytes;
+        self.unread = if self.unread.is_empty() {
+            bytes
+        } else {
+            [bytes, std::mem::take(&mut self.unread)].concat().into()
+        };
     }
 }
 
