Never end a moved stream because others decline it or all targets rest

What callers saw: a stream that had left a silent target was broken off at once when five attempts in a row were declined, or with the requests that are refused while all targets of the service rest. Such a request can't be refused any more and should wait for a target until its deadline.

Cause: the bound on the number of attempts, the refusal during rests and the refusal of the end of a long queue did not tell requests that can't be refused from the others.

Change: these three leave them alone. A deadline, the attempts of the route that ran, and the retry budget (for which they wait) still bound them.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -106,7 +106,10 @@
             if state.queue.len() <= state.queue_limit(wait, now) {
                 return;
             }
-            let Some(ticket) = state.queue.last() else { return };
+            let requests = &self.requests;
+            let is_held = |ticket: &Ticket| requests.get(ticket).is_some_and(|one| one.held);
+            let last = state.queue.tickets().rev().find(|ticket| !is_held(ticket));
+            let Some(ticket) = last else { return };
             let Some(request) = self.requests.remove(&ticket) else { return };
             self.abandon(ticket, request, now);
         }
@@ -275,7 +278,7 @@
             Some(NoRetry::NotRepeatable)
         } else if request.runs >= route.attempts {
             Some(NoRetry::AttemptsUsed)
-        } else if request.sends >= MAX_SENDS {
+        } else if request.sends >= MAX_SENDS && !request.held {
             Some(NoRetry::SendsUsed)
         } else if now >= request.arrival.deadline {
             Some(NoRetry::DeadlinePassed)
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -44,6 +44,9 @@
         };
         let Some(rest) = self.rest_of_all(service, now) else { return };
         for ticket in state.queue.overdue(now + rest) {
+            if self.requests.get(&ticket).is_some_and(|request| request.held) {
+                continue;
+            }
             let Some(request) = self.requests.remove(&ticket) else { continue };
             self.abandon(ticket, request, now);
         }
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -39,7 +39,7 @@
     }
 
     /// Returns the requests in queue order.
-    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+    pub fn tickets(&self) -> impl DoubleEndedIterator<Item = Ticket> {
         self.waiting.keys().map(|(_, ticket)| *ticket)
     }
 
@@ -49,11 +49,6 @@
         overdue.map(|((_, ticket), _)| *ticket).collect()
     }
 
-    /// Returns the last request in queue order.
-    pub fn last(&self) -> Option<Ticket> {
-        self.waiting.last_key_value().map(|((_, ticket), _)| *ticket)
-    }
-
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/gateway/tests/all/silence.rs
+++ b/crates/gateway/tests/all/silence.rs
@@ -228,3 +228,44 @@
         assert_eq!(attempt, Some(3), "{:?} {}: {:?}", case.outcome, case.extra, bench.steps);
     }
 }
+
+/// Guards against ending a moved stream because several targets in a row did not run it.
+#[test]
+fn a_moved_stream_that_is_declined_by_many_targets_is_not_ended() {
+    let targets = (0..9).map(|n| target(&format!("m{n}"), MODEL, 4)).collect();
+    let mut bench = Bench::new(routing(), targets, Tuning::default());
+    let ticket = bench.arrive("urgent", 100, at(10));
+    bench.send(Event::Started(ticket), at(50));
+    assert!(ask(&mut bench, ticket, at(1_010)).is_some());
+    for now in (1_020..3_000).step_by(20) {
+        if bench.dispatch(ticket).is_some() {
+            bench.end(ticket, AttemptOutcome::Declined, at(now));
+        }
+        bench.send(Event::Tick, at(now + 10));
+        let step = bench.steps.get(&ticket);
+        assert!(!matches!(step, Some(Step::Fail(_) | Step::Refuse(_))), "{now}: {step:?}");
+    }
+}
+
+/// Guards against ending a moved stream with the requests that are refused because all targets rest.
+#[test]
+fn a_moved_stream_waits_while_all_targets_rest() {
+    let targets = (0..2).map(|n| target(&format!("m{n}"), MODEL, 4)).collect();
+    let mut bench = Bench::new(routing(), targets, Tuning::default());
+    let ticket = bench.arrive("urgent", 100, at(10));
+    let (same, others) = fill(&mut bench, ticket);
+    bench.send(Event::CallerLeft(others[0]), at(20));
+    bench.send(Event::Started(ticket), at(50));
+    assert!(ask(&mut bench, ticket, at(1_010)).is_some());
+    let rest = std::time::Duration::from_secs(3);
+    bench.send(Event::TargetResting(ticket, rest), at(1_020));
+    bench.send(Event::TargetResting(same[0], rest), at(1_020));
+    bench.steps.remove(&ticket);
+    bench.end(ticket, AttemptOutcome::Declined, at(1_020));
+    for now in (1_030..3_500).step_by(20) {
+        bench.arrive("usual", 100, at(now));
+        bench.send(Event::Tick, at(now));
+        let step = bench.steps.get(&ticket);
+        assert!(!matches!(step, Some(Step::Fail(_) | Step::Refuse(_))), "{now}: {step:?}");
+    }
+}
