Read on after every last answer of a connection

What callers saw: an incomplete answer, if they send requests one behind the other while the instance stops: after the answer that says that the connection closes, the socket was closed while a further request lay unread in it. That resets the connection and discards what has not been sent yet.

Change: the connection is read on after every answer that ends it, not only after those that come before the end of their request.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -40,7 +40,7 @@
 /// How long the rest of a body may take to arrive.
 const MAX_SKIP_TIME: Duration = Duration::from_millis(20);
 
-/// How long a connection is read after its last answer if its caller is still sending.
+/// How long a connection is read after its last answer.
 const LINGER_TIME: Duration = Duration::from_secs(2);
 
 /// Number of bytes that are read after the last answer of a connection.
@@ -272,7 +272,7 @@
         let reason = match end {
             End::Ended(result) => {
                 record.reason = Some(end_reason(&activity, &result));
-                let is_sending = has_unread_request(&activity, &result);
+                let is_sending = may_be_sending(&activity, &result);
                 if let Err(err) = result {
                     log::debug!("connection of a client ended: {err}");
                 }
@@ -306,10 +306,10 @@
     }
 }
 
-/// Returns whether a connection has ended after an answer to a request that was not read to its end.
-fn has_unread_request(activity: &Activity, result: &Result<(), hyper::Error>) -> bool {
+/// Returns whether a connection has ended after an answer that its caller may not have read yet.
+fn may_be_sending(activity: &Activity, result: &Result<(), hyper::Error>) -> bool {
     match result {
-        Ok(()) => activity.usage().0 == Usage::Closing && !activity.has_body_ended(),
+        Ok(()) => activity.usage().0 == Usage::Closing,
         Err(err) => err.is_parse(),
     }
 }
--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -12,7 +12,7 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-use crate::support::{Caller, Listener, limits};
+use crate::support::{Caller, END, Listener, limits};
 
 /// Idle time of most connections here; the head timeout is longer.
 const IDLE: Duration = Duration::from_millis(200);
@@ -354,3 +354,25 @@
         LocalSet::new().run_until(run).await;
     }
 }
+
+/// Guards against a reset that destroys an answer because further requests were not read.
+#[tokio::test]
+async fn a_last_answer_reaches_a_caller_that_has_sent_further_requests() {
+    const LENGTH: usize = 8 << 20;
+    let run = async {
+        let large =
+            |_| std::future::ready(Answer::new(AnswerBody::Whole(vec![b'x'; LENGTH].into())));
+        let listener = Listener::start(large, limits(IDLE * 100));
+        let mut caller = Caller::connect(&listener).await;
+        listener.phase.send_replace(Phase::Closing);
+        for _ in 0..3 {
+            caller.send(GET).await;
+            sleep(IDLE / 4).await;
+        }
+        let text = caller.read_until(END).await;
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        assert!(head.contains("connection: close"), "{head}");
+        assert_eq!(body.len(), LENGTH, "{head}");
+    };
+    LocalSet::new().run_until(run).await;
+}
