Close connections whose callers do not read their answers

What it cost: a caller that reads nothing kept its connection and its answer, up to 16 MiB each, in memory for as long as its machine acknowledged packets, and a stop waited for it until the end of the grace time.

Cause: no time limit held for a connection whose socket takes no more bytes.

Change: a connection on which an answer makes no progress for the idle time, and for 5 s at least, is closed with the reason 'blocked'.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -47,8 +47,8 @@
     opened: Instant,
     served: Cell<u64>,
     head_bytes: Cell<usize>,
-    /// Whether the socket takes no more bytes of an answer at present.
-    blocked: Cell<bool>,
+    /// Since when the socket takes no more bytes of an answer; none if it does.
+    blocked: Cell<Option<Instant>>,
     /// Whether the body of the current request was read to its end.
     body_ended: Cell<bool>,
     /// Which side said that no request follows the current one.
@@ -84,7 +84,7 @@
             opened: now,
             served: Cell::new(0),
             head_bytes: Cell::new(0),
-            blocked: Cell::new(false),
+            blocked: Cell::new(None),
             body_ended: Cell::new(false),
             last: Cell::new(None),
             in_use,
@@ -112,8 +112,8 @@
         self.head_bytes.get()
     }
 
-    /// Returns whether bytes of an answer wait for the socket.
-    pub fn is_blocked(&self) -> bool {
+    /// Returns since when bytes of an answer wait for the socket; none if they don't.
+    pub fn blocked_since(&self) -> Option<Instant> {
         self.blocked.get()
     }
 
@@ -179,14 +179,14 @@
     }
 
     /// Records whether the socket takes no more bytes at present.
-    pub(crate) fn set_blocked(&self, blocked: bool) {
-        self.blocked.set(blocked);
+    pub(crate) fn set_blocked(&self, blocked: bool, now: Instant) {
+        self.blocked.set(blocked.then(|| self.blocked.get().unwrap_or(now)));
         self.count();
     }
 
     fn count(&self) {
         let has_request = matches!(self.usage.get(), Usage::Head | Usage::Request);
-        self.set_counted(has_request || self.blocked.get());
+        self.set_counted(has_request || self.blocked.get().is_some());
     }
 
     fn set_counted(&self, counted: bool) {
--- a/crates/relay/src/close.rs
+++ b/crates/relay/src/close.rs
@@ -14,6 +14,8 @@
     Stop,
     /// A request's head did not arrive in time.
     HeadTimeout,
+    /// The caller did not read its answer in time.
+    Blocked,
     /// An answer asked for it.
     Announced,
     /// The caller closed it or asked for it.
@@ -54,6 +56,7 @@
             Self::Idle => "idle",
             Self::Stop => "stop",
             Self::HeadTimeout => "head_timeout",
+            Self::Blocked => "blocked",
             Self::Announced => "announced",
             Self::Caller => "caller",
             Self::Incomplete => "incomplete",
@@ -90,7 +93,11 @@
         let (usage, since) = self.activity.usage();
         let failed = matches!(
             reason,
-            CloseReason::Aborted | CloseReason::Malformed | CloseReason::Error | CloseReason::Panic
+            CloseReason::Blocked
+                | CloseReason::Aborted
+                | CloseReason::Malformed
+                | CloseReason::Error
+                | CloseReason::Panic
         );
         let is_cut = failed || matches!(usage, Usage::Head | Usage::Request);
         let level = if is_cut { log::Level::Info } else { log::Level::Debug };
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -40,6 +40,9 @@
 /// How long the rest of a body may take to arrive.
 const MAX_SKIP_TIME: Duration = Duration::from_millis(20);
 
+/// Shortest time for which an answer waits for its caller to read on.
+const MIN_BLOCKED_TIME: Duration = Duration::from_secs(5);
+
 /// How long a connection is read after its last answer.
 const LINGER_TIME: Duration = Duration::from_secs(2);
 
@@ -90,16 +93,24 @@
     Close(CloseReason),
 }
 
+impl Verdict {
+    /// Serves a connection until `end`.
+    fn until(end: Instant, reason: CloseReason, now: Instant) -> Self {
+        if now >= end { Self::Close(reason) } else { Self::Serve(Some(end)) }
+    }
+}
+
 /// Decides whether to close a connection at `now`.
 ///
 /// In the last phase of a stop, a connection without any request so far may have been opened for
 /// one that is on its way.
 fn decide(activity: &Activity, grant: &Grant, phase: Phase, now: Instant) -> Verdict {
     let (usage, since) = activity.usage();
-    if activity.is_blocked() {
-        return Verdict::Serve(None);
-    }
     let limits = grant.limits(since);
+    if let Some(blocked) = activity.blocked_since() {
+        let end = blocked + limits.idle_timeout.max(MIN_BLOCKED_TIME);
+        return Verdict::until(end, CloseReason::Blocked, now);
+    }
     let is_stopping = phase == Phase::Closed;
     let (reason, limit) = match usage {
         Usage::Request => return Verdict::Serve(None),
@@ -111,8 +122,7 @@
         Usage::Idle if is_stopping => (CloseReason::Stop, limits.head_timeout),
         Usage::Idle => (CloseReason::Idle, limits.idle_timeout),
     };
-    let end = since + limit;
-    if now >= end { Verdict::Close(reason) } else { Verdict::Serve(Some(end)) }
+    Verdict::until(since + limit, reason, now)
 }
 
 /// Returns whether answers with this status have no body.
@@ -256,7 +266,8 @@
         let end = loop {
             let current = *phase.borrow_and_update();
             let is_outdated = || {
-                let is_quiet = activity.usage().0 == Usage::Idle && !activity.is_blocked();
+                let is_quiet =
+                    activity.usage().0 == Usage::Idle && activity.blocked_since().is_none();
                 is_quiet && grant.buffer_bytes() != buffer_bytes
             };
             let verdict = |now| decide(&activity, &grant, current, now);
@@ -290,7 +301,7 @@
         stream = parts.io.into_inner();
         if let Some(reason) = reason {
             let arrives = match reason {
-                CloseReason::Announced => false,
+                CloseReason::Announced | CloseReason::Blocked => false,
                 CloseReason::HeadTimeout => stream.has_arrived(),
                 // Part of a request may have been read together with the last one.
                 _ => !parts.read_buf.is_empty() || stream.has_arrived(),
--- a/crates/relay/src/watched.rs
+++ b/crates/relay/src/watched.rs
@@ -90,7 +90,7 @@
 
 impl WatchedStream {
     fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        self.activity.set_blocked(result.is_pending());
+        self.activity.set_blocked(result.is_pending(), Instant::now());
         result
     }
 }
--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -355,6 +355,22 @@
     }
 }
 
+/// Guards against a caller that reads nothing and so keeps its connection and its answer in memory.
+#[tokio::test]
+async fn a_connection_whose_caller_reads_no_answer_is_closed() {
+    let run = async {
+        let large =
+            |_| std::future::ready(Answer::new(AnswerBody::Whole(vec![b'x'; 32 << 20].into())));
+        let listener = Listener::start(large, limits(IDLE));
+        let mut caller = Caller::connect(&listener).await;
+        caller.send(GET).await;
+        sleep(IDLE * 50).await;
+        let rendered = listener.metrics.render();
+        assert!(rendered.contains("connections_closed_total{"), "it is still open: {rendered}");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
 /// Guards against a reset that destroys an answer because further requests were not read.
 #[tokio::test]
 async fn a_last_answer_reaches_a_caller_that_has_sent_further_requests() {
