Grow a new version's share only while it is seen to be like the old one

Callers saw: in the simulation, a version of the model engines that turns four times as slow during the rollout, under load, or on one route gets more requests than allowed, or is completed.

Cause: the share grew by time unless there was significant evidence against the version. From 0.55 to 0.7 of the time until the completion it grows from a twentieth to everything, faster than evidence against a version that has just turned bad becomes significant. Requests without an answer counted neither way.

Change: a third level, unclear, needs no significance: the averages of either time differ by half, or the failures exceed the expected ones slightly. The share does not grow while the level is unclear, or while more than half of the requests sent to the new version have no answer; before 0.85 it falls to 0.09. A share that was held grows again at twice the usual rate instead of jumping to the value that is due. A version that stays unclear is not completed.

The streams of the simulation are now sent to targets by load and recent failures, as the gateway does.

--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -82,6 +82,8 @@
     peers: BTreeMap<InstanceId, (Incarnation, RolloutCounts)>,
     /// Current share of the new version.
     stage: Stage,
+    /// When the share was last set.
+    evaluated: Option<Time>,
     /// Since when this instance sends all requests to the new version.
     only_new: Option<Time>,
     /// Known outcome, and since when it is known.
@@ -155,6 +157,7 @@
             own: Evidence::starting_from(earlier),
             peers: BTreeMap::new(),
             stage: Stage::Share(0.0),
+            evaluated: None,
             only_new: None,
             outcome: None,
             recorded: None,
@@ -329,7 +332,9 @@
                 age,
                 requests,
                 new_requests: new.requests,
-                is_suspect: level >= EvidenceLevel::Suspect,
+                new_sent: verdict.new_sent(),
+                level,
+                previous: rollout.evaluated.map(|at| (rollout.stage, now.since(at))),
                 capacity,
             });
             let status = RolloutStatus {
@@ -349,6 +354,7 @@
                 pace: verdict.comparison(Measure::Pace),
             };
             rollout.stage = stage;
+            rollout.evaluated = Some(now);
             rollout.status = Some(status);
             rollout.only_new = match rollout.stage {
                 Stage::Only => rollout.only_new.or(Some(now)),
--- a/crates/gateway/src/rollouts/schedule.rs
+++ b/crates/gateway/src/rollouts/schedule.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::verdict::EvidenceLevel;
+
 /// Share of the requests that the new version receives in the first stage. Deployments allow a bad
 /// version a tenth of the requests; the difference covers what later stages may add before a
 /// verdict.
@@ -40,6 +42,12 @@
 /// completion. The old targets are stopped as soon as the rollout is complete.
 const ONLY_NEW_FRACTION: f64 = 0.85;
 
+/// Number of unanswered requests of the new version that is not evidence yet.
+const MIN_UNANSWERED: u64 = 10;
+
+/// Rate at which a delayed share grows, relative to the usual one.
+const CATCH_UP_RATE: f64 = 2.0;
+
 /// Capacity of the new version, relative to the old one's, below which it can't take all requests.
 const MIN_CAPACITY: f64 = 0.5;
 
@@ -90,14 +98,27 @@
     pub(super) age: Duration,
     /// Requests of the service since the order.
     pub(super) requests: u64,
-    /// Requests of the new version.
+    /// Requests of the new version that were answered or failed.
     pub(super) new_requests: u32,
-    /// Whether there is evidence against the new version.
-    pub(super) is_suspect: bool,
+    /// Requests sent to the new version.
+    pub(super) new_sent: u64,
+    /// Evidence against the new version.
+    pub(super) level: EvidenceLevel,
+    /// Stage so far, and for how long; none at an instance that has just started.
+    pub(super) previous: Option<(Stage, Duration)>,
     /// Slots of the new version's usable targets, relative to the old one's.
     pub(super) capacity: f64,
 }
 
+impl Progress {
+    /// Returns whether so many requests of the new version wait for an answer that the answered
+    /// ones don't show what it is like.
+    fn is_unanswered(&self) -> bool {
+        let answered = u64::from(self.new_requests);
+        self.new_sent > 2 * answered.max(MIN_UNANSWERED)
+    }
+}
+
 impl Stage {
     /// Returns the share of the requests that the new version may take.
     pub(super) fn share(self) -> f64 {
@@ -151,8 +172,8 @@
     /// Returns the stage of a rollout and what it follows from.
     ///
     /// The share grows exponentially between the first stage and the full one, so that a version
-    /// that is bad under load only is detected before it has all requests. It does not grow while
-    /// the new version is suspect.
+    /// that is bad under load only is detected before it has all requests. It does not grow without
+    /// answers that show the version to be like the old one.
     pub(super) fn stage(&self, progress: Progress) -> (Stage, StageReason) {
         let (unlimited, reason) = self.unlimited_stage(progress);
         let stage = unlimited.limited_to(progress.capacity);
@@ -161,16 +182,26 @@
 
     fn unlimited_stage(&self, progress: Progress) -> (Stage, StageReason) {
         let sample_share = self.sample_share(progress);
-        let (share, reason) = if progress.is_suspect {
+        let (share, reason) = if progress.level >= EvidenceLevel::Suspect {
             (SUSPECT_SHARE, StageReason::Evidence)
-        } else if progress.age >= self.only_new {
-            return (Stage::Only, StageReason::Time);
-        } else if progress.age >= self.full {
-            return (Stage::Preferred, StageReason::Time);
+        } else if progress.age < self.growth {
+            (FIRST_SHARE, StageReason::Time)
+        } else if progress.level == EvidenceLevel::Unclear || progress.is_unanswered() {
+            match progress.previous {
+                // The drain of the old version starts anew if the new one loses requests.
+                Some((stage, _)) if stage != Stage::Share(0.0) && progress.age >= self.only_new => {
+                    return (stage, StageReason::Evidence);
+                }
+                _ => (SUSPECT_SHARE, StageReason::Evidence),
+            }
         } else {
-            let growing = progress.age.saturating_sub(self.growth).as_secs_f64();
-            let grown = growing / (self.full - self.growth).as_secs_f64();
-            (FIRST_SHARE.powf(1.0 - grown), StageReason::Time)
+            let share = self.grown_share(progress);
+            if share >= 1.0 && progress.age >= self.only_new {
+                return (Stage::Only, StageReason::Time);
+            } else if share >= 1.0 {
+                return (Stage::Preferred, StageReason::Time);
+            }
+            (share, StageReason::Time)
         };
         if sample_share > share {
             (Stage::Share(sample_share), StageReason::FewRequests)
@@ -179,6 +210,17 @@
         }
     }
 
+    /// Returns the share that is due at the age. A version whose growth was delayed catches up at
+    /// twice the rate instead of at once.
+    fn grown_share(&self, progress: Progress) -> f64 {
+        let growth = (self.full - self.growth).as_secs_f64();
+        let grown = (progress.age - self.growth).as_secs_f64() / growth;
+        let due = FIRST_SHARE.powf(1.0 - grown).min(1.0);
+        let Some((stage, elapsed)) = progress.previous else { return due };
+        let steps = CATCH_UP_RATE * elapsed.as_secs_f64() / growth;
+        due.min(stage.share().max(FIRST_SHARE) * FIRST_SHARE.powf(-steps))
+    }
+
     /// Returns the share with which the new version receives [`FIRST_REQUESTS`] in time.
     fn sample_share(&self, progress: Progress) -> f64 {
         if f64::from(progress.new_requests) >= FIRST_REQUESTS {
--- a/crates/gateway/src/rollouts/verdict.rs
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -36,10 +36,6 @@
 /// Standard deviation of an interval's average logarithmic latency ratio.
 const LOG_DEVIATION: f64 = 0.6;
 
-/// Number of standard deviations by which the difference of the average latencies must exceed the
-/// tolerated one.
-const LATENCY_MARGIN: f64 = 2.0;
-
 /// Required strength of the evidence.
 #[derive(Debug, Clone, Copy)]
 struct Thresholds {
@@ -52,6 +48,8 @@
     /// Tolerated ratio of the average latencies. Bad versions are several times slower, and targets
     /// of the same version differ among themselves.
     slowdown: f64,
+    /// Number of standard deviations by which the difference of the averages must exceed it.
+    margin: f64,
 }
 
 /// Required strength of all evidence, and of what remains without the most adverse part.
@@ -63,15 +61,40 @@
 
 /// Evidence for rolling the version back at any time.
 const BAD: Level = Level {
-    all: Thresholds { failures: 8.0, log_ratio: 4.5, intervals: 8.0, slowdown: 2.0 },
-    remainder: Thresholds { failures: 3.0, log_ratio: 1.0, intervals: 1.0, slowdown: 1.5 },
+    all: Thresholds { failures: 8.0, log_ratio: 4.5, intervals: 8.0, slowdown: 2.0, margin: 2.0 },
+    remainder: Thresholds {
+        failures: 3.0,
+        log_ratio: 1.0,
+        intervals: 1.0,
+        slowdown: 1.5,
+        margin: 2.0,
+    },
 };
 
 /// Evidence for not sending the version more requests, and for rolling it back when the rollout
 /// should complete.
 const SUSPECT: Level = Level {
-    all: Thresholds { failures: 4.0, log_ratio: 2.0, intervals: 5.0, slowdown: 1.8 },
-    remainder: Thresholds { failures: 1.0, log_ratio: 0.2, intervals: 1.0, slowdown: 1.5 },
+    all: Thresholds { failures: 4.0, log_ratio: 2.0, intervals: 5.0, slowdown: 1.8, margin: 2.0 },
+    remainder: Thresholds {
+        failures: 1.0,
+        log_ratio: 0.2,
+        intervals: 1.0,
+        slowdown: 1.5,
+        margin: 2.0,
+    },
+};
+
+/// Evidence for not increasing the version's share yet. Unlike the others it needs no significance:
+/// a good version is delayed until its averages show it to be one.
+const UNCLEAR: Level = Level {
+    all: Thresholds { failures: 2.0, log_ratio: 1.5, intervals: 3.0, slowdown: 1.5, margin: 0.0 },
+    remainder: Thresholds {
+        failures: 1.0,
+        log_ratio: 0.5,
+        intervals: 1.0,
+        slowdown: 1.4,
+        margin: 0.0,
+    },
 };
 
 /// Strength of the evidence against a new version.
@@ -80,6 +103,8 @@
     /// There is none, or not enough.
     #[default]
     None,
+    /// The version's share must not grow.
+    Unclear,
     /// The version must not receive more requests.
     Suspect,
     /// The version must be rolled back.
@@ -91,6 +116,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::None => "none",
+            Self::Unclear => "unclear",
             Self::Suspect => "suspect",
             Self::Bad => "bad",
         }
@@ -308,7 +334,7 @@
             return false;
         }
         let deviation = LOG_DEVIATION * (1.0 / new_intervals + 1.0 / old_intervals).sqrt();
-        new - old > thresholds.slowdown.ln() + LATENCY_MARGIN * deviation
+        new - old > thresholds.slowdown.ln() + thresholds.margin * deviation
     }
 }
 
@@ -318,6 +344,8 @@
         EvidenceLevel::Bad
     } else if holds(&SUSPECT) {
         EvidenceLevel::Suspect
+    } else if holds(&UNCLEAR) {
+        EvidenceLevel::Unclear
     } else {
         EvidenceLevel::None
     }
--- a/crates/gateway/tests/all/rollout_simulation.rs
+++ b/crates/gateway/tests/all/rollout_simulation.rs
@@ -51,6 +51,10 @@
 /// Number of gaps over which the pace of a stream is measured, and fewest gaps of a shorter one.
 const PACE_GAPS: (f64, f64) = (4.0, 2.0);
 
+/// Weight of a target's failure rate when it is selected, and of the newest request in that rate.
+const FAILURE_FACTOR: f64 = 8.0;
+const FAILURE_WEIGHT: f64 = 0.1;
+
 /// What the targets do for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Work {
@@ -73,6 +77,12 @@
     FailsOnRoute(f64),
     /// It takes this many times as long.
     Slow(f64),
+    /// It does so from a point in time on, as a fraction of the duration.
+    SlowFrom(f64, f64),
+    /// It does so while it has at least this share of the requests.
+    SlowUnderLoad(f64, f64),
+    /// It does so on the first route only.
+    SlowOnRoute(f64),
 }
 
 /// Fault during a rollout; times in milliseconds after the order.
@@ -189,6 +199,8 @@
     in_flight: BinaryHeap<Reverse<InFlight>>,
     /// Streams at each target of the old and the new version.
     streams: [Vec<u32>; 2],
+    /// Recent failure rates of these targets.
+    failure_rates: [Vec<f64>; 2],
     /// Number of targets of the new version that have ended; the first ones.
     crashed: usize,
     /// Record in the store, and when it was ordered.
@@ -221,6 +233,7 @@
             incarnations: vec![0; self.instances],
             in_flight: BinaryHeap::new(),
             streams: [vec![0; self.targets], vec![0; self.targets]],
+            failure_rates: [vec![0.0; self.targets], vec![0.0; self.targets]],
             crashed: 0,
             record: None,
             ordered: 0,
@@ -349,7 +362,7 @@
         let sent_to = (&id, &version(is_new));
         self.instances[instance].count_sent(&service(), sent_to);
         let ok = self.rng.random::<f64>() >= self.failure_rate(is_new, route, target, now);
-        let slowdown = if is_new { self.slowdown() } else { 1.0 };
+        let slowdown = if is_new { self.slowdown(route, now) } else { 1.0 };
         let incarnation = self.incarnations[instance];
         let request = InFlight {
             ends: now,
@@ -388,7 +401,11 @@
         }
         let one = free[self.rng.random_range(0..free.len())];
         let other = free[self.rng.random_range(0..free.len())];
-        Some((is_new, if streams[one] <= streams[other] { one } else { other }))
+        let rates = &self.failure_rates[usize::from(is_new)];
+        let score = |target: usize| {
+            (f64::from(streams[target]) + 1.0) * (1.0 + FAILURE_FACTOR * rates[target])
+        };
+        Some((is_new, if score(one) <= score(other) { one } else { other }))
     }
 
     /// Schedules what happens to a stream that is sent now.
@@ -431,9 +448,14 @@
     }
 
     /// Returns how many times as long the new version takes.
-    fn slowdown(&self) -> f64 {
+    fn slowdown(&self, route: usize, now: u64) -> f64 {
+        let share = self.result.exposed as f64 / self.result.all.max(1) as f64;
+        let age = now.saturating_sub(WARM_UP) as f64 / self.scenario.duration as f64;
         match self.scenario.version {
             Version::Slow(factor) => factor,
+            Version::SlowFrom(factor, from) if age >= from => factor,
+            Version::SlowUnderLoad(factor, from) if share >= from => factor,
+            Version::SlowOnRoute(factor) if route == 0 => factor,
             _ => 1.0,
         }
     }
@@ -485,6 +507,8 @@
     fn end(&mut self, request: InFlight, now: u64) {
         if matches!(request.moment, Moment::End(_) | Moment::Break) {
             self.streams[usize::from(request.is_new)][request.target] -= 1;
+            let rate = &mut self.failure_rates[usize::from(request.is_new)][request.target];
+            *rate += FAILURE_WEIGHT * (f64::from(u8::from(!request.ok)) - *rate);
         }
         if self.incarnations[request.instance] != request.incarnation {
             return;
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -260,10 +260,30 @@
         Case { name: "5 s", scenario: Scenario { duration: 5_000, ..slow(4.0) } },
         Case { name: "3 s", scenario: Scenario { duration: 3_000, ..slow(4.0) } },
         Case { name: "60 s", scenario: Scenario { duration: 60_000, rate: 40.0, ..slow(3.0) } },
+        Case {
+            name: "slower later",
+            scenario: Scenario { version: Version::SlowFrom(4.0, 0.45), ..streams() },
+        },
+        Case {
+            name: "slower under load",
+            scenario: Scenario { version: Version::SlowUnderLoad(4.0, 0.06), ..streams() },
+        },
     ];
     check(&cases, RolloutOutcome::TakenBack);
 }
 
+#[test]
+fn versions_that_stream_slowly_on_one_route_are_rolled_back_in_time() {
+    let scenario = Scenario { version: Version::SlowOnRoute(4.0), ..streams() };
+    check(&[Case { name: "slower on one route", scenario }], RolloutOutcome::TakenBack);
+}
+
+#[test]
+fn good_versions_of_model_engines_with_a_grey_target_take_over_in_time() {
+    let scenario = Scenario { faults: vec![Fault::GreyTarget(0.4)], ..streams() };
+    check(&[Case { name: "grey target", scenario }], RolloutOutcome::Completed);
+}
+
 #[test]
 fn good_versions_of_model_engines_take_over_in_time() {
     let with = |faults: &[Fault]| Scenario { faults: faults.to_vec(), ..streams() };
@@ -286,6 +306,7 @@
         Case { name: "60 s", scenario: Scenario { duration: 60_000, rate: 40.0, ..streams() } },
         Case { name: "instance stalls", scenario: with(&[Fault::InstanceStall(0, 6_000, 1_900)]) },
         Case { name: "target stalls", scenario: with(&[Fault::TargetStall(0, 6_000, 1_500)]) },
+        Case { name: "target crashes", scenario: with(&[Fault::TargetCrash(1, 7_500)]) },
         Case { name: "slow target", scenario: with(&[Fault::SlowTarget(5.0)]) },
         Case { name: "writer restarts late", scenario: with(&[Fault::Restart(0, 11_000)]) },
         Case { name: "all restart", scenario: with(&[Fault::RestartAll(6_000)]) },
