Soak: tell from the log, not from a time, whether a process handles signals

Its log was empty each time: it had been signalled more than 500 ms after its start and before it had installed its handlers, at a load of 20 to 40 on 8 processors. A process now counts as starting until it has written its "started" line, which follows the installation of the handlers. The condition is an event instead of a wall-clock bound.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -12,8 +12,8 @@
 use sesamewind_standins::relay::settings::{GRACE, GatewaySettings};
 use tokio::time::sleep;
 
-/// Time after its start from which a process handles signals.
-const SIGNAL_READY_TIME: Duration = Duration::from_millis(500);
+/// Text of the log line that a process writes once it handles signals.
+const STARTED_LINE: &str = "\"event\":\"started\"";
 
 /// Ports that each instance listens on, on its own loopback address.
 const CALLERS_PORT: u16 = 7_101;
@@ -76,7 +76,6 @@
 struct State {
     child: Option<Child>,
     incarnation: u32,
-    started: Option<Instant>,
     /// Whether the process was told to stop.
     stopping: bool,
     reloads: u32,
@@ -119,9 +118,14 @@
         self.state().incarnation
     }
 
-    /// Returns whether the process started so recently that it may not handle signals yet.
+    /// Returns whether the process may not handle signals yet.
     pub fn is_starting(&self) -> bool {
-        self.state().started.is_none_or(|started| started.elapsed() < SIGNAL_READY_TIME)
+        let log = self.log_path(self.incarnation());
+        !std::fs::read_to_string(log).is_ok_and(|text| text.contains(STARTED_LINE))
+    }
+
+    fn log_path(&self, incarnation: u32) -> PathBuf {
+        self.settings.with_extension(format!("{incarnation}.log"))
     }
 
     /// Starts the process unless it is running.
@@ -136,9 +140,8 @@
         }
         state.incarnation += 1;
         state.stopping = false;
-        state.started = Some(Instant::now());
         self.write_settings(state.incarnation == 1, state.reloads);
-        let log = self.settings.with_extension(format!("{}.log", state.incarnation));
+        let log = self.log_path(state.incarnation);
         let child = Command::new(&self.program)
             .arg(&self.settings)
             .env("SESAMEWIND_PEER_TOKEN", "token-between-instances")
