Soak: leave requests whose time is used up out of "planned stop"

Their log lines show that they ended at the deadline of 4 s (attempt_ended end=expired, ended cause=expired) after targets had paused for 2 s, beside a load average of 40; a request whose deadline is reached is not cut by the stop. This narrows the check for requests that have no time left.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -343,8 +343,8 @@
     late.map(|sent| breach("answer in time", format!("{sent:?}"))).collect()
 }
 
-/// A planned stop cuts off no request that the instance has read. A request that failed within
-/// [`CROSSING_TIME`] and reached no target counts as not read.
+/// A planned stop cuts off no request that the instance has read and that has time left. A request
+/// that failed within [`CROSSING_TIME`] and reached no target counts as not read.
 fn stops(evidence: &Evidence<'_>) -> Vec<Breach> {
     let events = evidence.events;
     let arrived: HashSet<&str> = evidence.arrived.iter().map(Arrived::id).collect();
@@ -362,6 +362,7 @@
         if was_cut
             && was_read
             && stop.is_some()
+            && sent.ended < sent.at + sent.timeout
             && events.is_undisturbed(&scopes, sent.at, sent.ended)
         {
             breaches.push(breach("planned stop", format!("{sent:?}")));
