Replace settings in one step in a test, and accept no reset in those of connections

The test truncated the file and wrote it again, and the reload of each second read it in between. The file is renamed into place now; the checks are the same.

--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -145,9 +145,9 @@
         let read = async {
             while !text.ends_with(end.as_bytes()) {
                 let mut part = [0; 1_024];
-                match self.0.read(&mut part).await {
-                    Ok(0) | Err(_) => return,
-                    Ok(bytes) => text.extend_from_slice(&part[..bytes]),
+                match self.0.read(&mut part).await.expect("no reset") {
+                    0 => return,
+                    bytes => text.extend_from_slice(&part[..bytes]),
                 }
             }
         };
@@ -157,6 +157,6 @@
 
     /// Returns whether the connection ends within `limit` without further bytes.
     pub async fn ends_within(&mut self, limit: Duration) -> bool {
-        matches!(timeout(limit, self.0.read(&mut [0; 16])).await, Ok(Ok(0) | Err(_)))
+        matches!(timeout(limit, self.0.read(&mut [0; 16])).await, Ok(Ok(0)))
     }
 }
--- a/tests/all/relay/stops.rs
+++ b/tests/all/relay/stops.rs
@@ -1,5 +1,6 @@
 //! Planned stops and reloads of changed settings.
 
+use std::path::Path;
 use std::time::Duration;
 
 use sesamewind_standins::relay::{TargetOptions, event};
@@ -64,20 +65,26 @@
     }
 }
 
+/// Replaces the file at `path` in one step, so that no process reads a part of `text`.
+fn replace(path: &Path, text: &str) {
+    let new = path.with_extension("new");
+    std::fs::write(&new, text).expect("settings are written");
+    std::fs::rename(new, path).expect("settings are replaced");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changed_settings_are_reloaded_with_and_without_a_signal() {
     let testbed = Testbed::start(0, 1).await;
     let path = testbed.gateway.settings().clone();
     let text = std::fs::read_to_string(&path).expect("settings");
     // Without a signal.
-    std::fs::write(&path, text.replace("retry_ratio = \"0.2\"", "retry_ratio = \"0.3\""))
-        .expect("settings are written");
+    replace(&path, &text.replace("retry_ratio = \"0.2\"", "retry_ratio = \"0.3\""));
     until("the reload is logged", async || testbed.gateway.log_text().contains("\"reloaded\""))
         .await;
     // With faults: all are reported, and the old settings stay in use.
     let faulty =
         text.replace("retry_ratio = \"0.2\"", "retry_ratio = \"much\"").replace("8s", "8x");
-    std::fs::write(&path, faulty).expect("settings are written");
+    replace(&path, &faulty);
     testbed.gateway.reload();
     until("the faults are logged", async || testbed.gateway.log_text().contains("reload_failed"))
         .await;
