--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -520,7 +520,8 @@
         for ticket in next {
             let Some(mut request) = self.requests.remove(&ticket) else { continue };
             let objective = request.arrival.route.objective;
-            // A request that has already missed its objective or can't be refused goes to any target with a free slot.
+            // A request that has already missed its objective, or that can't be refused, goes to any
+            // target with a free slot.
             let latency_limit =
                 objective.checked_sub(now.since(request.arrived)).filter(|_| !request.held);
             let choice = self.select_target(&request, latency_limit, now);
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -1,8 +1,8 @@
 //! Life cycle of a caller's connection, from its accept to its end.
 //!
 //! The task of a connection polls the HTTP library first, which reads all bytes that have arrived,
-//! and then decides from what the connection is used for whether to close it. Only an idle
-//! connection is closed.
+//! and then decides from what the connection is used for whether to close it. One on which a request
+//! is read or answered is closed only if its caller is too slow to send the head or to read on.
 
 use std::cell::Cell;
 use std::convert::Infallible;
