--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -79,7 +79,7 @@
             runs: 0,
             started: false,
             held: false,
-            unpaid: false,
+            uncharged: false,
             tried: Vec::new(),
             cost,
             state: State::Waiting { position, history: History::NotRun(proof) },
@@ -231,13 +231,13 @@
         request.held = outcome.is_not_run() && request.runs > 0;
         let obstacle = self.retry_obstacle(&request, outcome, now);
         // A request that is held can wait for the budget.
-        let is_unpaid = request.held && obstacle == Some(NoRetry::BudgetExhausted);
-        if let Some(no_retry) = obstacle.filter(|_| !is_unpaid) {
+        let is_uncharged = request.held && obstacle == Some(NoRetry::BudgetExhausted);
+        if let Some(no_retry) = obstacle.filter(|_| !is_uncharged) {
             let failure = Failure { outcome, no_retry };
             return self.finish(ticket, &request, history, failure, now);
         }
         if request.held {
-            request.unpaid = is_unpaid;
+            request.uncharged = is_uncharged;
             // Targets that ran the request stay excluded for as long as others may take it.
             request.tried.pop();
             return self.requeue(ticket, request, history, now);
@@ -525,7 +525,7 @@
             let latency_limit =
                 objective.checked_sub(now.since(request.arrived)).filter(|_| !request.held);
             let choice = self.select_target(&request, latency_limit, now);
-            match choice.filter(|_| self.settle(&mut request, now)) {
+            match choice.filter(|_| self.charge_retry(&mut request, now)) {
                 Some(target) => self.leave_queue(ticket, request, target, now),
                 None => {
                     self.requests.insert(ticket, request);
@@ -535,11 +535,12 @@
     }
 
     /// Charges the retry that a waiting request may still owe; returns whether it may be sent.
-    fn settle(&mut self, request: &mut Request, now: Time) -> bool {
-        if request.unpaid {
-            request.unpaid = !self.acquire_retry(&request.service, AttemptOutcome::Declined, now);
+    fn charge_retry(&mut self, request: &mut Request, now: Time) -> bool {
+        if request.uncharged {
+            request.uncharged =
+                !self.acquire_retry(&request.service, AttemptOutcome::Declined, now);
         }
-        !request.unpaid
+        !request.uncharged
     }
 
     fn leave_queue(&mut self, ticket: Ticket, mut request: Request, target: Index, now: Time) {
@@ -566,7 +567,7 @@
             let Some(mut request) = self.requests.remove(&ticket) else { continue };
             let in_time = now < request.arrival.deadline;
             let choice = self.select_target(&request, None, now).filter(|_| in_time);
-            match choice.filter(|_| self.settle(&mut request, now)) {
+            match choice.filter(|_| self.charge_retry(&mut request, now)) {
                 Some(target) => self.leave_queue(ticket, request, target, now),
                 None if request.held && in_time => self.wait_again(ticket, request, now),
                 None => self.abandon(ticket, request, now),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -82,7 +82,7 @@
     /// can't be refused, so it waits for another target until its deadline.
     pub(crate) held: bool,
     /// Whether its next attempt has not been charged to the retry budget yet.
-    pub(crate) unpaid: bool,
+    pub(crate) uncharged: bool,
     /// Targets at which attempts failed.
     pub(crate) tried: Vec<Index>,
     /// Units charged to the account's limit.
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -17,8 +17,8 @@
 use crate::memory::AnswerMemory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::pulse::Pulse;
 use crate::row_cache::RowCache;
+use crate::watchdog::Watchdog;
 use crate::wire_format::WireFormat;
 
 /// Local state of one topic of the store.
@@ -41,7 +41,7 @@
     clock: Clock,
     origin: Instant,
     /// Detector of times in which the instance did not run.
-    pub pulse: Pulse,
+    pub watchdog: Watchdog,
     /// Memory for answers of targets.
     pub memory: AnswerMemory,
     /// Idle connections to targets.
@@ -69,7 +69,7 @@
             next_ticket: Cell::new(0),
             clock,
             origin: Instant::now(),
-            pulse: Pulse::new(Instant::now()),
+            watchdog: Watchdog::new(Instant::now()),
             memory: AnswerMemory::default(),
             pool: Pool::default(),
             wire_format,
@@ -122,7 +122,7 @@
 
     /// Records that the event loop runs at `now`.
     pub fn observe_turn(&self, now: Instant) {
-        self.pulse.turn(now, self.with_gateway(Gateway::revision), &self.metrics);
+        self.watchdog.turn(now, self.with_gateway(Gateway::revision), &self.metrics);
     }
 
     /// Returns an unused ticket for a new request.
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -25,10 +25,10 @@
 use crate::driver::Driver;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::pulse;
 use crate::server::{self, Limits, Phase, Shared};
 use crate::source::{Announcement, Source};
 use crate::watch;
+use crate::watchdog;
 use crate::wire_format::WireFormat;
 
 /// Interval at which the gateway checks waiting requests.
@@ -117,7 +117,7 @@
             settings.zone.clone(),
             settings.token.clone(),
         ));
-        pulse::log_panics(&driver.metrics);
+        watchdog::log_panics(&driver.metrics);
         let phase = Sender::new(Phase::Serving);
         let in_use = self.listen(&driver, &peers, &phase)?;
         self.follow(&driver, &peers);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! - [`Instance`] starts and stops the process.
 //! - [`callers`] serves callers' requests, which arrive through [`server`].
-//! - [`activity`] is the state of a caller's connection, which [`watched`] records, and [`pulse`]
+//! - [`activity`] is the state of a caller's connection, which [`watched`] records, and [`watchdog`]
 //!   detects times in which the instance did not run.
 //! - [`attempt`] sends a request to a target over a connection of [`pool`], [`silence`] waits
 //!   for its answer, which [`memory`] holds, and [`stream`] forwards event streams to the caller.
@@ -27,13 +27,13 @@
 pub mod pace;
 pub mod peers;
 pub mod pool;
-pub mod pulse;
 pub mod row_cache;
 pub mod server;
 pub mod silence;
 pub mod source;
 pub mod stream;
 pub mod watch;
+pub mod watchdog;
 pub mod watched;
 pub mod wire_format;
 
--- a/crates/relay/src/silence.rs
+++ b/crates/relay/src/silence.rs
@@ -75,7 +75,7 @@
             let part = timeout_at(ask_at.min(deadline), next.as_mut()).await;
             let now = Instant::now();
             self.driver.observe_turn(now);
-            let stall_end = self.driver.pulse.stall_end_after(start);
+            let stall_end = self.driver.watchdog.stall_end_after(start);
             silence.add(dispatch, start, stall_end, now);
             match part {
                 Ok(part) => return Ok(part),
--- a/crates/relay/src/pulse.rs
+++ b/crates/relay/src/watchdog.rs
@@ -15,13 +15,13 @@
 
 /// Detects stalls of the event loop: the process was suspended, or a turn took long.
 #[derive(Debug)]
-pub struct Pulse {
+pub struct Watchdog {
     /// Time of the last turn, and the configuration in force then.
     last_turn: Cell<(Instant, Revision)>,
     stall_end: Cell<Option<Instant>>,
 }
 
-impl Pulse {
+impl Watchdog {
     /// Creates a detector at `now`.
     pub fn new(now: Instant) -> Self {
         Self { last_turn: Cell::new((now, Revision::default())), stall_end: Cell::new(None) }
--- a/crates/relay/tests/all/panics.rs
+++ b/crates/relay/tests/all/panics.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use sesamewind_relay::answer::{Answer, AnswerBody};
-use sesamewind_relay::pulse;
+use sesamewind_relay::watchdog;
 use tokio::task::LocalSet;
 
 use crate::support::{Caller, END, Listener, limits, lines, record_lines};
@@ -40,7 +40,7 @@
         let run = async {
             let idle = limits(Duration::from_secs(10));
             let listener = Listener::start(move |_| answer(place), idle);
-            pulse::log_panics(&listener.metrics);
+            watchdog::log_panics(&listener.metrics);
             let mut caller = Caller::connect(&listener).await;
             caller.send("GET / HTTP/1.1\r\nhost: h\r\n\r\n").await;
             let text = caller.read_until(END).await;
