Log which side ended a connection, and what was read and written by then

Callers sometimes saw a connection end without an answer, and the lines did not tell a caller that left from a connection that this instance closed: caller_left, request_cut and connection_closed held neither the side that ended it nor its bytes, and connection_closed not the request.

The lines have caller_side (open, ended, reset, failed), written (bytes of the socket since the request's head) and, for connections, unread and the request's identity. A caller that shuts down its sending side can't be told from one that closes, so both are 'ended'. No decision changes; the end of an open request is now logged before that of its connection.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -1,6 +1,7 @@
 //! State of a connection: what it is used for, since when, and whether it is in use.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 
 use tokio::time::Instant;
@@ -39,6 +40,41 @@
     Answer,
 }
 
+/// State of the caller's side of a connection, as far as the socket has reported it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerSide {
+    /// Neither an end nor an error was reported.
+    Open,
+    /// The caller closed the connection or shut down its sending side.
+    Ended,
+    /// The connection was reset.
+    Reset,
+    /// The socket failed in another way.
+    Failed,
+}
+
+impl CallerSide {
+    /// Returns the side for an error of the socket.
+    fn of_error(err: &io::Error) -> Self {
+        match err.kind() {
+            io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe => Self::Reset,
+            _ => Self::Failed,
+        }
+    }
+
+    /// Returns the side as written in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Ended => "ended",
+            Self::Reset => "reset",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// State of a connection, shared by its parts.
 #[derive(Debug)]
 pub struct Activity {
@@ -53,6 +89,11 @@
     body_ended: Cell<bool>,
     /// Which side said that no request follows the current one.
     last: Cell<Option<Side>>,
+    caller_side: Cell<CallerSide>,
+    /// Bytes that were written to the socket since the head of the last request was read.
+    written: Cell<u64>,
+    /// Identity of the last request; empty if its head has none.
+    request: RefCell<String>,
     in_use: UseCount,
     counted: Cell<bool>,
 }
@@ -87,6 +128,9 @@
             blocked: Cell::new(None),
             body_ended: Cell::new(false),
             last: Cell::new(None),
+            caller_side: Cell::new(CallerSide::Open),
+            written: Cell::new(0),
+            request: RefCell::default(),
             in_use,
             counted: Cell::new(false),
         }
@@ -123,6 +167,46 @@
         self.head_bytes.set(0);
         self.body_ended.set(false);
         self.last.set(last.then_some(Side::Caller));
+        self.written.set(0);
+        self.request.borrow_mut().clear();
+    }
+
+    /// Records the identity of the current request, for the log.
+    pub fn identify(&self, request: &str) {
+        request.clone_into(&mut self.request.borrow_mut());
+    }
+
+    /// Returns the identity of the last request; empty if it has none.
+    pub fn request(&self) -> String {
+        self.request.borrow().clone()
+    }
+
+    /// Returns the number of bytes that were written to the socket since the head of the last
+    /// request was read.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// Records that `bytes` were written to the socket.
+    pub(crate) fn bytes_written(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
+    }
+
+    /// Returns what is known of the caller's side.
+    pub fn caller_side(&self) -> CallerSide {
+        self.caller_side.get()
+    }
+
+    /// Records that the caller sends nothing more.
+    pub(crate) fn caller_ended(&self) {
+        if self.caller_side.get() == CallerSide::Open {
+            self.caller_side.set(CallerSide::Ended);
+        }
+    }
+
+    /// Records that the socket failed.
+    pub(crate) fn socket_failed(&self, err: &io::Error) {
+        self.caller_side.set(CallerSide::of_error(err));
     }
 
     /// Records that the answer to the current request is the connection's last one.
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -37,6 +37,8 @@
             return driver.wire_format.malformed(err);
         }
     };
+    let connection = body.activity();
+    connection.identify(&caller.id);
     let Some(table) = driver.with_gateway(|gateway| gateway.table().cloned()) else {
         journal::rejected(&caller.id, RefusalReason::Unconfigured.as_str(), 0);
         let refusal =
@@ -51,7 +53,7 @@
         }
     };
     let wait = wait_time(&caller, &resolved.route);
-    let mut guard = CallerGuard::new(Rc::clone(&driver), &caller.id, arrived);
+    let mut guard = CallerGuard::new(Rc::clone(&driver), &caller.id, arrived, connection);
     let body = match read_body(body, table.limits.body_bytes, wait).await {
         Ok(body) => body,
         Err(error) => {
--- a/crates/relay/src/close.rs
+++ b/crates/relay/src/close.rs
@@ -69,6 +69,9 @@
     }
 }
 
+/// Value of `unread` where the bytes were not counted.
+const NOT_COUNTED: i64 = -1;
+
 /// Logs and counts the end of a connection when dropped, also by a panic or the process's exit.
 #[derive(Debug)]
 pub(crate) struct CloseRecord {
@@ -80,6 +83,8 @@
     pub(crate) metrics: Rc<Metrics>,
     /// Why the connection ends, once that is known.
     pub(crate) reason: Option<CloseReason>,
+    /// Bytes that have arrived and were not read, once they were counted.
+    pub(crate) unread: Option<usize>,
 }
 
 impl Drop for CloseRecord {
@@ -110,6 +115,10 @@
             usage_ms = since.elapsed().as_millis() as u64,
             head_bytes = self.activity.head_bytes(),
             served = self.activity.served(),
+            caller_side = self.activity.caller_side().as_str(),
+            unread = self.unread.and_then(|bytes| i64::try_from(bytes).ok()).unwrap_or(NOT_COUNTED),
+            written = self.activity.written(),
+            last_request = self.activity.request().as_str(),
             open_ms = self.activity.opened().elapsed().as_millis() as u64;
             "connection closed"
         );
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -249,6 +249,7 @@
         activity: Rc::clone(&activity),
         metrics: shared.metrics,
         reason: None,
+        unread: None,
     };
     let service = {
         let (activity, phase) = (Rc::clone(&activity), phase.clone());
@@ -284,13 +285,17 @@
             End::Ended(result) => {
                 record.reason = Some(end_reason(&activity, &result));
                 let is_sending = may_be_sending(&activity, &result);
+                // This drops the request that is open, which logs its end.
+                let parts = connection.into_parts();
+                let stream = parts.io.into_inner();
+                record.unread = Some(parts.read_buf.len() + stream.unread_bytes());
                 if let Err(err) = result {
                     log::debug!("connection of a client ended: {err}");
                 }
                 drop(record);
                 if is_sending {
                     activity.closes(Instant::now());
-                    linger(connection.into_parts().io.into_inner()).await;
+                    linger(stream).await;
                 }
                 return;
             }
@@ -300,14 +305,16 @@
         let parts = connection.into_parts();
         stream = parts.io.into_inner();
         if let Some(reason) = reason {
+            let unread = stream.unread_bytes();
             let arrives = match reason {
                 CloseReason::Announced | CloseReason::Blocked => false,
-                CloseReason::HeadTimeout => stream.has_arrived(),
+                CloseReason::HeadTimeout => unread > 0,
                 // Part of a request may have been read together with the last one.
-                _ => !parts.read_buf.is_empty() || stream.has_arrived(),
+                _ => !parts.read_buf.is_empty() || unread > 0,
             };
             if !arrives {
                 record.reason = Some(reason);
+                record.unread = Some(parts.read_buf.len() + unread);
                 close(&stream, reason);
                 return;
             }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
+use crate::activity::Activity;
 use crate::journal::{self, Progress};
 use crate::memory::AnswerMemory;
 use crate::metrics::Metrics;
@@ -185,6 +186,8 @@
     /// Identity of the request, for the log.
     request: String,
     arrived: Time,
+    /// Connection of the caller.
+    connection: Rc<Activity>,
     /// Handle of the request once it is in the gateway.
     ticket: Option<Ticket>,
     events: u64,
@@ -193,11 +196,20 @@
 }
 
 impl CallerGuard {
-    /// Creates a guard for a request whose head arrived at `arrived`; `request` is its identity in
-    /// the log.
-    pub fn new(driver: Rc<Driver>, request: &str, arrived: Time) -> Self {
+    /// Creates a guard for a request whose head arrived at `arrived` on `connection`; `request` is
+    /// its identity in the log.
+    pub fn new(driver: Rc<Driver>, request: &str, arrived: Time, connection: Rc<Activity>) -> Self {
         let request = request.to_owned();
-        Self { driver, request, arrived, ticket: None, events: 0, bytes: 0, armed: true }
+        Self {
+            driver,
+            request,
+            arrived,
+            connection,
+            ticket: None,
+            events: 0,
+            bytes: 0,
+            armed: true,
+        }
     }
 
     /// Records that the request enters the gateway with this handle.
@@ -224,7 +236,14 @@
             Some(_) => "answer",
         };
         let ran = self.driver.now().since(self.arrived);
-        Progress { stage, ran, events: self.events, bytes: self.bytes }
+        Progress {
+            stage,
+            ran,
+            events: self.events,
+            bytes: self.bytes,
+            written: self.connection.written(),
+            caller_side: self.connection.caller_side(),
+        }
     }
 }
 
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -10,6 +10,7 @@
 use sesamewind_gateway::rollouts::RolloutStatus;
 use sesamewind_gateway::{AttemptOutcome, NoRetry, Refusal};
 
+use crate::activity::CallerSide;
 use crate::attempt::Call;
 
 /// Value of `first_ms` for a request that received no byte from a target.
@@ -163,6 +164,10 @@
     pub events: u64,
     /// Bytes of the answer that were passed to the caller's connection.
     pub bytes: u64,
+    /// Bytes that were written to the caller's socket since the head of the request was read.
+    pub written: u64,
+    /// What is known of the caller's side of the connection.
+    pub caller_side: CallerSide,
 }
 
 /// Logs a request whose caller closed the connection before the answer was complete.
@@ -188,7 +193,9 @@
         stage = progress.stage,
         ran_ms = progress.ran.as_millis() as u64,
         events = progress.events,
-        bytes = progress.bytes;
+        bytes = progress.bytes,
+        written = progress.written,
+        caller_side = progress.caller_side.as_str();
         "request ended without a complete answer"
     );
 }
--- a/crates/relay/src/watched.rs
+++ b/crates/relay/src/watched.rs
@@ -17,6 +17,9 @@
 use crate::activity::Activity;
 use crate::answer::{AnswerAborted, AnswerBody};
 
+/// Largest number of unread bytes that are counted.
+const MAX_PEEKED_BYTES: usize = 16 << 10;
+
 /// A socket whose reads and writes are recorded.
 #[derive(Debug)]
 pub struct WatchedStream {
@@ -42,18 +45,28 @@
         if written < bytes.len() { Err(io::ErrorKind::WriteZero.into()) } else { Ok(()) }
     }
 
-    /// Returns whether bytes have arrived that were not read. Unlike a read through the runtime, it
-    /// asks the operating system even if the runtime has not been told of bytes yet.
-    pub fn has_arrived(&self) -> bool {
-        let socket = self.stream.as_fd().try_clone_to_owned().map(std::net::TcpStream::from);
-        match socket.and_then(|socket| socket.peek(&mut [0])) {
-            Ok(bytes) => bytes > 0,
-            Err(err) if err.kind() == io::ErrorKind::WouldBlock => false,
+    /// Returns the number of bytes that have arrived and were not read, 16,384 at most. Unlike a
+    /// read through the runtime, it asks the operating system even if the runtime has not been told
+    /// of bytes yet.
+    pub fn unread_bytes(&self) -> usize {
+        self.unread.len() + self.peek(&mut [0; MAX_PEEKED_BYTES])
+    }
+
+    fn peek(&self, buffer: &mut [u8]) -> usize {
+        let socket = match self.stream.as_fd().try_clone_to_owned() {
+            Ok(socket) => std::net::TcpStream::from(socket),
             Err(err) => {
                 log::debug!("a socket can't be read before it is closed: {err}");
-                false
+                return 0;
             }
+        };
+        match socket.peek(buffer) {
+            Ok(0) => self.activity.caller_ended(),
+            Ok(bytes) => return bytes,
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+            Err(err) => self.activity.socket_failed(&err),
         }
+        0
     }
 
     /// Returns bytes to the socket, which are read before all others.
@@ -84,6 +97,13 @@
         if bytes > 0 {
             self.activity.bytes_read(bytes, Instant::now());
         }
+        match &result {
+            Poll::Ready(Ok(())) if bytes == 0 && buffer.remaining() > 0 => {
+                self.activity.caller_ended();
+            }
+            Poll::Ready(Err(err)) => self.activity.socket_failed(err),
+            Poll::Ready(Ok(())) | Poll::Pending => {}
+        }
         result
     }
 }
@@ -91,6 +111,11 @@
 impl WatchedStream {
     fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.activity.set_blocked(result.is_pending(), Instant::now());
+        match &result {
+            Poll::Ready(Ok(bytes)) => self.activity.bytes_written(*bytes),
+            Poll::Ready(Err(err)) => self.activity.socket_failed(err),
+            Poll::Pending => {}
+        }
         result
     }
 }
@@ -141,6 +166,11 @@
         Self { body: Rc::new(RefCell::new(body)), activity }
     }
 
+    /// Returns the state of the connection on which the request arrived.
+    pub fn activity(&self) -> Rc<Activity> {
+        Rc::clone(&self.activity)
+    }
+
     /// Returns another handle of the same body, to read what a handler has left.
     pub fn share(&self) -> Self {
         Self { body: Rc::clone(&self.body), activity: Rc::clone(&self.activity) }
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -139,6 +139,16 @@
         self.0.write_all(text.as_bytes()).await.expect("the bytes are sent");
     }
 
+    /// Ends the sending side of the connection.
+    pub async fn shut_down(&mut self) {
+        self.0.shutdown().await.expect("the end is sent");
+    }
+
+    /// Closes the connection with a reset.
+    pub fn reset(self) {
+        self.0.set_zero_linger().expect("a socket option");
+    }
+
     /// Reads until the connection ends or the text ends with `end`.
     pub async fn read_until(&mut self, end: &str) -> String {
         let mut text = Vec::new();
--- a/tests/all/relay/unanswered.rs
+++ b/tests/all/relay/unanswered.rs
@@ -46,10 +46,25 @@
         stage: &'static str,
         path: &'static str,
         behaviour: Behaviour,
+        /// Closing a socket with unread bytes of an answer resets the connection.
+        side: &'static str,
+        reason: &'static str,
     }
     let cases = [
-        Case { stage: "gateway", path: "/pay/x", behaviour: Behaviour::Hang(0) },
-        Case { stage: "answer", path: "/once-stream/x", behaviour: Behaviour::Hang(2) },
+        Case {
+            stage: "gateway",
+            path: "/pay/x",
+            behaviour: Behaviour::Hang(0),
+            side: "ended",
+            reason: "incomplete",
+        },
+        Case {
+            stage: "answer",
+            path: "/once-stream/x",
+            behaviour: Behaviour::Hang(2),
+            side: "reset",
+            reason: "error",
+        },
     ];
     for case in cases {
         let script = Script::default();
@@ -67,11 +82,18 @@
         assert!(line["ran_ms"].as_u64().expect("a time") >= 250, "{line}");
         let events = line["events"].as_u64().expect("a count");
         assert_eq!(events, if case.stage == "answer" { 2 } else { 0 }, "{line}");
-        assert_eq!(line["bytes"].as_u64().expect("a count") > 0, case.stage == "answer", "{line}");
+        for field in ["bytes", "written"] {
+            let bytes = line[field].as_u64().expect("a count");
+            assert_eq!(bytes > 0, case.stage == "answer", "{line}");
+        }
+        assert_eq!(line["caller_side"], case.side, "{line}");
         let closed =
             |line: &Value| line["event"] == "connection_closed" && line["usage"] == "request";
         let line = wait_line(&testbed, "the connection's end", closed).await;
         assert_eq!(line["served"], 0, "{line}");
+        assert_eq!((&line["last_request"], &line["unread"]), (&"c1".into(), &0.into()), "{line}");
+        assert_eq!(line["reason"], case.reason, "{line}");
+        assert_eq!(line["caller_side"], case.side, "{line}");
         assert!(metric(&testbed, "sesamewind_connections_closed_total").await >= 1.0);
     }
 }
@@ -150,7 +172,8 @@
     assert!(testbed.gateway.wait_exit().await);
     for (id, stage) in [("c1", "gateway"), ("c2", "body")] {
         let cut = |line: &Value| line["event"] == "request_cut" && line["request"] == id;
-        assert_eq!(wait_line(&testbed, "the cut", cut).await["stage"], stage);
+        let line = wait_line(&testbed, "the cut", cut).await;
+        assert_eq!((&line["stage"], &line["caller_side"]), (&stage.into(), &"open".into()));
     }
     let line = wait_line(&testbed, "the stop", |line| line["event"] == "stopped").await;
     assert_eq!((&line["cut"], &line["level"]), (&Value::from(1), &Value::from("WARN")), "{line}");
