Don't take the end of a connection for a stream without events

Callers of a streaming route got a 200 with an empty, complete body from a target whose connection ended after the head of an answer without a length and without chunks. Nothing was sent again, and the attempt counted as served.

Cause: the orderly end of such a body was accepted as the end of the stream wherever no event was incomplete, also before the first one. Such an end can't be told from the end of the target itself.

A body without framing now ends a stream only after an event, or for a caller that resumes after one. Otherwise the attempt is broken: it is repeated where that is allowed, and answered with 502 where it is not.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, request, response};
+use http::{Request, header, request, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::sse::{EventScanner, EventTooLong, MAX_EVENT_BYTES};
 use sesamewind_gateway::{Account, AttemptOutcome, Event, Failure, Route, Step, Ticket};
@@ -317,7 +317,7 @@
                     }
                     false
                 }
-                None if scanner.partial().is_empty() => true,
+                None if scanner.partial().is_empty() && answer.can_end(scanner) => true,
                 Some(Err(_)) | None => return Err(AttemptOutcome::Broken.into()),
             };
             if scanner.events() == received && !ended {
@@ -342,3 +342,15 @@
     body: Incoming,
     silence: Silence,
 }
+
+impl Answering {
+    /// Returns whether the body may end after the events of `scanner`. A body without a length or
+    /// chunks also ends if its target does, so it must have shown that the stream has begun.
+    fn can_end(&self, scanner: &EventScanner) -> bool {
+        let headers = &self.head.headers;
+        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+            || self.body.is_end_stream();
+        is_framed || scanner.events() > 0 || scanner.last_id().is_some()
+    }
+}
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -6,7 +6,11 @@
 pub mod settings;
 mod store;
 mod target;
+mod wire;
 
 pub use flood::{Flood, FloodServer};
 pub use store::{RowStore, Snapshot, StoreMode};
 pub use target::{Behaviour, COMMENT, Received, RelayTarget, Script, TargetOptions, body, event};
+pub use wire::{
+    EVENTS, End, Extent, Framing, WireAnswer, WireEntry, WireRequest, WireScript, WireTarget,
+};
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -15,3 +15,4 @@
 mod stops;
 mod testbed;
 mod unanswered;
+mod unframed;
