Don't take a blank line after the last event for part of another one

A stream whose target sent one more blank line after its last event reached its caller without its end, though all events had arrived. Where it could be resumed, it ran at a second target first.

Cause: whatever followed the last event, also a single line break, counted as the start of an event, and a stream that ends within an event is broken off. Blank lines between events mean nothing in an event stream.

Only bytes other than line breaks are now the start of an event. An event that lacks its last line break holds other bytes, so it is incomplete as before.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -72,6 +72,11 @@
         &self.buffer
     }
 
+    /// Returns whether a stream that ends now has no incomplete event. Blank lines belong to none.
+    pub fn is_between_events(&self) -> bool {
+        self.buffer.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+    }
+
     /// Discards the bytes of the incomplete event.
     pub fn drop_partial(&mut self) {
         self.buffer.clear();
--- a/crates/gateway/tests/all/sse.rs
+++ b/crates/gateway/tests/all/sse.rs
@@ -65,6 +65,30 @@
     }
 }
 
+/// Guards against taking blank lines for an incomplete event, and the reverse.
+#[test]
+fn only_an_event_that_has_begun_is_incomplete() {
+    let cases = [
+        ("", true),
+        ("data: x\n\n", true),
+        ("data: x\n\n\n", true),
+        ("data: x\r\n\r\n\r\n", true),
+        ("data: x\n\n\n:", false),
+        ("data: x\n\nd", false),
+        ("data: x\n", false),
+        ("data: x\r\n\r", false),
+    ];
+    for (bytes, is_between) in cases {
+        for step in 1..=bytes.len().max(1) {
+            let mut scanner = EventScanner::default();
+            for chunk in bytes.as_bytes().chunks(step) {
+                scanner.push(chunk).expect("short events");
+            }
+            assert_eq!(scanner.is_between_events(), is_between, "{bytes:?} by {step}");
+        }
+    }
+}
+
 /// For any input, no byte is lost, added or repeated, and the split into chunks makes no
 /// difference.
 #[test]
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -317,7 +317,7 @@
                     }
                     false
                 }
-                None if scanner.partial().is_empty() && answer.can_end(scanner) => true,
+                None if scanner.is_between_events() && answer.can_end(scanner) => true,
                 Some(Err(_)) | None => return Err(AttemptOutcome::Broken.into()),
             };
             if scanner.events() == received && !ended {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -112,7 +112,7 @@
                         return Ok(Some(Bytes::from(whole)));
                     }
                 }
-                None if self.scanner.partial().is_empty() => return Ok(None),
+                None if self.scanner.is_between_events() => return Ok(None),
                 Some(Err(_)) | None => return Err(AttemptOutcome::Broken.into()),
             }
         }
--- a/tests/all/relay/unframed.rs
+++ b/tests/all/relay/unframed.rs
@@ -362,6 +362,15 @@
     check(cases, None).await;
 }
 
+/// Guards against taking a blank line after the last event for the start of another one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_may_end_with_blank_lines() {
+    let mut cases = cases(&[Extent::BlankLine], &[End::Close], 0);
+    let fits = |framing| matches!(framing, Framing::Chunked | Framing::Unframed | Framing::Http10);
+    cases.retain(|case| case.is_stream() && fits(case.answer.framing));
+    check(cases, None).await;
+}
+
 /// Guards against answers that look complete, or are lost, to callers without chunks or of one
 /// request a connection.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
