Make messages between instances readable across builds

Once a service has a rollout, an instance refuses each update of a peer of another build whose messages have other fields, so that the two know nothing of each other's load, account usage and rollouts until a rolling update is complete.

Structs were written as arrays. Their reader wants all elements, in order, and refuses further ones (LengthMismatch).

Structs are now written as maps from the number of a field to its value. The derived readers accept numbers in the place of names, ignore unknown ones and take defaults, at each level. Arrays of a fixed length may have another length. Arrays and names are still read.

Messages of builds before, whose rollout counts had other elements in the same places, are still not read once there is a rollout.

Enums are as before: a variant that a build does not know makes it refuse the message.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod codec;
 pub mod evidence;
 pub mod id;
+mod keyed;
 pub mod message;
 pub mod operator;
 pub mod record;
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::codec::read_array;
 use crate::{
     AccountId, Incarnation, InstanceId, Revision, RouteId, ServiceId, TargetId, VersionId, ZoneId,
 };
@@ -14,12 +15,16 @@
     /// The target.
     pub target: TargetId,
     /// Requests in flight.
+    #[serde(default)]
     pub requests: u32,
     /// Prompt tokens of the requests whose answer has not begun.
+    #[serde(default)]
     pub prefill: u32,
     /// Average, over long streams, of the longest pause in each, in milliseconds; zero if unknown.
+    #[serde(default)]
     pub pause: u32,
     /// Streams that the average covers.
+    #[serde(default)]
     pub streams: u32,
 }
 
@@ -32,6 +37,7 @@
     pub used: f64,
     /// Units that all instances used within the limit's window, as known to the instance, each with
     /// the time until it falls out of the window; sent only to a peer that is joining.
+    #[serde(default)]
     pub amounts: Vec<(Duration, f64)>,
 }
 
@@ -59,6 +65,7 @@
 /// The era rises each time the store comes back from an older copy; versions are then given out
 /// again. A position of a later era is therefore newer, whatever the versions are.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(default)]
 pub struct StorePosition {
     /// Number of the era; zero if the store does not tell it.
     pub era: u64,
@@ -96,8 +103,10 @@
     /// Newest position that the peer has; the versions of all rows are of its era.
     pub newest: StorePosition,
     /// The rows.
+    #[serde(default)]
     pub rows: Vec<StoreRow>,
     /// Rows of an earlier era that are newer than what the store has now.
+    #[serde(default)]
     pub retained: Vec<StoreRow>,
 }
 
@@ -116,6 +125,7 @@
 
 /// How requests ended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct ArmCounts {
     /// Requests whose answer began or that failed.
     pub requests: u32,
@@ -142,6 +152,7 @@
 
 /// Times of one kind, averaged over short intervals.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct LatencyCounts {
     /// Intervals in which there were times.
     pub intervals: u32,
@@ -151,10 +162,12 @@
 
 /// Times of one kind at both versions.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct LatencyReport {
     /// At targets of other versions.
     pub old: LatencyCounts,
     /// At targets of the new version, by group.
+    #[serde(deserialize_with = "read_array")]
     pub new: [LatencyCounts; TARGET_GROUPS],
 }
 
@@ -164,8 +177,10 @@
     /// The route.
     pub route: RouteId,
     /// At targets of other versions.
+    #[serde(default)]
     pub old: ArmCounts,
     /// At targets of the new version, by group.
+    #[serde(default, deserialize_with = "read_array")]
     pub new: [ArmCounts; TARGET_GROUPS],
 }
 
@@ -178,6 +193,7 @@
 
 /// What one instance has observed since a rollout began.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct RolloutCounts {
     /// Requests since the start of the rollout. The other counts include some earlier ones.
     pub requests: u32,
@@ -210,10 +226,13 @@
     /// Time since the rollout was ordered.
     pub age: Duration,
     /// What the instance itself has observed; empty after the end.
+    #[serde(default)]
     pub counts: RolloutCounts,
     /// How it ended, if it has.
+    #[serde(default)]
     pub outcome: Option<RolloutOutcome>,
     /// Era in which the store was seen to hold the outcome.
+    #[serde(default)]
     pub recorded: Option<u64>,
 }
 
@@ -237,15 +256,21 @@
     /// Time since its own last answer from the store.
     pub store_age: Duration,
     /// Whether it does not yet know the usage of account limits from before its start.
+    #[serde(default)]
     pub joining: bool,
     /// Its load on targets; targets that are not listed have none.
+    #[serde(default)]
     pub loads: Vec<TargetLoad>,
     /// Its usage of account limits.
+    #[serde(default)]
     pub totals: Vec<AccountTotal>,
     /// Targets that it knows to be leaving.
+    #[serde(default)]
     pub leaving: Vec<LeavingEntry>,
     /// Targets that recently failed requests of this instance.
+    #[serde(default)]
     pub failing: Vec<TargetId>,
     /// Rollouts that it knows of.
+    #[serde(default)]
     pub rollouts: Vec<RolloutProgress>,
 }
