Relay the usage of account limits between instances

What callers saw: an account got more than its limit while links between instances were cut or an instance was suspended.

Two instances did not reach each other, one was restarted then, and all others reached both.

Cause: usage was reported by the instance that counted it only. A peer that did not hear it never learned of it: not if the instance had ended, and not before the link was back, while all others used what they knew to be free.

Now a report also holds what the sender knows of other instances: of incarnations that ended within the window always, and of those that the receiver says it has not heard for 0.3 s (2 s with more than 12 peers). Totals are kept by incarnation, with the number of the message, so that none is counted twice. A peer that is heard through others is not silent, and no share is reserved for it. An instance that takes the counted usage of a peer at its start also takes the totals that this includes; it used to drop what others had used between that report and their own first one.

partitions::* play gateways that exchange updates.

The new fields come last in an update, so that builds side by side read each other; the report is a type of the gateway.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -243,7 +243,7 @@
         checked: Time,
         now: Time,
     ) -> RelayUpdate {
-        let totals = self.quotas.totals(self.peers.is_joining(to), now);
+        let usage = self.quotas.report(to, now);
         self.sequence += 1;
         let loads = self.targets.iter().filter(|(_, target)| target.own_requests > 0);
         let loads = loads.map(|(_, target)| TargetLoad {
@@ -269,12 +269,14 @@
             revision: self.revision(),
             list_position,
             store_age: now.since(checked),
-            joining: self.quotas.is_joining(),
+            joining: usage.joining,
             loads: loads.collect(),
-            totals,
+            totals: usage.totals,
             leaving: leaving.collect(),
             failing: failing.collect(),
             rollouts: self.rollouts.progress(now),
+            unheard: usage.unheard,
+            relayed: usage.relayed,
         }
     }
 
@@ -379,13 +381,8 @@
         {
             return;
         }
-        self.quotas.apply_report(
-            &update.from,
-            update.incarnation,
-            update.joining,
-            &update.totals,
-            now,
-        );
+        let version = (update.incarnation, update.sequence);
+        self.quotas.apply_report(&update.from, version, update.into(), now);
         self.rollouts.apply_progress(&update.from, update.incarnation, &update.rollouts, now);
         if self.peers.take_change() {
             self.regroup();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod queue;
 pub mod quota;
 mod rate;
+mod reports;
 mod request;
 pub mod rollouts;
 pub mod selection;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -42,7 +42,6 @@
     zone: ZoneId,
     sequence: u64,
     last_seen: Time,
-    joining: bool,
     /// When the peer last had contact with the store, by this instance's clock.
     store_checked: Time,
     loads: Vec<PeerLoad>,
@@ -110,11 +109,6 @@
         watchers >= MIN_WATCHERS && is_fresh
     }
 
-    /// Returns whether a peer doesn't know the usage of account limits before its own start.
-    pub(crate) fn is_joining(&self, name: &InstanceId) -> bool {
-        self.peers.get(name).is_some_and(|peer| peer.joining)
-    }
-
     /// Applies a peer's update. Returns false if the update is not newer than the last one.
     pub(crate) fn apply_update(
         &mut self,
@@ -128,7 +122,6 @@
             zone: update.zone.clone(),
             sequence: 0,
             last_seen: now,
-            joining: false,
             store_checked: Time::ZERO,
             loads: Vec::new(),
         });
@@ -139,7 +132,6 @@
         peer.incarnation = update.incarnation;
         peer.sequence = update.sequence;
         peer.last_seen = now;
-        peer.joining = update.joining;
         peer.store_checked = now - update.store_age;
         peer.remove_loads(targets);
         for load in &update.loads {
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -2,16 +2,19 @@
 //!
 //! Each instance counts, over a sliding window, its own usage and the usage that its peers report.
 //! Usage is reported as a total since an instance's start, so lost or repeated reports do no harm.
-//! While peers are silent, an equal share of the available units is reserved for each of them, so
-//! that both sides of a network partition together stay within the limit.
+//! Instances also relay what they know of each other, since a peer may have ended, or may not be
+//! reachable, before its last usage was received here. While peers are silent, an equal share of the
+//! available units is reserved for each of them, so that both sides of a network partition together
+//! stay within the limit.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use sesamewind_protocol::relay::AccountTotal;
+use sesamewind_protocol::relay::{AccountTotal, RelayUpdate, RelayedUsage};
 use sesamewind_protocol::{AccountId, Incarnation, InstanceId, Time};
 
-use crate::meter::{Basis, GOLDEN_FRACTION, Meter, PeersUsage, SHARE_INTERVAL};
+use crate::meter::{Basis, GOLDEN_FRACTION, Meter, PeersUsage};
+use crate::reports::{PeerReports, Reported};
 use crate::table::Account;
 
 /// Time without a report from a peer after which a share of each limit is reserved for it. It is
@@ -33,8 +36,14 @@
 /// peer may have stopped after its announcement.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Interval over which a peer's rate is averaged: a few exchanges.
-const RATE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time without a message from a peer after which other peers are asked to relay its usage.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Used instead of [`RELAY_TIMEOUT`] if there are many peers.
+const LONG_RELAY_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Maximum number of totals that are relayed in one report, which bounds its size.
+const MAX_RELAYED: usize = 5_000;
 
 /// Fraction of the tolerance over a limit that is used. The rest covers what peers used since their
 /// last report.
@@ -81,26 +90,41 @@
     pub slack: f64,
 }
 
-/// Usage of one account at one peer.
-#[derive(Debug, Default)]
-struct PeerUsage {
-    /// Units used since the peer's start.
-    used: f64,
-    /// Recent units per second.
-    rate: f64,
-    /// Units per second, averaged over [`SHARE_INTERVAL`].
-    smoothed_rate: f64,
+/// Usage of account limits as reported to a peer.
+#[derive(Debug, Clone)]
+pub struct UsageReport {
+    /// Whether the instance does not yet know the usage from before its start.
+    pub joining: bool,
+    /// Its own usage.
+    pub totals: Vec<AccountTotal>,
+    /// Peers from which it has recently received no message.
+    pub unheard: Vec<InstanceId>,
+    /// Usage of instances that the peer may not have heard of.
+    pub relayed: Vec<RelayedUsage>,
 }
 
-/// Reports of one peer.
-#[derive(Debug)]
-struct PeerReports {
-    incarnation: Incarnation,
-    /// When the peer last reported or was first expected.
-    last_seen: Time,
-    /// Whether the peer was announced but has not reported yet.
-    expected: bool,
-    usage: HashMap<AccountId, PeerUsage>,
+impl UsageReport {
+    /// Returns the report as the peer applies it.
+    pub fn view(&self) -> UsageView<'_> {
+        let Self { joining, totals, unheard, relayed } = self;
+        UsageView { joining: *joining, totals, unheard, relayed }
+    }
+}
+
+/// A report of a peer; see [`UsageReport`].
+#[derive(Debug, Clone, Copy)]
+pub struct UsageView<'a> {
+    joining: bool,
+    totals: &'a [AccountTotal],
+    unheard: &'a [InstanceId],
+    relayed: &'a [RelayedUsage],
+}
+
+impl<'a> From<&'a RelayUpdate> for UsageView<'a> {
+    fn from(update: &'a RelayUpdate) -> Self {
+        let RelayUpdate { joining, totals, unheard, relayed, .. } = update;
+        Self { joining: *joining, totals, unheard, relayed }
+    }
 }
 
 /// A network partition, seen as some peers being silent. Usage before it is known on both sides;
@@ -185,8 +209,8 @@
     pub fn acquire(&mut self, account: &AccountId, cost: f64, now: Time) -> Result<(), Duration> {
         let partition = self.partition(now);
         let window = self.bounds.window;
-        let many = self.peers.len() > MANY_PEERS;
-        let tolerated = if many { MANY_PEERS_TOLERANCE_FRACTION } else { TOLERANCE_FRACTION };
+        let tolerated =
+            if self.has_many() { MANY_PEERS_TOLERANCE_FRACTION } else { TOLERANCE_FRACTION };
         let others = self.others(account, now);
         let fresh = self.joined && now.since(self.start) < window;
         let Some(meter) = self.meters.get_mut(account) else { return Ok(()) };
@@ -220,8 +244,22 @@
         self.meters.values().any(|meter| meter.basis.0 != Basis::Known)
     }
 
-    /// Returns the totals to report to a peer; `whole` adds the counted usage of all instances.
-    pub fn totals(&mut self, whole: bool, now: Time) -> Vec<AccountTotal> {
+    /// Returns the report for the peer `to`.
+    pub fn report(&mut self, to: &InstanceId, now: Time) -> UsageReport {
+        let receiver = self.peers.get(to);
+        let current = receiver.and_then(|peer| peer.current.as_ref());
+        let whole = current.is_some_and(|current| current.joining);
+        let relayed = self.relayed(to, whole, now);
+        UsageReport {
+            joining: self.is_joining(),
+            totals: self.totals(whole, now),
+            unheard: self.unheard(now),
+            relayed,
+        }
+    }
+
+    /// Returns this instance's totals; `whole` adds the counted usage of all instances.
+    fn totals(&mut self, whole: bool, now: Time) -> Vec<AccountTotal> {
         let window = self.bounds.window;
         let mut totals = Vec::new();
         for (account, meter) in &mut self.meters {
@@ -235,6 +273,36 @@
         totals
     }
 
+    /// Returns the peers from which no message has arrived recently.
+    fn unheard(&self, now: Time) -> Vec<InstanceId> {
+        let limit = if self.has_many() { LONG_RELAY_TIMEOUT } else { RELAY_TIMEOUT };
+        let unheard = self.peers.iter().filter(|(_, peer)| {
+            let silence = now.since(peer.last_heard);
+            silence < GONE_TIMEOUT && (peer.expected || silence > limit)
+        });
+        unheard.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the usage that the peer `to` may not have received: that of incarnations that ended
+    /// within the window, and that of peers it does not hear; `whole` adds all others.
+    fn relayed(&self, to: &InstanceId, whole: bool, now: Time) -> Vec<RelayedUsage> {
+        let unheard = self.peers.get(to).map_or(&[][..], |peer| &peer.unheard);
+        let mut relayed = Vec::new();
+        let mut count = 0;
+        for (name, peer) in self.peers.iter().filter(|(name, _)| *name != to) {
+            let current = peer.current.iter().filter(|_| whole || unheard.contains(name));
+            let is_recent = |reported: &&Reported| now.since(reported.sent) < self.bounds.window;
+            for reported in peer.former.iter().chain(current).filter(is_recent) {
+                count += reported.usage.len();
+                if count > MAX_RELAYED {
+                    return relayed;
+                }
+                relayed.push(reported.relayed(name, now));
+            }
+        }
+        relayed
+    }
+
     /// Returns the usage to save outside of the instances: that of accounts near their limit.
     pub fn to_save(&mut self, now: Time) -> Vec<SavedUsage> {
         let window = self.bounds.window;
@@ -280,65 +348,94 @@
     /// Adds announced peers, which may already be using the limits.
     pub fn expect_peers<'a>(&mut self, peers: impl Iterator<Item = &'a InstanceId>, now: Time) {
         for peer in peers {
-            self.peers.entry(peer.clone()).or_insert_with(|| PeerReports {
-                incarnation: Incarnation(0),
-                last_seen: now,
-                expected: true,
-                usage: HashMap::new(),
-            });
+            self.peers.entry(peer.clone()).or_insert_with(|| PeerReports::new(true, now));
         }
     }
 
-    /// Applies a peer's report. `joining` states that the peer doesn't know the usage before its
-    /// own start.
+    /// Applies a peer's report. `version` is the peer's incarnation and the number of its message.
     pub fn apply_report(
         &mut self,
         peer: &InstanceId,
-        incarnation: Incarnation,
-        joining: bool,
-        totals: &[AccountTotal],
+        version: (Incarnation, u64),
+        report: UsageView<'_>,
         now: Time,
     ) {
         let window = self.bounds.window;
-        let first = self.peers.get(peer).is_none_or(|known| known.expected);
-        let known = self.peers.entry(peer.clone()).or_insert_with(|| PeerReports {
-            incarnation,
-            last_seen: now,
-            expected: false,
-            usage: HashMap::new(),
-        });
-        known.expected = false;
-        if incarnation < known.incarnation {
-            return;
-        }
-        if incarnation > known.incarnation {
-            known.incarnation = incarnation;
-            known.usage.clear();
-        }
-        let span = now.since(known.last_seen).as_secs_f64();
-        known.last_seen = now;
-        for total in totals {
-            let peer_usage = known.usage.entry(total.account.clone()).or_default();
-            let delta = total.used - std::mem::replace(&mut peer_usage.used, total.used);
-            if span > 0.0 && !first {
-                let rate = delta.max(0.0) / span;
-                let weight = |time: Duration| (span / time.as_secs_f64()).min(1.0);
-                peer_usage.rate += weight(RATE_INTERVAL) * (rate - peer_usage.rate);
-                peer_usage.smoothed_rate +=
-                    weight(SHARE_INTERVAL) * (rate - peer_usage.smoothed_rate);
-            }
+        let mut rebased = HashSet::new();
+        for total in report.totals {
             let Some(meter) = self.meters.get_mut(&total.account) else { continue };
             meter.expire(window, now);
             if meter.basis.0 != Basis::Known && !total.amounts.is_empty() {
                 meter.rebase(Basis::Known, &total.amounts, Duration::ZERO, window, now);
+                rebased.insert(&total.account);
+            }
+        }
+        for relayed in report.relayed {
+            self.apply_usage(relayed, &rebased, now);
+        }
+        let used = report.totals.iter().map(|total| (total.account.clone(), total.used));
+        let direct = RelayedUsage {
+            instance: peer.clone(),
+            incarnation: version.0,
+            sequence: version.1,
+            age: Duration::ZERO,
+            joining: report.joining,
+            used: used.collect(),
+        };
+        self.apply_usage(&direct, &rebased, now);
+        if let Some(known) = self.peers.get_mut(peer) {
+            known.last_heard = now;
+            known.unheard = report.unheard.to_vec();
+        }
+    }
+
+    /// Applies the usage of an instance. The counted usage of the accounts in `rebased` includes it.
+    fn apply_usage(&mut self, usage: &RelayedUsage, rebased: &HashSet<&AccountId>, now: Time) {
+        let window = self.bounds.window;
+        if usage.age >= window {
+            return;
+        }
+        let silence_timeout = self.silence_timeout();
+        let sent = now - usage.age;
+        let peer = self
+            .peers
+            .entry(usage.instance.clone())
+            .or_insert_with(|| PeerReports::new(true, sent));
+        peer.former.retain(|former| now.since(former.sent) < 2 * window);
+        let Some((reported, is_new)) = peer.entry(usage.incarnation, sent) else { return };
+        if usage.sequence <= reported.sequence {
+            // The counted usage includes no more than this report.
+            for (account, used) in usage.used.iter().filter(|it| rebased.contains(&it.0)) {
+                let known = reported.usage.get(account).map_or(0.0, |usage| usage.used);
+                if let Some(meter) = self.meters.get_mut(account) {
+                    meter.add(known - used, window, now);
+                }
+            }
+            return;
+        }
+        let span = if is_new { Duration::ZERO } else { sent.since(reported.sent) };
+        reported.sequence = usage.sequence;
+        reported.sent = sent.max(reported.sent);
+        reported.joining = usage.joining;
+        // The usage that this instance counts for the time before its start includes that of older
+        // peers. A peer that is joining itself is not included, since it reports no amounts.
+        let is_included =
+            is_new && self.joined && !usage.joining && usage.incarnation <= self.incarnation;
+        for (account, used) in &usage.used {
+            let delta = reported.usage.entry(account.clone()).or_default().replace(*used, span);
+            if is_included || rebased.contains(account) {
+                continue;
             }
-            // The amounts that an older peer reports to a joining instance include that peer's own
-            // earlier usage. A peer that is joining itself reports no amounts.
-            let is_included = first && self.joined && !joining && incarnation <= self.incarnation;
-            if !is_included {
+            if let Some(meter) = self.meters.get_mut(account) {
                 meter.add(delta, window, now);
             }
         }
+        if usage.age <= silence_timeout {
+            peer.expected = false;
+        }
+        if !peer.expected {
+            peer.last_seen = peer.last_seen.max(sent);
+        }
     }
 
     /// Returns the known usage of an account at the peers that report.
@@ -351,7 +448,8 @@
             }
             others.count += 1;
             others.age = others.age.max(age);
-            if let Some(peer_usage) = peer.usage.get(account) {
+            let current = peer.current.as_ref();
+            if let Some(peer_usage) = current.and_then(|current| current.usage.get(account)) {
                 others.unreported += peer_usage.rate * age.as_secs_f64();
                 others.smoothed_rate += peer_usage.smoothed_rate;
             }
@@ -359,10 +457,17 @@
         others
     }
 
+    fn has_many(&self) -> bool {
+        self.peers.len() > MANY_PEERS
+    }
+
+    fn silence_timeout(&self) -> Duration {
+        if self.has_many() { LONG_SILENCE_TIMEOUT } else { SILENCE_TIMEOUT }
+    }
+
     /// Returns the current partition if some peers are silent.
     fn partition(&self, now: Time) -> Option<Partition> {
-        let limit =
-            if self.peers.len() > MANY_PEERS { LONG_SILENCE_TIMEOUT } else { SILENCE_TIMEOUT };
+        let limit = self.silence_timeout();
         let (mut all, mut silent, mut since) = (1, 0, Time::ZERO);
         for peer in self.peers.values() {
             let silence = now.since(peer.last_seen);
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -24,6 +24,8 @@
         leaving: Vec::new(),
         failing: Vec::new(),
         rollouts: Vec::new(),
+        unheard: Vec::new(),
+        relayed: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod health;
 mod load;
 mod notices;
+mod partitions;
 mod quota;
 mod refusals;
 mod retries;
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -35,6 +35,8 @@
     /// Charged units with their times, in order.
     used: Vec<(u64, f64)>,
     incarnations: u64,
+    /// Number of the last report.
+    sequence: u64,
     /// Last saved usage, and when it was saved.
     saved: (u64, Vec<SavedUsage>),
 }
@@ -44,7 +46,8 @@
         let instances = (0..count)
             .map(|index| (quotas(false, Incarnation(1), index, at(0)), Incarnation(1)))
             .collect();
-        Self { instances, used: Vec::new(), incarnations: 1, saved: (0, Vec::new()) }
+        let saved = (0, Vec::new());
+        Self { instances, used: Vec::new(), incarnations: 1, sequence: 0, saved }
     }
 
     fn request(&mut self, instance: usize, cost: f64, now: u64) -> bool {
@@ -57,12 +60,11 @@
     }
 
     fn exchange(&mut self, from: usize, to: usize, now: u64) {
-        let whole = self.instances[to].0.is_joining();
-        let totals = self.instances[from].0.totals(whole, at(now));
-        let incarnation = self.instances[from].1;
-        let name = InstanceId::new(format!("i{from}"));
-        let joining = self.instances[from].0.is_joining();
-        self.instances[to].0.apply_report(&name, incarnation, joining, &totals, at(now));
+        self.sequence += 1;
+        let name = |instance| InstanceId::new(format!("i{instance}"));
+        let report = self.instances[from].0.report(&name(to), at(now));
+        let version = (self.instances[from].1, self.sequence);
+        self.instances[to].0.apply_report(&name(from), version, report.view(), at(now));
     }
 
     /// Saves the usage known to `saver`.
--- a/crates/protocol/examples/update_size.rs
+++ b/crates/protocol/examples/update_size.rs
@@ -79,6 +79,8 @@
         leaving: vec![LeavingEntry { target: "engine-1".into(), incarnation: Incarnation(START) }],
         failing: vec!["engine-2".into()],
         rollouts: (0..case.rollouts).map(|_| progress(case.routes)).collect(),
+        unheard: Vec::new(),
+        relayed: Vec::new(),
     }
 }
 
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -41,6 +41,23 @@
     pub amounts: Vec<(Duration, f64)>,
 }
 
+/// Usage of account limits at an instance, as known to one of its peers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedUsage {
+    /// The instance that counted the usage.
+    pub instance: InstanceId,
+    /// The incarnation of that instance.
+    pub incarnation: Incarnation,
+    /// Number of the message that the usage was reported in.
+    pub sequence: u64,
+    /// Time since that message.
+    pub age: Duration,
+    /// [`RelayUpdate::joining`] of that message.
+    pub joining: bool,
+    /// Units used since the incarnation's start, by account.
+    pub used: Vec<(AccountId, f64)>,
+}
+
 /// Kind of rows in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Topic {
@@ -273,4 +290,10 @@
     /// Rollouts that it knows of.
     #[serde(default)]
     pub rollouts: Vec<RolloutProgress>,
+    /// Peers from which it has recently received no message.
+    #[serde(default)]
+    pub unheard: Vec<InstanceId>,
+    /// Usage of account limits of instances that the receiver may not have heard of.
+    #[serde(default)]
+    pub relayed: Vec<RelayedUsage>,
 }
--- a/crates/protocol/tests/builds.rs
+++ b/crates/protocol/tests/builds.rs
@@ -237,6 +237,9 @@
             outcome: Some(RolloutOutcome::TakenBack),
             recorded: Some(3),
         }],
+        // Not in the recorded messages.
+        unheard: Vec::new(),
+        relayed: Vec::new(),
     }
 }
 
