Read answers after a stall before waiting requests are refused

After the process was suspended or a turn of its event loop took long, requests that waited got 503 (cause "full") though the answers that left them slots had arrived in the meantime. Requests that arrived during the stall were refused for the length of the queue in the same way.

The first tick after a stall refused what was overdue before the tasks that read the connections had run.

A stall is now an event of the gateway, which the driver passes on before any other event after it. For 250 ms the queue is not shortened, and an overdue request waits until the end of that time. The end of a request's wait is postponed once only, so that an instance that stalls all the time still refuses requests; a passed deadline is not postponed.

Process test: four streams run, two requests wait, the process is suspended for 1 s, five times in a row. The tests of the gateway (stalls) fail if the event is ignored.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -103,6 +103,8 @@
     PeerUpdate(&'a RelayUpdate),
     /// Time passed.
     Tick,
+    /// The instance did not run for this long until now.
+    Stalled(Duration),
     /// The instance accepts no new requests from now on.
     Stop,
 }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -80,6 +80,7 @@
             started: false,
             held: false,
             uncharged: false,
+            postponed: false,
             tried: Vec::new(),
             cost,
             state: State::Waiting { position, history: History::NotRun(proof) },
@@ -101,6 +102,9 @@
     /// Refuses the last requests of a queue that is too long for them to meet their objective, so
     /// that their callers are refused immediately instead of later.
     fn shorten_queue(&mut self, service: &ServiceId, wait: Duration, now: Time) {
+        if now < self.read_until {
+            return;
+        }
         loop {
             let Some(state) = self.services.get_mut(service) else { return };
             if state.queue.len() <= state.queue_limit(wait, now) {
@@ -566,6 +570,10 @@
         for ticket in overdue {
             let Some(mut request) = self.requests.remove(&ticket) else { continue };
             let in_time = now < request.arrival.deadline;
+            if in_time && now < self.read_until && !request.postponed {
+                self.postpone(ticket, request);
+                continue;
+            }
             let choice = self.select_target(&request, None, now).filter(|_| in_time);
             match choice.filter(|_| self.charge_retry(&mut request, now)) {
                 Some(target) => self.leave_queue(ticket, request, target, now),
@@ -575,6 +583,19 @@
         }
     }
 
+    /// Keeps a request in the queue until answers that have arrived during a stall are read. That
+    /// happens once for each request, so that an instance that stalls often still refuses some.
+    fn postpone(&mut self, ticket: Ticket, mut request: Request) {
+        request.postponed = true;
+        let until = self.read_until.min(request.arrival.deadline);
+        if let State::Waiting { position, .. } = &request.state
+            && let Some(service) = self.services.get_mut(&request.service)
+        {
+            service.queue.postpone(*position, until);
+        }
+        self.requests.insert(ticket, request);
+    }
+
     /// Keeps a request that can't be refused in the queue, also for targets that were tried.
     fn wait_again(&mut self, ticket: Ticket, mut request: Request, now: Time) {
         request.tried.clear();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,10 @@
 /// transit to the target.
 const DRAIN_FRACTION: f64 = 0.6;
 
+/// Time after a stall of the instance in which it reads the answers that have arrived meanwhile. A
+/// waiting request may get the slot of one of them.
+const STALL_READ_TIME: Duration = Duration::from_millis(250);
+
 /// Identity of this instance.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -60,6 +64,8 @@
     list_restored: Option<Time>,
     list_lost: bool,
     list_read: bool,
+    /// Until when the instance reads what has arrived during its last stall.
+    pub(crate) read_until: Time,
     /// Whether the load balancer should stop sending callers.
     unready: bool,
     sequence: u64,
@@ -85,6 +91,7 @@
             list_restored: None,
             list_lost: false,
             list_read: false,
+            read_until: Time::ZERO,
             unready: false,
             sequence: 0,
             out: Vec::new(),
@@ -119,6 +126,7 @@
             Event::RolloutOrdered(order) => self.rollouts.add_order(order, now),
             Event::PeerUpdate(update) => self.apply_update(update, now),
             Event::Tick => self.tick(now),
+            Event::Stalled(_) => self.end_stall(now),
             Event::Stop => self.stopping = true,
         }
         std::mem::take(&mut self.out)
@@ -408,4 +416,9 @@
         self.dispatch_all_waiting(now);
         self.expire_waiting(now);
     }
+
+    /// Leaves time to read what has arrived during a stall.
+    fn end_stall(&mut self, now: Time) {
+        self.read_until = now + STALL_READ_TIME;
+    }
 }
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -33,6 +33,13 @@
         position
     }
 
+    /// Lets a request wait until `until`.
+    pub fn postpone(&mut self, position: Position, until: Time) {
+        if let Some(end) = self.waiting.get_mut(&position) {
+            *end = until;
+        }
+    }
+
     /// Removes a request.
     pub fn remove(&mut self, position: Position) {
         self.waiting.remove(&position);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -83,6 +83,8 @@
     pub(crate) held: bool,
     /// Whether its next attempt has not been charged to the retry budget yet.
     pub(crate) uncharged: bool,
+    /// Whether the end of its wait was postponed because of a stall of this instance.
+    pub(crate) postponed: bool,
     /// Targets at which attempts failed.
     pub(crate) tried: Vec<Index>,
     /// Units charged to the account's limit.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -16,4 +16,5 @@
 mod route;
 mod silence;
 mod sse;
+mod stalls;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/all/stalls.rs
@@ -0,0 +1,96 @@
+//! Times in which the instance itself did not run.
+
+use std::time::Duration;
+
+use sesamewind_gateway::{AttemptOutcome, Event, Ticket};
+
+use crate::support::{Bench, at, bench};
+
+/// Returns a gateway whose only target has no free slot, with the tickets there, and a request that
+/// waits since `at(100)`. Its wait ends at `at(550)`, its deadline is `at(12_100)`.
+fn full() -> (Bench, Vec<Ticket>, Ticket) {
+    let mut bench = bench(1, 0);
+    let running: Vec<_> = (0..4).map(|_| bench.arrive("urgent", 100, at(10))).collect();
+    assert!(running.iter().all(|ticket| bench.dispatch(*ticket).is_some()));
+    let waiting = bench.arrive("urgent", 100, at(100));
+    assert!(bench.dispatch(waiting).is_none());
+    (bench, running, waiting)
+}
+
+fn stall(bench: &mut Bench, start: u64, end: u64) {
+    bench.send(Event::Stalled(Duration::from_millis(end - start)), at(end));
+    bench.send(Event::Tick, at(end));
+}
+
+/// Guards against refusing a request after a stall, though an answer that has arrived meanwhile
+/// leaves it a slot.
+#[test]
+fn answers_that_arrived_during_a_stall_are_read_before_requests_are_refused() {
+    struct Case {
+        name: &'static str,
+        /// Starts and ends of stalls.
+        stalls: &'static [(u64, u64)],
+        /// Last tick before an answer is read.
+        tick: u64,
+        refused: bool,
+    }
+    let cases = [
+        Case { name: "no stall", stalls: &[], tick: 560, refused: true },
+        Case { name: "right after a stall", stalls: &[(300, 1_500)], tick: 1_500, refused: false },
+        Case { name: "a while after", stalls: &[(300, 1_500)], tick: 1_740, refused: false },
+        Case { name: "no answer", stalls: &[(300, 1_500)], tick: 1_760, refused: true },
+        Case { name: "deadline has passed", stalls: &[(300, 12_200)], tick: 12_200, refused: true },
+        Case {
+            name: "a stall after another",
+            stalls: &[(120, 320), (400, 1_500)],
+            tick: 1_500,
+            refused: false,
+        },
+        Case {
+            name: "stalls all the time",
+            stalls: &[(300, 500), (600, 800), (900, 1_100)],
+            tick: 1_100,
+            refused: true,
+        },
+    ];
+    for case in cases {
+        let (mut bench, running, waiting) = full();
+        for (start, end) in case.stalls {
+            stall(&mut bench, *start, *end);
+        }
+        bench.send(Event::Tick, at(case.tick));
+        assert_eq!(bench.refusal(waiting).is_some(), case.refused, "{}", case.name);
+        bench.end(running[0], AttemptOutcome::Whole, at(case.tick));
+        assert_eq!(bench.dispatch(waiting).is_some(), !case.refused, "{}", case.name);
+    }
+}
+
+/// Guards against refusing requests that have arrived during a stall because the queue is too long
+/// until the answers that have arrived with them are read.
+#[test]
+fn answers_that_arrived_during_a_stall_are_read_before_the_queue_is_shortened() {
+    struct Case {
+        name: &'static str,
+        stalled: bool,
+        refused: bool,
+    }
+    let cases = [
+        Case { name: "no stall", stalled: false, refused: true },
+        Case { name: "stall", stalled: true, refused: false },
+    ];
+    for case in cases {
+        let (mut bench, running, _) = full();
+        if case.stalled {
+            stall(&mut bench, 100, 400);
+        }
+        let arrived: Vec<_> = (0..40).map(|_| bench.arrive("urgent", 100, at(400))).collect();
+        let is_refused = arrived.iter().any(|ticket| bench.refusal(*ticket).is_some());
+        assert_eq!(is_refused, case.refused, "{}", case.name);
+        for ticket in running {
+            bench.end(ticket, AttemptOutcome::Whole, at(410));
+        }
+        bench.arrive("urgent", 100, at(700));
+        let is_refused = arrived.iter().any(|ticket| bench.refusal(*ticket).is_some());
+        assert!(is_refused, "{}: the queue is shortened later", case.name);
+    }
+}
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -121,9 +121,12 @@
         self.origin + time.since(Time::ZERO)
     }
 
-    /// Records that the event loop runs at `now`.
+    /// Records that the event loop runs at `now`, and passes a stall to the gateway.
     pub fn observe_turn(&self, now: Instant) {
-        self.watchdog.turn(now, self.with_gateway(Gateway::revision), &self.metrics);
+        let revision = self.with_gateway(Gateway::revision);
+        if let Some(length) = self.watchdog.turn(now, revision, &self.metrics) {
+            self.apply(Event::Stalled(length));
+        }
     }
 
     /// Returns an unused ticket for a new request.
@@ -150,8 +153,17 @@
         self.gateway.borrow_mut().peer_update(to, listed, checked, self.now())
     }
 
-    /// Passes an event to the gateway and delivers the resulting actions.
+    /// Passes an event to the gateway and delivers the resulting actions. A stall before the event is
+    /// passed on first.
     pub fn handle(&self, event: Event<'_>) {
+        // The turn after a new configuration tells whether the stall is due to it.
+        if !matches!(event, Event::Configured(_)) {
+            self.observe_turn(Instant::now());
+        }
+        self.apply(event);
+    }
+
+    fn apply(&self, event: Event<'_>) {
         let now = self.now();
         let actions = self.gateway.borrow_mut().handle(event, now);
         for Action { ticket, step } in actions {
--- a/crates/relay/src/watchdog.rs
+++ b/crates/relay/src/watchdog.rs
@@ -28,12 +28,12 @@
     }
 
     /// Records that the event loop runs at `now`, with the configuration `revision` in force.
-    /// Reports a stall.
-    pub fn turn(&self, now: Instant, revision: Revision, metrics: &Metrics) {
+    /// Reports a stall, and returns its length.
+    pub fn turn(&self, now: Instant, revision: Revision, metrics: &Metrics) -> Option<Duration> {
         let (last, before) = self.last_turn.replace((now, revision));
         let gap = now.duration_since(last);
         if gap < MIN_STALL {
-            return;
+            return None;
         }
         self.stall_end.set(Some(now));
         metrics.loop_stalled(gap);
@@ -44,6 +44,7 @@
             revision = revision.0;
             "event loop did not run"
         );
+        Some(gap)
     }
 
     /// Returns when the last stall ended, if that was after `start`.
--- a/tests/all/relay/silence.rs
+++ b/tests/all/relay/silence.rs
@@ -168,3 +168,27 @@
         }
     }
 }
+
+/// Guards against refusing requests that wait, though answers that leave them slots arrived while the
+/// instance was suspended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspended_instance_refuses_no_requests_before_it_reads_answers() {
+    let options = TargetOptions { delay: Duration::from_millis(60), ..TargetOptions::default() };
+    let testbed = Testbed::start_with(1, 0, options).await;
+    for round in 0..5 {
+        let mut answers = Vec::new();
+        for _ in 0..6 {
+            let (id, request) = testbed.request("/talk/x");
+            answers.push((id, tokio::spawn(request.send())));
+        }
+        until("four requests run", async || {
+            answers.iter().map(|(id, _)| testbed.models[0].runs(id)).sum::<usize>() == 4
+        })
+        .await;
+        testbed.gateway.pause(Duration::from_millis(1_000)).await;
+        for (id, answer) in answers {
+            let answer = answer.await.expect("the task ends").expect("the gateway answers");
+            assert_eq!(answer.status(), 200, "{round}: {:?}", testbed.trace(&id));
+        }
+    }
+}
