Don't take peers for lost after a stall of the instance

After a stall of 1.5 s an instance forgot the load of all its peers at the targets, and after one of 10 s the peers themselves, until their next updates; requests that had arrived meanwhile went to targets that were full. An exchange that was under way failed at once (peer_lost), and after a stall of 20 s the peer was given up.

These times were taken from the clock, which goes on in a stall.

The length of a stall is now added to the time at which each peer was last seen, and the timeouts of exchanges with peers count the time that the event loop runs. Account limits still count the whole time since a peer's last report, since what it used meanwhile is unknown.

The test of the gateway fails without the addition (cases "stall" and those after it).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -126,7 +126,7 @@
             Event::RolloutOrdered(order) => self.rollouts.add_order(order, now),
             Event::PeerUpdate(update) => self.apply_update(update, now),
             Event::Tick => self.tick(now),
-            Event::Stalled(_) => self.end_stall(now),
+            Event::Stalled(length) => self.end_stall(length, now),
             Event::Stop => self.stopping = true,
         }
         std::mem::take(&mut self.out)
@@ -417,8 +417,9 @@
         self.expire_waiting(now);
     }
 
-    /// Leaves time to read what has arrived during a stall.
-    fn end_stall(&mut self, now: Time) {
+    /// Leaves time to read what has arrived during a stall, which is no silence of peers either.
+    fn end_stall(&mut self, length: Duration, now: Time) {
+        self.peers.postpone(length, now);
         self.read_until = now + STALL_READ_TIME;
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -146,6 +146,13 @@
         true
     }
 
+    /// Leaves out a stall of this instance, which has ended now, from the silence of its peers.
+    pub(crate) fn postpone(&mut self, stall: Duration, now: Time) {
+        for peer in self.peers.values_mut() {
+            peer.last_seen = (peer.last_seen + stall).min(now);
+        }
+    }
+
     /// Removes the loads and memberships of silent peers.
     pub(crate) fn expire(&mut self, targets: &mut Targets, now: Time) {
         let before = self.peers.len();
--- a/crates/gateway/tests/all/stalls.rs
+++ b/crates/gateway/tests/all/stalls.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use sesamewind_gateway::{AttemptOutcome, Event, Ticket};
+use sesamewind_gateway::{AttemptOutcome, Event, Gateway, Ticket, Tuning};
+use sesamewind_protocol::Time;
+use sesamewind_protocol::relay::{RelayUpdate, TargetLoad};
 
-use crate::support::{Bench, at, bench};
+use crate::support::{Bench, at, bench, identity};
 
 /// Returns a gateway whose only target has no free slot, with the tickets there, and a request that
 /// waits since `at(100)`. Its wait ends at `at(550)`, its deadline is `at(12_100)`.
@@ -94,3 +96,48 @@
         assert!(is_refused, "{}: the queue is shortened later", case.name);
     }
 }
+
+/// Returns an update of a peer with four requests at the first target, which fill it.
+fn peer_update(now: Time) -> RelayUpdate {
+    let me = identity("i2", "z1");
+    let mut peer = Gateway::new(me, Tuning::default(), 8);
+    let mut update = peer.peer_update(&"i1".into(), Default::default(), now, now);
+    update.loads =
+        vec![TargetLoad { target: "m0".into(), requests: 4, prefill: 400, pause: 0, streams: 0 }];
+    update
+}
+
+/// Guards against sending requests to targets that peers have filled, since their updates were not
+/// read during a stall.
+#[test]
+fn the_load_of_peers_is_remembered_after_a_stall() {
+    struct Case {
+        name: &'static str,
+        stalls: &'static [(u64, u64)],
+        tick: u64,
+        remembered: bool,
+    }
+    let cases = [
+        Case { name: "just seen", stalls: &[], tick: 1_400, remembered: true },
+        Case { name: "silent", stalls: &[], tick: 1_600, remembered: false },
+        Case { name: "stall", stalls: &[(100, 2_000)], tick: 2_000, remembered: true },
+        Case { name: "long stall", stalls: &[(100, 30_000)], tick: 30_000, remembered: true },
+        Case { name: "silent after it", stalls: &[(100, 2_000)], tick: 3_500, remembered: false },
+        Case {
+            name: "several stalls",
+            stalls: &[(100, 1_300), (1_400, 2_600)],
+            tick: 2_600,
+            remembered: true,
+        },
+    ];
+    for case in cases {
+        let mut bench = bench(1, 0);
+        bench.send(Event::PeerUpdate(&peer_update(at(0))), at(0));
+        for (start, end) in case.stalls {
+            stall(&mut bench, *start, *end);
+        }
+        bench.send(Event::Tick, at(case.tick));
+        let ticket = bench.arrive("urgent", 100, at(case.tick));
+        assert_eq!(bench.dispatch(ticket).is_none(), case.remembered, "{}", case.name);
+    }
+}
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -3,7 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use sesamewind_gateway::{Action, Event, Gateway, Step, Ticket};
 use sesamewind_protocol::relay::{RelayUpdate, Topic};
@@ -11,7 +13,8 @@
 use sesamewind_runtime::clock::Clock;
 use tokio::sync::watch::{Receiver, Sender};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::Instant;
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, timeout};
 
 use crate::activity::Activity;
 use crate::journal::{self, Progress};
@@ -129,6 +132,31 @@
         }
     }
 
+    /// Returns the time that the instance has run since its start, without stalls.
+    pub fn run_time(&self) -> Duration {
+        let now = Instant::now();
+        self.observe_turn(now);
+        now.duration_since(self.origin).saturating_sub(self.watchdog.stalled())
+    }
+
+    /// Waits for `work`, for at most `limit` of the time that the instance runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Elapsed`] if `work` is not done by then.
+    pub async fn timeout<F: Future>(&self, limit: Duration, work: F) -> Result<F::Output, Elapsed> {
+        let mut work = pin!(work);
+        let end = self.run_time() + limit;
+        let mut left = limit;
+        loop {
+            let result = timeout(left, work.as_mut()).await;
+            left = end.saturating_sub(self.run_time());
+            if result.is_ok() || left.is_zero() {
+                return result;
+            }
+        }
+    }
+
     /// Returns an unused ticket for a new request.
     pub fn new_ticket(&self) -> Ticket {
         let ticket = self.next_ticket.get();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -22,7 +22,7 @@
 use sesamewind_protocol::relay::{RelayUpdate, RowsReply, RowsRequest, Topic};
 use sesamewind_protocol::{InstanceId, ZoneId};
 use sesamewind_settings::Secret;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::sleep;
 
 use crate::answer::{Answer, AnswerBody};
 use crate::driver::Driver;
@@ -112,7 +112,8 @@
     /// Calls a peer that is responsible for sending exchanges, so that it discovers this instance.
     async fn introduce(self: Rc<Self>, name: InstanceId, peer: KnownPeer) {
         for failures in 1..=INTRODUCTION_ATTEMPTS {
-            match timeout(EXCHANGE_TIMEOUT, self.exchange(&name, peer.address)).await {
+            let update = self.exchange(&name, peer.address);
+            match self.driver.timeout(EXCHANGE_TIMEOUT, update).await {
                 Ok(Ok(update)) => return self.receive(&update),
                 Ok(Err(err)) => log::debug!("introduction to {name} failed: {err}"),
                 Err(_) => log::debug!("introduction to {name} timed out"),
@@ -140,10 +141,11 @@
 
     async fn exchange_with(self: Rc<Self>, name: InstanceId, peer: KnownPeer) {
         let address = peer.address;
-        let mut last = Instant::now();
+        let mut last = self.driver.run_time();
         let mut failures: u32 = 0;
         while self.known.borrow().get(&name) == Some(&peer) {
-            match timeout(EXCHANGE_TIMEOUT, self.exchange(&name, address)).await {
+            let update = self.exchange(&name, address);
+            match self.driver.timeout(EXCHANGE_TIMEOUT, update).await {
                 Ok(Ok(update)) => {
                     if failures > 0 {
                         log::info!(
@@ -153,7 +155,7 @@
                             "peer reachable again"
                         );
                     }
-                    last = Instant::now();
+                    last = self.driver.run_time();
                     failures = 0;
                     self.receive(&update);
                 }
@@ -172,7 +174,7 @@
                         );
                         self.driver.metrics.dependency_lost("peer");
                     }
-                    if last.elapsed() > PEER_TIMEOUT {
+                    if self.driver.run_time() - last > PEER_TIMEOUT {
                         self.known.borrow_mut().remove(&name);
                         log::warn!(
                             event = "peer_given_up",
@@ -223,7 +225,8 @@
         address: SocketAddr,
         request: RowsRequest,
     ) -> Result<RowsReply, String> {
-        let reply = timeout(EXCHANGE_TIMEOUT, self.call(address, ROWS_PATH, &request)).await;
+        let reply = self.call(address, ROWS_PATH, &request);
+        let reply = self.driver.timeout(EXCHANGE_TIMEOUT, reply).await;
         reply.unwrap_or_else(|_| Err("timed out".to_owned()))
     }
 
--- a/crates/relay/src/watchdog.rs
+++ b/crates/relay/src/watchdog.rs
@@ -19,12 +19,18 @@
     /// Time of the last turn, and the configuration in force then.
     last_turn: Cell<(Instant, Revision)>,
     stall_end: Cell<Option<Instant>>,
+    /// Length of all stalls.
+    stalled: Cell<Duration>,
 }
 
 impl Watchdog {
     /// Creates a detector at `now`.
     pub fn new(now: Instant) -> Self {
-        Self { last_turn: Cell::new((now, Revision::default())), stall_end: Cell::new(None) }
+        Self {
+            last_turn: Cell::new((now, Revision::default())),
+            stall_end: Cell::default(),
+            stalled: Cell::default(),
+        }
     }
 
     /// Records that the event loop runs at `now`, with the configuration `revision` in force.
@@ -36,6 +42,7 @@
             return None;
         }
         self.stall_end.set(Some(now));
+        self.stalled.set(self.stalled.get() + gap);
         metrics.loop_stalled(gap);
         log::warn!(
             event = "loop_stalled",
@@ -47,6 +54,11 @@
         Some(gap)
     }
 
+    /// Returns the length of all stalls so far.
+    pub fn stalled(&self) -> Duration {
+        self.stalled.get()
+    }
+
     /// Returns when the last stall ended, if that was after `start`.
     pub fn stall_end_after(&self, start: Instant) -> Option<Instant> {
         self.stall_end.get().filter(|end| *end > start)
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -1,8 +1,9 @@
-//! Tests of the listener with sockets, without a gateway.
+//! Tests of the listener with sockets, and of stalls, without a process.
 
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
 mod closes;
 mod keep_alive;
 mod panics;
+mod stalls;
 mod support;
--- /dev/null
+++ b/crates/relay/tests/all/stalls.rs
@@ -0,0 +1,168 @@
+//! Times in which the event loop did not run.
+
+use std::rc::Rc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, request, response};
+use sesamewind_gateway::gateway::Identity;
+use sesamewind_gateway::table::Rejection;
+use sesamewind_gateway::{AttemptOutcome, Gateway, Refusal, Tuning};
+use sesamewind_protocol::Incarnation;
+use sesamewind_relay::answer::Answer;
+use sesamewind_relay::driver::Driver;
+use sesamewind_relay::wire_format::{
+    AnswerClass, CallerHead, ForwardHead, RequestError, TargetNotice, WireFormat,
+};
+use sesamewind_runtime::clock::Clock;
+use tokio::sync::oneshot;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{interval, sleep};
+
+/// A wire format for tests without requests.
+#[derive(Debug)]
+struct NoFormat;
+
+impl WireFormat for NoFormat {
+    fn read_caller(&self, _: &request::Parts) -> Result<CallerHead, RequestError> {
+        unreachable!()
+    }
+
+    fn target_headers(&self, _: &request::Parts, _: &ForwardHead<'_>) -> HeaderMap {
+        unreachable!()
+    }
+
+    fn classify_answer(&self, _: &response::Parts, _: &str) -> AnswerClass {
+        unreachable!()
+    }
+
+    fn target_notice(&self, _: &response::Parts, _: &str) -> TargetNotice {
+        unreachable!()
+    }
+
+    fn keep_alive(&self, _: &response::Parts) -> Option<Duration> {
+        unreachable!()
+    }
+
+    fn answer_headers(&self, _: HeaderMap) -> HeaderMap {
+        unreachable!()
+    }
+
+    fn refused(&self, _: &Refusal) -> Answer {
+        unreachable!()
+    }
+
+    fn rejected(&self, _: Rejection) -> Answer {
+        unreachable!()
+    }
+
+    fn malformed(&self, _: RequestError) -> Answer {
+        unreachable!()
+    }
+
+    fn too_large(&self) -> Answer {
+        unreachable!()
+    }
+
+    fn failed(&self, _: AttemptOutcome) -> Answer {
+        unreachable!()
+    }
+}
+
+/// Starts a driver whose event loop is observed all the time.
+fn driver() -> Rc<Driver> {
+    let me = Identity {
+        instance: "i1".into(),
+        incarnation: Incarnation(1),
+        zone: "z1".into(),
+        address: "127.0.0.1:7600".into(),
+    };
+    let gateway = Gateway::new(me, Tuning::default(), 7);
+    let driver = Rc::new(Driver::new(gateway, Clock::start(), Rc::new(NoFormat)));
+    let observed = Rc::clone(&driver);
+    spawn_local(async move {
+        let mut tick = interval(Duration::from_millis(20));
+        loop {
+            observed.observe_turn(tick.tick().await);
+        }
+    });
+    driver
+}
+
+/// Returns a message that another thread sends after `delay`, and that passes through several tasks
+/// as one from a socket does; it never comes without a delay.
+async fn message(delay: Option<Duration>) {
+    let (sender, mut receiver) = oneshot::channel();
+    let Some(delay) = delay else { return std::future::pending().await };
+    thread::spawn(move || {
+        thread::sleep(delay);
+        let _ = sender.send(());
+    });
+    for _ in 0..5 {
+        let (sender, next) = oneshot::channel();
+        let received = std::mem::replace(&mut receiver, next);
+        spawn_local(async move {
+            if received.await.is_ok() {
+                let _ = sender.send(());
+            }
+        });
+    }
+    receiver.await.expect("the message is passed on");
+}
+
+/// Guards against taking a peer for lost since its answer arrived during a stall of this instance.
+#[tokio::test]
+async fn a_timeout_counts_the_time_that_the_event_loop_runs() {
+    struct Case {
+        name: &'static str,
+        stall: Option<(u64, u64)>,
+        delay: Option<u64>,
+        in_time: bool,
+        /// Fewest milliseconds that the wait takes.
+        least: u64,
+    }
+    const LIMIT: u64 = 300;
+    let cases = [
+        Case { name: "in time", stall: None, delay: Some(200), in_time: true, least: 200 },
+        Case { name: "too late", stall: None, delay: Some(1_000), in_time: false, least: 300 },
+        Case {
+            name: "arrives in a stall",
+            stall: Some((100, 600)),
+            delay: Some(400),
+            in_time: true,
+            least: 600,
+        },
+        Case {
+            name: "arrives after a stall",
+            stall: Some((100, 600)),
+            delay: Some(700),
+            in_time: true,
+            least: 700,
+        },
+        Case {
+            name: "never arrives",
+            stall: Some((100, 600)),
+            delay: None,
+            in_time: false,
+            least: 780,
+        },
+    ];
+    for Case { name, stall, delay, in_time, least } in cases {
+        let run = async {
+            let driver = driver();
+            if let Some((start, end)) = stall {
+                spawn_local(async move {
+                    sleep(Duration::from_millis(start)).await;
+                    thread::sleep(Duration::from_millis(end - start));
+                });
+            }
+            let start = Instant::now();
+            let work = message(delay.map(Duration::from_millis));
+            let done = driver.timeout(Duration::from_millis(LIMIT), work).await;
+            assert_eq!(done.is_ok(), in_time, "{name}");
+            let took = start.elapsed();
+            assert!(took >= Duration::from_millis(least), "{name}: {took:?}");
+        };
+        LocalSet::new().run_until(run).await;
+    }
+}
