Ask about silent targets in an instance that stalls often

An instance whose event loop stalls every 250 ms never asked the gateway about a silent target: its callers waited until the deadline though another target was free.

After each stall the silence was set back to 250 ms before its limit, and a wait counted only from the end of its last stall, often nothing.

A wait now counts all of the time that the event loop ran, and the stalls during one silence postpone the question by at most 500 ms.

Process test: one of two targets hangs within a stream, and the process is suspended for 170 ms of every 300.

--- a/crates/relay/src/silence.rs
+++ b/crates/relay/src/silence.rs
@@ -17,40 +17,61 @@
 /// meanwhile is read.
 const STALL_WAIT: Duration = Duration::from_millis(250);
 
+/// Longest time by which the stalls during one silence postpone the question to the gateway, so that
+/// an instance that stalls again and again still asks it.
+const MAX_POSTPONED: Duration = Duration::from_millis(500);
+
 /// Time without progress of an attempt, while this instance was waiting for it.
 #[derive(Debug, Default)]
 pub struct Silence {
     length: Duration,
     /// Length at which the gateway was last asked.
     asked: Option<Duration>,
+    /// Time by which the question was postponed.
+    postponed: Duration,
+}
+
+/// A wait for the next part of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Wait {
+    /// Time that the instance ran during the wait.
+    pub ran: Duration,
+    /// Time since the end of the last stall during the wait; none if there was no stall.
+    pub since_stall: Option<Duration>,
 }
 
 impl Silence {
-    /// Returns the length at which the gateway is asked; none if it never is.
-    fn limit(&self, dispatch: &Dispatch) -> Option<Duration> {
-        self.asked.map(|asked| asked + ASK_INTERVAL).or(dispatch.silence_timeout)
+    /// Returns the length at which the gateway is asked, if `timeout` is the silence timeout of the
+    /// attempt; none if it never is.
+    fn limit(&self, timeout: Option<Duration>) -> Option<Duration> {
+        self.asked.map(|asked| asked + ASK_INTERVAL).or(timeout)
     }
 
     /// Returns the time left until the gateway is asked; none if it never is.
-    fn time_left(&self, dispatch: &Dispatch) -> Option<Duration> {
-        self.limit(dispatch).map(|limit| limit.saturating_sub(self.length))
+    pub fn time_left(&self, timeout: Option<Duration>) -> Option<Duration> {
+        self.limit(timeout).map(|limit| limit.saturating_sub(self.length))
     }
 
-    /// Adds a wait from `start` to `now`. What came before the end of a stall, at `stall_end`, is not
-    /// counted, since data may have arrived meanwhile.
-    fn add(
-        &mut self,
-        dispatch: &Dispatch,
-        start: Instant,
-        stall_end: Option<Instant>,
-        now: Instant,
-    ) {
-        if stall_end.is_some()
-            && let Some(limit) = self.limit(dispatch)
-        {
-            self.length = self.length.min(limit.saturating_sub(STALL_WAIT));
+    /// Adds a wait. After a stall, data that has arrived meanwhile may not have been read yet, so the
+    /// gateway is not asked for a while.
+    pub fn add(&mut self, timeout: Option<Duration>, wait: Wait) {
+        let Some(since_stall) = wait.since_stall else {
+            self.length += wait.ran;
+            return;
+        };
+        self.length += wait.ran.saturating_sub(since_stall);
+        if let Some(limit) = self.limit(timeout) {
+            let excess = self.length.saturating_sub(limit.saturating_sub(STALL_WAIT));
+            let postponed = excess.min(MAX_POSTPONED - self.postponed);
+            self.length -= postponed;
+            self.postponed += postponed;
         }
-        self.length += now.duration_since(stall_end.unwrap_or(start));
+        self.length += since_stall;
+    }
+
+    /// Records that the gateway is asked. Returns whether that is the first time.
+    pub fn ask(&mut self) -> bool {
+        self.asked.replace(self.length).is_none()
     }
 }
 
@@ -71,18 +92,20 @@
         let deadline = self.driver.instant(dispatch.deadline);
         loop {
             let start = Instant::now();
-            let ask_at = silence.time_left(dispatch).map_or(deadline, |left| start + left);
+            let left = silence.time_left(dispatch.silence_timeout);
+            let ask_at = left.map_or(deadline, |left| start + left);
+            let stalled = self.driver.watchdog.stalled();
             let part = timeout_at(ask_at.min(deadline), next.as_mut()).await;
             let now = Instant::now();
             self.driver.observe_turn(now);
-            let stall_end = self.driver.watchdog.stall_end_after(start);
-            silence.add(dispatch, start, stall_end, now);
+            let wait = self.driver.watchdog.wait(start, stalled, now);
+            silence.add(dispatch.silence_timeout, wait);
             match part {
                 Ok(part) => return Ok(part),
                 Err(_) if now >= deadline => {
                     return Err(AttemptEnd::Outcome(AttemptOutcome::Expired));
                 }
-                Err(_) if stall_end.is_some() => {}
+                Err(_) if silence.time_left(dispatch.silence_timeout) > Some(Duration::ZERO) => {}
                 Err(_) => self.ask(dispatch, silence).await?,
             }
         }
@@ -103,7 +126,7 @@
         if let Ok(Step::Dispatch(next)) = step.await {
             return Err(AttemptEnd::Moved(next));
         }
-        if silence.asked.replace(silence.length).is_none() {
+        if silence.ask() {
             journal::target_silent(self, dispatch, silence.length);
         }
         Ok(())
--- a/crates/relay/src/watchdog.rs
+++ b/crates/relay/src/watchdog.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::metrics::Metrics;
+use crate::silence::Wait;
 
 /// Time without a turn of the event loop after which the instance counts as stalled: several times
 /// the interval of its ticks.
@@ -59,9 +60,14 @@
         self.stalled.get()
     }
 
-    /// Returns when the last stall ended, if that was after `start`.
-    pub fn stall_end_after(&self, start: Instant) -> Option<Instant> {
-        self.stall_end.get().filter(|end| *end > start)
+    /// Returns what is known of a wait from `start`, when the length of all stalls was `stalled`, to
+    /// `now`.
+    pub fn wait(&self, start: Instant, stalled: Duration, now: Instant) -> Wait {
+        let stall_end = self.stall_end.get().filter(|end| *end > start);
+        Wait {
+            ran: now.duration_since(start).saturating_sub(self.stalled.get() - stalled),
+            since_stall: stall_end.map(|end| now.duration_since(end)),
+        }
     }
 }
 
--- a/crates/relay/tests/all/stalls.rs
+++ b/crates/relay/tests/all/stalls.rs
@@ -11,6 +11,7 @@
 use sesamewind_protocol::Incarnation;
 use sesamewind_relay::answer::Answer;
 use sesamewind_relay::driver::Driver;
+use sesamewind_relay::silence::{Silence, Wait};
 use sesamewind_relay::wire_format::{
     AnswerClass, CallerHead, ForwardHead, RequestError, TargetNotice, WireFormat,
 };
@@ -166,3 +167,51 @@
         LocalSet::new().run_until(run).await;
     }
 }
+
+/// Guards against never asking about a silent target since stalls come one after the other, and
+/// against asking before data that has arrived during a stall can have been read.
+#[test]
+fn silence_is_counted_while_the_event_loop_runs() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds that the event loop runs before each stall, and those of the stall.
+        run: u64,
+        stall: u64,
+        /// Milliseconds for which it has run when the gateway is asked.
+        asked: u64,
+        /// Milliseconds since the last stall at that time.
+        since: u64,
+    }
+    const TIMEOUT: Duration = Duration::from_millis(1_000);
+    let cases = [
+        Case { name: "no stall", run: 9_000, stall: 0, asked: 1_000, since: 1_000 },
+        Case { name: "early", run: 600, stall: 2_000, asked: 1_000, since: 400 },
+        Case { name: "late", run: 900, stall: 1_200, asked: 1_150, since: 250 },
+        Case { name: "every 250 ms", run: 100, stall: 150, asked: 1_500, since: 0 },
+        Case { name: "most of the time", run: 40, stall: 210, asked: 1_500, since: 20 },
+    ];
+    for Case { name, run, stall, asked, since } in cases {
+        let is_stalled = |now: u64| now % (run + stall) >= run;
+        let mut silence = Silence::default();
+        let (mut now, mut ran, mut since_stall) = (0, 0, 0);
+        while let Some(left) = silence.time_left(Some(TIMEOUT)).filter(|left| !left.is_zero()) {
+            let end = now + left.as_millis() as u64;
+            let (before, mut has_stalled) = (ran, false);
+            while now < end || is_stalled(now) {
+                if is_stalled(now) {
+                    (has_stalled, since_stall) = (true, 0);
+                } else {
+                    (ran, since_stall) = (ran + 1, since_stall + 1);
+                }
+                now += 1;
+                assert!(now < 60_000, "{name}: the gateway is never asked");
+            }
+            let wait = Wait {
+                ran: Duration::from_millis(ran - before),
+                since_stall: has_stalled.then_some(Duration::from_millis(since_stall)),
+            };
+            silence.add(Some(TIMEOUT), wait);
+        }
+        assert_eq!((ran, since_stall), (asked, since), "{name}");
+    }
+}
--- a/tests/all/relay/silence.rs
+++ b/tests/all/relay/silence.rs
@@ -192,3 +192,20 @@
         }
     }
 }
+
+/// Guards against never moving a stream from a silent target, since the instance stalls often.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_stalls_often_moves_a_stream_from_a_silent_target() {
+    let options = TargetOptions::default();
+    options.script.extend(&[Hang(2)]);
+    let testbed = Testbed::start_with(2, 0, options).await;
+    let (id, answer) = testbed.send("/talk/x").await;
+    let stream = tokio::spawn(answer.text());
+    while !stream.is_finished() {
+        testbed.gateway.pause(Duration::from_millis(170)).await;
+        tokio::time::sleep(Duration::from_millis(130)).await;
+    }
+    let text = stream.await.expect("the task ends").ok();
+    let want: String = (1..=5).map(|number| event(&id, number)).collect();
+    assert_eq!(text, Some(want), "{:?}", testbed.trace(&id));
+}
