Write the stand-in's answers at once where they don't pause

An answer whose end arrives together with its first byte is the harder case: the attempt may end before the caller's connection has written anything. The tests pass as before.

--- a/crates/standins/src/relay/wire.rs
+++ b/crates/standins/src/relay/wire.rs
@@ -79,7 +79,8 @@
     pub extent: Extent,
     /// What happens to the connection then.
     pub end: End,
-    /// Silence before the second event, and before the end, in milliseconds.
+    /// Silence before the second event, and before the end, in milliseconds. Without it, the answer
+    /// is written at once.
     pub pause: u64,
 }
 
@@ -210,13 +211,17 @@
             let answer = self.script.next();
             let parts = self.parts(answer, &request);
             lock(&self.received).push(request);
-            for (number, part) in parts.iter().enumerate() {
-                if number == 2 {
-                    pause(answer).await;
+            if answer.pause == 0 {
+                stream.write_all(parts.concat().as_bytes()).await?;
+            } else {
+                for (number, part) in parts.iter().enumerate() {
+                    if number == 2 {
+                        sleep(Duration::from_millis(answer.pause)).await;
+                    }
+                    stream.write_all(part.as_bytes()).await?;
                 }
-                stream.write_all(part.as_bytes()).await?;
+                sleep(Duration::from_millis(answer.pause)).await;
             }
-            pause(answer).await;
             match answer.end {
                 End::Keep => {}
                 End::Close => return stream.shutdown().await,
@@ -286,12 +291,6 @@
     }
 }
 
-async fn pause(answer: WireAnswer) {
-    if answer.pause > 0 {
-        sleep(Duration::from_millis(answer.pause)).await;
-    }
-}
-
 /// Returns the value of a header.
 fn header<'a>(head: &'a str, wanted: &str) -> Option<&'a str> {
     head.lines().find_map(|line| {
