Keep the soak's callers and targets running while a process starts

The gateways had ended all four requests at their deadlines (the first 4.002 s after it was sent to its first target), but their callers saw it up to 1.1 s later, all within 3 ms. From 28.2 to 31.5 s no request was served at any of the five instances, while their timers ran. g0 had exited at 28.11 s, and the first line of its next process is of 31.53 s.

Cause: the state of a process was locked while the process was started or killed, and each caller reads the number of the incarnation behind that lock. A slow start so blocked one thread of the runtime after the other, and with them the callers, targets and proxies, which run in the same program. Why that start was slow is not known.

Now the number is read without the lock, and starting, killing and writing settings don't hold up a thread of the runtime. No check is changed.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -4,12 +4,13 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError, TryLockError};
 use std::time::{Duration, Instant};
 
 use sesamewind_standins::proxy::FaultProxy;
 use sesamewind_standins::relay::settings::{GRACE, GatewaySettings};
+use tokio::task::block_in_place;
 use tokio::time::sleep;
 
 /// Text of the log line that a process writes once it handles signals.
@@ -69,13 +70,15 @@
     pub callers: FaultProxy,
     program: PathBuf,
     settings: PathBuf,
+    /// Number of the current incarnation. Callers read it often, and must not wait for `state`,
+    /// which is locked while a process is started or killed.
+    incarnation: AtomicU32,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     child: Option<Child>,
-    incarnation: u32,
     /// Whether the process was told to stop.
     stopping: bool,
     reloads: u32,
@@ -105,6 +108,7 @@
             callers: FaultProxy::start(at(CALLERS_PORT)).await,
             program: program.to_owned(),
             settings: folder.join(format!("g{number}.toml")),
+            incarnation: AtomicU32::new(0),
             state: Mutex::default(),
         }
     }
@@ -115,7 +119,7 @@
 
     /// Returns the number of the current incarnation.
     pub fn incarnation(&self) -> u32 {
-        self.state().incarnation
+        self.incarnation.load(Ordering::Relaxed)
     }
 
     /// Returns whether the process may not handle signals yet.
@@ -134,14 +138,18 @@
     ///
     /// Panics if the process can't be started.
     pub fn start(&self) {
+        block_in_place(|| self.spawn());
+    }
+
+    fn spawn(&self) {
         let mut state = self.state();
         if state.child.is_some() {
             return;
         }
-        state.incarnation += 1;
+        let incarnation = self.incarnation.fetch_add(1, Ordering::Relaxed) + 1;
         state.stopping = false;
-        self.write_settings(state.incarnation == 1, state.reloads);
-        let log = self.log_path(state.incarnation);
+        self.write_settings(incarnation == 1, state.reloads);
+        let log = self.log_path(incarnation);
         let child = Command::new(&self.program)
             .arg(&self.settings)
             .env("SESAMEWIND_PEER_TOKEN", "token-between-instances")
@@ -176,7 +184,7 @@
     pub fn reload(&self) {
         let mut state = self.state();
         state.reloads += 1;
-        self.write_settings(state.incarnation == 1, state.reloads);
+        block_in_place(|| self.write_settings(self.incarnation() == 1, state.reloads));
         drop(state);
         self.signal(libc::SIGHUP);
     }
@@ -205,9 +213,11 @@
             return false;
         }
         let Some(mut child) = state.child.take() else { return false };
-        // Errors are ignored, since the process may have just exited on its own.
-        let _ = child.kill();
-        let _ = child.wait();
+        block_in_place(|| {
+            // Errors are ignored, since the process may have just exited on its own.
+            let _ = child.kill();
+            let _ = child.wait();
+        });
         true
     }
 
@@ -240,9 +250,14 @@
         Some((status, start.elapsed()))
     }
 
-    /// Returns the status of a process that has exited on its own.
+    /// Returns the status of a process that has exited on its own; none also while it is being
+    /// started or killed.
     pub fn unexpected_exit(&self) -> Option<ExitStatus> {
-        let mut state = self.state();
+        let mut state = match self.state.try_lock() {
+            Ok(state) => state,
+            Err(TryLockError::Poisoned(err)) => err.into_inner(),
+            Err(TryLockError::WouldBlock) => return None,
+        };
         if state.stopping {
             return None;
         }
