Test that a request that may run once is sent once on a connection that ends

Requests of routes that may run at most once go over a connection that has served a request before, and the target closes or resets it: without a byte, within the head, or after the head of an answer without a length. Each gets a 502, is sent once, and the caller's connection serves the next request.

--- a/tests/all/relay/unframed.rs
+++ b/tests/all/relay/unframed.rs
@@ -460,6 +460,44 @@
     }
 }
 
+/// Guards against sending a request again that may run only once, because the connection it was
+/// sent on had been used before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_may_run_once_is_sent_once_on_a_connection_that_ends() {
+    let ends = [
+        (Extent::Nothing, End::Close),
+        (Extent::Nothing, End::Reset),
+        (Extent::HalfHead, End::Close),
+        (Extent::HalfHead, End::Reset),
+        (Extent::Head, End::Reset),
+    ];
+    for (path, is_stream) in [(PAY, false), (ONCE_STREAM, true)] {
+        let service = if is_stream { "model" } else { "plain" };
+        for (extent, end) in ends {
+            let testbed = Testbed::start(0, 0).await;
+            let cut = WireAnswer { framing: Framing::Unframed, extent, end, pause: 0 };
+            let script = WireScript::new(&[WireAnswer::WHOLE, cut]);
+            let entry = WireEntry { id: "i-w0", service, stream: is_stream };
+            let target = WireTarget::start(entry, script, &testbed.store).await;
+            testbed.wait_listed(1).await;
+            let mut connection = connect(&testbed).await;
+            let mut statuses = Vec::new();
+            for id in ["before", "cut", "after"] {
+                let seen = exchange(&mut connection, path, id, Caller::Keep).await;
+                let Seen::Complete(status, _) = seen else {
+                    panic!("{path} {extent:?} {end:?} {id}: {seen:?}, {:?}", testbed.trace(id));
+                };
+                statuses.push(status);
+            }
+            assert_eq!(statuses, [200, 502, 200], "{path} {extent:?} {end:?}");
+            let received = target.received();
+            let sent: Vec<_> =
+                received.iter().map(|one| (one.id.as_str(), one.connection)).collect();
+            assert_eq!(sent, [("before", 1), ("cut", 1), ("after", 2)], "{extent:?} {end:?}");
+        }
+    }
+}
+
 /// Guards against breaking off a stream that has nothing left to send to a caller that resumes it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_that_is_resumed_after_its_last_event_ends() {
