Test each way to send a request beside a change of limits

Callers reported requests without an answer beside changes of the configuration. A change of the head limit rebuilds the HTTP library's connection, which drops its buffers, so these tests look for a request or an answer lost there: pipelined requests, parts of a head that come early, bodies in parts, invited bodies, last requests and HTTP/1.0, each with four changes of limits at four moments, and an answer of 8 MiB that is being written.

A caller that ends its sending side after a whole request gets no answer, as before: a socket can't tell it from one that has closed its connection, after which a target must not go on working.

--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -3,6 +3,7 @@
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
 mod closes;
+mod exchanges;
 mod keep_alive;
 mod panics;
 mod stalls;
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -165,6 +165,21 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
+    /// Reads an answer with a body of `length` bytes, and returns its head.
+    pub async fn read_answer(&mut self, length: usize) -> String {
+        let mut bytes = Vec::new();
+        loop {
+            let head = bytes.windows(4).position(|part| part == b"\r\n\r\n");
+            if let Some(head) = head.filter(|head| bytes.len() >= head + 4 + length) {
+                assert_eq!(bytes.len(), head + 4 + length, "more bytes than one answer");
+                return String::from_utf8_lossy(&bytes[..head]).into_owned();
+            }
+            let read = timeout(WAIT_TIMEOUT, self.0.read_buf(&mut bytes)).await;
+            let read = read.expect("bytes in time").expect("no reset");
+            assert!(read > 0, "the connection ended after {} bytes", bytes.len());
+        }
+    }
+
     /// Returns whether the connection ends within `limit` without further bytes.
     pub async fn ends_within(&mut self, limit: Duration) -> bool {
         matches!(timeout(limit, self.0.read(&mut [0; 16])).await, Ok(Ok(0)))
