Test that callers learn how long an idle connection is kept

A request that is sent while its connection is being closed for idle time gets neither an answer nor a refusal, and its caller can't know whether it has run. Answers don't say how long their connections are kept, so that a caller which keeps one open for the whole idle time meets the close.

--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -392,3 +392,91 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Guards against a request that crosses the close of its connection, since its caller can't know the idle time.
+#[tokio::test]
+async fn an_answer_says_how_long_its_connection_is_kept() {
+    struct Case {
+        name: &'static str,
+        idle: Duration,
+        request: String,
+        phase: Phase,
+        announced: Option<&'static str>,
+    }
+    let second = Duration::from_secs(1);
+    let cases = [
+        Case {
+            name: "whole answer",
+            idle: second * 15,
+            request: GET.into(),
+            phase: Phase::Serving,
+            announced: Some("timeout=14"),
+        },
+        Case {
+            name: "stream",
+            idle: second * 9 / 2,
+            request: GET.replace("/x", "/stream"),
+            phase: Phase::Serving,
+            announced: Some("timeout=3"),
+        },
+        Case {
+            name: "time too short",
+            idle: second * 3 / 2,
+            request: GET.into(),
+            phase: Phase::Serving,
+            announced: None,
+        },
+        Case {
+            name: "last request",
+            idle: second * 15,
+            request: GET.replace("host:", "connection: close\r\nhost:"),
+            phase: Phase::Serving,
+            announced: None,
+        },
+        Case {
+            name: "HTTP/1.0",
+            idle: second * 15,
+            request: GET.replace("1.1", "1.0"),
+            phase: Phase::Serving,
+            announced: None,
+        },
+        Case {
+            name: "stop",
+            idle: second * 15,
+            request: GET.into(),
+            phase: Phase::Closing,
+            announced: None,
+        },
+    ];
+    for case in cases {
+        let run = async {
+            let (listener, mut caller) = connect(limits(case.idle)).await;
+            listener.phase.send_replace(case.phase);
+            caller.send(&case.request).await;
+            let mut text = String::new();
+            while !text.contains(DONE) {
+                text += &caller.read_part().await;
+            }
+            let head = text.to_lowercase();
+            let value = head.lines().find_map(|line| line.strip_prefix("keep-alive: "));
+            assert_eq!(value, case.announced, "{}: {text}", case.name);
+        };
+        LocalSet::new().run_until(run).await;
+    }
+}
+
+/// Guards against a shorter idle time that is configured after an answer has announced a longer one.
+#[tokio::test]
+async fn a_connection_is_kept_for_the_announced_time_despite_a_change() {
+    let run = async {
+        let (listener, mut caller) = connect(limits(Duration::from_secs(3))).await;
+        caller.send(&GET.replace("/x", "/stream")).await;
+        sleep(IDLE * 2).await;
+        listener.set_limits(limits(IDLE));
+        caller.read_until(STREAM_END).await;
+        sleep(Duration::from_millis(1_900)).await;
+        call(&mut caller, "within the announced time").await;
+        assert!(caller.ends_within(IDLE * 5).await, "the next idle time is the shorter one");
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/crates/relay/tests/all/support.rs
+++ b/crates/relay/tests/all/support.rs
@@ -165,6 +165,15 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
+    /// Reads some bytes.
+    pub async fn read_part(&mut self) -> String {
+        let mut part = vec![0; 1_024];
+        let read = timeout(WAIT_TIMEOUT, self.0.read(&mut part)).await;
+        let bytes = read.expect("bytes in time").expect("no reset");
+        assert!(bytes > 0, "the connection ended");
+        String::from_utf8_lossy(&part[..bytes]).into_owned()
+    }
+
     /// Reads an answer with a body of `length` bytes, and returns its head.
     pub async fn read_answer(&mut self, length: usize) -> String {
         let mut bytes = Vec::new();
