Announce how long idle connections are kept, and keep them so long

A request that was sent as its connection was being closed for idle time got neither an answer nor a refusal, with or without a change of the configuration. Its caller could not know when the connection ends: answers did not say so.

Answers that are not the last of their connection now have 'Keep-Alive: timeout=N', where N is at least 1 s below the idle time, so that callers who respect it stop using the connection, or close it, before this instance does. A connection is kept for what its last answer announced, also if a shorter idle time is configured meanwhile. Idle times below 2 s are not announced, since the field has whole seconds. Callers that ignore the field can still cross a close.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -89,6 +90,8 @@
     body_ended: Cell<bool>,
     /// Which side said that no request follows the current one.
     last: Cell<Option<Side>>,
+    /// Idle time that the last answer has announced; zero if it has announced none.
+    kept: Cell<Duration>,
     caller_side: Cell<CallerSide>,
     /// Bytes that were written to the socket since the head of the last request was read.
     written: Cell<u64>,
@@ -130,6 +133,7 @@
             blocked: Cell::new(None),
             body_ended: Cell::new(false),
             last: Cell::new(None),
+            kept: Cell::new(Duration::ZERO),
             caller_side: Cell::new(CallerSide::Open),
             written: Cell::new(0),
             request: RefCell::default(),
@@ -235,6 +239,16 @@
         self.last.get()
     }
 
+    /// Records that the current answer announces that its connection is kept for `idle`.
+    pub(crate) fn set_kept(&self, idle: Duration) {
+        self.kept.set(idle);
+    }
+
+    /// Returns the idle time that the last answer has announced; zero if it has announced none.
+    pub fn kept(&self) -> Duration {
+        self.kept.get()
+    }
+
     /// Records whether the body of the current request was read to its end.
     pub(crate) fn set_body_ended(&self, ended: bool) {
         self.body_ended.set(ended);
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -49,6 +49,10 @@
 /// Number of bytes that are read after the last answer of a connection.
 const MAX_LINGER_BYTES: u64 = 16 << 20;
 
+/// Difference between the idle time of a connection and the shorter one that its answers announce,
+/// in which a request may be on its way.
+const CLOSE_MARGIN: Duration = Duration::from_secs(1);
+
 /// Answer to a head that did not arrive in time. Its request has not run.
 const HEAD_TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -120,7 +124,7 @@
             return Verdict::Close(CloseReason::Stop);
         }
         Usage::Idle if is_stopping => (CloseReason::Stop, limits.head_timeout),
-        Usage::Idle => (CloseReason::Idle, limits.idle_timeout),
+        Usage::Idle => (CloseReason::Idle, limits.idle_timeout.max(activity.kept())),
     };
     Verdict::until(since + limit, reason, now)
 }
@@ -137,6 +141,22 @@
     options.any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
+/// Tells the caller how long the connection is kept after this answer. The protocol has whole
+/// seconds only, so a short time is not announced.
+fn announce_idle_time(headers: &mut HeaderMap, idle_timeout: Duration, activity: &Activity) {
+    let announced = Duration::from_secs(idle_timeout.saturating_sub(CLOSE_MARGIN).as_secs());
+    if announced.is_zero() {
+        activity.set_kept(Duration::ZERO);
+        return;
+    }
+    activity.set_kept(announced + CLOSE_MARGIN);
+    let value = format!("timeout={}", announced.as_secs());
+    if let Ok(value) = HeaderValue::from_str(&value) {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("keep-alive"));
+        headers.insert("keep-alive", value);
+    }
+}
+
 /// Answers a request whose task has panicked. It may have run.
 fn panic_answer() -> Answer {
     let mut answer = Answer::new(AnswerBody::Whole(Bytes::new()));
@@ -160,6 +180,7 @@
     handler: impl Fn(Request<RequestBody>) -> F,
     activity: Rc<Activity>,
     phase: watch::Receiver<Phase>,
+    limits: &dyn Fn() -> Limits,
 ) -> Result<http::Response<WatchedBody>, Infallible>
 where
     F: Future<Output = Answer>,
@@ -186,6 +207,9 @@
     if !has_chunks && answer.body().size_hint().exact().is_none() {
         activity.set_unframed();
     }
+    if activity.last().is_none() {
+        announce_idle_time(answer.headers_mut(), limits().idle_timeout, &activity);
+    }
     let unsent = is_head || is_bodiless(answer.status());
     Ok(answer.map(|body| WatchedBody::new(body, unsent, activity)))
 }
@@ -257,8 +281,9 @@
     };
     let service = {
         let (activity, phase) = (Rc::clone(&activity), phase.clone());
+        let limits = grant.current;
         service_fn(move |request| {
-            respond(request, handler.clone(), Rc::clone(&activity), phase.clone())
+            respond(request, handler.clone(), Rc::clone(&activity), phase.clone(), limits)
         })
     };
     let mut stream = WatchedStream::new(stream, Rc::clone(&activity));
