Leave stalls of the instance out of the times of targets

A stall of the instance counted as time that targets took: for the first byte (the latency ratio of the target and the evidence on versions), the pace of a stream, and the pauses that decide where long streams go. After a suspension of 600 ms in a stream, the target's average pause was logged as 606 ms, with 30 ms between events.

Data that arrived during a stall is read after its end, and the time was taken when it was read.

What is read within 250 ms after a stall is now taken to have been read as if the stall had not been, if it was awaited before. A stall in the middle of a time is not left out, since the target goes on meanwhile and a part that is read at once later shows when it was sent; that also keeps the evidence of an instance that stalls often. `pause_ms` and `first_ms` in the log are what the caller saw, as before.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -120,6 +120,9 @@
     }
 
     pub(crate) fn started(&mut self, ticket: Ticket, now: Time) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let State::InFlight(attempt) = &request.state else { return };
+        let took = self.elapsed(attempt.sent, now).as_secs_f64() * 1_000.0;
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let prompt = request.prompt();
         let State::InFlight(attempt) = &mut request.state else { return };
@@ -127,7 +130,6 @@
             return;
         }
         request.started = true;
-        let took = now.since(attempt.sent).as_secs_f64() * 1_000.0;
         let ratio = took / selection::estimate_ms(prompt, attempt.ahead);
         let target = self.targets.get_mut(attempt.target);
         target.own_prefill = target.own_prefill.saturating_sub(prompt);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,8 @@
     list_read: bool,
     /// Until when the instance reads what has arrived during its last stall.
     pub(crate) read_until: Time,
+    /// End and length of that stall.
+    last_stall: (Time, Duration),
     /// Whether the load balancer should stop sending callers.
     unready: bool,
     sequence: u64,
@@ -92,6 +94,7 @@
             list_lost: false,
             list_read: false,
             read_until: Time::ZERO,
+            last_stall: (Time::ZERO, Duration::ZERO),
             unready: false,
             sequence: 0,
             out: Vec::new(),
@@ -421,5 +424,15 @@
     fn end_stall(&mut self, length: Duration, now: Time) {
         self.peers.postpone(length, now);
         self.read_until = now + STALL_READ_TIME;
+        self.last_stall = (now, length);
+    }
+
+    /// Returns the time that a target took from `from`, for an answer or a part of it that is read at
+    /// `now`. It may have arrived during a stall that has just ended, so that stall is left out.
+    pub fn elapsed(&self, from: Time, now: Time) -> Duration {
+        let (end, length) = self.last_stall;
+        let is_late = from < end && now < self.read_until;
+        let stalled = if is_late { length } else { Duration::ZERO };
+        now.since(from).saturating_sub(stalled)
     }
 }
--- a/crates/gateway/tests/all/stalls.rs
+++ b/crates/gateway/tests/all/stalls.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use sesamewind_gateway::rollouts::RolloutOrder;
 use sesamewind_gateway::{AttemptOutcome, Event, Gateway, Ticket, Tuning};
-use sesamewind_protocol::Time;
 use sesamewind_protocol::relay::{RelayUpdate, TargetLoad};
+use sesamewind_protocol::{ServiceId, Time, VersionId};
 
-use crate::support::{Bench, at, bench, identity};
+use crate::support::{Bench, MODEL, at, bench, identity};
 
 /// Returns a gateway whose only target has no free slot, with the tickets there, and a request that
 /// waits since `at(100)`. Its wait ends at `at(550)`, its deadline is `at(12_100)`.
@@ -141,3 +142,57 @@
         assert_eq!(bench.dispatch(ticket).is_none(), case.remembered, "{}", case.name);
     }
 }
+
+/// Guards against taking a stall of the instance for time that a target took.
+#[test]
+fn a_stall_that_has_just_ended_is_not_counted_against_a_target() {
+    struct Case {
+        name: &'static str,
+        from: u64,
+        now: u64,
+        millis: u64,
+    }
+    // A stall from 1,000 to 1,600.
+    let cases = [
+        Case { name: "before it", from: 500, now: 900, millis: 400 },
+        Case { name: "read at its end", from: 900, now: 1_600, millis: 100 },
+        Case { name: "read soon after", from: 900, now: 1_700, millis: 200 },
+        Case { name: "within its tick", from: 1_000, now: 1_600, millis: 0 },
+        Case { name: "read later", from: 900, now: 1_900, millis: 1_000 },
+        Case { name: "sent after it", from: 1_610, now: 1_700, millis: 90 },
+    ];
+    for Case { name, from, now, millis } in cases {
+        let mut bench = bench(1, 0);
+        if now >= 1_600 {
+            stall(&mut bench, 1_000, 1_600);
+        }
+        let elapsed = bench.gateway.elapsed(at(from), at(now));
+        assert_eq!(elapsed, Duration::from_millis(millis), "{name}");
+    }
+}
+
+/// Guards against evidence of a slow version, or a slow target, that a stall of the instance makes.
+#[test]
+fn a_stall_is_no_evidence_of_a_slow_first_byte() {
+    let logs = [false, true].map(|stalled| {
+        let mut bench = bench(1, 0);
+        let (service, version) = (ServiceId::new(MODEL), VersionId::new("v2"));
+        let duration = Duration::from_millis(12_000);
+        bench.send(Event::RolloutOrdered(RolloutOrder { service, version, duration }), at(500));
+        let sent: Vec<_> = (0..4).map(|_| bench.arrive("urgent", 100, at(1_000))).collect();
+        let read = if stalled { 2_300 } else { 1_100 };
+        if stalled {
+            stall(&mut bench, 1_050, 2_250);
+        }
+        for ticket in sent {
+            bench.send(Event::Started(ticket), at(read));
+            bench.end(ticket, AttemptOutcome::Whole, at(read));
+        }
+        bench.gateway.evaluate_rollouts(at(4_000));
+        let update = bench.gateway.peer_update(&"i2".into(), Default::default(), at(0), at(4_000));
+        let times = update.rollouts[0].counts.latency.old;
+        assert_eq!(times.intervals, 1, "stalled: {stalled}");
+        times.logs
+    });
+    assert_eq!(logs[0], logs[1]);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -57,15 +57,24 @@
     pub first_byte: Option<Duration>,
     /// Longest time between two parts of a stream.
     pub longest_pause: Duration,
+    /// Longest of these times that the target took.
+    pub target_pause: Duration,
     last: Option<Time>,
 }
 
 impl AnswerTiming {
-    /// Records a part received at `now` for a request that arrived at `arrived`.
-    pub fn record_part(mut self, arrived: Time, now: Time) -> Self {
+    /// Records a part received at `now` for a request that arrived at `arrived`; `elapsed` returns
+    /// the time that the target took since the part before.
+    pub fn record_part(
+        mut self,
+        arrived: Time,
+        now: Time,
+        elapsed: impl Fn(Time) -> Duration,
+    ) -> Self {
         self.first_byte.get_or_insert(now.since(arrived));
         if let Some(last) = self.last.replace(now) {
             self.longest_pause = self.longest_pause.max(now.since(last));
+            self.target_pause = self.target_pause.max(elapsed(last));
         }
         self
     }
@@ -127,7 +136,9 @@
 impl Call {
     /// Records that a part of the answer was received.
     pub fn record_part(&self) {
-        self.timing.set(self.timing.get().record_part(self.arrived, self.driver.now()));
+        let elapsed = |from| self.driver.elapsed(from);
+        let timing = self.timing.get();
+        self.timing.set(timing.record_part(self.arrived, self.driver.now(), elapsed));
     }
 
     /// Sends the request to the target of `dispatch` and reads the answer: a stream up to its first
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -119,6 +119,12 @@
         self.clock.now()
     }
 
+    /// Returns the time that a target took from `from`, for what is read now.
+    pub fn elapsed(&self, from: Time) -> Duration {
+        self.observe_turn(Instant::now());
+        self.with_gateway(|gateway| gateway.elapsed(from, self.now()))
+    }
+
     /// Converts `time` to the runtime's clock.
     pub fn instant(&self, time: Time) -> Instant {
         self.origin + time.since(Time::ZERO)
--- a/crates/relay/src/pace.rs
+++ b/crates/relay/src/pace.rs
@@ -16,20 +16,26 @@
 pub struct PaceMeter {
     /// When the first events were received, and the number of events then.
     first: (Time, u64),
-    /// When the latest were received, and the number of events then.
-    last: (Time, u64),
+    /// Time that the target took for the latest events, and the number of events then.
+    last: (Duration, u64),
     is_done: bool,
 }
 
 impl PaceMeter {
     /// Starts to measure a stream of which `events` were received at `now`.
     pub fn new(events: u64, now: Time) -> Self {
-        Self { first: (now, events), last: (now, events), is_done: false }
+        Self { first: (now, events), last: (Duration::ZERO, events), is_done: false }
     }
 
-    /// Records that the stream has had `events` at `now`. Returns the pace as soon as it is known.
-    pub fn record(&mut self, events: u64, now: Time) -> Option<Duration> {
-        self.last = (now, events);
+    /// Returns when the first events were received.
+    pub fn start(&self) -> Time {
+        self.first.0
+    }
+
+    /// Records that the stream has had `events`, for which the target took `took` since the start.
+    /// Returns the pace as soon as it is known.
+    pub fn record(&mut self, events: u64, took: Duration) -> Option<Duration> {
+        self.last = (took, events);
         self.measure(MEASURED_GAPS)
     }
 
@@ -45,6 +51,6 @@
         }
         self.is_done = true;
         let gaps = u32::try_from(gaps).unwrap_or(u32::MAX);
-        Some(self.last.0.since(self.first.0) / gaps)
+        Some(self.last.0 / gaps)
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -156,7 +156,8 @@
     }
 
     fn record_pace(&mut self) {
-        if let Some(pace) = self.pace.record(self.scanner.events(), self.call.driver.now()) {
+        let took = self.call.driver.elapsed(self.pace.start());
+        if let Some(pace) = self.pace.record(self.scanner.events(), took) {
             self.call.driver.handle(Event::Paced(self.call.ticket, pace));
         }
     }
@@ -169,7 +170,7 @@
             self.call.driver.pool.put(connection);
         }
         self.guard.disarm();
-        let (events, pause) = (self.scanner.events(), self.call.timing.get().longest_pause);
+        let (events, pause) = (self.scanner.events(), self.call.timing.get().target_pause);
         self.call.driver.handle(Event::Streamed(self.call.ticket, events, pause));
         self.call.driver.handle(Event::Ended(self.call.ticket, AttemptOutcome::Whole));
         journal::answered(&self.call, "served", "whole", self.scanner.events());
--- a/tests/all/relay/silence.rs
+++ b/tests/all/relay/silence.rs
@@ -209,3 +209,21 @@
     let want: String = (1..=5).map(|number| event(&id, number)).collect();
     assert_eq!(text, Some(want), "{:?}", testbed.trace(&id));
 }
+
+/// Guards against taking a suspension of the instance for a pause of its target.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspension_is_no_pause_of_a_target() {
+    let options =
+        TargetOptions { events: 30, delay: Duration::from_millis(30), ..TargetOptions::default() };
+    let testbed = Testbed::start_with(1, 0, options).await;
+    let (_, answer) = testbed.send("/talk/x").await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    testbed.gateway.pause(Duration::from_millis(600)).await;
+    answer.text().await.expect("a whole stream");
+    let (id, answer) = testbed.send("/talk/x").await;
+    answer.text().await.expect("a whole stream");
+    let lines = testbed.gateway.log_lines();
+    let line = lines.iter().find(|line| line["request"] == id && line["event"] == "dispatched");
+    let pause = line.and_then(|line| line["target_pause_ms"].as_u64()).expect("a pause");
+    assert!((20..300).contains(&pause), "{line:?}");
+}
