Answer requests of sesamewindd whose connections end

Callers of sesamewindd saw their connections close without an answer: at a stop of the listener while a head was arriving, on a new connection whose request had just arrived, and when a head was late. An answer before the end of a body was followed by a reset.

The listener used the HTTP library's graceful shutdown, which closes a connection that has no request, also if part of a head has been read or nothing has been read yet. Its timeout of heads closes without an answer, and the socket was closed with unread bytes.

A connection now records whether bytes have been read since the last complete head or answer. A stop leaves it 50 ms to read and waits for a head on its way in, a late head is answered with 408, and after its end the connection is read for up to 2 s and 16 MiB.

The process itself exits right after it stops its listeners, so that a head on its way in then is still cut there.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod answer;
 pub mod body;
 pub mod callers;
+mod connection;
 pub mod context;
 pub mod control;
 pub mod effects;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -4,22 +4,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use warp::filters::BoxedFilter;
 use warp::reply::Response;
 
+use crate::connection;
+
 /// Pause after a failed accept, so that the loop does not spin while file descriptors are
 /// exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Smallest read buffer that the HTTP library accepts, in bytes.
-const MIN_HEAD_BYTES: usize = 8_192;
-
 /// Limits on a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -40,45 +37,36 @@
     TcpListener::from_std(listener)
 }
 
-/// Serves `filter` on `listener` until `stop` becomes true, then finishes open requests.
+/// Serves `filter` on `listener` until `stop` becomes true, then finishes requests that are open or
+/// on their way in.
 pub async fn serve(
     listener: TcpListener,
     filter: BoxedFilter<(Response,)>,
     limits: Limits,
     mut stop: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
     let service = TowerToHyperService::new(warp::service(filter));
+    let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
-                    let connection = http1::Builder::new()
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(limits.head_timeout)
-                        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
-                        .serve_connection(TokioIo::new(stream), service.clone());
-                    let watched = graceful.watch(connection);
-                    tokio::spawn(async move {
-                        if let Err(error) = watched.await {
-                            log::debug!("connection ended: {error}");
-                        }
-                    });
+                    connections.spawn(connection::serve(stream, service.clone(), limits, stop.clone()));
                 }
                 Err(error) => {
                     log::warn!("accept failed: {error}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
+            Some(_) = connections.join_next() => {}
             () = stopped(&mut stop) => break,
         }
     }
     drop(listener);
-    graceful.shutdown().await;
+    while connections.join_next().await.is_some() {}
 }
 
 /// Waits until `stop` becomes true or its sender is dropped.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
+pub(crate) async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
 }
