Wait for heads on their way in when sesamewindd exits

A request whose head was arriving when a planned stop of sesamewindd ended was cut: the process stopped its runtime right after it had told the listeners to stop.

After a stop that has cut nothing, the process now waits for the connections of callers to end, for 500 ms at most.

Process test: a head of which 20 bytes arrive 300 ms after the signal, and the rest 150 ms after the listeners stop.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use sesamewind_membership::{Identity, LeaseTiming, Timing};
@@ -13,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
 use xtra::Mailbox;
 
 use crate::clock::Clock;
@@ -28,6 +30,9 @@
 /// Number of renewals within the length of a lease.
 const RENEWALS_PER_LEASE: u32 = 3;
 
+/// Longest time after a planned stop in which callers' connections may end.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Error while starting an instance.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -47,6 +52,8 @@
     handle: Handle,
     control: Option<JoinHandle<()>>,
     stop: watch::Sender<bool>,
+    /// Whether all connections of callers have ended after `stop`.
+    closed: watch::Sender<bool>,
     end_control: Option<oneshot::Sender<()>>,
     callers: SocketAddr,
     inner: SocketAddr,
@@ -86,6 +93,7 @@
             handle,
             control: Some(control),
             stop,
+            closed: watch::Sender::new(false),
             end_control: Some(end_control),
             context,
         };
@@ -118,9 +126,17 @@
     }
 
     /// Performs a planned stop: waits for the requests in flight, within the limits of the
-    /// settings.
+    /// settings, and then for heads that are on their way in.
     pub async fn stop(&self) -> Stopped {
-        stop::stop(Arc::clone(&self.context)).await
+        let stopped = stop::stop(Arc::clone(&self.context)).await;
+        if stopped == Stopped::Clean {
+            self.stop.send_replace(true);
+            let mut closed = self.closed.subscribe();
+            if timeout(CLOSE_TIMEOUT, closed.wait_for(|closed| *closed)).await.is_err() {
+                log::debug!("connections of callers are closed before their ends");
+            }
+        }
+        stopped
     }
 
     /// Stops immediately. Requests in flight are cut off.
@@ -136,7 +152,12 @@
         };
         let handle = &self.handle;
         let filter = callers::filter(Arc::clone(&self.context));
-        handle.spawn(server::serve(callers, filter, limits, self.stop.subscribe()));
+        let served = server::serve(callers, filter, limits, self.stop.subscribe());
+        let closed = self.closed.clone();
+        handle.spawn(async move {
+            served.await;
+            closed.send_replace(true);
+        });
         let filter = inner::filter(Arc::clone(&self.context));
         handle.spawn(server::serve(inner, filter, limits, self.stop.subscribe()));
         handle.spawn(polls::ticks(Arc::clone(&self.context)));
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use sesamewind_standins::EngineOptions;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::caller::{CallerResponse, ModelRequest};
 use crate::deployment::{Deployment, Plan, wait_for, wait_ready};
@@ -110,3 +112,25 @@
         assert!(!got.whole, "a cut answer was taken as whole: {}", case.name);
     }
 }
+
+/// Guards against cutting a request whose head is on its way in when the process ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_arrives_at_the_end_of_a_stop_is_answered() {
+    let settings = "[stop]\nbalancer_lag = \"100ms\"\ndrain_limit = \"5s\"\n".to_owned();
+    let plan = Plan { engines: vec![engine("e1")], settings, ..Plan::default() };
+    let mut deployment = Deployment::start(plan).await;
+    let daemon = &mut deployment.daemons[0];
+    let mut stream = TcpStream::connect(daemon.callers).await.expect("it accepts");
+    daemon.terminate();
+    let text = "GET /x HTTP/1.1\r\nhost: h.example\r\n\r\n";
+    // The listeners are stopped 400 ms after the signal.
+    let parts = [(300, &text[..20]), (250, &text[20..])];
+    for (millis, part) in parts {
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+        stream.write_all(part.as_bytes()).await.expect("the part is sent");
+    }
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer).await;
+    assert!(read.is_ok() && answer.starts_with("HTTP/1.1 "), "{read:?}: {answer:?}");
+    assert_eq!(daemon.wait_exit().await.code(), Some(0));
+}
