Don't take usage that becomes known late for a burst

Cause: since usage is relayed, all instances learn within one exchange what the instances behind a cut have used when the cut ends. It was counted as used at that moment, so that the accounts seemed to use a quarter of their limits within two seconds. Such accounts are saved, and saved usage that is over a second old is restored as usage up to the limit.

Usage that a peer reports after more than a second still counts in full for one window, but no longer as recent. The test fails on the code before (case "late").

--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -29,6 +29,8 @@
 struct Bucket {
     end: Time,
     amount: f64,
+    /// Part of the amount that was used some time before it was counted.
+    late: f64,
 }
 
 /// Source of the usage that an instance counts for the time before its start.
@@ -150,7 +152,7 @@
         let span = span.min(window);
         let per_bucket = amount / f64::from(BUCKETS);
         let ends = (1..=BUCKETS).map(|bucket| now + (window - span) + span / BUCKETS * bucket);
-        self.buckets.extend(ends.map(|end| Bucket { end, amount: per_bucket }));
+        self.buckets.extend(ends.map(|end| Bucket { end, amount: per_bucket, late: 0.0 }));
         self.buckets.make_contiguous().sort_by_key(|bucket| bucket.end);
         self.total += amount;
     }
@@ -171,7 +173,7 @@
         for (left, amount) in amounts {
             if *left > age {
                 let end = now + left.saturating_sub(age);
-                self.buckets.push_back(Bucket { end, amount: *amount });
+                self.buckets.push_back(Bucket { end, amount: *amount, late: 0.0 });
                 self.total += amount;
             }
         }
@@ -184,7 +186,7 @@
         self.buckets.iter().take_while(|bucket| bucket.end <= end).map(|bucket| bucket.amount).sum()
     }
 
-    /// Returns the usage within the last `span`.
+    /// Returns the usage within the last `span`, without what was used before and counted then.
     pub(crate) fn recent(&self, span: Duration, now: Time) -> f64 {
         // Each amount stays for one window, so the newest amounts leave last.
         let Some(newest) = self.buckets.back() else { return 0.0 };
@@ -193,7 +195,7 @@
             .iter()
             .rev()
             .take_while(|bucket| bucket.end > oldest)
-            .map(|bucket| bucket.amount)
+            .map(|bucket| bucket.amount - bucket.late)
             .sum()
     }
 
@@ -203,14 +205,27 @@
     }
 
     pub(crate) fn add(&mut self, amount: f64, window: Duration, now: Time) {
-        self.expire(window, now);
+        self.bucket(window, now).amount += amount;
         self.total += amount;
+    }
+
+    /// Counts usage of the last while as if it had just been used, since it is not known when it
+    /// was.
+    pub(crate) fn add_late(&mut self, amount: f64, window: Duration, now: Time) {
+        self.add(amount, window, now);
+        self.bucket(window, now).late += amount;
+    }
+
+    /// Returns the bucket of the present.
+    fn bucket(&mut self, window: Duration, now: Time) -> &mut Bucket {
+        self.expire(window, now);
         let end = now + window;
         let width = window / BUCKETS;
-        match self.buckets.back_mut() {
-            Some(bucket) if end.since(bucket.end) < width => bucket.amount += amount,
-            _ => self.buckets.push_back(Bucket { end: end + width, amount }),
+        if self.buckets.back().is_none_or(|bucket| end.since(bucket.end) >= width) {
+            self.buckets.push_back(Bucket { end: end + width, amount: 0.0, late: 0.0 });
         }
+        let newest = self.buckets.len() - 1;
+        &mut self.buckets[newest]
     }
 
     pub(crate) fn expire(&mut self, window: Duration, now: Time) {
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -42,6 +42,10 @@
 /// Used instead of [`RELAY_TIMEOUT`] if there are many peers.
 const LONG_RELAY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Time between two reports of a peer after which its usage in between says nothing about its rate
+/// now.
+const LATE_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum number of totals that are relayed in one report, which bounds its size.
 const MAX_RELAYED: usize = 5_000;
 
@@ -426,7 +430,10 @@
             if is_included || rebased.contains(account) {
                 continue;
             }
-            if let Some(meter) = self.meters.get_mut(account) {
+            let Some(meter) = self.meters.get_mut(account) else { continue };
+            if span > LATE_TIME {
+                meter.add_late(delta, window, now);
+            } else {
                 meter.add(delta, window, now);
             }
         }
--- a/crates/gateway/tests/all/quota.rs
+++ b/crates/gateway/tests/all/quota.rs
@@ -16,6 +16,8 @@
     QuotaBounds { window: Duration::from_secs(8), overage: 0.1, slack: 1_000.0 };
 /// Units per second.
 const RATE: f64 = 1_000.0;
+/// Limit of the account within a window.
+const LIMIT: f64 = RATE * 8.0 + RATE;
 /// Units that all instances together may use within any window.
 const ALLOWED: f64 = (RATE * 8.0 + RATE) * 1.1 + 1_000.0;
 
@@ -328,6 +330,35 @@
     }
 }
 
+/// Usage that becomes known when a link is back says nothing about the rate since, for which an account
+/// far from its limit would be saved, and taken for one at its limit when its usage is restored.
+#[test]
+fn usage_that_becomes_known_late_is_not_taken_for_a_burst() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds between the peer's reports.
+        interval: u64,
+        /// Units that the peer uses in that time.
+        used: f64,
+        saved: bool,
+    }
+    let cases = [
+        Case { name: "late", interval: 5_000, used: 0.5 * LIMIT, saved: false },
+        Case { name: "late, near the limit", interval: 5_000, used: 0.9 * LIMIT, saved: true },
+        Case { name: "a burst", interval: 100, used: 0.5 * LIMIT, saved: true },
+        Case { name: "no burst", interval: 100, used: 0.1 * LIMIT, saved: false },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(2);
+        assert!(fleet.request(1, 1.0, 0), "{}", case.name);
+        fleet.exchange(1, 0, 0);
+        assert!(fleet.request(1, case.used, case.interval - 10), "{}", case.name);
+        fleet.exchange(1, 0, case.interval);
+        let saved = fleet.instances[0].0.to_save(at(case.interval));
+        assert_eq!(!saved.is_empty(), case.saved, "{}", case.name);
+    }
+}
+
 fn pairs(count: usize) -> impl Iterator<Item = (usize, usize)> {
     let all = (0..count).flat_map(move |from| (0..count).map(move |to| (from, to)));
     all.filter(|(from, to)| from != to)
