--- /dev/null
+++ b/tests/all/relay/late_answers.rs
@@ -0,0 +1,96 @@
+//! Answers to other requests that arrive where the answer to a request is expected.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use serde_json::json;
+use sesamewind_adapter::names;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::testbed::{KEY, Testbed};
+
+/// Answers the first request at any target with `first`, and others as a sound target does.
+async fn answer(mut stream: TcpStream, first: String, runs: Arc<AtomicUsize>) {
+    let mut buffer = Vec::new();
+    loop {
+        while !buffer.ends_with(b"the body") {
+            match stream.read_buf(&mut buffer).await {
+                Ok(bytes) if bytes > 0 => {}
+                _ => return,
+            }
+        }
+        let head = String::from_utf8_lossy(&buffer).into_owned();
+        let prefix = format!("{}: ", names::REQUEST_ID);
+        let id = head.lines().find_map(|line| line.strip_prefix(&prefix)).unwrap_or_default();
+        buffer.clear();
+        let own = format!(
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: seal\r\ncontent-length: 4\r\n\r\ndone",
+            names::REQUEST_ID,
+            names::SEAL,
+        );
+        let text = if runs.fetch_add(1, Ordering::Relaxed) == 0 { &first } else { &own };
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against running a request twice because an answer to another one says that it was not
+/// run. Each target runs all requests that it receives.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_to_another_request_does_not_tell_that_this_one_was_not_run() {
+    struct Case {
+        name: &'static str,
+        head: &'static str,
+    }
+    let cases = [
+        Case { name: "success", head: "200 OK\r\nresponse-seal: seal" },
+        Case { name: "not executed", head: "503 Service Unavailable\r\nnot-executed: full" },
+        Case { name: "not executed, 421", head: "421 Misdirected Request\r\nnot-executed: other" },
+        Case { name: "421", head: "421 Misdirected Request" },
+    ];
+    let mut wrong = Vec::new();
+    for Case { name, head } in cases {
+        let testbed = Testbed::start(0, 0).await;
+        let runs = Arc::new(AtomicUsize::new(0));
+        let other = format!(
+            "HTTP/1.1 {head}\r\n{}: other\r\ncontent-length: 0\r\n\r\n",
+            names::REQUEST_ID,
+        );
+        for number in 0..2 {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+            let addr = listener.local_addr().expect("an address");
+            let (other, runs) = (other.clone(), Arc::clone(&runs));
+            tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(answer(stream, other.clone(), Arc::clone(&runs)));
+                }
+            });
+            let entry = json!({
+                "service": "plain", "address": addr.to_string(), "zone": "z1", "version": "v1",
+                "slots": 4, "state": names::STATE_READY, "coldRemainingMs": 0, "sequence": 1,
+                "born": 1
+            });
+            testbed.store.put(names::TARGET_TABLE, &format!("i-l{number}"), &entry);
+        }
+        testbed.wait_listed(2).await;
+        let mut caller = TcpStream::connect(testbed.gateway.callers).await.expect("it accepts");
+        let request = format!(
+            "POST /pay/x HTTP/1.1\r\nhost: h.example\r\n{}: own\r\nauthorization: {}{KEY}\r\n\
+             content-length: 8\r\n\r\nthe body",
+            names::REQUEST_ID,
+            names::KEY_SCHEME,
+        );
+        caller.write_all(request.as_bytes()).await.expect("it is sent");
+        let mut bytes = Vec::new();
+        caller.read_buf(&mut bytes).await.expect("an answer");
+        let text = String::from_utf8_lossy(&bytes);
+        let status = text.lines().next().unwrap_or_default();
+        let runs = runs.load(Ordering::Relaxed);
+        if runs != 1 || !status.contains("502") {
+            wrong.push(format!("{name}: {runs} runs, {status}; {:?}", testbed.trace("own")));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod faults;
 mod floods;
+mod late_answers;
 mod memory;
 mod notices;
 mod path;
