Don't take the end of a resumed stream without events for its end

What callers would see: a complete 200 with two of five events. A stream broke off after two events, and the target that should have gone on with it closed its connection in order after the head of an answer without a length; or a caller resumed a stream and its target did so.

Cause: the connection's end counted as the stream's end if any event was known, also one of an earlier attempt or of the caller.

Without a length or chunks, a body now ends a stream only after an event of the same body. A stream whose target broke off after its last event and which is resumed without a length is broken off then, though nothing is missing: that can't be told from the first case, and an answer that looks complete without being so is worse.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -328,7 +328,11 @@
                     }
                     false
                 }
-                None if scanner.is_between_events() && answer.can_end(scanner) => true,
+                None if scanner.is_between_events()
+                    && answer.can_end(scanner.events() > received) =>
+                {
+                    true
+                }
                 Some(Err(_)) | None => return Err(AttemptOutcome::Broken.into()),
             };
             if scanner.events() == received && !ended {
@@ -355,13 +359,13 @@
 }
 
 impl Answering {
-    /// Returns whether the body may end after the events of `scanner`. A body without a length or
-    /// chunks also ends if its target does, so it must have shown that the stream has begun.
-    fn can_end(&self, scanner: &EventScanner) -> bool {
+    /// Returns whether the body may end now; `has_events` tells whether it had an event. A body without
+    /// a length or chunks also ends if its target does, so it must have shown that it has begun.
+    fn can_end(&self, has_events: bool) -> bool {
         let headers = &self.head.headers;
         let is_framed = headers.contains_key(header::CONTENT_LENGTH)
             || headers.contains_key(header::TRANSFER_ENCODING)
             || self.body.is_end_stream();
-        is_framed || scanner.events() > 0 || scanner.last_id().is_some()
+        is_framed || has_events
     }
 }
