Don't wait for a target to read the rest of an earlier request

What callers would see: a call that may run once took 3 s, or got 504 after 5 s though it had never been sent.

Cause: a target may answer before it has read a long body, and read on later. The connection went back to the pool with its answer, and the next request waited on it until the rest of that body was written.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -22,6 +22,10 @@
 /// retransmitted only after one second, so starting a new attempt is faster than waiting for it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time within which a connection must be ready for a request. It is not while its target has yet to
+/// read the rest of an earlier one that it has answered.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// How long an idle connection is kept if the remote side specifies no time.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
@@ -117,7 +121,8 @@
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(response::Parts, Incoming), SendError> {
-        if self.sender.ready().await.is_err() {
+        let is_ready = timeout(READY_TIMEOUT, self.sender.ready());
+        if !matches!(is_ready.await, Ok(Ok(()))) {
             return Err(SendError::Unsent);
         }
         let too_many = limit_interim(&mut request);
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod crossings;
+mod early_answers;
 mod explain;
 mod faults;
 mod floods;
