Charge requests that may have run to their account

What callers would see: an account gets more than its limit, by the requests that broke off at one target and found no other one.

Cause: a request that is given up while it waits got its units back, also if an earlier attempt may have run it. Found by the review. retries::a_request_that_may_have_run_stays_charged failed on the code before.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -619,7 +619,9 @@
         {
             service.queue.remove(*position);
         }
-        self.refund(&request, now);
+        if matches!(request.state, State::Waiting { history: History::NotRun(_), .. }) {
+            self.refund(&request, now);
+        }
         match request.state {
             State::Waiting { history: History::NotRun(proof), .. } => {
                 self.refuse(&request.arrival, proof, reason, now);
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use sesamewind_gateway::budget::RetryBudget;
-use sesamewind_gateway::{AttemptOutcome, Event};
+use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
 
-use crate::support::{at, bench};
+use crate::support::{Bench, MODEL, at, bench, routing, target};
 
 #[test]
 fn requests_are_sent_again_as_their_route_allows() {
@@ -131,3 +131,36 @@
     assert_eq!(taken(&mut budget, 3_000), 0);
     assert_eq!(taken(&mut budget, 12_000), 7);
 }
+
+/// Guards against giving an account back what a request has used that may have run, when no other
+/// target takes it in time.
+#[test]
+fn a_request_that_may_have_run_stays_charged() {
+    struct Case {
+        name: &'static str,
+        outcome: AttemptOutcome,
+        charged: bool,
+    }
+    let cases = [
+        Case { name: "declined", outcome: AttemptOutcome::Declined, charged: false },
+        Case { name: "broken", outcome: AttemptOutcome::Broken, charged: true },
+    ];
+    for Case { name, outcome, charged } in cases {
+        let mut routing = routing();
+        routing.accounts[0].rate = 1.0;
+        routing.accounts[0].burst = 15_000.0;
+        let targets = vec![target("m0", MODEL, 4)];
+        let mut bench = Bench::new(routing, targets, Tuning::default());
+        let ticket = bench.arrive("urgent", 10_000, at(10));
+        assert!(bench.dispatch(ticket).is_some(), "{name}");
+        bench.end(ticket, outcome, at(50));
+        for now in (60..2_000).step_by(20) {
+            bench.send(Event::Tick, at(now));
+        }
+        assert!(bench.steps.contains_key(&ticket), "{name}: the request has ended");
+        assert!(bench.dispatch(ticket).is_none(), "{name}: no other target");
+        let next = bench.arrive("urgent", 10_000, at(2_000));
+        let is_over = bench.reason(next) == Some(RefusalReason::OverLimit);
+        assert_eq!(is_over, charged, "{name}: {:?}", bench.steps.get(&next));
+    }
+}
