--- a/crates/relay/tests/all/keep_alive.rs
+++ b/crates/relay/tests/all/keep_alive.rs
@@ -480,3 +480,32 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// Guards against closing a connection without notice after an answer that says it is kept.
+#[tokio::test]
+async fn a_connection_that_an_answer_keeps_lasts_for_the_idle_time() {
+    for request in [
+        "GET /a HTTP/1.1\r\nhost: h\r\n\r\n",
+        "GET /a HTTP/1.0\r\nhost: h\r\nconnection: keep-alive\r\n\r\n",
+    ] {
+        let run = async {
+            let whole = |_| {
+                let body = AnswerBody::Whole(Bytes::from_static(b"done"));
+                std::future::ready(Answer::new(body))
+            };
+            // The head timeout is 500 ms.
+            let listener = Listener::start(whole, limits(Duration::from_secs(5)));
+            let mut caller = Caller::connect(&listener).await;
+            caller.send(request).await;
+            let first = caller.read_until("done").await.to_ascii_lowercase();
+            if !first.contains("http/1.1") && !first.contains("connection: keep-alive") {
+                return;
+            }
+            sleep(Duration::from_millis(900)).await;
+            caller.send(request).await;
+            let second = caller.read_until("done").await;
+            assert!(second.ends_with("done"), "{request:?}: {first:?}, then {second:?}");
+        };
+        LocalSet::new().run_until(run).await;
+    }
+}
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -15,6 +15,7 @@
 mod silence;
 mod state;
 mod stops;
+mod suspensions;
 mod testbed;
 mod unanswered;
 mod unframed;
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use sesamewind_standins::EngineOptions;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -134,3 +135,40 @@
     assert!(read.is_ok() && answer.starts_with("HTTP/1.1 "), "{read:?}: {answer:?}");
     assert_eq!(daemon.wait_exit().await.code(), Some(0));
 }
+
+/// Guards against exiting while the body of a request is on its way in.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_body_arrives_during_a_stop_is_answered() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds from the stop signal to the rest of the body. Its first half is sent after
+        /// 100 ms, within the lag of the load balancer.
+        rest: u64,
+    }
+    let cases = [Case { name: "in the lag", rest: 250 }, Case { name: "after it", rest: 1_500 }];
+    let mut wrong = Vec::new();
+    for Case { name, rest } in cases {
+        let settings = "[stop]\nbalancer_lag = \"400ms\"\ndrain_limit = \"40s\"\n".to_owned();
+        let deployment =
+            Deployment::start(Plan { engines: vec![engine("e1")], settings, ..Plan::default() })
+                .await;
+        let daemon = &deployment.daemons[0];
+        let client = reqwest::Client::new();
+        let model = ModelRequest { output: 5, stream: false, ..ModelRequest::default() };
+        let mut request = model.builder(&client, daemon.callers).build().expect("a request");
+        let body = request.body().and_then(reqwest::Body::as_bytes).expect("bytes").to_vec();
+        let (first, last) = body.split_at(body.len() / 2);
+        let parts = [(100, first.to_vec()), (rest - 100, last.to_vec())];
+        let parts = futures_util::stream::iter(parts).then(async |(pause, part)| {
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            Ok::<_, std::io::Error>(part)
+        });
+        request.headers_mut().remove(reqwest::header::CONTENT_LENGTH);
+        *request.body_mut() = Some(reqwest::Body::wrap_stream(parts));
+        daemon.terminate();
+        if let Err(err) = client.execute(request).await {
+            wrong.push(format!("{name}: {err:?}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
