Read what is on its way in before a stopping instance exits

What callers saw: a request that was on its way in as an instance ended its planned stop got neither an answer nor a refusal.

Cause: one moment without open requests and without connections in use was the end of the stop; 50 ms later the process exited whatever had arrived meanwhile. After a suspension that moment came before the sockets were read.

A stop now ends after four checks in a row, 50 ms apart, at which nothing is open, on its way in or being answered. A check that comes late does not count. From the first of them on, new requests are refused.

--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -17,7 +17,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch::Sender;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::activity::UseCount;
 use crate::answer::{Answer, AnswerBody};
@@ -49,6 +49,10 @@
 /// Time before the end of the grace time at which the process exits on its own.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Number of checks in a row at which nothing may be open, on its way in or being answered before a
+/// stopping instance exits.
+const QUIET_POLLS: u32 = 4;
+
 /// Interval at which a stopping instance checks for open requests.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -251,28 +255,31 @@
     let end = start + grace.saturating_sub(GRACE_MARGIN);
     let refuse = start + REFUSE_DELAY;
     let balancer_done = start + BALANCER_DELAY;
+    let (mut last, mut quiet) = (start, 0);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         driver.observe_turn(Instant::now());
         driver.handle(Event::Tick);
         let now = Instant::now();
+        // What arrived while the process did not run has not been read yet.
+        let is_late =
+            now.duration_since(std::mem::replace(&mut last, now)) > 2 * STOP_POLL_INTERVAL;
         if now >= balancer_done {
             phase
                 .send_if_modified(|phase| std::mem::replace(phase, Phase::Closed) != Phase::Closed);
         }
-        if now >= refuse {
+        let open = driver.with_gateway(Gateway::open_requests);
+        let is_quiet = now >= balancer_done && open == 0 && in_use.get() == 0 && !is_late;
+        quiet = if is_quiet { quiet + 1 } else { 0 };
+        // Requests that arrive from now on are refused, since the exit would cut them off.
+        if now >= refuse || is_quiet {
             driver.handle(Event::Stop);
         }
-        let open = driver.with_gateway(Gateway::open_requests);
-        if now >= end || (now >= balancer_done && open == 0 && in_use.get() == 0) {
+        if now >= end || quiet >= QUIET_POLLS {
             break;
         }
     }
     let open = driver.with_gateway(Gateway::open_requests);
-    // Refuses new requests, which would be cut off by the exit. The pause below lets connections
-    // finish writing complete answers.
-    driver.handle(Event::Stop);
-    sleep_until(end.min(Instant::now() + STOP_POLL_INTERVAL)).await;
     let level = if open == 0 { log::Level::Info } else { log::Level::Warn };
     log::log!(level, event = "stopped", cut = open, in_use = in_use.get(); "instance stopped");
     driver.exiting.set(true);
