Close connections of HTTP/1.0 with their answer

What callers saw: an answer to a caller of HTTP/1.0 said that its connection is kept, and the connection was closed without notice after the time for a head, also with a further request on it.

Cause: the connection's life cycle took the request for the last one, while the HTTP library kept the connection.

Such answers now say that the connection is closed.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -198,7 +198,8 @@
     }
     // The hook that logs panics has reported the panic's payload.
     let mut answer = answer.unwrap_or_else(|_| panic_answer());
-    if *phase.borrow() != Phase::Serving || !activity.has_body_ended() {
+    // A caller of HTTP/1.0 is told of no idle time, so its connection is not kept.
+    if !has_chunks || *phase.borrow() != Phase::Serving || !activity.has_body_ended() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     if announces_close(answer.headers()) {
