Log the parts of prompts whose answer did not begin, and what remains at their target

Logs could not tell whether targets that end one after the other have something in common. An attempt that ends before the first event now names the parts of its prompt and how many other requests of the instance remain at the target; a listed target names its address and incarnation, so that a replacement is seen.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sesamewind_protocol::Time;
+use sesamewind_protocol::{PartId, Time};
 
 use crate::table::{Account, Route, Unit};
 
@@ -26,8 +26,8 @@
     pub prompt_tokens: Option<u32>,
     /// Maximum number of output tokens.
     pub output_tokens: u32,
-    /// Identifies the shared beginning of the prompt, if there is one.
-    pub prefix: Option<u64>,
+    /// Parts of the prompt in order; empty if the request does not state them.
+    pub parts: Arc<[PartId]>,
     /// Position in `[0, 1)` for weighted splits.
     pub point: f64,
     /// When the caller or the route stops waiting, whichever is earlier.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use crate::groups::Members;
 use crate::peers::Peers;
 use crate::quota::{Quotas, SavedUsage};
-use crate::request::Request;
+use crate::request::{Request, State};
 use crate::rollouts::{RolledBack, RolloutRecord, RolloutStatus, Rollouts};
 use crate::selection;
 use crate::service::ServiceState;
@@ -240,6 +240,15 @@
         self.requests.len()
     }
 
+    /// Returns how many other requests of this instance are at the target of the request `ticket`.
+    pub fn others_at_target(&self, ticket: Ticket) -> u32 {
+        let Some(Request { state: State::InFlight(attempt), .. }) = self.requests.get(&ticket)
+        else {
+            return 0;
+        };
+        self.targets.get(attempt.target).own_requests.saturating_sub(1)
+    }
+
     /// Returns the number of requests that wait.
     pub fn waiting(&self) -> usize {
         self.services.values().map(|service| service.queue.len()).sum()
--- a/crates/gateway/tests/all/answered.rs
+++ b/crates/gateway/tests/all/answered.rs
@@ -89,7 +89,7 @@
             account: resolved.account,
             prompt_tokens: Some(self.rng.random_range(1..20_000)),
             output_tokens: 100,
-            prefix: None,
+            parts: Arc::default(),
             point: self.rng.random_range(0.0..1.0),
             deadline,
         };
--- a/crates/gateway/tests/all/groups.rs
+++ b/crates/gateway/tests/all/groups.rs
@@ -159,7 +159,7 @@
                 account: found.account,
                 prompt_tokens: Some(600),
                 output_tokens: 300,
-                prefix: None,
+                parts: Arc::default(),
                 point: 0.5,
             };
             fleet.send(rng.random_range(0..INSTANCES), Event::Arrive(arrival), now);
--- a/crates/gateway/tests/all/partitions.rs
+++ b/crates/gateway/tests/all/partitions.rs
@@ -216,7 +216,7 @@
             account: resolved.account,
             prompt_tokens: Some(100),
             output_tokens: 20,
-            prefix: None,
+            parts: Arc::default(),
             point: 0.5,
         };
         self.next += 1;
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -159,7 +159,7 @@
             account: resolved.account,
             prompt_tokens: Some(prompt),
             output_tokens: 100,
-            prefix: None,
+            parts: Arc::default(),
             point: 0.5,
             deadline,
         };
--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -48,6 +48,17 @@
     };
 }
 
+/// Identity of a part of a prompt, which other prompts may have as well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 name_type! {
     /// Name of an entry instance, unique in a deployment.
     InstanceId
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use code::{Code, RunState};
 pub use id::{
-    AccountId, Incarnation, InstanceId, RequestKey, Revision, RolloutId, RouteId, ServiceId,
-    TargetId, VersionId, ZoneId, text_hash,
+    AccountId, Incarnation, InstanceId, PartId, RequestKey, Revision, RolloutId, RouteId,
+    ServiceId, TargetId, VersionId, ZoneId, text_hash,
 };
 pub use time::{Time, WallTime};
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -137,7 +138,7 @@
             account: self.account.clone(),
             prompt_tokens: self.caller.prompt_tokens,
             output_tokens: self.caller.output_tokens,
-            prefix: self.caller.prefix,
+            parts: Arc::clone(&self.caller.parts),
             point: split_point(&self.caller.id),
             deadline: self.arrived + wait_time(&self.caller, &self.route),
         }
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -9,6 +9,7 @@
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::RolloutStatus;
 use sesamewind_gateway::{AttemptOutcome, NoRetry, Refusal};
+use sesamewind_protocol::PartId;
 
 use crate::activity::CallerSide;
 use crate::attempt::Call;
@@ -38,6 +39,9 @@
 /// Logs and counts an attempt that ended without a complete answer or with a target's failure.
 pub fn attempt_ended(call: &Call, dispatch: &Dispatch, outcome: AttemptOutcome, events: u64) {
     call.driver.metrics.attempt(outcome.as_str());
+    let parts = if events == 0 { &call.caller.parts[..] } else { &[] };
+    let parts: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    let others = call.driver.with_gateway(|gateway| gateway.others_at_target(call.ticket));
     log::warn!(
         event = "attempt_ended",
         request = call.caller.id.as_str(),
@@ -48,6 +52,8 @@
         waited_ms = dispatch.waited.as_millis() as u64,
         revision = dispatch.revision.0,
         events,
+        others,
+        parts = parts.join(",").as_str(),
         end = outcome.as_str();
         "attempt ended"
     );
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -343,6 +343,8 @@
             event = "target_listed",
             target = listed.id.as_str(),
             service = listed.service.as_str(),
+            address:% = listed.address,
+            incarnation = listed.incarnation.0,
             state:? = listed.state,
             software = listed.version.as_str(),
             version;
--- a/crates/relay/src/wire_format.rs
+++ b/crates/relay/src/wire_format.rs
@@ -3,12 +3,13 @@
 //! The platform's names and rules are implemented outside of this crate, in `sesamewind-adapter`.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{HeaderMap, request, response};
 use sesamewind_gateway::table::Rejection;
 use sesamewind_gateway::{AttemptOutcome, Refusal};
-use sesamewind_protocol::{AccountId, TargetId};
+use sesamewind_protocol::{AccountId, PartId, TargetId};
 
 use crate::answer::Answer;
 
@@ -27,8 +28,8 @@
     pub prompt_tokens: Option<u32>,
     /// Maximum number of tokens in the answer.
     pub output_tokens: u32,
-    /// Hash that identifies the first part of the prompt, which other requests may share.
-    pub prefix: Option<u64>,
+    /// Parts of the prompt in order, which other requests may share; empty if unknown.
+    pub parts: Arc<[PartId]>,
     /// Id of the last stream event that the caller received.
     pub last_event: Option<String>,
 }
