Add failing tests for requests that crash engines, listed as known red

A simulation of eight instances that share nine engines, some of whose requests end the engine as their answer would begin: one prompt part in requests no two of which are alike, at each position, or one request that is repeated; several rates, two parts at a time, ends that no request causes, instances that restart or are cut off. Bounds are the users': at most three such requests later than the contact time after the fifth end, and sound requests begin at least half as often as usual.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,8 @@
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
 mod answered;
+mod crash_fleet;
+mod crashes;
 mod groups;
 mod health;
 mod load;
