Hold back requests with a prompt part at which targets end

What callers saw: requests of one kind ended targets one after the other, and all other requests at these targets broke off.

Cause: nothing related the end of a target to what it was about to answer. A request that had ended a target was sent to the next one, and requests with the same part were dispatched like any other. Each instance sees only some of the ends, and the other parts of such prompts are those of sound requests, so neither a limit on one request nor one instance's view shows it.

A part is held once three different targets have ended before an answer to it began, counted over all instances, and no answer to it has begun since: requests with it are refused at once as not run, with a retry-after of 10 s or more. An answer that begins clears all parts of its prompt. A request that broke off at two ends is not sent to a third target. One instance lets a request through after 60 s, and less often each time.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -151,6 +151,8 @@
     BudgetExhausted,
     /// No target had a free slot in time.
     NoTarget,
+    /// Targets have ended before answers to a part of its prompt began.
+    Quarantined,
     /// The gateway made no decision, which is a fault of this program.
     Undecided,
 }
@@ -165,6 +167,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::BudgetExhausted => "budget_exhausted",
             Self::NoTarget => "no_target",
+            Self::Quarantined => "quarantined",
             Self::Undecided => "undecided",
         }
     }
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -59,6 +59,10 @@
         if self.stopping {
             return self.refuse(&arrival, proof, RefusalReason::Stopping, now);
         }
+        let may_try = self.peers.is_first(&self.me.instance, now);
+        if let Err(wait) = self.quarantine.admit(&arrival.parts, may_try, now) {
+            return self.refuse_for(&arrival, proof, RefusalReason::Quarantined, wait);
+        }
         if let Some(account) = &arrival.account
             && let Err(wait) = self.quotas.acquire(&account.name, cost, now)
         {
@@ -130,6 +134,7 @@
             return;
         }
         request.started = true;
+        self.quarantine.record_begin(&request.arrival.parts, now);
         let ratio = took / selection::estimate_ms(prompt, attempt.ahead);
         let target = self.targets.get_mut(attempt.target);
         target.own_prefill = target.own_prefill.saturating_sub(prompt);
@@ -188,6 +193,7 @@
         };
         self.release(&attempt, request.prompt());
         self.record_outcome(attempt.target, outcome, now);
+        self.observe_break(&request, &attempt, outcome, now);
         let is_failure = match outcome {
             AttemptOutcome::Whole => false,
             AttemptOutcome::Expired => attempt.silent,
@@ -288,6 +294,8 @@
             Some(NoRetry::SendsUsed)
         } else if now >= request.arrival.deadline {
             Some(NoRetry::DeadlinePassed)
+        } else if self.may_end_target(request, outcome) {
+            Some(NoRetry::Quarantined)
         } else if !self.acquire_retry(&request.service, outcome, now) {
             Some(NoRetry::BudgetExhausted)
         } else {
@@ -370,7 +378,18 @@
         now: Time,
     ) {
         let left = arrival.deadline.since(now).mul_f64(RETRY_AFTER_FRACTIONS.1);
-        let refusal = Refusal::new(proof, reason, wait.min(left));
+        self.refuse_for(arrival, proof, reason, wait.min(left));
+    }
+
+    /// Refuses a request whose caller may return after `wait`.
+    fn refuse_for(
+        &mut self,
+        arrival: &Arrival,
+        proof: NotRunProof,
+        reason: RefusalReason,
+        wait: Duration,
+    ) {
+        let refusal = Refusal::new(proof, reason, wait);
         self.out.push(Action { ticket: arrival.ticket, step: Step::Refuse(refusal) });
     }
 
@@ -614,6 +633,17 @@
             service.targets.iter().any(|&index| self.targets.get(index).is_usable(now))
         });
         let reason = if usable { RefusalReason::Full } else { RefusalReason::NoTarget };
+        self.abandon_for(ticket, request, reason, now);
+    }
+
+    /// Ends a waiting request that will not be sent.
+    pub(crate) fn abandon_for(
+        &mut self,
+        ticket: Ticket,
+        request: Request,
+        reason: RefusalReason,
+        now: Time,
+    ) {
         if let Some(service) = self.services.get_mut(&request.service)
             && let State::Waiting { position, .. } = &request.state
         {
@@ -627,8 +657,12 @@
                 self.refuse(&request.arrival, proof, reason, now);
             }
             _ => {
-                let failure =
-                    Failure { outcome: AttemptOutcome::Expired, no_retry: NoRetry::NoTarget };
+                let failure = match reason {
+                    RefusalReason::Quarantined => {
+                        Failure { outcome: AttemptOutcome::Broken, no_retry: NoRetry::Quarantined }
+                    }
+                    _ => Failure { outcome: AttemptOutcome::Expired, no_retry: NoRetry::NoTarget },
+                };
                 self.out.push(Action { ticket, step: Step::Fail(failure) });
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::event::{Action, Event};
 use crate::groups::Members;
 use crate::peers::Peers;
+use crate::quarantine::{PartChange, Quarantine};
 use crate::quota::{Quotas, SavedUsage};
 use crate::request::{Request, State};
 use crate::rollouts::{RolledBack, RolloutRecord, RolloutStatus, Rollouts};
@@ -57,6 +58,7 @@
     pub(crate) quotas: Quotas,
     pub(crate) rollouts: Rollouts,
     pub(crate) peers: Peers,
+    pub(crate) quarantine: Quarantine,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -88,6 +90,7 @@
             quotas,
             rollouts: Rollouts::default(),
             peers: Peers::default(),
+            quarantine: Quarantine::default(),
             members: Members::default(),
             stopping: false,
             list_restored: None,
@@ -204,6 +207,16 @@
         self.rollouts.evaluate(capacity, now)
     }
 
+    /// Returns the changes of prompt parts since the last call.
+    pub fn take_part_changes(&mut self) -> Vec<PartChange> {
+        self.quarantine.take_changes()
+    }
+
+    /// Returns the number of prompt parts whose requests are refused.
+    pub fn held_parts(&self) -> usize {
+        self.quarantine.held_parts()
+    }
+
     /// Returns the statuses of running rollouts that are due for a log line.
     pub fn due_rollout_statuses(&mut self, now: Time) -> Vec<RolloutStatus> {
         self.rollouts.due_statuses(now)
@@ -264,6 +277,7 @@
         now: Time,
     ) -> RelayUpdate {
         let usage = self.quotas.report(to, now);
+        let parts = self.quarantine.reports(to, now);
         self.sequence += 1;
         let loads = self.targets.iter().filter(|(_, target)| target.own_requests > 0);
         let loads = loads.map(|(_, target)| TargetLoad {
@@ -297,6 +311,7 @@
             rollouts: self.rollouts.progress(now),
             unheard: usage.unheard,
             relayed: usage.relayed,
+            parts,
         }
     }
 
@@ -414,6 +429,10 @@
                 self.targets.apply_warning(failing, now);
             }
         }
+        for report in &update.parts {
+            self.quarantine.apply_report(report, now);
+        }
+        self.refuse_held(now);
         for entry in &update.leaving {
             self.targets.retire(&entry.target, entry.incarnation, now);
         }
@@ -422,6 +441,8 @@
 
     fn tick(&mut self, now: Time) {
         self.peers.expire(&mut self.targets, now);
+        self.quarantine.expire(|name| self.peers.is_known(name), now);
+        self.confirm_breaks(now);
         if self.peers.take_change() {
             self.regroup();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! their usage, [`budget`] the retry budget, [`queue`] the waiting requests, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
-//! of instances, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other
+//! of instances, `quarantine` the prompt parts that end targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other
 //! instances report.
 
 pub mod arrival;
@@ -22,6 +22,7 @@
 mod notices;
 pub mod peers;
 pub mod proof;
+mod quarantine;
 pub mod queue;
 pub mod quota;
 mod rate;
@@ -40,6 +41,7 @@
 pub use event::{Action, AttemptOutcome, Event, Failure, NoRetry, Step};
 pub use gateway::Gateway;
 pub use proof::{Refusal, RefusalReason};
+pub use quarantine::PartChange;
 pub use table::{Account, Repeat, Route, RouteTable, Routing, Service};
 pub use targets::{ListedState, ListedTarget};
 pub use tuning::Tuning;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -109,6 +109,11 @@
         watchers >= MIN_WATCHERS && is_fresh
     }
 
+    /// Returns whether updates of this peer are still expected.
+    pub(crate) fn is_known(&self, name: &InstanceId) -> bool {
+        self.peers.contains_key(name)
+    }
+
     /// Applies a peer's update. Returns false if the update is not newer than the last one.
     pub(crate) fn apply_update(
         &mut self,
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -23,6 +23,8 @@
     Expired,
     /// The instance is stopping.
     Stopping,
+    /// Targets have ended before answers to a part of the prompt began.
+    Quarantined,
 }
 
 impl RefusalReason {
@@ -36,6 +38,7 @@
             Self::Refused => "refused",
             Self::Expired => "expired",
             Self::Stopping => "stopping",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -51,7 +51,8 @@
         let is_allowed = route.repeat != Repeat::Never
             && request.runs + 1 < route.attempts
             && request.sends < MAX_SENDS
-            && now < request.arrival.deadline;
+            && now < request.arrival.deadline
+            && !self.quarantine.is_held(&request.arrival.parts);
         if !is_allowed {
             return None;
         }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -209,6 +209,11 @@
         now < self.backoff_until || (self.failures > 0 && self.own_requests > self.silent_requests)
     }
 
+    /// Returns whether an attempt of this instance has succeeded since `time`.
+    pub(crate) fn has_succeeded_since(&self, time: Time) -> bool {
+        self.last_success > time
+    }
+
     /// Returns whether the latest attempts of this instance give no reason to doubt the target.
     pub(crate) fn is_sound(&self, now: Time) -> bool {
         self.failures == 0 && !self.is_backing_off(now)
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -26,6 +26,7 @@
         rollouts: Vec::new(),
         unheard: Vec::new(),
         relayed: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod notices;
 mod partitions;
+mod quarantine;
 mod quota;
 mod refusals;
 mod retries;
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -13,8 +13,8 @@
     RefusalReason, Repeat, Route, RouteTable, Routing, Service, Step, Ticket, Tuning,
 };
 use sesamewind_protocol::{
-    AccountId, Incarnation, InstanceId, Revision, RouteId, ServiceId, TargetId, Time, VersionId,
-    ZoneId,
+    AccountId, Incarnation, InstanceId, PartId, Revision, RouteId, ServiceId, TargetId, Time,
+    VersionId, ZoneId,
 };
 
 /// Name of the model service.
@@ -148,6 +148,11 @@
 
     /// Sends a request on the route `name` with a prompt of `prompt` tokens.
     pub fn arrive(&mut self, name: &str, prompt: u32, now: Time) -> Ticket {
+        self.arrive_with(name, prompt, &[], now)
+    }
+
+    /// Sends a request with these parts of its prompt.
+    pub fn arrive_with(&mut self, name: &str, prompt: u32, parts: &[u64], now: Time) -> Ticket {
         let path = format!("/{name}/x");
         let resolved = self.table.resolve("host.example", &path, Some("key-a")).expect("a route");
         let ticket = self.next;
@@ -159,7 +164,7 @@
             account: resolved.account,
             prompt_tokens: Some(prompt),
             output_tokens: 100,
-            parts: Arc::default(),
+            parts: parts.iter().copied().map(PartId).collect(),
             point: 0.5,
             deadline,
         };
--- a/crates/protocol/examples/update_size.rs
+++ b/crates/protocol/examples/update_size.rs
@@ -81,6 +81,7 @@
         rollouts: (0..case.rollouts).map(|_| progress(case.routes)).collect(),
         unheard: Vec::new(),
         relayed: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -15,6 +15,16 @@
     hasher.finish()
 }
 
+/// Returns a hash of several texts that is the same on every instance.
+pub fn bytes_hash(texts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    for text in texts {
+        hasher.write_usize(text.len());
+        hasher.write(text);
+    }
+    hasher.finish()
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -27,6 +27,6 @@
 pub use code::{Code, RunState};
 pub use id::{
     AccountId, Incarnation, InstanceId, PartId, RequestKey, Revision, RolloutId, RouteId,
-    ServiceId, TargetId, VersionId, ZoneId, text_hash,
+    ServiceId, TargetId, VersionId, ZoneId, bytes_hash, text_hash,
 };
 pub use time::{Time, WallTime};
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -6,7 +6,8 @@
 
 use crate::codec::read_array;
 use crate::{
-    AccountId, Incarnation, InstanceId, Revision, RouteId, ServiceId, TargetId, VersionId, ZoneId,
+    AccountId, Incarnation, InstanceId, PartId, Revision, RouteId, ServiceId, TargetId, VersionId,
+    ZoneId,
 };
 
 /// Load that one instance puts on one target.
@@ -253,6 +254,32 @@
     pub recorded: Option<u64>,
 }
 
+/// A prompt part whose requests are refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldReport {
+    /// Number of requests that were let through as a trial.
+    pub round: u32,
+    /// Time until the next trial.
+    pub left: Duration,
+}
+
+/// What one instance knows of a prompt part that may end targets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// The part.
+    pub part: PartId,
+    /// Targets, each with its incarnation as one number, that ended before an answer to the part
+    /// began.
+    #[serde(default)]
+    pub targets: Vec<u64>,
+    /// Time since an answer to the part last began, if that was recently.
+    #[serde(default)]
+    pub begun: Option<Duration>,
+    /// Set while requests with the part are refused.
+    #[serde(default)]
+    pub hold: Option<HoldReport>,
+}
+
 /// State of one instance, sent to its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayUpdate {
@@ -296,4 +323,7 @@
     /// Usage of account limits of instances that the receiver may not have heard of.
     #[serde(default)]
     pub relayed: Vec<RelayedUsage>,
+    /// Prompt parts that may end targets.
+    #[serde(default)]
+    pub parts: Vec<PartReport>,
 }
--- a/crates/protocol/tests/builds.rs
+++ b/crates/protocol/tests/builds.rs
@@ -240,6 +240,7 @@
         // Not in the recorded messages.
         unheard: Vec::new(),
         relayed: Vec::new(),
+        parts: Vec::new(),
     }
 }
 
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{Request, Response, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
@@ -13,7 +14,7 @@
 use sesamewind_gateway::{
     Arrival, AttemptOutcome, Event, Failure, Gateway, Refusal, RefusalReason, Repeat, Route, Step,
 };
-use sesamewind_protocol::{RequestKey, text_hash};
+use sesamewind_protocol::{PartId, RequestKey, bytes_hash, text_hash};
 use tokio::time::timeout;
 
 use crate::answer::{Answer, AnswerBody};
@@ -138,12 +139,23 @@
             account: self.account.clone(),
             prompt_tokens: self.caller.prompt_tokens,
             output_tokens: self.caller.output_tokens,
-            parts: Arc::clone(&self.caller.parts),
+            parts: self.parts(),
             point: split_point(&self.caller.id),
             deadline: self.arrived + wait_time(&self.caller, &self.route),
         }
     }
 
+    /// Returns the parts of the prompt. A request that states none has one, which stands for its
+    /// method, path and body.
+    fn parts(&self) -> Arc<[PartId]> {
+        if !self.caller.parts.is_empty() {
+            return Arc::clone(&self.caller.parts);
+        }
+        let path = self.head.uri.path_and_query().map_or("", PathAndQuery::as_str);
+        let whole = [self.head.method.as_str().as_bytes(), path.as_bytes(), &self.body];
+        Arc::new([PartId(bytes_hash(&whole))])
+    }
+
     async fn serve(self, mut guard: CallerGuard) -> Answer {
         let resumed = self.caller.last_event.as_deref();
         let mut scanner = EventScanner::after(resumed.filter(|_| self.is_resumable()));
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -163,6 +163,18 @@
         }
     }
 
+    /// Logs the changes of prompt parts, and counts those whose requests are refused.
+    pub fn report_parts(&self) {
+        let changes = self.with_gateway_mut(Gateway::take_part_changes);
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            journal::part_changed(change);
+        }
+        self.metrics.held_parts(self.with_gateway(Gateway::held_parts));
+    }
+
     /// Returns an unused ticket for a new request.
     pub fn new_ticket(&self) -> Ticket {
         let ticket = self.next_ticket.get();
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -142,6 +142,7 @@
                 _ = tick.tick() => {
                     driver.observe_turn(Instant::now());
                     driver.handle(Event::Tick);
+                    driver.report_parts();
                 }
                 _ = sweep.tick() => {
                     driver.pool.sweep();
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -8,7 +8,7 @@
 
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::RolloutStatus;
-use sesamewind_gateway::{AttemptOutcome, NoRetry, Refusal};
+use sesamewind_gateway::{AttemptOutcome, NoRetry, PartChange, Refusal};
 use sesamewind_protocol::PartId;
 
 use crate::activity::CallerSide;
@@ -206,6 +206,22 @@
     );
 }
 
+/// Logs that requests with a prompt part are refused, tried or accepted from now on.
+pub fn part_changed(change: &PartChange) {
+    match change {
+        PartChange::Held(part, targets) => log::warn!(
+            event = "part_held", part:% = part, targets = *targets;
+            "requests with a prompt part are refused, since targets ended at it"
+        ),
+        PartChange::Tried(part) => {
+            log::info!(event = "part_tried", part:% = part; "one request is let through");
+        }
+        PartChange::Released(part) => {
+            log::info!(event = "part_released", part:% = part; "an answer has begun");
+        }
+    }
+}
+
 /// Logs the evidence on a running rollout and the share that follows from it.
 pub fn rollout_progress(status: &RolloutStatus) {
     log::info!(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -48,6 +48,7 @@
     stalls: Counter,
     longest_stall: Gauge,
     store_era: Gauge,
+    held_parts: Gauge,
     first_byte: RouteHistogram,
     waited: RouteHistogram,
 }
@@ -75,6 +76,7 @@
             stalls: Counter::default(),
             longest_stall: Gauge::default(),
             store_era: Gauge::default(),
+            held_parts: Gauge::default(),
             first_byte: Family::new_with_constructor(histogram),
             waited: Family::new_with_constructor(histogram),
             registry: Registry::default(),
@@ -96,6 +98,11 @@
             this.longest_stall.clone(),
         );
         registry.register("store_era", "Latest known era of the store", this.store_era.clone());
+        registry.register(
+            "held_prompt_parts",
+            "Prompt parts whose requests are refused",
+            this.held_parts.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first byte of the answer",
@@ -131,6 +138,11 @@
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of prompt parts whose requests are refused.
+    pub fn held_parts(&self, parts: usize) {
+        self.held_parts.set(i64::try_from(parts).unwrap_or(i64::MAX));
+    }
+
     /// Counts the loss of a dependency, such as the store or a peer.
     pub fn dependency_lost(&self, kind: &str) {
         self.lost.get_or_create(&ReasonLabels { reason: kind.to_owned() }).inc();
