Save the prompt parts that are held, for instances that start or are cut off

What callers saw: after all processes were killed, requests with a part that ends targets were dispatched again until it was held anew.

Cause: what instances know of parts is kept in their memory only. An instance that others can't reach learns of a part from the ends that it sees itself.

An instance reads them when it starts, and every two seconds while targets end and a peer is silent.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,13 +7,15 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sesamewind_protocol::relay::{LeavingEntry, RelayUpdate, StorePosition, TargetLoad};
-use sesamewind_protocol::{Incarnation, InstanceId, Revision, ServiceId, Time, VersionId, ZoneId};
+use sesamewind_protocol::{
+    Incarnation, InstanceId, PartId, Revision, ServiceId, Time, VersionId, ZoneId,
+};
 
 use crate::arrival::Ticket;
 use crate::event::{Action, Event};
 use crate::groups::Members;
 use crate::peers::Peers;
-use crate::quarantine::{PartChange, Quarantine};
+use crate::quarantine::{PartChange, Quarantine, SavedPart};
 use crate::quota::{Quotas, SavedUsage};
 use crate::request::{Request, State};
 use crate::rollouts::{RolledBack, RolloutRecord, RolloutStatus, Rollouts};
@@ -212,6 +214,32 @@
         self.quarantine.take_changes()
     }
 
+    /// Returns the prompt parts to save outside of the instances, each with its hold if its requests
+    /// are refused. Empty unless this instance is the one that saves.
+    pub fn parts_to_save(&mut self, now: Time) -> Vec<(PartId, Option<SavedPart>)> {
+        if !self.peers.is_first(&self.me.instance, now) {
+            return Vec::new();
+        }
+        self.quarantine.parts_to_save(now)
+    }
+
+    /// Has a prompt part saved again, since it could not be.
+    pub fn retry_part(&mut self, part: PartId) {
+        self.quarantine.retry_save(part);
+    }
+
+    /// Holds prompt parts that were saved.
+    pub fn restore_parts(&mut self, saved: &[SavedPart], now: Time) {
+        self.quarantine.restore(saved, now);
+        self.refuse_held(now);
+    }
+
+    /// Returns whether prompt parts that peers have saved should be read, since targets end and peers
+    /// are silent.
+    pub fn needs_saved_parts(&self, now: Time) -> bool {
+        self.peers.has_silent(now) && self.quarantine.has_suspects(now)
+    }
+
     /// Returns the number of prompt parts whose requests are refused.
     pub fn held_parts(&self) -> usize {
         self.quarantine.held_parts()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,7 +41,7 @@
 pub use event::{Action, AttemptOutcome, Event, Failure, NoRetry, Step};
 pub use gateway::Gateway;
 pub use proof::{Refusal, RefusalReason};
-pub use quarantine::PartChange;
+pub use quarantine::{PartChange, SavedPart};
 pub use table::{Account, Repeat, Route, RouteTable, Routing, Service};
 pub use targets::{ListedState, ListedTarget};
 pub use tuning::Tuning;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -109,6 +109,11 @@
         watchers >= MIN_WATCHERS && is_fresh
     }
 
+    /// Returns whether a peer has not been heard from recently.
+    pub(crate) fn has_silent(&self, now: Time) -> bool {
+        self.peers.values().any(|peer| now.since(peer.last_seen) >= LOAD_RETENTION)
+    }
+
     /// Returns whether updates of this peer are still expected.
     pub(crate) fn is_known(&self, name: &InstanceId) -> bool {
         self.peers.contains_key(name)
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -11,7 +11,8 @@
 mod record;
 mod requests;
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +39,9 @@
 /// Time for which a part that is not held is remembered without a change.
 const MEMORY_TIME: Duration = Duration::from_secs(600);
 
+/// Time for which an end of a target makes its parts suspect.
+const SUSPICION_TIME: Duration = Duration::from_secs(10);
+
 /// Time for which a change is part of each report to peers.
 const NEWS_TIME: Duration = Duration::from_secs(2);
 
@@ -67,6 +71,17 @@
     Released(PartId),
 }
 
+/// A held part as it is saved outside of the instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SavedPart {
+    /// The part.
+    pub part: PartId,
+    /// Number of requests that were let through as a trial.
+    pub round: u32,
+    /// Time until the next trial.
+    pub left: Duration,
+}
+
 /// An attempt that broke before its answer began.
 #[derive(Debug)]
 struct Break {
@@ -88,6 +103,8 @@
     changes: Vec<PartChange>,
     /// Whether a part was held since the last [`Quarantine::take_holds`].
     held: bool,
+    /// Parts whose hold has changed since the last [`Quarantine::parts_to_save`].
+    unsaved: BTreeSet<PartId>,
 }
 
 impl Quarantine {
@@ -159,6 +176,7 @@
                 && record.start_trial(now)
             {
                 self.changes.push(PartChange::Tried(*part));
+                self.unsaved.insert(*part);
             }
         }
         Ok(())
@@ -180,9 +198,7 @@
             self.add_target(part, key, now);
         }
         if let Some(hold) = &report.hold {
-            let hold = Hold { round: hold.round, until: now + hold.left };
-            let is_new = self.record(part, now).adopt_hold(hold, now);
-            self.report_hold(part, is_new);
+            self.adopt(part, Hold { round: hold.round, until: now + hold.left }, now);
         }
     }
 
@@ -200,7 +216,7 @@
             is_full || record.hold.is_some() || now.since(record.changed) < NEWS_TIME
         };
         let mut due: Vec<_> = self.records.iter().filter(|(_, record)| is_due(record)).collect();
-        due.sort_unstable_by_key(|(part, record)| (std::cmp::Reverse(record.weight()), **part));
+        due.sort_unstable_by_key(|(part, record)| (Reverse(record.weight()), **part));
         due.truncate(MAX_REPORTS);
         let reports = due.into_iter().map(|(&part, record)| PartReport {
             part,
@@ -228,6 +244,43 @@
         std::mem::take(&mut self.held)
     }
 
+    /// Returns the parts whose hold has changed since the last call, each with its hold if it is
+    /// still held.
+    pub(crate) fn parts_to_save(&mut self, now: Time) -> Vec<(PartId, Option<SavedPart>)> {
+        let unsaved = std::mem::take(&mut self.unsaved);
+        let saved = unsaved.into_iter().map(|part| {
+            let hold = self.records.get(&part).and_then(|record| record.hold.as_ref());
+            let saved =
+                hold.map(|hold| SavedPart { part, round: hold.round, left: hold.until.since(now) });
+            (part, saved)
+        });
+        saved.collect()
+    }
+
+    /// Has a part saved again, since it could not be.
+    pub(crate) fn retry_save(&mut self, part: PartId) {
+        self.unsaved.insert(part);
+    }
+
+    /// Holds parts that were saved, unless answers to them have begun since.
+    pub(crate) fn restore(&mut self, saved: &[SavedPart], now: Time) {
+        for &SavedPart { part, round, left } in saved {
+            if self.recent_begin(part, now).is_none() {
+                self.adopt(part, Hold { round, until: now + left }, now);
+            }
+        }
+    }
+
+    /// Returns whether targets have recently ended at a part that is not held yet.
+    pub(crate) fn has_suspects(&self, now: Time) -> bool {
+        let is_suspect = |record: &Record| {
+            record.hold.is_none()
+                && !record.is_cleared()
+                && now.since(record.changed) < SUSPICION_TIME
+        };
+        self.records.values().any(is_suspect)
+    }
+
     /// Returns the changes since the last call.
     pub(crate) fn take_changes(&mut self) -> Vec<PartChange> {
         std::mem::take(&mut self.changes)
@@ -245,6 +298,7 @@
             && record.clear(begun, now)
         {
             self.changes.push(PartChange::Released(part));
+            self.note_unsaved(part);
         }
     }
 
@@ -263,10 +317,23 @@
         self.report_hold(part, is_new);
     }
 
+    /// Holds a part as others do.
+    fn adopt(&mut self, part: PartId, hold: Hold, now: Time) {
+        let is_new = self.record(part, now).adopt_hold(hold, now);
+        self.report_hold(part, is_new);
+    }
+
     fn report_hold(&mut self, part: PartId, is_new: bool) {
         if is_new && let Some(record) = self.records.get(&part) {
             self.changes.push(PartChange::Held(part, record.targets().len()));
             self.held = true;
+            self.note_unsaved(part);
+        }
+    }
+
+    fn note_unsaved(&mut self, part: PartId) {
+        if self.unsaved.len() < MAX_RECORDS {
+            self.unsaved.insert(part);
         }
     }
 
--- a/crates/gateway/tests/all/crash_fleet.rs
+++ b/crates/gateway/tests/all/crash_fleet.rs
@@ -12,7 +12,8 @@
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{
-    Arrival, AttemptOutcome, Event, Gateway, ListedTarget, RouteTable, Step, Ticket, Tuning,
+    Arrival, AttemptOutcome, Event, Gateway, ListedTarget, RouteTable, SavedPart, Step, Ticket,
+    Tuning,
 };
 use sesamewind_protocol::relay::StorePosition;
 use sesamewind_protocol::{Incarnation, InstanceId, PartId, TargetId, Time};
@@ -160,6 +161,8 @@
     due: BinaryHeap<Reverse<(u64, Due)>>,
     next: Ticket,
     report: Report,
+    /// Parts that were saved outside of the instances, and when.
+    saved: HashMap<PartId, (u64, SavedPart)>,
     /// When each instance was last disturbed.
     disturbed: [u64; INSTANCES],
 }
@@ -194,6 +197,7 @@
                 ends: plan.culprits.iter().map(|_| Ends::default()).collect(),
                 ..Report::default()
             },
+            saved: HashMap::new(),
             disturbed: [0; INSTANCES],
         };
         fleet.gateways = (0..INSTANCES).map(|number| fleet.gateway(number, 1, 0)).collect();
@@ -232,6 +236,7 @@
         if now.is_multiple_of(20) {
             for instance in 0..INSTANCES {
                 self.send(instance, Event::Tick, now);
+                self.save(instance, now);
             }
         }
         self.exchange(now);
@@ -243,7 +248,31 @@
         for engine in &mut self.engines {
             engine.at.retain(|(owner, _)| *owner != instance);
         }
-        self.gateways[instance] = self.gateway(instance, now + 2, now);
+        let mut gateway = self.gateway(instance, now + 2, now);
+        gateway.restore_parts(&self.saved_parts(now), at(now));
+        self.gateways[instance] = gateway;
+    }
+
+    /// Saves parts, and reads them as an instance does that peers are silent for.
+    fn save(&mut self, instance: usize, now: u64) {
+        for (part, saved) in self.gateways[instance].parts_to_save(at(now)) {
+            match saved {
+                Some(saved) => drop(self.saved.insert(part, (now, saved))),
+                None => drop(self.saved.remove(&part)),
+            }
+        }
+        if now.is_multiple_of(2_000) && self.gateways[instance].needs_saved_parts(at(now)) {
+            let saved = self.saved_parts(now);
+            self.gateways[instance].restore_parts(&saved, at(now));
+        }
+    }
+
+    fn saved_parts(&self, now: u64) -> Vec<SavedPart> {
+        let saved = self.saved.values().map(|(when, saved)| {
+            let age = Duration::from_millis(now - when);
+            SavedPart { left: saved.left.saturating_sub(age), ..*saved }
+        });
+        saved.collect()
     }
 
     fn is_cut(&self, instance: usize, now: u64) -> bool {
--- a/crates/gateway/tests/all/crashes.rs
+++ b/crates/gateway/tests/all/crashes.rs
@@ -86,6 +86,13 @@
                 ..parts()
             },
         },
+        Case {
+            name: "all restart at once, three times",
+            plan: Plan {
+                restarts: (0..24).map(|n| (10_000 + 6_000 * (n / 8), n as usize % 8)).collect(),
+                ..plan(vec![culprit(Form::Part(2), 1.0)])
+            },
+        },
         Case {
             name: "three cut off",
             plan: Plan { cuts: (0..3).map(|n| (6_000..15_000, n)).collect(), ..parts() },
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::answer::{Answer, AnswerBody};
 use crate::callers;
 use crate::driver::Driver;
+use crate::held_parts;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::server::{self, Limits, Phase, Shared};
@@ -196,6 +197,7 @@
         spawn_local(watch::evaluate_rollouts(Rc::clone(driver)));
         spawn_local(watch::record_rollouts(Rc::clone(driver), Rc::clone(&self.source)));
         spawn_local(watch::save_usage(Rc::clone(driver), Rc::clone(&self.source)));
+        spawn_local(held_parts::exchange(Rc::clone(driver), Rc::clone(&self.source)));
         let me = Announcement {
             instance: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use sesamewind_gateway::Routing;
 use sesamewind_gateway::quota::SavedUsage;
 use sesamewind_gateway::rollouts::{RolloutOrder, RolloutRecord};
 use sesamewind_gateway::targets::TargetChange;
+use sesamewind_gateway::{Routing, SavedPart};
 use sesamewind_protocol::relay::{StorePosition, StoreRow, Topic};
-use sesamewind_protocol::{InstanceId, ZoneId};
+use sesamewind_protocol::{InstanceId, PartId, ZoneId};
 
 /// A decoded change of a row.
 #[derive(Debug, Clone, PartialEq)]
@@ -110,6 +110,16 @@
     /// Reads the saved usage with its age; none if nothing was saved yet.
     fn saved_usage(&self) -> LocalBoxFuture<'_, Result<Option<AgedUsage>, SourceError>>;
 
+    /// Saves the state of a prompt part; without a hold, its requests are accepted again.
+    fn save_part<'a>(
+        &'a self,
+        part: PartId,
+        saved: Option<&'a SavedPart>,
+    ) -> LocalBoxFuture<'a, Result<(), SourceError>>;
+
+    /// Reads the prompt parts whose requests are refused.
+    fn saved_parts(&self) -> LocalBoxFuture<'_, Result<Vec<SavedPart>, SourceError>>;
+
     /// Writes this instance's announcement.
     fn announce<'a>(&'a self, me: &'a Announcement) -> LocalBoxFuture<'a, Result<(), SourceError>>;
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::driver::Driver;
+use crate::held_parts;
 use crate::journal;
 use crate::peers::Peers;
 use crate::source::{Announcement, Batch, Notice, Source, SourceError};
@@ -189,6 +190,9 @@
         self.apply_rows(batch.rows, batch.position.era, whole);
         if self.topic == Topic::Configuration && unconfigured {
             restore_usage(&self.driver, self.source.as_ref()).await;
+            if self.driver.with_gateway(Gateway::needs_saved_usage) {
+                held_parts::restore(&self.driver, self.source.as_ref()).await;
+            }
         }
         if changed && self.driver.with_gateway(Gateway::shares_watch) {
             sleep(BATCH_DELAY).await;
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod notices;
 mod path;
+mod quarantine;
 mod rollouts;
 mod set_back;
 mod silence;
--- a/tests/all/relay/testbed.rs
+++ b/tests/all/relay/testbed.rs
@@ -44,21 +44,32 @@
 impl Gateway {
     /// Starts a gateway without waiting until it is ready.
     pub fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_as(name, store, true)
+    }
+
+    /// Starts a gateway; `first` tells whether the whole system starts for the first time.
+    pub fn start_as(name: &str, store: SocketAddr, first: bool) -> Self {
         let address = next_address();
         let addr = |port| SocketAddr::new(address, port);
         let settings =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{address}-{name}.toml"));
-        let this = Self::spawn(name, address, store, settings);
+        let this = Self::spawn(name, address, store, first, settings);
         assert_eq!(this.callers, addr(7_001));
         this
     }
 
-    fn spawn(name: &str, address: IpAddr, store: SocketAddr, settings: PathBuf) -> Self {
+    fn spawn(
+        name: &str,
+        address: IpAddr,
+        store: SocketAddr,
+        first: bool,
+        settings: PathBuf,
+    ) -> Self {
         let addr = |port| SocketAddr::new(address, port);
         let (callers, readiness, inner) = (addr(7_001), addr(7_002), addr(7_003));
         let text = GatewaySettings {
             name,
-            first_start: true,
+            first_start: first,
             callers,
             readiness,
             inner,
