Add a failing test: an instance that is cut off and ends exceeds account limits

An instance that is cut off from the others, but not from callers, ends before the cut does, so that nobody learns of what it used.

--- a/crates/gateway/tests/all/partitions.rs
+++ b/crates/gateway/tests/all/partitions.rs
@@ -49,6 +49,28 @@
 }
 
 impl Faults {
+    /// Draws as many faults as a soak has.
+    fn random(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut this = Self::default();
+        let mut now = 3_000;
+        while now < LENGTH - 8_000 {
+            let span = (now, now + rng.random_range(300..3_500));
+            let first = rng.random_range(0..INSTANCES);
+            let second = (first + rng.random_range(1..INSTANCES)) % INSTANCES;
+            match rng.random_range(0..8) {
+                0..3 => this.cuts.push((span, first, second)),
+                3 => this.cuts.extend(
+                    (0..INSTANCES).filter(|other| *other != first).map(|to| (span, first, to)),
+                ),
+                4 | 5 => this.freezes.push((span, first)),
+                _ => this.restarts.push((span, first)),
+            }
+            now += rng.random_range(100..2_000);
+        }
+        this
+    }
+
     fn is_cut(&self, from: usize, to: usize, now: u64) -> bool {
         self.cuts.iter().any(|(span, first, second)| {
             ((*first, *second) == (from, to) || (*second, *first) == (from, to))
@@ -350,6 +372,9 @@
 /// Number of plays of each case.
 const SEEDS: u64 = 20;
 
+/// Number of plays with random faults.
+const RANDOM_SEEDS: u64 = 100;
+
 /// The usage of an instance is counted by all others, also if it reaches some of them late or not
 /// at all.
 #[test]
@@ -381,3 +406,13 @@
         assert!(refused <= case.refused, "{name}: {refused} of {requests} requests refused");
     }
 }
+
+/// No combination of faults, as many as a soak has, exceeds the bound.
+#[test]
+fn random_faults_keep_the_bound() {
+    for seed in 0..RANDOM_SEEDS {
+        let faults = Faults::random(seed);
+        let most = Play::new(&faults, seed).run(STORM).most;
+        assert!(most <= ALLOWED, "seed {seed}: {most} of {ALLOWED} within a window: {faults:?}");
+    }
+}
