--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -231,7 +231,7 @@
     /// Holds prompt parts that were saved.
     pub fn restore_parts(&mut self, saved: &[SavedPart], now: Time) {
         self.quarantine.restore(saved, now);
-        self.refuse_held(now);
+        self.refuse_quarantined(now);
     }
 
     /// Returns whether prompt parts that peers have saved should be read, since targets end and peers
@@ -460,7 +460,7 @@
         for report in &update.parts {
             self.quarantine.apply_report(report, now);
         }
-        self.refuse_held(now);
+        self.refuse_quarantined(now);
         for entry in &update.leaving {
             self.targets.retire(&entry.target, entry.incarnation, now);
         }
--- a/crates/gateway/src/quarantine/requests.rs
+++ b/crates/gateway/src/quarantine/requests.rs
@@ -42,11 +42,11 @@
             targets.get(target).has_succeeded_since(since) || requests.values().any(remains)
         };
         self.quarantine.confirm(is_alive, now);
-        self.refuse_held(now);
+        self.refuse_quarantined(now);
     }
 
     /// Ends the waiting requests with parts that are held from now on.
-    pub(crate) fn refuse_held(&mut self, now: Time) {
+    pub(crate) fn refuse_quarantined(&mut self, now: Time) {
         if !self.quarantine.take_holds() {
             return;
         }
