Relay the usage of account limits among few instances only

Each report holds the usage of all instances that a peer does not hear, or that have ended, so that with many instances the size of all reports grows with the cube of their number while links are cut or processes restart. What relaying mends there is open.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -39,9 +39,6 @@
 /// Time without a message from a peer after which other peers are asked to relay its usage.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Used instead of [`RELAY_TIMEOUT`] if there are many peers.
-const LONG_RELAY_TIMEOUT: Duration = Duration::from_millis(2_000);
-
 /// Time between two reports of a peer after which its usage in between says nothing about its rate
 /// now.
 const LATE_TIME: Duration = Duration::from_secs(1);
@@ -279,17 +276,23 @@
 
     /// Returns the peers from which no message has arrived recently.
     fn unheard(&self, now: Time) -> Vec<InstanceId> {
-        let limit = if self.has_many() { LONG_RELAY_TIMEOUT } else { RELAY_TIMEOUT };
+        if self.has_many() {
+            return Vec::new();
+        }
         let unheard = self.peers.iter().filter(|(_, peer)| {
             let silence = now.since(peer.last_heard);
-            silence < GONE_TIMEOUT && (peer.expected || silence > limit)
+            silence < GONE_TIMEOUT && (peer.expected || silence > RELAY_TIMEOUT)
         });
         unheard.map(|(name, _)| name.clone()).collect()
     }
 
     /// Returns the usage that the peer `to` may not have received: that of incarnations that ended
-    /// within the window, and that of peers it does not hear; `whole` adds all others.
+    /// within the window, and that of peers it does not hear; `whole` adds all others. With many
+    /// peers, the size of all reports would grow with the cube of their number.
     fn relayed(&self, to: &InstanceId, whole: bool, now: Time) -> Vec<RelayedUsage> {
+        if self.has_many() {
+            return Vec::new();
+        }
         let unheard = self.peers.get(to).map_or(&[][..], |peer| &peer.unheard);
         let mut relayed = Vec::new();
         let mut count = 0;
