Report to peers only what they can't have seen of prompt parts

Each instance passed on for two seconds what it had heard of parts, and all of it every two seconds. With many instances, each of which exchanges with all others, that repeats the same evidence in every report. Only what an instance has seen itself is news now; held parts are in each report as before, and all parts every five seconds, for instances that were cut off.

Bytes were not measured.

--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -42,11 +42,11 @@
 /// Time for which an end of a target makes its parts suspect.
 const SUSPICION_TIME: Duration = Duration::from_secs(10);
 
-/// Time for which a change is part of each report to peers.
+/// Time for which a change that this instance has seen itself is part of each report to peers.
 const NEWS_TIME: Duration = Duration::from_secs(2);
 
 /// Interval at which a peer is told of all parts.
-const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
+const REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Shortest time after which the caller of a refused request may return.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(10);
@@ -140,6 +140,9 @@
             }
             for &part in parts.iter() {
                 self.add_target(part, key, now);
+                if let Some(record) = self.records.get_mut(&part) {
+                    record.news = Some(now);
+                }
             }
         }
     }
@@ -213,7 +216,8 @@
             self.refreshed.insert(to.clone(), now);
         }
         let is_due = |record: &Record| {
-            is_full || record.hold.is_some() || now.since(record.changed) < NEWS_TIME
+            let is_news = record.news.is_some_and(|news| now.since(news) < NEWS_TIME);
+            is_full || is_news || record.hold.is_some()
         };
         let mut due: Vec<_> = self.records.iter().filter(|(_, record)| is_due(record)).collect();
         due.sort_unstable_by_key(|(part, record)| (Reverse(record.weight()), **part));
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -39,11 +39,13 @@
     pub(super) hold: Option<Hold>,
     /// When the record last changed.
     pub(super) changed: Time,
+    /// When this instance last saw something of the part that its peers may not know.
+    pub(super) news: Option<Time>,
 }
 
 impl Record {
     pub(super) fn new(now: Time) -> Self {
-        Self { targets: Vec::new(), begun: None, hold: None, changed: now }
+        Self { targets: Vec::new(), begun: None, hold: None, changed: now, news: None }
     }
 
     pub(super) fn targets(&self) -> &[u64] {
@@ -109,6 +111,7 @@
         }
         if !self.is_cleared() {
             self.changed = now;
+            self.news = Some(now);
         }
         self.begun = Some(begun);
         self.targets.clear();
@@ -121,6 +124,7 @@
         if self.begun != Some(begun) || now.since(self.changed) >= interval {
             self.begun = Some(begun);
             self.changed = now;
+            self.news = Some(now);
         }
     }
 }
