Log the request limits that targets state, and count limited targets

Targets name in their answers how many requests a second they take from all instances together, and no source file knew the header. Which instance had read a limit, and when, could not be told from the logs of the incident.

The header is decoded, and the later of two statements is found by when their requests were sent and their answers received. Changes are logged, and a gauge counts the limited targets. Nothing is decided by it yet.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -72,6 +72,9 @@
     TargetLeaving(Ticket),
     /// The target of the attempt asked for no requests from this instance for a while.
     TargetResting(Ticket, Duration),
+    /// The target of the attempt stated how many requests a second it takes from all instances
+    /// together; none if it takes any number.
+    TargetLimit(Ticket, Option<f64>),
     /// The target of the attempt has made no progress for longer than the silence timeout. The gateway
     /// always returns a step for the request: [`Step::Dispatch`] ends the attempt, [`Step::Wait`] does
     /// not.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::arrival::Ticket;
 use crate::event::{Action, Event};
 use crate::groups::Members;
+use crate::limits::Limits;
 use crate::peers::Peers;
 use crate::quarantine::{PartChange, Quarantine, SavedPart};
 use crate::quota::{Quotas, SavedUsage};
@@ -61,6 +62,7 @@
     pub(crate) rollouts: Rollouts,
     pub(crate) peers: Peers,
     pub(crate) quarantine: Quarantine,
+    pub(crate) limits: Limits,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -93,6 +95,7 @@
             rollouts: Rollouts::default(),
             peers: Peers::default(),
             quarantine: Quarantine::default(),
+            limits: Limits::default(),
             members: Members::default(),
             stopping: false,
             list_restored: None,
@@ -116,6 +119,7 @@
             Event::Paced(ticket, pace) => self.paced(ticket, pace, now),
             Event::TargetLeaving(ticket) => self.target_leaving(ticket, now),
             Event::TargetResting(ticket, rest) => self.target_resting(ticket, rest, now),
+            Event::TargetLimit(ticket, rate) => self.target_limit(ticket, rate, now),
             Event::Silent(ticket) => self.silent(ticket, now),
             Event::SilenceEnded(ticket) => self.silence_ended(ticket),
             Event::Ended(ticket, outcome) => self.ended(ticket, outcome, now),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,8 +9,9 @@
 //! their usage, [`budget`] the retry budget, [`queue`] the waiting requests, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
-//! of instances, `quarantine` the prompt parts that end targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other
-//! instances report.
+//! of instances, `limits` the request limits that targets state, `quarantine` the prompt parts that end
+//! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
+//! report.
 
 pub mod arrival;
 pub mod budget;
@@ -18,6 +19,7 @@
 mod flow;
 pub mod gateway;
 mod groups;
+mod limits;
 mod meter;
 mod notices;
 pub mod peers;
@@ -40,6 +42,7 @@
 pub use arrival::{Arrival, Ticket};
 pub use event::{Action, AttemptOutcome, Event, Failure, NoRetry, Step};
 pub use gateway::Gateway;
+pub use limits::LimitChange;
 pub use proof::{Refusal, RefusalReason};
 pub use quarantine::{PartChange, SavedPart};
 pub use table::{Account, Repeat, Route, RouteTable, Routing, Service};
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -13,20 +13,20 @@
 impl Gateway {
     /// Stops sending requests to a target that is leaving. Those that wait go elsewhere.
     pub(crate) fn target_leaving(&mut self, ticket: Ticket, now: Time) {
-        let Some(index) = self.target_of(ticket) else { return };
+        let Some((index, _)) = self.attempt_of(ticket) else { return };
         self.targets.get_mut(index).record_leaving(now);
     }
 
     /// Sends no requests to a target for the time that it asked for.
     pub(crate) fn target_resting(&mut self, ticket: Ticket, rest: Duration, now: Time) {
-        let Some(index) = self.target_of(ticket) else { return };
+        let Some((index, _)) = self.attempt_of(ticket) else { return };
         self.targets.get_mut(index).record_rest(rest, now);
     }
 
-    /// Returns the target of a request's attempt.
-    fn target_of(&self, ticket: Ticket) -> Option<Index> {
+    /// Returns the target of a request's attempt and when the attempt was sent.
+    pub(crate) fn attempt_of(&self, ticket: Ticket) -> Option<(Index, Time)> {
         match &self.requests.get(&ticket)?.state {
-            State::InFlight(attempt) => Some(attempt.target),
+            State::InFlight(attempt) => Some((attempt.target, attempt.sent)),
             State::Waiting { .. } => None,
         }
     }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -6,6 +6,8 @@
 
 use sesamewind_protocol::{Incarnation, ServiceId, TargetId, Time, VersionId, ZoneId};
 
+use crate::limits::RequestLimit;
+
 /// Position of a target in [`Targets`]; never reused for another target.
 pub type Index = usize;
 
@@ -123,6 +125,8 @@
     backoff_until: Time,
     /// Until when the target wants no requests from this instance.
     rest_until: Time,
+    /// Request limit that the target has stated, if it ever did.
+    pub(crate) limit: Option<RequestLimit>,
     /// Until when peers are told that the target is leaving.
     report_leaving_until: Time,
     /// When an attempt of this instance last succeeded.
@@ -146,6 +150,7 @@
             failures: 0,
             backoff_until: Time::ZERO,
             rest_until: Time::ZERO,
+            limit: None,
             report_leaving_until: Time::ZERO,
             last_success: Time::ZERO,
         }
@@ -176,6 +181,16 @@
         self.rest_until.since(now)
     }
 
+    /// Returns whether the target may still be listed.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.usability != Usability::Retired
+    }
+
+    /// Returns whether the target takes only so many requests a second from all instances together.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.limit.as_ref().is_some_and(|limit| limit.rate().is_some())
+    }
+
     /// Returns whether the target takes requests of this instance, regardless of failures.
     pub fn is_willing(&self, now: Time) -> bool {
         self.is_usable(now) && self.rest_left(now).is_zero()
--- /dev/null
+++ b/crates/gateway/tests/all/limits.rs
@@ -0,0 +1,115 @@
+//! Targets that state how many requests a second they take from all instances together.
+
+use sesamewind_gateway::{AttemptOutcome, Event};
+
+use crate::support::{at, bench};
+
+/// Time at which the first request is sent, in milliseconds.
+const START: u64 = 10_000;
+
+/// What a target says in the answer to one request.
+struct Answer {
+    /// When the request is sent and its answer received, in tenths of a second.
+    sent: u64,
+    received: u64,
+    rate: Option<f64>,
+}
+
+const fn answer(sent: u64, received: u64, rate: Option<f64>) -> Answer {
+    Answer { sent, received, rate }
+}
+
+/// Answers overtake each other. One that was asked for after another was received is the later one; of
+/// two in no known order, the lower limit holds.
+#[test]
+fn the_later_statement_holds_and_otherwise_the_lower_limit() {
+    struct Case {
+        name: &'static str,
+        answers: Vec<Answer>,
+        want: Option<f64>,
+    }
+    let cases = [
+        Case { name: "none", answers: vec![answer(0, 50, None)], want: None },
+        Case { name: "one", answers: vec![answer(0, 50, Some(3.0))], want: Some(3.0) },
+        Case {
+            name: "ended",
+            answers: vec![answer(0, 50, Some(3.0)), answer(51, 90, None)],
+            want: None,
+        },
+        Case {
+            name: "an earlier answer without it comes late",
+            answers: vec![answer(10, 50, Some(3.0)), answer(0, 90, None)],
+            want: Some(3.0),
+        },
+        Case {
+            name: "raised",
+            answers: vec![answer(0, 50, Some(3.0)), answer(51, 90, Some(8.0))],
+            want: Some(8.0),
+        },
+        Case {
+            name: "an earlier answer with a higher limit comes late",
+            answers: vec![answer(10, 50, Some(3.0)), answer(0, 90, Some(8.0))],
+            want: Some(3.0),
+        },
+        Case {
+            name: "an answer with a lower limit overtakes",
+            answers: vec![answer(0, 50, Some(8.0)), answer(10, 90, Some(3.0))],
+            want: Some(3.0),
+        },
+        Case {
+            name: "ended, then an answer of before the end comes",
+            answers: vec![
+                answer(0, 50, Some(3.0)),
+                answer(60, 90, None),
+                answer(10, 100, Some(3.0)),
+            ],
+            want: Some(3.0),
+        },
+        Case {
+            name: "ended for good after that",
+            answers: vec![
+                answer(0, 50, Some(3.0)),
+                answer(60, 90, None),
+                answer(10, 100, Some(3.0)),
+                answer(101, 150, None),
+            ],
+            want: None,
+        },
+        Case {
+            name: "named again",
+            answers: vec![
+                answer(0, 50, Some(3.0)),
+                answer(60, 90, None),
+                answer(100, 150, Some(2.0)),
+            ],
+            want: Some(2.0),
+        },
+    ];
+    for case in cases {
+        let mut bench = bench(1, 0);
+        let mut events: Vec<(u64, bool, usize)> = Vec::new();
+        for (number, answer) in case.answers.iter().enumerate() {
+            events.push((answer.sent, true, number));
+            events.push((answer.received, false, number));
+        }
+        events.sort_unstable();
+        let mut tickets = vec![0; case.answers.len()];
+        let mut rate = None;
+        for (now, is_sent, number) in events {
+            if is_sent {
+                tickets[number] = bench.arrive("urgent", 10, at(START + 100 * now));
+                assert!(bench.dispatch(tickets[number]).is_some(), "{}: sent", case.name);
+                continue;
+            }
+            let limit = case.answers[number].rate;
+            bench.send(Event::TargetLimit(tickets[number], limit), at(START + 100 * now));
+            bench.end(tickets[number], AttemptOutcome::Whole, at(START + 100 * now));
+            for change in bench.gateway.take_limit_changes() {
+                assert_eq!(change.before, rate, "{}", case.name);
+                rate = change.rate;
+            }
+        }
+        assert_eq!(rate, case.want, "{}", case.name);
+        assert_eq!(bench.gateway.limited_targets(), usize::from(case.want.is_some()));
+    }
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod groups;
 mod health;
+mod limits;
 mod load;
 mod notices;
 mod partitions;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::journal;
 use crate::pool::{Connection, SendError};
 use crate::silence::Silence;
-use crate::wire_format::{AnswerClass, CallerHead, ForwardHead};
+use crate::wire_format::{AnswerClass, CallerHead, ForwardHead, LimitNotice};
 
 /// Longest idle time of a pooled connection that a request which may run only once can use.
 ///
@@ -218,6 +218,17 @@
             journal::target_resting(self, dispatch, rest);
             self.driver.handle(Event::TargetResting(self.ticket, rest));
         }
+        match notice.limit {
+            LimitNotice::Unstated => {}
+            LimitNotice::Rate(rate) => {
+                self.driver.handle(Event::TargetLimit(self.ticket, Some(rate)));
+            }
+            LimitNotice::Unlimited => {
+                if self.driver.with_gateway(|gateway| gateway.is_target_limited(self.ticket)) {
+                    self.driver.handle(Event::TargetLimit(self.ticket, None));
+                }
+            }
+        }
     }
 
     async fn send(
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -175,6 +175,14 @@
         self.metrics.held_parts(self.with_gateway(Gateway::held_parts));
     }
 
+    /// Logs the changes of targets' request limits, and counts the limited targets.
+    pub fn report_limits(&self) {
+        self.metrics.limited_targets(self.with_gateway(Gateway::limited_targets));
+        for change in self.with_gateway_mut(Gateway::take_limit_changes) {
+            journal::limit_changed(&change);
+        }
+    }
+
     /// Returns an unused ticket for a new request.
     pub fn new_ticket(&self) -> Ticket {
         let ticket = self.next_ticket.get();
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -144,6 +144,7 @@
                     driver.observe_turn(Instant::now());
                     driver.handle(Event::Tick);
                     driver.report_parts();
+                    driver.report_limits();
                 }
                 _ = sweep.tick() => {
                     driver.pool.sweep();
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -8,7 +8,7 @@
 
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::RolloutStatus;
-use sesamewind_gateway::{AttemptOutcome, NoRetry, PartChange, Refusal};
+use sesamewind_gateway::{AttemptOutcome, LimitChange, NoRetry, PartChange, Refusal};
 use sesamewind_protocol::PartId;
 
 use crate::activity::CallerSide;
@@ -17,6 +17,9 @@
 /// Value of `first_ms` for a request that received no byte from a target.
 const NO_ANSWER: i64 = -1;
 
+/// Value of a target's request limit before it had one.
+const UNLIMITED: f64 = -1.0;
+
 /// Value of `no_retry` for a request that got an answer of its target.
 const NO_RETRY_NEEDED: &str = "";
 
@@ -222,6 +225,20 @@
     }
 }
 
+/// Logs that a target's request limit has changed.
+pub fn limit_changed(change: &LimitChange) {
+    let target = change.target.as_str();
+    let before = change.before.unwrap_or(UNLIMITED);
+    if let Some(rate) = change.rate {
+        log::warn!(
+            event = "target_limited", target, rate, before;
+            "target takes only so many requests a second from all instances together"
+        );
+    } else {
+        log::info!(event = "limit_ended", target, before; "target takes any number of requests");
+    }
+}
+
 /// Logs the evidence on a running rollout and the share that follows from it.
 pub fn rollout_progress(status: &RolloutStatus) {
     log::info!(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,7 @@
     longest_stall: Gauge,
     store_era: Gauge,
     held_parts: Gauge,
+    limited_targets: Gauge,
     first_byte: RouteHistogram,
     waited: RouteHistogram,
 }
@@ -77,6 +78,7 @@
             longest_stall: Gauge::default(),
             store_era: Gauge::default(),
             held_parts: Gauge::default(),
+            limited_targets: Gauge::default(),
             first_byte: Family::new_with_constructor(histogram),
             waited: Family::new_with_constructor(histogram),
             registry: Registry::default(),
@@ -103,6 +105,11 @@
             "Prompt parts whose requests are refused",
             this.held_parts.clone(),
         );
+        registry.register(
+            "limited_targets",
+            "Targets that take only so many requests a second from all instances together",
+            this.limited_targets.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first byte of the answer",
@@ -143,6 +150,11 @@
         self.held_parts.set(i64::try_from(parts).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of targets with a request limit.
+    pub fn limited_targets(&self, targets: usize) {
+        self.limited_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
     /// Counts the loss of a dependency, such as the store or a peer.
     pub fn dependency_lost(&self, kind: &str) {
         self.lost.get_or_create(&ReasonLabels { reason: kind.to_owned() }).inc();
--- a/crates/relay/src/wire_format.rs
+++ b/crates/relay/src/wire_format.rs
@@ -86,13 +86,28 @@
     Invalid,
 }
 
+/// What a target says in the head of an answer about the requests a second that it takes from all
+/// instances together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum LimitNotice {
+    /// The head says nothing about it, or nothing that can be read.
+    #[default]
+    Unstated,
+    /// There is no limit.
+    Unlimited,
+    /// This many requests a second; finite and not negative.
+    Rate(f64),
+}
+
 /// What a target says about itself in the head of an answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetNotice {
     /// Whether the target is leaving and wants no further requests.
     pub leaving: bool,
     /// For how long the target wants no requests from this instance.
     pub rest: Option<Duration>,
+    /// Requests that the target takes from all instances together.
+    pub limit: LimitNotice,
 }
 
 /// Translates between HTTP heads and the values that this crate works with.
