--- /dev/null
+++ b/crates/gateway/tests/all/limit_fleet.rs
@@ -0,0 +1,557 @@
+//! A simulation of instances that share targets, some of which state request limits.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sesamewind_gateway::event::Dispatch;
+use sesamewind_gateway::gateway::Identity;
+use sesamewind_gateway::targets::TargetChange;
+use sesamewind_gateway::{
+    Arrival, AttemptOutcome, Event, Gateway, ListedTarget, Refusal, RouteTable, Step, Ticket,
+    Tuning,
+};
+use sesamewind_protocol::relay::{RelayUpdate, StorePosition};
+use sesamewind_protocol::{Incarnation, InstanceId, Time, ZoneId};
+
+use crate::support::{MODEL, at, identity, routing, target};
+
+/// Milliseconds from a target's first statement of a limit until the bound holds.
+const CONTACT_MS: u64 = 3_000;
+
+/// Milliseconds after an instance was told of a limit from which its requests count.
+const TOLD_MS: u64 = 500;
+
+/// Milliseconds over which requests at a target are counted.
+const WINDOW_MS: u64 = 4_000;
+
+/// Requests allowed within the window: this factor times what the limit allows, and so many more.
+const BOUND: (f64, f64) = (1.5, 5.0);
+
+/// Number of availability zones.
+const ZONES: usize = 3;
+
+/// Slots of each target.
+const SLOTS: u32 = 16;
+
+/// Milliseconds that a message takes between two instances, or an instance and a target.
+const PATH_MS: Range<u64> = 1..5;
+
+/// Milliseconds that one of [`LATE_ONE_IN`] requests takes to its target.
+const LATE_PATH_MS: Range<u64> = 100..700;
+const LATE_ONE_IN: u64 = 40;
+
+/// Milliseconds from a request's arrival at its target to the head of its answer, and from there to
+/// the end.
+const HEAD_MS: Range<u64> = 30..400;
+const WORK_MS: Range<u64> = 100..900;
+
+/// Interval of the gateway's ticks, and of exchanges with up to ten peers, in milliseconds.
+const TICK_MS: u64 = 20;
+const EXCHANGE_MS: u64 = 100;
+
+/// A span of time in milliseconds.
+type Span = Range<u64>;
+
+/// A limit that a target states.
+#[derive(Debug, Clone)]
+pub struct Named {
+    pub during: Span,
+    pub target: usize,
+    pub rate: f64,
+}
+
+/// Instances that a fault separates from the others. Callers and targets reach them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    Instance(usize),
+    Zone(usize),
+}
+
+/// A play of the simulation; times are in milliseconds.
+#[derive(Debug, Clone, Default)]
+pub struct Plan {
+    pub instances: usize,
+    pub targets: usize,
+    /// Requests a second.
+    pub requests: f64,
+    pub limits: Vec<Named>,
+    pub cuts: Vec<(Span, Cut)>,
+    pub freezes: Vec<(Span, usize)>,
+    /// Instances that are killed and start again.
+    pub kills: Vec<(Span, usize)>,
+    /// Instances that are stopped as planned and start again.
+    pub stops: Vec<(Span, usize)>,
+    pub length: u64,
+}
+
+/// A request that reached a target.
+#[derive(Debug, Clone, Copy)]
+struct Reached {
+    at: u64,
+    /// When its instance was told of the present limit.
+    told: Option<u64>,
+}
+
+/// Result of a play.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Most requests within the window at a target, relative to those allowed.
+    pub worst: f64,
+    /// Description of that window.
+    pub window: String,
+    /// Requests that reached targets while these stated a limit, and how many the limits allow.
+    pub used: (f64, f64),
+    pub asked: u32,
+    pub refused: u32,
+    /// Refusals with their time and the time until the caller may return.
+    pub refusals: Vec<(u64, Duration)>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Reaches(usize, Ticket, u32, usize),
+    /// Head of an answer with the limit that the target states, in thousandths.
+    Head(usize, Ticket, u32, Option<u64>, usize),
+    Ends(usize, Ticket, u32, Kind),
+    Message(usize, usize, u64),
+}
+
+/// How a target handles a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Served,
+    Fails,
+    Declines,
+    Breaks,
+}
+
+struct Member {
+    gateway: Gateway,
+    /// When the instance was told of each target's limit.
+    told: HashMap<usize, u64>,
+    /// Events that wait for the end of a freeze.
+    frozen: Vec<Due>,
+}
+
+struct Fleet<'a> {
+    plan: &'a Plan,
+    rng: ChaCha8Rng,
+    table: Arc<RouteTable>,
+    members: Vec<Option<Member>>,
+    targets: Vec<ListedTarget>,
+    reached: BTreeMap<usize, Vec<Reached>>,
+    due: BinaryHeap<Reverse<(u64, u64, Due)>>,
+    messages: HashMap<u64, RelayUpdate>,
+    starts: u64,
+    next: u64,
+    report: Report,
+}
+
+/// Plays `plan` with random choices that depend on `seed`.
+pub fn play(plan: &Plan, seed: u64) -> Report {
+    let mut fleet = Fleet::new(plan, seed);
+    for now in (0..plan.length).step_by(5) {
+        fleet.step(now);
+    }
+    fleet.count();
+    fleet.report
+}
+
+fn name(instance: usize) -> InstanceId {
+    InstanceId::new(format!("i{instance:03}"))
+}
+
+fn zone(number: usize) -> usize {
+    number % ZONES
+}
+
+impl Plan {
+    /// Draws a play with limits that begin, change and end, and with faults of instances, one after
+    /// the other and at once.
+    pub fn random(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let instances = [2, 3, 6, 8, 8, 11, 16, 30][rng.random_range(0..8)];
+        let targets = rng.random_range(2..10);
+        let length = 40_000;
+        let mut this = Self {
+            instances,
+            targets,
+            requests: rng.random_range(4.0..20.0) * targets as f64,
+            length,
+            ..Self::default()
+        };
+        for target in 0..rng.random_range(1..=targets) {
+            let mut start = rng.random_range(1_000..15_000);
+            while start < length {
+                let end = start + rng.random_range(500..12_000);
+                let rate = [0.0, 0.1, 0.5, 1.0, 2.3, 3.0, 7.5, 40.0][rng.random_range(0..8)];
+                this.limits.push(Named { during: start..end, target, rate });
+                let pause = if rng.random_bool(0.5) { 0 } else { rng.random_range(1_000..6_000) };
+                start = end + pause;
+            }
+        }
+        let mut now = 2_000;
+        while now < length {
+            let span = now..now + rng.random_range(200..12_000);
+            let one = rng.random_range(0..instances);
+            match rng.random_range(0..9) {
+                0 | 1 => this.cuts.push((span, Cut::Instance(one))),
+                2 => this.cuts.push((span, Cut::Zone(rng.random_range(0..ZONES)))),
+                3 | 4 => this.freezes.push((now..now + rng.random_range(200..4_000), one)),
+                5 | 6 => this.kills.push((now..now + rng.random_range(100..4_000), one)),
+                7 => this.stops.push((now..now + rng.random_range(100..4_000), one)),
+                _ => this.kills.extend(
+                    (0..instances)
+                        .filter(|_| rng.random_bool(0.6))
+                        .map(|one| (now..now + 300, one)),
+                ),
+            }
+            now += rng.random_range(100..5_000);
+        }
+        this
+    }
+
+    /// Returns the limit that a target states at `now`.
+    fn limit(&self, target: usize, now: u64) -> Option<f64> {
+        let named = self.limits.iter().filter(|one| one.target == target);
+        named.filter(|one| one.during.contains(&now)).map(|one| one.rate).next_back()
+    }
+
+    fn is_cut(&self, a: usize, b: usize, now: u64) -> bool {
+        self.cuts.iter().filter(|(during, _)| during.contains(&now)).any(|(_, cut)| match cut {
+            Cut::Instance(one) => *one == a || *one == b,
+            Cut::Zone(one) => (zone(a) == *one) != (zone(b) == *one),
+        })
+    }
+
+    fn is_down(&self, instance: usize, now: u64) -> bool {
+        let all = self.kills.iter().chain(&self.stops);
+        all.clone().any(|(during, one)| *one == instance && during.contains(&now))
+    }
+
+    fn is_frozen(&self, instance: usize, now: u64) -> bool {
+        self.freezes.iter().any(|(during, one)| *one == instance && during.contains(&now))
+    }
+
+    /// Returns how long before `stops` a planned stop begins: the instance still runs and accepts
+    /// no requests.
+    fn is_stopping(&self, instance: usize, now: u64) -> bool {
+        let mut stops = self.stops.iter().filter(|(_, one)| *one == instance);
+        stops.any(|(during, _)| (during.start.saturating_sub(500)..during.start).contains(&now))
+    }
+}
+
+impl<'a> Fleet<'a> {
+    fn new(plan: &'a Plan, seed: u64) -> Self {
+        let listed = |number: usize| ListedTarget {
+            zone: ZoneId::new(format!("z{}", zone(number))),
+            ..target(&format!("m{number}"), MODEL, SLOTS)
+        };
+        Self {
+            plan,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            table: Arc::new(RouteTable::new(routing())),
+            members: (0..plan.instances).map(|_| None).collect(),
+            targets: (0..plan.targets).map(listed).collect(),
+            reached: BTreeMap::new(),
+            due: BinaryHeap::new(),
+            messages: HashMap::new(),
+            starts: 0,
+            next: 0,
+            report: Report::default(),
+        }
+    }
+
+    fn start(&mut self, instance: usize, now: u64) {
+        self.starts += 1;
+        let me = Identity {
+            incarnation: Incarnation(self.starts),
+            ..identity(name(instance).as_str(), &format!("z{}", zone(instance)))
+        };
+        let tuning = Tuning { joined: now > 0, ..Tuning::default() };
+        let mut gateway = Gateway::new(me, tuning, self.starts + self.rng.random::<u64>() / 2);
+        gateway.handle(Event::Configured(Arc::clone(&self.table)), at(now));
+        let listed = self.targets.iter().cloned().map(TargetChange::Listed).collect();
+        gateway.handle(Event::ListedAll(listed), at(now));
+        let peers: Vec<_> =
+            (0..self.plan.instances).filter(|peer| *peer != instance).map(name).collect();
+        gateway.expect_peers(&peers.iter().collect::<Vec<_>>(), at(now));
+        let member = Member { gateway, told: HashMap::new(), frozen: Vec::new() };
+        self.members[instance] = Some(member);
+    }
+
+    fn push(&mut self, when: u64, due: Due) {
+        self.next += 1;
+        self.due.push(Reverse((when, self.next, due)));
+    }
+
+    fn path_ms(&mut self) -> u64 {
+        self.rng.random_range(PATH_MS)
+    }
+
+    fn step(&mut self, now: u64) {
+        for instance in 0..self.plan.instances {
+            match (self.plan.is_down(instance, now), self.members[instance].is_some()) {
+                (true, true) => self.members[instance] = None,
+                (false, false) => self.start(instance, now),
+                _ => {}
+            }
+            if self.plan.is_stopping(instance, now) {
+                self.send(instance, Event::Stop, now);
+            }
+            if !self.plan.is_frozen(instance, now) {
+                self.thaw(instance, now);
+                if now.is_multiple_of(TICK_MS) {
+                    self.send(instance, Event::Tick, now);
+                }
+            }
+        }
+        self.arrivals(now);
+        while self.due.peek().is_some_and(|Reverse((when, ..))| *when <= now) {
+            if let Some(Reverse((_, _, due))) = self.due.pop() {
+                self.happen(due, now);
+            }
+        }
+        self.exchange(now);
+    }
+
+    fn thaw(&mut self, instance: usize, now: u64) {
+        let Some(member) = &mut self.members[instance] else { return };
+        for due in std::mem::take(&mut member.frozen) {
+            self.happen(due, now);
+        }
+    }
+
+    fn arrivals(&mut self, now: u64) {
+        let mut left = self.plan.requests * 0.005;
+        while left > 0.0 {
+            if self.rng.random_bool(left.min(1.0)) {
+                self.arrive(now);
+            }
+            left -= 1.0;
+        }
+    }
+
+    fn arrive(&mut self, now: u64) {
+        // Callers are spread unevenly.
+        let pick = self.rng.random::<f64>().powf(1.5) * self.plan.instances as f64;
+        let instance = (pick as usize).min(self.plan.instances - 1);
+        let is_up = self.members[instance].is_some() && !self.plan.is_frozen(instance, now);
+        if !is_up || self.plan.is_stopping(instance, now) {
+            return;
+        }
+        let resolved =
+            self.table.resolve("host.example", "/urgent/x", Some("key-a")).expect("a route");
+        self.next += 1;
+        self.report.asked += 1;
+        let arrival = Arrival {
+            ticket: self.next,
+            deadline: at(now) + resolved.route.timeout,
+            route: resolved.route,
+            account: resolved.account,
+            prompt_tokens: Some(300),
+            output_tokens: 50,
+            parts: Arc::default(),
+            point: 0.5,
+        };
+        self.send(instance, Event::Arrive(arrival), now);
+    }
+
+    fn send(&mut self, instance: usize, event: Event<'_>, now: u64) {
+        let Some(member) = &mut self.members[instance] else { return };
+        for action in member.gateway.handle(event, at(now)) {
+            match action.step {
+                Step::Dispatch(dispatch) => self.dispatch(instance, action.ticket, &dispatch, now),
+                Step::Refuse(refusal) => self.refused(&refusal, now),
+                _ => {}
+            }
+        }
+    }
+
+    fn refused(&mut self, refusal: &Refusal, now: u64) {
+        self.report.refused += 1;
+        self.report.refusals.push((now, refusal.retry_after));
+    }
+
+    fn dispatch(&mut self, instance: usize, ticket: Ticket, dispatch: &Dispatch, now: u64) {
+        let target = self.targets.iter().position(|one| one.id == dispatch.target);
+        let Some(target) = target else { return };
+        let is_late = self.rng.random_range(0..LATE_ONE_IN) == 0;
+        let path = self.rng.random_range(if is_late { LATE_PATH_MS } else { PATH_MS });
+        self.push(now + path, Due::Reaches(instance, ticket, dispatch.attempt, target));
+    }
+
+    fn happen(&mut self, due: Due, now: u64) {
+        match due {
+            Due::Reaches(instance, ticket, attempt, target) => {
+                self.reach(instance, ticket, attempt, target, now);
+            }
+            Due::Message(from, to, number) => self.deliver(from, to, number, now),
+            Due::Head(instance, ..) | Due::Ends(instance, ..)
+                if self.plan.is_frozen(instance, now) =>
+            {
+                if let Some(member) = &mut self.members[instance] {
+                    member.frozen.push(due);
+                }
+            }
+            Due::Head(instance, ticket, _, limit, target) => {
+                let rate = limit.map(|rate| rate as f64 / 1_000.0);
+                if let Some(member) = self.members[instance].as_mut().filter(|_| rate.is_some()) {
+                    member.told.entry(target).or_insert(now);
+                }
+                self.send(instance, Event::TargetLimit(ticket, rate), now);
+            }
+            Due::Ends(instance, ticket, _, kind) => {
+                let outcome = match kind {
+                    Kind::Served => AttemptOutcome::Whole,
+                    Kind::Fails => AttemptOutcome::Failing,
+                    Kind::Declines => AttemptOutcome::Declined,
+                    Kind::Breaks => AttemptOutcome::Broken,
+                };
+                if kind == Kind::Served {
+                    self.send(instance, Event::Started(ticket), now);
+                }
+                self.send(instance, Event::Ended(ticket, outcome), now);
+            }
+        }
+    }
+
+    fn reach(&mut self, instance: usize, ticket: Ticket, attempt: u32, target: usize, now: u64) {
+        let limit = self.plan.limit(target, now);
+        let member = self.members[instance].as_mut();
+        let told = member.and_then(|member| {
+            if limit.is_none() {
+                member.told.remove(&target);
+            }
+            member.told.get(&target).copied()
+        });
+        self.reached.entry(target).or_default().push(Reached { at: now, told });
+        let kind = match self.rng.random_range(0..100) {
+            0..4 => Kind::Fails,
+            4..7 => Kind::Declines,
+            7..9 => Kind::Breaks,
+            _ => Kind::Served,
+        };
+        let head = now + self.rng.random_range(HEAD_MS);
+        let stated = self.plan.limit(target, head).map(|rate| (rate * 1_000.0) as u64);
+        let head = head + self.path_ms();
+        // An answer that declines without naming a limit says nothing.
+        if kind != Kind::Breaks && (kind != Kind::Declines || stated.is_some()) {
+            self.push(head, Due::Head(instance, ticket, attempt, stated, target));
+        }
+        let work = if kind == Kind::Declines { 1 } else { self.rng.random_range(WORK_MS) };
+        self.push(head + work, Due::Ends(instance, ticket, attempt, kind));
+    }
+
+    /// Returns the interval between two exchanges of a pair.
+    fn interval(&self, a: usize, b: usize) -> u64 {
+        let peers = self.plan.instances as u64 - 1;
+        if peers <= 10 {
+            EXCHANGE_MS
+        } else if zone(a) == zone(b) {
+            EXCHANGE_MS.max(EXCHANGE_MS * 2 * (peers / ZONES as u64) / 10)
+        } else {
+            EXCHANGE_MS * peers / 10
+        }
+    }
+
+    fn exchange(&mut self, now: u64) {
+        for a in 0..self.plan.instances {
+            for b in a + 1..self.plan.instances {
+                let interval = self.interval(a, b) / 5 * 5;
+                let offset = 5 * ((a * 7 + b * 3) as u64);
+                if (now + offset).is_multiple_of(interval) {
+                    self.message(a, b, now);
+                    self.message(b, a, now);
+                }
+            }
+        }
+    }
+
+    fn message(&mut self, from: usize, to: usize, now: u64) {
+        if self.plan.is_cut(from, to, now) || self.plan.is_frozen(from, now) {
+            return;
+        }
+        let Some(member) = &mut self.members[from] else { return };
+        let update =
+            member.gateway.peer_update(&name(to), StorePosition::default(), Time::ZERO, at(now));
+        let when = now + self.path_ms();
+        self.next += 1;
+        let number = self.next;
+        self.messages.insert(number, update);
+        self.push(when, Due::Message(from, to, number));
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, number: u64, now: u64) {
+        let Some(update) = self.messages.remove(&number) else { return };
+        if !self.plan.is_cut(from, to, now) && !self.plan.is_frozen(to, now) {
+            self.send(to, Event::PeerUpdate(&update), now);
+        }
+    }
+
+    /// Compares what reached the targets with what their limits allow.
+    fn count(&mut self) {
+        for (&target, reached) in &self.reached {
+            let named = self.plan.limits.iter().filter(|one| one.target == target);
+            for named in named.clone() {
+                let seconds = (named
+                    .during
+                    .end
+                    .min(self.plan.length)
+                    .saturating_sub(named.during.start + CONTACT_MS))
+                    as f64
+                    / 1_000.0;
+                let counted = (named.during.start + CONTACT_MS)..named.during.end;
+                self.report.used.1 += seconds * named.rate;
+                self.report.used.0 +=
+                    reached.iter().filter(|one| counted.contains(&one.at)).count() as f64;
+            }
+            for last in reached {
+                let Some(start) = self.plan.episode_start(target, last.at) else { continue };
+                if last.at < start + CONTACT_MS {
+                    continue;
+                }
+                let window = last.at.saturating_sub(WINDOW_MS) + 1..last.at + 1;
+                let told = |one: &&Reached| {
+                    window.contains(&one.at)
+                        && one.told.is_some_and(|told| told >= start && told + TOLD_MS <= one.at)
+                };
+                let count = reached.iter().filter(told).count();
+                let rates = named.clone().filter(|one| {
+                    one.during.start < window.end && window.start.max(start) < one.during.end
+                });
+                let rate = rates.map(|one| one.rate).fold(0.0, f64::max);
+                let allowed = BOUND.0 * rate * WINDOW_MS as f64 / 1_000.0 + BOUND.1;
+                let ratio = count as f64 / allowed;
+                if ratio > self.report.worst {
+                    self.report.worst = ratio;
+                    self.report.window = format!(
+                        "m{target} got {count} within 4 s until {}; {rate} a second allow {allowed}",
+                        last.at
+                    );
+                }
+            }
+        }
+    }
+}
+
+impl Plan {
+    /// Returns since when a target has stated limits without a pause at `now`.
+    fn episode_start(&self, target: usize, now: u64) -> Option<u64> {
+        self.limit(target, now)?;
+        let mut start = now;
+        loop {
+            let named = self.limits.iter().filter(|one| one.target == target);
+            let before = named.filter(|one| one.during.start < start && start <= one.during.end);
+            match before.map(|one| one.during.start).min() {
+                Some(earlier) => start = earlier,
+                None => return Some(start),
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -2,6 +2,7 @@
 
 use sesamewind_gateway::{AttemptOutcome, Event};
 
+use crate::limit_fleet::{Named, Plan, play};
 use crate::support::{at, bench};
 
 /// Time at which the first request is sent, in milliseconds.
@@ -113,3 +114,49 @@
         assert_eq!(bench.gateway.limited_targets(), usize::from(case.want.is_some()));
     }
 }
+
+/// Returns a play in which the first targets state these limits from 5 s on.
+fn plan(instances: usize, targets: usize, rates: &[f64]) -> Plan {
+    let named = |(target, &rate): (usize, &f64)| Named { during: 5_000..20_000, target, rate };
+    Plan {
+        instances,
+        targets,
+        requests: 12.0 * targets as f64,
+        limits: rates.iter().enumerate().map(named).collect(),
+        length: 20_000,
+        ..Plan::default()
+    }
+}
+
+#[test]
+fn targets_get_no_more_than_the_requests_that_they_name_for_all_instances() {
+    struct Case {
+        name: &'static str,
+        plan: Plan,
+    }
+    let cases = [
+        Case { name: "8 instances, 3 a second", plan: plan(8, 9, &[3.0, 2.3]) },
+        Case { name: "8 instances, below one a second", plan: plan(8, 9, &[0.5, 0.1]) },
+        Case { name: "nothing at all", plan: plan(8, 9, &[0.0]) },
+        Case { name: "one instance", plan: plan(1, 3, &[3.0]) },
+        Case { name: "30 instances", plan: plan(30, 12, &[3.0, 0.5, 20.0]) },
+        Case { name: "80 instances", plan: plan(80, 30, &[3.0, 0.5]) },
+        Case { name: "all targets", plan: plan(8, 3, &[3.0, 2.0, 1.0]) },
+    ];
+    for Case { name, plan } in cases {
+        for seed in 0..3 {
+            let report = play(&plan, seed);
+            assert!(report.worst <= 1.0, "{name}, seed {seed}: {}", report.window);
+        }
+    }
+}
+
+/// A search for a broken bound: limits begin, change and end while instances are cut off, suspended,
+/// killed and stopped.
+#[test]
+fn random_faults_do_not_break_the_bound_of_a_limit() {
+    for seed in 0..60 {
+        let report = play(&Plan::random(seed), seed);
+        assert!(report.worst <= 1.0, "seed {seed}: {}", report.window);
+    }
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod groups;
 mod health;
+mod limit_fleet;
 mod limits;
 mod load;
 mod notices;
--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -129,6 +129,8 @@
     pub ran: bool,
     /// When it arrived.
     pub at: Instant,
+    /// Request limit that the answer states.
+    pub limit: Option<f64>,
 }
 
 impl Received {
@@ -142,6 +144,8 @@
 struct Core {
     options: TargetOptions,
     received: Mutex<Vec<Received>>,
+    /// Requests a second that the target states to take from all instances together.
+    limit: Mutex<Option<f64>>,
 }
 
 /// A running target; dropping it stops it.
@@ -154,7 +158,7 @@
 impl RelayTarget {
     /// Starts a target and registers it.
     pub async fn start(options: TargetOptions, store: &RowStore) -> Self {
-        let core = Arc::new(Core { options, received: Mutex::default() });
+        let core = Arc::new(Core { options, received: Mutex::default(), limit: Mutex::default() });
         let server = Server::start(([127, 0, 0, 1], 0).into(), Arc::clone(&core)).await;
         let this = Self { core, server };
         this.register(store, names::STATE_READY);
@@ -191,6 +195,12 @@
         &self.core.options.script
     }
 
+    /// States from now on in all answers that the target takes so many requests a second from all
+    /// instances together, or no longer states it.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        *lock(&self.core.limit) = limit;
+    }
+
     /// Returns the address that instances connect to.
     pub fn addr(&self) -> SocketAddr {
         self.server.proxy.addr()
@@ -225,6 +235,7 @@
         }
         let ran =
             !matches!(behaviour, Behaviour::Decline | Behaviour::Rest(_) | Behaviour::Replaced);
+        let limit = lock(&self.limit).filter(|_| behaviour != Behaviour::Replaced);
         let query = if call.query.is_empty() { String::new() } else { format!("?{}", call.query) };
         lock(&self.received).push(Received {
             line: format!("{} {}{query}", call.method, call.path),
@@ -232,8 +243,13 @@
             body: call.body.clone(),
             ran,
             at: Instant::now(),
+            limit,
         });
-        self.answer(&call, behaviour).await
+        let mut answer = self.answer(&call, behaviour).await;
+        if let Some(rate) = limit {
+            set_header(&mut answer, names::LIMIT, &rate.to_string());
+        }
+        answer
     }
 }
 
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod floods;
 mod late_answers;
+mod limits;
 mod memory;
 mod notices;
 mod path;
