Refuse at once what limited targets can't take in time, and spread the callers' return

While all targets of a service named limits, requests waited for turns that could not come in time: with 3 turns a second, two of three requests waited where there was one turn within their wait. Callers were refused as full, and 37 of 60 told to return within one second of each other at 3 turns a second.

The turns to come are known, so that a request waits only if there is one for it and for those before it. Refusals have a reason of their own, and callers are told to return as fast as the limits allow. A line and a counter tell which requests waited or were refused, with the limits, this instance's share, their age and who reported them.

The tests of refusals and returns failed before; the one with real processes is new.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -8,6 +8,7 @@
 use sesamewind_protocol::{Revision, TargetId, Time};
 
 use crate::arrival::{Arrival, Ticket};
+use crate::limits::LimitSummary;
 use crate::proof::Refusal;
 use crate::rollouts::RolloutOrder;
 use crate::table::RouteTable;
@@ -137,6 +138,8 @@
     pub revision: Revision,
     /// Whether the request may run at most once.
     pub once: bool,
+    /// Request limits of the service's targets, if the request waited for a turn.
+    pub limits: Option<LimitSummary>,
 }
 
 /// Why a request was not sent to a further target.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -40,7 +40,8 @@
 /// Bounds on the retry delay of a refused caller, as fractions of the time left until its deadline.
 /// Callers honor up to a third of their timeout, and most retry only once, so a late retry is more
 /// likely to find a free slot than an early one.
-const RETRY_AFTER_FRACTIONS: (f64, f64) = (0.18, 0.32);
+const RETRY_AFTER_FRACTIONS: (f64, f64) = (0.18, MAX_RETRY_AFTER_FRACTION);
+pub(crate) const MAX_RETRY_AFTER_FRACTION: f64 = 0.32;
 
 /// Fraction of its latency objective that a request may have to wait because of the queue's length.
 /// A longer queue would only delay requests beyond their objective.
@@ -85,6 +86,7 @@
             held: false,
             uncharged: false,
             postponed: false,
+            held_off: false,
             tried: Vec::new(),
             cost,
             state: State::Waiting { position, history: History::NotRun(proof) },
@@ -98,6 +100,7 @@
             && let Some(state) = self.services.get_mut(&service)
         {
             state.record_shortage(rank, now);
+            self.note_held_off(ticket, now);
         }
         self.shorten_queue(&service, wait, now);
         self.refuse_during_pause(&service, now);
@@ -106,7 +109,8 @@
     /// Refuses the last requests of a queue that is too long for them to meet their objective, so
     /// that their callers are refused immediately instead of later.
     fn shorten_queue(&mut self, service: &ServiceId, wait: Duration, now: Time) {
-        if now < self.read_until {
+        // With limits, the turns to come are known; see `refuse_during_pause`.
+        if now < self.read_until || self.is_limited(service, now) {
             return;
         }
         loop {
@@ -358,6 +362,9 @@
     }
 
     fn refuse(&mut self, arrival: &Arrival, proof: NotRunProof, reason: RefusalReason, now: Time) {
+        if reason == RefusalReason::Limited {
+            return self.refuse_for_limits(arrival, proof, now);
+        }
         let pause = self.pause_of_all(arrival.route.service_at(arrival.point), now);
         let wait = self.retry_delay(arrival, now).max(pause.unwrap_or_default());
         self.refuse_with_delay(arrival, proof, reason, wait, now);
@@ -499,6 +506,8 @@
         now: Time,
     ) {
         let prompt = request.prompt();
+        let is_held_off = std::mem::take(&mut request.held_off);
+        let limits = is_held_off.then(|| self.limit_summary(&request.service, now)).flatten();
         let target = self.targets.get_mut(index);
         let ahead = target.prefill();
         target.own_requests += 1;
@@ -527,6 +536,7 @@
             waited: now.since(request.arrived),
             revision: self.table.as_ref().map_or_else(Default::default, |table| table.revision),
             once: route.repeat == Repeat::Never,
+            limits,
         });
         request.state = State::InFlight(Attempt::new(index, now, ahead, history));
         self.requests.insert(ticket, request);
@@ -635,7 +645,13 @@
         let usable = self.services.get(&request.service).is_some_and(|service| {
             service.targets.iter().any(|&index| self.targets.get(index).is_usable(now))
         });
-        let reason = if usable { RefusalReason::Full } else { RefusalReason::NoTarget };
+        let reason = if !usable {
+            RefusalReason::NoTarget
+        } else if self.is_limited(&request.service, now) {
+            RefusalReason::Limited
+        } else {
+            RefusalReason::Full
+        };
         self.abandon_for(ticket, request, reason, now);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,7 +43,7 @@
 pub use arrival::{Arrival, Ticket};
 pub use event::{Action, AttemptOutcome, Event, Failure, NoRetry, Step};
 pub use gateway::Gateway;
-pub use limits::LimitChange;
+pub use limits::{LimitChange, LimitSummary};
 pub use proof::{Refusal, RefusalReason};
 pub use quarantine::{PartChange, SavedPart};
 pub use table::{Account, Repeat, Route, RouteTable, Routing, Service};
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -6,6 +6,7 @@
 //! than a useful share, a few instances share the limit, which all instances choose alike.
 
 mod peers;
+mod refusals;
 mod statement;
 mod turns;
 
@@ -13,6 +14,7 @@
 
 use sesamewind_protocol::{InstanceId, TargetId, Time, text_hash};
 
+pub use self::refusals::LimitSummary;
 use crate::arrival::Ticket;
 use crate::gateway::{Gateway, Identity};
 use crate::limits::statement::Statement;
@@ -22,7 +24,7 @@
 
 /// Requests a second that are sent to a target which takes fewer or none, since only its answers tell
 /// when that has ended.
-const MIN_RATE: f64 = 0.1;
+pub(crate) const MIN_RATE: f64 = 0.1;
 
 /// Maximum number of instances that share a limit: so many, and this factor times the limit. Each may
 /// send one request at any time, so that their number bounds what arrives at once.
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -36,19 +36,4 @@
     pub(crate) fn pause_of_all(&self, service: &ServiceId, now: Time) -> Option<Duration> {
         self.targets.shortest_pause(&self.services.get(service)?.targets, now)
     }
-
-    /// Refuses the waiting requests whose wait would end before any target takes requests again.
-    pub(crate) fn refuse_during_pause(&mut self, service: &ServiceId, now: Time) {
-        let Some(state) = self.services.get(service).filter(|state| !state.queue.is_empty()) else {
-            return;
-        };
-        let Some(pause) = self.pause_of_all(service, now) else { return };
-        for ticket in state.queue.overdue(now + pause) {
-            if self.requests.get(&ticket).is_some_and(|request| request.held) {
-                continue;
-            }
-            let Some(request) = self.requests.remove(&ticket) else { continue };
-            self.abandon(ticket, request, now);
-        }
-    }
 }
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::limits::LimitSummary;
+
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RefusalReason {
@@ -25,6 +27,8 @@
     Stopping,
     /// Targets have ended before answers to a part of the prompt began.
     Quarantined,
+    /// The request limits of all targets leave no request in time.
+    Limited,
 }
 
 impl RefusalReason {
@@ -39,6 +43,7 @@
             Self::Expired => "expired",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
+            Self::Limited => "limited",
         }
     }
 }
@@ -62,13 +67,15 @@
     pub reason: RefusalReason,
     /// Delay after which the caller should retry.
     pub retry_after: Duration,
+    /// Request limits of the service's targets, if they are the reason.
+    pub limits: Option<LimitSummary>,
     _proof: NotRunProof,
 }
 
 impl Refusal {
     /// Creates the refusal of the request that `proof` belongs to.
     pub(crate) fn new(proof: NotRunProof, reason: RefusalReason, retry_after: Duration) -> Self {
-        Self { reason, retry_after, _proof: proof }
+        Self { reason, retry_after, limits: None, _proof: proof }
     }
 
     /// Creates the refusal of a request that never reached a [`Gateway`](crate::Gateway).
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -50,6 +50,11 @@
         self.waiting.keys().map(|(_, ticket)| *ticket)
     }
 
+    /// Returns the requests in queue order, each with the end of its wait.
+    pub fn waits(&self) -> impl Iterator<Item = (Ticket, Time)> {
+        self.waiting.iter().map(|((_, ticket), until)| (*ticket, *until))
+    }
+
     /// Returns the requests that have reached the end of their wait.
     pub fn overdue(&self, now: Time) -> Vec<Ticket> {
         let overdue = self.waiting.iter().filter(|(_, until)| **until <= now);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -85,6 +85,8 @@
     pub(crate) uncharged: bool,
     /// Whether the end of its wait was postponed because of a stall of this instance.
     pub(crate) postponed: bool,
+    /// Whether it found no target on its arrival while a request limit left no turn.
+    pub(crate) held_off: bool,
     /// Targets at which attempts failed.
     pub(crate) tried: Vec<Index>,
     /// Units charged to the account's limit.
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -53,6 +53,8 @@
     pub(crate) queue: Queue,
     /// Rate of this instance's requests that leave the queue for a target.
     pub(crate) dispatched: Rate,
+    /// When the last of the callers returns that were refused because of request limits.
+    pub(crate) next_return: Time,
     /// Retry budget.
     pub(crate) budget: RetryBudget,
 }
@@ -68,6 +70,7 @@
             targets: Vec::new(),
             queue: Queue::default(),
             dispatched: Rate::default(),
+            next_return: Time::ZERO,
             budget: RetryBudget::new(tuning.retry_ratio, tuning.retry_extra, tuning.retry_window),
         }
     }
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -1,9 +1,9 @@
 //! Targets that state how many requests a second they take from all instances together.
 
-use sesamewind_gateway::{AttemptOutcome, Event};
+use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason};
 
 use crate::limit_fleet::{Named, Plan, play};
-use crate::support::{at, bench};
+use crate::support::{Bench, at, bench};
 
 /// Time at which the first request is sent, in milliseconds.
 const START: u64 = 10_000;
@@ -161,3 +161,102 @@
         assert!(report.worst <= 1.0, "seed {seed}: {}", report.window);
     }
 }
+
+/// Returns a gateway whose model engines have stated these limits, and have no turn at [`LIMITED`].
+fn limited(rates: &[f64]) -> Bench {
+    let mut bench = bench(rates.len() as u32, 0);
+    // All slots of all targets are in use.
+    let tickets: Vec<_> =
+        (0..4 * rates.len()).map(|_| bench.arrive("urgent", 10, at(10))).collect();
+    for ticket in tickets {
+        let dispatch = bench.dispatch(ticket).expect("a free slot");
+        let number: usize = dispatch.target.as_str()[1..].parse().expect("a number");
+        bench.send(Event::TargetLimit(ticket, Some(rates[number])), at(20));
+        bench.end(ticket, AttemptOutcome::Whole, at(20));
+    }
+    assert_eq!(bench.gateway.limited_targets(), rates.len(), "each target was asked");
+    bench.send(Event::Tick, at(LIMITED - 1_000));
+    bench.send(Event::Tick, at(LIMITED - 1));
+    loop {
+        let ticket = bench.arrive("urgent", 10, at(LIMITED));
+        if bench.dispatch(ticket).is_none() {
+            bench.send(Event::CallerLeft(ticket), at(LIMITED));
+            return bench;
+        }
+        bench.end(ticket, AttemptOutcome::Whole, at(LIMITED));
+    }
+}
+
+/// Time at which the targets of [`limited`] have no turn.
+const LIMITED: u64 = 30_000;
+
+/// Requests that can't be served in time with the turns to come are refused at once. The others wait.
+#[test]
+fn requests_beyond_the_turns_to_come_are_refused_at_once() {
+    struct Case {
+        rates: &'static [f64],
+        /// Requests that arrive at once, each with a wait of up to 450 ms.
+        arrive: usize,
+        /// Requests that wait.
+        wait: usize,
+    }
+    let cases = [
+        Case { rates: &[1.0], arrive: 3, wait: 0 },
+        Case { rates: &[3.0], arrive: 3, wait: 1 },
+        Case { rates: &[5.0, 5.0], arrive: 8, wait: 4 },
+        Case { rates: &[0.5, 0.0], arrive: 3, wait: 0 },
+    ];
+    for case in cases {
+        let mut bench = limited(case.rates);
+        let tickets: Vec<_> =
+            (0..case.arrive).map(|_| bench.arrive("urgent", 10, at(LIMITED + 1))).collect();
+        let refused: Vec<_> = tickets.iter().filter_map(|ticket| bench.reason(*ticket)).collect();
+        assert_eq!(case.arrive - refused.len(), case.wait, "{:?}", case.rates);
+        assert!(refused.iter().all(|reason| *reason == RefusalReason::Limited), "{refused:?}");
+        for now in (LIMITED + 1..LIMITED + 460).step_by(20) {
+            bench.send(Event::Tick, at(now));
+        }
+        let sent = tickets.iter().filter(|ticket| bench.dispatch(**ticket).is_some()).count();
+        assert_eq!(sent, case.wait, "those that wait are served in time: {:?}", case.rates);
+    }
+}
+
+/// While all targets are limited, callers are told to return no faster than the limits allow.
+#[test]
+fn refused_callers_return_no_faster_than_the_limits_allow() {
+    const REFUSED: usize = 60;
+    for rates in [&[3.0][..], &[2.0, 1.0], &[10.0, 2.0]] {
+        let mut bench = limited(rates);
+        let mut returns: Vec<u64> = Vec::new();
+        for number in 0..REFUSED as u64 {
+            let now = LIMITED + 10 + number;
+            let ticket = bench.arrive("urgent", 10, at(now));
+            if let Some(refusal) = bench.refusal(ticket) {
+                returns.push(now + refusal.retry_after.as_millis() as u64);
+            }
+        }
+        // Callers return within a third of the 12 s that they have.
+        let last = LIMITED + 10 + 3_840;
+        let counted: Vec<u64> = returns.iter().copied().filter(|at| *at <= last).collect();
+        let total: f64 = rates.iter().sum();
+        for start in &counted {
+            let within = counted.iter().filter(|at| (*start..start + 1_000).contains(*at)).count();
+            assert!(within as f64 <= total + 2.0, "{rates:?}: {within} in a second");
+        }
+        let expected = (3.84 * total).min(REFUSED as f64 - 10.0);
+        assert!(counted.len() as f64 >= 0.7 * expected, "{rates:?}: {}", counted.len());
+    }
+}
+
+/// A target without a turn delays nothing while another one has a free slot.
+#[test]
+fn requests_do_not_wait_for_a_turn_while_another_target_is_free() {
+    let mut bench = bench(2, 0);
+    let first = bench.arrive("urgent", 10, at(10));
+    bench.send(Event::TargetLimit(first, Some(0.5)), at(20));
+    bench.end(first, AttemptOutcome::Whole, at(20));
+    for number in 0..4 {
+        let ticket = bench.arrive("urgent", 10, at(30 + number));
+        assert!(bench.dispatch(ticket).is_some(), "request {number}");
+    }
+}
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -8,7 +8,7 @@
 
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::RolloutStatus;
-use sesamewind_gateway::{AttemptOutcome, LimitChange, NoRetry, PartChange, Refusal};
+use sesamewind_gateway::{AttemptOutcome, LimitChange, LimitSummary, NoRetry, PartChange, Refusal};
 use sesamewind_protocol::PartId;
 
 use crate::activity::CallerSide;
@@ -37,6 +37,25 @@
         revision = dispatch.revision.0;
         "sent to target"
     );
+    if let Some(limits) = &dispatch.limits {
+        held_off(call, limits);
+    }
+}
+
+/// Logs and counts a request that waited for a turn at targets with request limits, or is refused for
+/// lack of one.
+fn held_off(call: &Call, limits: &LimitSummary) {
+    call.driver.metrics.held_off();
+    log::info!(
+        event = "held_off",
+        request = call.caller.id.as_str(),
+        targets = limits.targets,
+        rate = limits.rate,
+        share = limits.share,
+        age_ms = millis(limits.age),
+        source = limits.source.as_ref().map_or("", |peer| peer.as_str());
+        "request limits of targets left no turn"
+    );
 }
 
 /// Logs and counts an attempt that ended without a complete answer or with a target's failure.
@@ -155,6 +174,9 @@
         waiting;
         "request refused"
     );
+    if let Some(limits) = &refusal.limits {
+        held_off(call, limits);
+    }
 }
 
 /// Logs a request that was rejected before it reached the gateway.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -50,6 +50,7 @@
     store_era: Gauge,
     held_parts: Gauge,
     limited_targets: Gauge,
+    held_off: Counter,
     first_byte: RouteHistogram,
     waited: RouteHistogram,
 }
@@ -79,6 +80,7 @@
             store_era: Gauge::default(),
             held_parts: Gauge::default(),
             limited_targets: Gauge::default(),
+            held_off: Counter::default(),
             first_byte: Family::new_with_constructor(histogram),
             waited: Family::new_with_constructor(histogram),
             registry: Registry::default(),
@@ -110,6 +112,11 @@
             "Targets that take only so many requests a second from all instances together",
             this.limited_targets.clone(),
         );
+        registry.register(
+            "held_off",
+            "Requests that waited or were refused since request limits left no turn",
+            this.held_off.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first byte of the answer",
@@ -155,6 +162,11 @@
         self.limited_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
+    /// Counts a request for which the request limits of targets left no turn.
+    pub fn held_off(&self) {
+        self.held_off.inc();
+    }
+
     /// Counts the loss of a dependency, such as the store or a peer.
     pub fn dependency_lost(&self, kind: &str) {
         self.lost.get_or_create(&ReasonLabels { reason: kind.to_owned() }).inc();
--- a/tests/all/relay/limits.rs
+++ b/tests/all/relay/limits.rs
@@ -174,3 +174,27 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_all_targets_are_limited_requests_beyond_that_are_refused_and_logged() {
+    let fleet = Fleet::start(2, 2).await;
+    fleet.testbed.models.iter().for_each(|target| target.set_limit(Some(2.0)));
+    fleet.send_for(Duration::from_secs(5)).await;
+    let before = fleet.testbed.models.iter().map(|target| target.received().len()).sum::<usize>();
+    let (served, refused) = fleet.send_for(Duration::from_secs(6)).await;
+    let after = fleet.testbed.models.iter().map(|target| target.received().len()).sum::<usize>();
+    assert_eq!(after - before, served, "a refused request has not run");
+    // 4 a second, of which an instance without callers leaves a third unused.
+    assert!((12..=24).contains(&served), "{served} in 6 s");
+    assert!(refused > 5 * served, "{refused}");
+    for gateway in fleet.gateways.iter() {
+        let lines = gateway.log_lines();
+        let held_off = lines.iter().find(|line| line["event"] == "held_off").expect("a line");
+        assert_eq!((&held_off["targets"], &held_off["rate"]), (&2.into(), &4.0.into()));
+        let refused = lines.iter().find(|line| line["cause"] == "limited").expect("a line");
+        assert!(refused["retry_after_ms"].as_u64() >= Some(500), "{refused}");
+        let metrics = reqwest::get(format!("http://{}/metrics", gateway.inner)).await;
+        let metrics = metrics.expect("an answer").text().await.expect("text");
+        assert!(metrics.contains("sesamewind_limited_targets 2"), "{metrics}");
+    }
+}
