Keep the retry budget of silent peers reserved

The same class as the request limits: a bound for all instances together that each kept alone.

The budget is now divided among the same instances as request limits: silent peers keep their share for 60 s, and so do announced peers that have not reported. The test failed before and plays two, four and eight sides, and instances that all start alone.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -324,7 +324,7 @@
         outcome: AttemptOutcome,
         now: Time,
     ) -> bool {
-        let instances = self.peers.instances();
+        let instances = self.sharers.instances();
         outcome == AttemptOutcome::Unconnected
             || self
                 .services
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -56,11 +56,6 @@
 }
 
 impl Peers {
-    /// Returns the number of instances in the deployment, including this one.
-    pub(crate) fn instances(&self) -> usize {
-        self.peers.len() + 1
-    }
-
     /// Returns whether this instance has the smallest name among itself and the recently seen
     /// peers.
     pub(crate) fn is_first(&self, me: &InstanceId, now: Time) -> bool {
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -8,13 +8,10 @@
 
 use sesamewind_protocol::{InstanceId, Time, ZoneId, text_hash};
 
-/// Time without an update after which a peer's share is divided among the others.
+/// Time without an update after which a peer's share is divided among the others, and time for which
+/// a share is left to an announced peer that has not reported yet.
 const SHARE_RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which a share is left to an announced peer that has not reported yet. Announcements of
-/// instances that have ended remain in the store.
-const EXPECTED_TIME: Duration = Duration::from_secs(10);
-
 /// Maximum number of announced peers that are remembered without a report.
 const MAX_EXPECTED: usize = 1_024;
 
@@ -56,7 +53,7 @@
             if !self.peers.contains_key(name) && self.peers.len() < MAX_EXPECTED {
                 self.changed = true;
                 let hash = text_hash(name.as_str());
-                let sharer = Sharer { zone: None, hash, until: now + EXPECTED_TIME };
+                let sharer = Sharer { zone: None, hash, until: now + SHARE_RETENTION };
                 self.peers.insert(name.clone(), sharer);
             }
         }
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -5,7 +5,10 @@
 use sesamewind_gateway::budget::RetryBudget;
 use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
 
-use crate::support::{Bench, MODEL, at, bench, routing, target};
+use sesamewind_protocol::InstanceId;
+use sesamewind_protocol::relay::StorePosition;
+
+use crate::support::{Bench, MODEL, PLAIN, at, bench, identity, routing, target};
 
 #[test]
 fn requests_are_sent_again_as_their_route_allows() {
@@ -164,3 +167,95 @@
         assert_eq!(is_over, charged, "{name}: {:?}", bench.steps.get(&next));
     }
 }
+
+/// Gateways of a deployment that can't reach each other from some time on, each with its last retries.
+struct Parted {
+    benches: Vec<Bench>,
+    names: Vec<InstanceId>,
+}
+
+impl Parted {
+    fn new(instances: usize, joined: bool) -> Self {
+        let names: Vec<_> = (0..instances).map(|n| InstanceId::new(format!("i{n}"))).collect();
+        let tuning = Tuning { retry_ratio: 0.0, retry_extra: EXTRA, joined, ..Tuning::default() };
+        let start = |name: &InstanceId| {
+            let targets = (0..6).map(|n| target(&format!("p{n}"), PLAIN, 100)).collect();
+            Bench::of(identity(name.as_str(), "z1"), routing(), targets, tuning.clone())
+        };
+        let benches = names.iter().map(start).collect();
+        Self { benches, names }
+    }
+
+    /// Exchanges updates between the instances on the same side.
+    fn exchange(&mut self, side: impl Fn(usize) -> usize, now: u64) {
+        for from in 0..self.names.len() {
+            for to in (0..self.names.len()).filter(|&to| to != from && side(to) == side(from)) {
+                let name = &self.names[to];
+                let position = StorePosition::default();
+                let bench = &mut self.benches[from];
+                let update = bench.gateway.peer_update(name, position, at(now), at(now));
+                self.benches[to].send(Event::PeerUpdate(&update), at(now));
+            }
+        }
+    }
+
+    /// Fails a request at each instance; returns the number of retries.
+    fn fail(&mut self, now: u64) -> usize {
+        let fail = |bench: &mut Bench| {
+            bench.send(Event::Tick, at(now));
+            let ticket = bench.arrive("read", 0, at(now));
+            bench.end(ticket, AttemptOutcome::Failing, at(now));
+            let is_again = bench.dispatch(ticket).is_some_and(|again| again.attempt == 2);
+            bench.send(Event::CallerLeft(ticket), at(now));
+            usize::from(is_again)
+        };
+        self.benches.iter_mut().map(fail).sum()
+    }
+}
+
+/// Retries allowed within the window over all instances of [`Parted`].
+const EXTRA: f64 = 56.0;
+
+/// All sides of a cut together stay within the budget, as do instances that have just started.
+#[test]
+fn the_budget_holds_over_all_sides_of_a_cut() {
+    struct Case {
+        name: &'static str,
+        joined: bool,
+        /// Side of the cut on which an instance is.
+        side: fn(usize) -> usize,
+        /// Since when there is a cut, in milliseconds.
+        cut: u64,
+        /// Whether the announcements of the instances can be read at the start.
+        announced: bool,
+    }
+    let cases = [
+        Case { name: "no cut", joined: false, side: |_| 0, cut: 0, announced: false },
+        Case { name: "two sides", joined: false, side: |n| n % 2, cut: 5_000, announced: false },
+        Case { name: "four sides", joined: false, side: |n| n % 4, cut: 5_000, announced: false },
+        Case { name: "each alone", joined: false, side: |n| n, cut: 5_000, announced: false },
+        Case { name: "all start alone", joined: true, side: |n| n, cut: 0, announced: true },
+    ];
+    for case in cases {
+        let mut parted = Parted::new(8, case.joined);
+        if case.announced {
+            let names: Vec<&InstanceId> = parted.names.iter().collect();
+            for bench in &mut parted.benches {
+                bench.gateway.expect_peers(&names, at(0));
+            }
+        }
+        let mut retries: Vec<(u64, usize)> = Vec::new();
+        for now in (0..40_000).step_by(50) {
+            let is_cut = now >= case.cut;
+            parted.exchange(|instance| if is_cut { (case.side)(instance) } else { 0 }, now);
+            retries.push((now, parted.fail(now)));
+        }
+        let within = |start: u64| -> usize {
+            let window = retries.iter().filter(|(at, _)| (start..start + 10_000).contains(at));
+            window.map(|(_, count)| count).sum()
+        };
+        let most = (0..30_000).step_by(50).map(within).max().unwrap_or(0);
+        assert!(most as f64 <= EXTRA, "{}: {most} of {EXTRA}", case.name);
+        assert!(most > 0, "{}: some retries are allowed", case.name);
+    }
+}
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -126,7 +126,11 @@
 impl Bench {
     /// Creates a gateway with `routing` and `targets`.
     pub fn new(routing: Routing, targets: Vec<ListedTarget>, tuning: Tuning) -> Self {
-        let me = identity("i1", "z1");
+        Self::of(identity("i1", "z1"), routing, targets, tuning)
+    }
+
+    /// Like [`Bench::new`], for the instance `me`.
+    pub fn of(me: Identity, routing: Routing, targets: Vec<ListedTarget>, tuning: Tuning) -> Self {
         let table = Arc::new(RouteTable::new(routing));
         let mut this = Self {
             gateway: Gateway::new(me, tuning, 7),
