--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -170,6 +170,49 @@
     check(&[Case { name: "grey target", scenario }], RolloutOutcome::Completed);
 }
 
+/// Few requests reach a version whose targets name request limits, which is no evidence against it.
+#[test]
+fn good_versions_whose_targets_are_limited_take_over_in_time() {
+    let limited =
+        |scenario: Scenario, rate| Scenario { faults: vec![Fault::Limited(rate)], ..scenario };
+    let cases = [
+        Case { name: "18 a second", scenario: limited(calm(), 18.0) },
+        Case { name: "6 a second", scenario: limited(calm(), 6.0) },
+        Case { name: "2 a second", scenario: limited(calm(), 2.0) },
+        Case { name: "streams, 27 a second", scenario: limited(streams(), 27.0) },
+        Case { name: "streams, 9 a second", scenario: limited(streams(), 9.0) },
+        Case { name: "streams, 3 a second", scenario: limited(streams(), 3.0) },
+    ];
+    check(&cases, RolloutOutcome::Completed);
+}
+
+#[test]
+fn bad_versions_whose_targets_are_limited_are_rolled_back_in_time() {
+    let bad = |scenario: Scenario, version, rate| Scenario {
+        version,
+        faults: vec![Fault::Limited(rate)],
+        ..scenario
+    };
+    let fails = Version::Fails(0.5, 0.0);
+    let slow = Version::Slow(4.0);
+    let cases = [
+        Case { name: "fails half, 18 a second", scenario: bad(calm(), fails, 18.0) },
+        Case { name: "fails half, 6 a second", scenario: bad(calm(), fails, 6.0) },
+        Case { name: "slow, 18 a second", scenario: bad(calm(), slow, 18.0) },
+        Case { name: "streams that fail, 27 a second", scenario: bad(streams(), fails, 27.0) },
+        Case { name: "streams that fail, 3 a second", scenario: bad(streams(), fails, 3.0) },
+        Case { name: "slow streams, 27 a second", scenario: bad(streams(), slow, 27.0) },
+    ];
+    check(&cases, RolloutOutcome::TakenBack);
+}
+
+#[test]
+fn bad_versions_that_get_two_requests_a_second_are_rolled_back_in_time() {
+    let version = Version::Fails(0.5, 0.0);
+    let scenario = Scenario { version, faults: vec![Fault::Limited(2.0)], ..calm() };
+    check(&[Case { name: "fails half, 2 a second", scenario }], RolloutOutcome::TakenBack);
+}
+
 #[test]
 fn bad_versions_are_rolled_back_in_time() {
     let bad = |version: Version| Scenario { version, ..calm() };
