Update all that the shares of limits depend on at once

A peer that joined and the end of the time after the start were noticed one check after the other, so that an instance had no share for up to two checks (40 ms) longer, and the stop of a peer counted as late. Found by a test of peers that stop, which failed; tests of an instance that has just started, and of 40 instances that have saved turns, are new.

--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -95,9 +95,9 @@
     pub(crate) fn update(&mut self, now: Time) -> bool {
         let count = self.peers.values().filter(|sharer| sharer.until > now).count();
         let settled = self.start.is_some_and(|start| now.since(start) >= SETTLE_TIME);
-        let changed = std::mem::take(&mut self.changed)
-            || count != std::mem::replace(&mut self.count, count)
-            || settled != std::mem::replace(&mut self.settled, settled);
+        let changed =
+            std::mem::take(&mut self.changed) | (count != self.count) | (settled != self.settled);
+        (self.count, self.settled) = (count, settled);
         if changed {
             self.peers.retain(|_, sharer| sharer.zone.is_none() || sharer.until > now);
         }
--- a/crates/gateway/tests/all/limit_fleet.rs
+++ b/crates/gateway/tests/all/limit_fleet.rs
@@ -79,6 +79,8 @@
     pub targets: usize,
     /// Requests a second.
     pub requests: f64,
+    /// When no requests arrive.
+    pub quiet: Option<Span>,
     pub limits: Vec<Named>,
     pub cuts: Vec<(Span, Cut)>,
     pub freezes: Vec<(Span, usize)>,
@@ -331,6 +333,9 @@
     }
 
     fn arrivals(&mut self, now: u64) {
+        if self.plan.quiet.as_ref().is_some_and(|quiet| quiet.contains(&now)) {
+            return;
+        }
         let mut left = self.plan.requests * 0.005;
         while left > 0.0 {
             if self.rng.random_bool(left.min(1.0)) {
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -1,9 +1,11 @@
 //! Targets that state how many requests a second they take from all instances together.
 
-use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason};
+use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
+use sesamewind_protocol::InstanceId;
+use sesamewind_protocol::relay::StorePosition;
 
 use crate::limit_fleet::{Named, Plan, play};
-use crate::support::{Bench, at, bench};
+use crate::support::{Bench, MODEL, at, bench, identity, routing, target};
 
 /// Time at which the first request is sent, in milliseconds.
 const START: u64 = 10_000;
@@ -129,6 +131,18 @@
     }
 }
 
+/// Returns the play with a time without requests, in which each instance saves its turns.
+fn quiet(plan: Plan) -> Plan {
+    let limits = plan.limits.into_iter().map(|one| Named { during: 5_000..60_000, ..one });
+    Plan {
+        limits: limits.collect(),
+        quiet: Some(9_000..50_000),
+        requests: 200.0,
+        length: 60_000,
+        ..plan
+    }
+}
+
 #[test]
 fn targets_get_no_more_than_the_requests_that_they_name_for_all_instances() {
     struct Case {
@@ -143,6 +157,7 @@
         Case { name: "30 instances", plan: plan(30, 12, &[3.0, 0.5, 20.0]) },
         Case { name: "80 instances", plan: plan(80, 30, &[3.0, 0.5]) },
         Case { name: "all targets", plan: plan(8, 3, &[3.0, 2.0, 1.0]) },
+        Case { name: "40 instances after a quiet time", plan: quiet(plan(40, 2, &[3.0, 1.0])) },
     ];
     for Case { name, plan } in cases {
         for seed in 0..3 {
@@ -260,3 +275,49 @@
         assert!(bench.dispatch(ticket).is_some(), "request {number}");
     }
 }
+
+/// An instance that may not have heard of the others yet leaves limited targets to them.
+#[test]
+fn an_instance_that_has_just_started_has_no_share() {
+    let tuning = Tuning { joined: true, ..Tuning::default() };
+    let mut bench = Bench::new(routing(), vec![target("m0", MODEL, 4)], tuning);
+    let first = bench.arrive("urgent", 10, at(10));
+    bench.send(Event::TargetLimit(first, Some(4.0)), at(20));
+    bench.end(first, AttemptOutcome::Whole, at(20));
+    for now in (30..5_000).step_by(10) {
+        bench.send(Event::Tick, at(now));
+        let ticket = bench.arrive("urgent", 10, at(now));
+        if bench.dispatch(ticket).is_some() {
+            assert!(now >= 3_000 + 250, "sent after {now} ms");
+            return;
+        }
+        bench.send(Event::CallerLeft(ticket), at(now));
+    }
+    panic!("the target is not used again");
+}
+
+/// A peer that says that it stops leaves its share at once.
+#[test]
+fn the_share_of_a_peer_that_stops_is_divided() {
+    let share = |is_stopping: bool| {
+        let mut bench = bench(1, 0);
+        let mut peer = Bench::of(identity("i2", "z1"), routing(), Vec::new(), Tuning::default());
+        let name = InstanceId::new("i1");
+        let mut tell = |bench: &mut Bench, now| {
+            let position = StorePosition::default();
+            let update = peer.gateway.peer_update(&name, position, at(now), at(now));
+            bench.send(Event::PeerUpdate(&update), at(now));
+            if is_stopping {
+                peer.send(Event::Stop, at(now));
+            }
+        };
+        tell(&mut bench, 100);
+        bench.send(Event::Tick, at(5_000));
+        tell(&mut bench, 5_000);
+        let first = bench.arrive("urgent", 10, at(5_000));
+        bench.send(Event::TargetLimit(first, Some(4.0)), at(5_010));
+        bench.gateway.take_limit_changes().pop().expect("the limit is new").share
+    };
+    assert!((share(false) - 2.0).abs() < 1e-9);
+    assert!((share(true) - 4.0).abs() < 1e-9);
+}
