Log what requests have in common that may crash targets

The lines of ended attempts named prompt parts only, so that a request without them could not be followed from target to target. They now have the request's fingerprint, which is the same for requests with the same method, path and body, and so has a line for each request that is held back.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -145,15 +145,19 @@
         }
     }
 
-    /// Returns the parts of the prompt. A request that states none has one, which stands for its
-    /// method, path and body.
+    /// Returns the parts of the prompt. A request that states none has one, which stands for the whole.
     fn parts(&self) -> Arc<[PartId]> {
-        if !self.caller.parts.is_empty() {
-            return Arc::clone(&self.caller.parts);
+        if self.caller.parts.is_empty() {
+            Arc::new([self.fingerprint()])
+        } else {
+            Arc::clone(&self.caller.parts)
         }
+    }
+
+    /// Returns what is the same for all requests with the same method, path and body.
+    pub(crate) fn fingerprint(&self) -> PartId {
         let path = self.head.uri.path_and_query().map_or("", PathAndQuery::as_str);
-        let whole = [self.head.method.as_str().as_bytes(), path.as_bytes(), &self.body];
-        Arc::new([PartId(bytes_hash(&whole))])
+        PartId(bytes_hash(&[self.head.method.as_str().as_bytes(), path.as_bytes(), &self.body]))
     }
 
     async fn serve(self, mut guard: CallerGuard) -> Answer {
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -8,7 +8,9 @@
 
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::RolloutStatus;
-use sesamewind_gateway::{AttemptOutcome, LimitChange, LimitSummary, NoRetry, PartChange, Refusal};
+use sesamewind_gateway::{
+    AttemptOutcome, LimitChange, LimitSummary, NoRetry, PartChange, Refusal, RefusalReason,
+};
 use sesamewind_protocol::PartId;
 
 use crate::activity::CallerSide;
@@ -76,6 +78,7 @@
         events,
         others,
         parts = parts.join(",").as_str(),
+        fingerprint:% = call.fingerprint(),
         end = outcome.as_str();
         "attempt ended"
     );
@@ -174,6 +177,14 @@
         waiting;
         "request refused"
     );
+    if refusal.reason == RefusalReason::Quarantined {
+        log::info!(
+            event = "held_back",
+            request = call.caller.id.as_str(),
+            fingerprint:% = call.fingerprint();
+            "targets ended at requests like this one"
+        );
+    }
     if let Some(limits) = &refusal.limits {
         held_off(call, limits);
     }
