--- a/crates/gateway/tests/all/quarantine.rs
+++ b/crates/gateway/tests/all/quarantine.rs
@@ -256,6 +256,37 @@
     assert_eq!(bench.gateway.held_parts(), 0);
 }
 
+/// A request that crashes each target that runs it reaches three more targets at most, for good.
+#[test]
+fn a_held_part_is_tried_at_most_three_times_in_a_day() {
+    let (mut bench, start) = held();
+    let mut tried = 0;
+    for now in (start..start + 86_400_000).step_by(10_000) {
+        bench.send(Event::Tick, at(now));
+        let ticket = bench.arrive_with("usual", 100, &[9, PART], at(now));
+        if bench.dispatch(ticket).is_some() {
+            tried += 1;
+            bench.end(ticket, AttemptOutcome::Broken, at(now + 50));
+            bench.send(Event::Tick, at(now + 150));
+        }
+    }
+    assert!((1..=3).contains(&tried), "tried {tried} times");
+}
+
+/// Each side of a cut would try it.
+#[test]
+fn a_held_part_is_not_tried_while_a_peer_is_silent() {
+    let (mut bench, start) = held();
+    let from = InstanceId::new("i2");
+    let mut silent = update(Vec::new());
+    silent.from = from;
+    bench.send(Event::PeerUpdate(&silent), at(start));
+    for now in (start..start + 300_000).step_by(1_000) {
+        bench.send(Event::Tick, at(now));
+        assert!(is_refused(&mut bench, &[9, PART], now), "at {now}");
+    }
+}
+
 #[test]
 fn only_the_first_instance_tries_a_held_part() {
     let (mut bench, now) = held();
--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -40,21 +40,38 @@
 
 /// Behaviours for the next requests; requests beyond them are served.
 #[derive(Debug, Clone, Default)]
-pub struct Script(Arc<Mutex<VecDeque<Behaviour>>>);
+pub struct Script(Arc<Mutex<Rules>>);
+
+#[derive(Debug, Default)]
+struct Rules {
+    next: VecDeque<Behaviour>,
+    /// Header and value of the requests that are always broken off before their answer begins.
+    broken: Option<(&'static str, &'static str)>,
+}
 
 impl Script {
     /// Appends behaviours.
     pub fn extend(&self, behaviours: &[Behaviour]) {
-        lock(&self.0).extend(behaviours);
+        lock(&self.0).next.extend(behaviours);
     }
 
     /// Removes the behaviours that were not used yet.
     pub fn clear(&self) {
-        lock(&self.0).clear();
+        lock(&self.0).next.clear();
     }
 
-    fn next(&self) -> Behaviour {
-        lock(&self.0).pop_front().unwrap_or(Behaviour::Serve)
+    /// Breaks off all requests with this header before their answer begins.
+    pub fn break_off(&self, header: &'static str, value: &'static str) {
+        lock(&self.0).broken = Some((header, value));
+    }
+
+    fn next(&self, call: &Call) -> Behaviour {
+        let mut rules = lock(&self.0);
+        let has = |(header, value)| call.header(header) == Some(value);
+        if rules.broken.is_some_and(has) {
+            return Behaviour::BreakOff(0);
+        }
+        rules.next.pop_front().unwrap_or(Behaviour::Serve)
     }
 }
 
@@ -229,7 +246,7 @@
 
 impl Handler for Core {
     async fn handle(self: Arc<Self>, call: Call) -> Response {
-        let mut behaviour = self.options.script.next();
+        let mut behaviour = self.options.script.next(&call);
         if call.header(names::EXPECT_TARGET).is_some_and(|id| id != self.options.id) {
             behaviour = Behaviour::Replaced;
         }
--- a/tests/all/relay/quarantine.rs
+++ b/tests/all/relay/quarantine.rs
@@ -4,9 +4,13 @@
 
 use reqwest::Response;
 use sesamewind_adapter::names;
+use sesamewind_standins::relay::configuration::{account, configuration, default_routes};
 use sesamewind_standins::relay::{Behaviour, RelayTarget, TargetOptions};
 
-use super::testbed::{Gateway, Testbed, until};
+use super::testbed::{Gateway, KEY, Testbed, until};
+
+/// Key of a second client account.
+const OTHER_KEY: &str = "key-two";
 
 /// Number of targets.
 const TARGETS: usize = 4;
@@ -38,6 +42,66 @@
     request.send().await.expect("an answer")
 }
 
+/// What two requests have in common, of which one ends targets and the other one does not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Shared {
+    /// Path and body; they are of different accounts.
+    PathAndBody,
+    /// Account, path and all parts of the prompt.
+    Parts,
+}
+
+/// Header by which targets tell the request that ends them.
+const MARK: &str = "x-mark";
+
+/// Sends the request that ends targets, or the one that shares something with it.
+async fn send_alike(testbed: &Testbed, shared: Shared, is_deadly: bool) -> Response {
+    let key = if is_deadly && shared == Shared::PathAndBody { OTHER_KEY } else { KEY };
+    let mut request = testbed.request_with_key(key, "/talk/x").1;
+    if shared == Shared::Parts {
+        let body = if is_deadly { "the deadly body" } else { "a sound body" };
+        request = request.header(names::PROMPT_PARTS, "a:60,b:9,c:40").body(body);
+    }
+    if is_deadly {
+        request = request.header(MARK, "deadly");
+    }
+    request.send().await.expect("an answer")
+}
+
+/// Sends a request that ends targets, and a sound one after each, and checks that the former is held.
+async fn check_held_beside(shared: Shared) {
+    let testbed = Testbed::start(TARGETS, 0).await;
+    let accounts = [account("one", KEY, 0.0, 0.0), account("two", OTHER_KEY, 0.0, 0.0)];
+    testbed.store.configure(&configuration(2, &default_routes(), &accounts));
+    until("both accounts are known", async || {
+        let request = testbed.request_with_key(OTHER_KEY, "/talk/y").1;
+        request.send().await.is_ok_and(|answer| answer.status() == 200)
+    })
+    .await;
+    testbed.models[0].script().break_off(MARK, "deadly");
+    let mut sent = 0;
+    for _ in 0..8 {
+        let answer = send_alike(&testbed, shared, true).await;
+        let is_held = retry_after(&answer).is_some_and(|seconds| seconds >= MIN_RETRY_AFTER);
+        sent += u32::from(!is_held);
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let sound = send_alike(&testbed, shared, false).await;
+        assert_eq!(sound.status(), 200);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert!(sent <= 4, "sent {sent} of 8 times");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_sound_request_of_another_account_does_not_release_one_that_ends_targets() {
+    check_held_beside(Shared::PathAndBody).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_sound_request_with_the_same_parts_does_not_release_one_that_ends_targets() {
+    check_held_beside(Shared::Parts).await;
+}
+
 fn received(targets: &[RelayTarget]) -> usize {
     targets.iter().map(|target| target.received().len()).sum()
 }
--- a/tests/all/relay/testbed.rs
+++ b/tests/all/relay/testbed.rs
@@ -243,6 +243,20 @@
 
     /// Prepares a request to this gateway; returns its ID and the builder.
     pub fn request_to(&self, gateway: &Gateway, path: &str) -> (String, reqwest::RequestBuilder) {
+        self.prepare(gateway, KEY, path)
+    }
+
+    /// Prepares a request to the gateway with another key than [`KEY`].
+    pub fn request_with_key(&self, key: &str, path: &str) -> (String, reqwest::RequestBuilder) {
+        self.prepare(&self.gateway, key, path)
+    }
+
+    fn prepare(
+        &self,
+        gateway: &Gateway,
+        key: &str,
+        path: &str,
+    ) -> (String, reqwest::RequestBuilder) {
         let id = next_id();
         let url = format!("http://{}{path}", gateway.callers);
         let builder = self
@@ -250,7 +264,7 @@
             .request(Method::POST, url)
             .header("host", "h.example")
             .header(names::REQUEST_ID, &id)
-            .header("authorization", format!("{}{KEY}", names::KEY_SCHEME))
+            .header("authorization", format!("{}{key}", names::KEY_SCHEME))
             .header(names::DEADLINE, "5000")
             .header(names::TOKENS, "100,20")
             .body("the body");
