Tell requests of different accounts apart when they crash targets

A request that ends each target that runs it was sent 8 of 8 times while another account's request with the same path and body was answered in between: what stood for a request without prompt parts was its method, path and body, so that the sound answer cleared it. The class: an outcome is attributed to something that others share.

The account is part of the fingerprint now. The test failed before, and passes with the request held after three targets.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -154,10 +154,13 @@
         }
     }
 
-    /// Returns what is the same for all requests with the same method, path and body.
+    /// Returns what is the same for all requests with the same account, method, path and body.
     pub(crate) fn fingerprint(&self) -> PartId {
+        let account = self.account.as_ref().map_or("", |account| account.name.as_str());
+        let method = self.head.method.as_str();
         let path = self.head.uri.path_and_query().map_or("", PathAndQuery::as_str);
-        PartId(bytes_hash(&[self.head.method.as_str().as_bytes(), path.as_bytes(), &self.body]))
+        let whole = [account.as_bytes(), method.as_bytes(), path.as_bytes(), &self.body];
+        PartId(bytes_hash(&whole))
     }
 
     async fn serve(self, mut guard: CallerGuard) -> Answer {
