Count ends of targets against the whole request beside the parts of its prompt

A request that ends each target that runs it was sent 8 of 8 times while sound requests with the same prompt parts were answered in between: nothing stood for the request alone, so that each sound answer cleared all that was known of it.

Each request now has its fingerprint as one more part. In the test of a part that ends targets, requests have bodies of their own now, so that it still shows the part alone.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -26,7 +26,8 @@
     pub prompt_tokens: Option<u32>,
     /// Maximum number of output tokens.
     pub output_tokens: u32,
-    /// Parts of the prompt in order; empty if the request does not state them.
+    /// What other requests may have in common with this one: the parts of the prompt in order, if it
+    /// states them, and last its fingerprint.
     pub parts: Arc<[PartId]>,
     /// Position in `[0, 1)` for weighted splits.
     pub point: f64,
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -145,13 +145,10 @@
         }
     }
 
-    /// Returns the parts of the prompt. A request that states none has one, which stands for the whole.
+    /// Returns the parts of the prompt and the fingerprint. A request may have all of its parts in
+    /// common with sound ones.
     fn parts(&self) -> Arc<[PartId]> {
-        if self.caller.parts.is_empty() {
-            Arc::new([self.fingerprint()])
-        } else {
-            Arc::clone(&self.caller.parts)
-        }
+        self.caller.parts.iter().copied().chain([self.fingerprint()]).collect()
     }
 
     /// Returns what is the same for all requests with the same account, method, path and body.
--- a/tests/all/relay/quarantine.rs
+++ b/tests/all/relay/quarantine.rs
@@ -37,7 +37,8 @@
 async fn send(testbed: &Testbed, gateway: &Gateway, kind: Kind, number: u32) -> Response {
     let (_, mut request) = testbed.request_to(gateway, "/talk/x");
     if kind == Kind::Part {
-        request = request.header(names::PROMPT_PARTS, format!("{number:x}:60,bad:9,f{number}:40"));
+        let parts = format!("{number:x}:60,bad:9,f{number}:40");
+        request = request.header(names::PROMPT_PARTS, parts).body(format!("body {number}"));
     }
     request.send().await.expect("an answer")
 }
