--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -169,9 +169,16 @@
         now: Time,
     ) -> Result<(), Duration> {
         let hold = |part| self.records.get(part).and_then(|record| record.hold.as_ref());
-        let left = parts.iter().filter_map(hold).map(|hold| hold.until.since(now)).max();
-        let Some(left) = left else { return Ok(()) };
-        if !left.is_zero() || !may_try {
+        let mut holds = parts.iter().filter_map(hold).peekable();
+        if holds.peek().is_none() {
+            return Ok(());
+        }
+        let (mut left, mut may_try) = (Duration::ZERO, may_try);
+        for hold in holds {
+            left = left.max(hold.until.since(now));
+            may_try &= hold.allows_trial(now);
+        }
+        if !may_try {
             return Err(left.max(MIN_RETRY_AFTER));
         }
         for part in parts {
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -10,8 +10,11 @@
 /// Time for which a part is held before the first trial; it doubles with each trial.
 const HOLD_TIME: Duration = Duration::from_secs(60);
 
-/// Maximum number of times that the hold time doubles.
-const MAX_DOUBLINGS: u32 = 6;
+/// Maximum number of trials. A request that has ended a target in each of them is a certain cause.
+const MAX_TRIALS: u32 = 2;
+
+/// Time for which a part is held after the last trial, at the end of which it is forgotten.
+const FINAL_HOLD_TIME: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// A part whose requests are refused.
 #[derive(Debug, Clone, Copy)]
@@ -24,7 +27,13 @@
 
 impl Hold {
     fn new(round: u32, now: Time) -> Self {
-        Self { round, until: now + HOLD_TIME * (1 << round.min(MAX_DOUBLINGS)) }
+        let time = if round < MAX_TRIALS { HOLD_TIME * (1 << round) } else { FINAL_HOLD_TIME };
+        Self { round, until: now + time }
+    }
+
+    /// Returns whether a request may be let through.
+    pub(super) fn allows_trial(&self, now: Time) -> bool {
+        self.round < MAX_TRIALS && now >= self.until
     }
 }
 
@@ -96,9 +105,11 @@
         is_new
     }
 
-    /// Lets a request through if the part is held; returns whether it is.
+    /// Lets a request through if the part is held and may be tried; returns whether it is.
     pub(super) fn start_trial(&mut self, now: Time) -> bool {
-        let Some(hold) = &mut self.hold else { return false };
+        let Some(hold) = self.hold.as_mut().filter(|hold| hold.allows_trial(now)) else {
+            return false;
+        };
         *hold = Hold::new(hold.round + 1, now);
         self.changed = now;
         true
