Try no held part while a peer may be cut off

A request that ends each target that runs it was let through by each side of a cut, since each has an instance with the smallest name: the class of the request limits, a bound for all instances together that each keeps alone. With two sides, four trials instead of two.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -60,7 +60,7 @@
         if self.stopping {
             return self.refuse(&arrival, proof, RefusalReason::Stopping, now);
         }
-        let may_try = self.peers.is_first(&self.me.instance, now);
+        let may_try = self.may_try_held(now);
         if let Err(wait) = self.quarantine.admit(&arrival.parts, may_try, now) {
             return self.refuse_for(&arrival, proof, RefusalReason::Quarantined, wait);
         }
--- a/crates/gateway/src/quarantine/requests.rs
+++ b/crates/gateway/src/quarantine/requests.rs
@@ -24,6 +24,14 @@
         }
     }
 
+    /// Returns whether this instance decides on trials of held parts. Nobody does while there may be a
+    /// cut, since each side of it would.
+    pub(crate) fn may_try_held(&self, now: Time) -> bool {
+        self.sharers.is_settled()
+            && !self.sharers.has_silent(now)
+            && self.peers.is_first(&self.me.instance, now)
+    }
+
     /// Returns whether a request whose attempt has ended may end a further target.
     pub(crate) fn may_end_target(&self, request: &Request, outcome: AttemptOutcome) -> bool {
         let parts = &request.arrival.parts;
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -12,6 +12,13 @@
 /// a share is left to an announced peer that has not reported yet.
 const SHARE_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time without an update after which a peer may be cut off. It exceeds the interval between exchanges
+/// in deployments with hundreds of instances.
+const SILENCE_TIME: Duration = Duration::from_secs(5);
+
+/// Time for which a peer that has fallen silent may be cut off, rather than gone.
+const CUT_TIME: Duration = Duration::from_secs(600);
+
 /// Maximum number of announced peers that are remembered without a report.
 const MAX_EXPECTED: usize = 1_024;
 
@@ -27,6 +34,8 @@
     hash: u64,
     /// Until when it has a share.
     until: Time,
+    /// When its last update was received; none if it has stopped or has not reported.
+    heard: Option<Time>,
 }
 
 /// The other instances with a share.
@@ -53,7 +62,8 @@
             if !self.peers.contains_key(name) && self.peers.len() < MAX_EXPECTED {
                 self.changed = true;
                 let hash = text_hash(name.as_str());
-                let sharer = Sharer { zone: None, hash, until: now + SHARE_RETENTION };
+                let until = now + SHARE_RETENTION;
+                let sharer = Sharer { zone: None, hash, until, heard: None };
                 self.peers.insert(name.clone(), sharer);
             }
         }
@@ -66,11 +76,12 @@
             Some(sharer) if sharer.zone.as_ref() == Some(zone) => {
                 self.changed |= sharer.until <= now;
                 sharer.until = until;
+                sharer.heard = Some(now);
             }
             _ => {
                 self.changed = true;
                 let hash = text_hash(name.as_str());
-                let sharer = Sharer { zone: Some(zone.clone()), hash, until };
+                let sharer = Sharer { zone: Some(zone.clone()), hash, until, heard: Some(now) };
                 self.peers.insert(name.clone(), sharer);
             }
         }
@@ -81,13 +92,22 @@
         if let Some(sharer) = self.peers.get_mut(name) {
             self.changed |= sharer.until > now;
             sharer.until = now;
+            sharer.heard = None;
         }
     }
 
+    /// Returns whether a peer may be cut off from this instance.
+    pub(crate) fn has_silent(&self, now: Time) -> bool {
+        let heard = self.peers.values().filter_map(|sharer| sharer.heard);
+        let mut silent = heard.map(|heard| now.since(heard));
+        silent.any(|silence| (SILENCE_TIME..CUT_TIME).contains(&silence))
+    }
+
     /// Leaves out a stall of this instance, which has ended now, from the silence of its peers.
     pub(crate) fn postpone(&mut self, stall: Duration, now: Time) {
         for sharer in self.peers.values_mut().filter(|sharer| sharer.until > now - stall) {
             sharer.until = (sharer.until + stall).min(now + SHARE_RETENTION);
+            sharer.heard = sharer.heard.map(|heard| (heard + stall).min(now));
         }
     }
 
@@ -99,7 +119,10 @@
             std::mem::take(&mut self.changed) | (count != self.count) | (settled != self.settled);
         (self.count, self.settled) = (count, settled);
         if changed {
-            self.peers.retain(|_, sharer| sharer.zone.is_none() || sharer.until > now);
+            self.peers.retain(|_, sharer| {
+                let may_be_cut = sharer.heard.is_some_and(|heard| now.since(heard) < CUT_TIME);
+                sharer.zone.is_none() || sharer.until > now || may_be_cut
+            });
         }
         changed
     }
