--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -10,6 +10,7 @@
 
 use crate::callers::BODY;
 use crate::configuration::{LIMIT_BURST, LIMIT_RATE, TOKENS};
+use crate::limits as request_limits;
 use crate::record::{Breach, Change, Events, Outcome, RequestKind, Scope, Sent};
 
 /// Window in which usage of an account is counted.
@@ -81,6 +82,7 @@
     breaches.extend(limits(evidence));
     breaches.extend(retries(evidence));
     breaches.extend(never_reverts(evidence));
+    breaches.extend(request_limits::check(evidence));
     breaches
 }
 
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -169,6 +169,12 @@
                 self.target(number).await.script().clear();
                 self.record.end_disturbance(disturbance);
             }
+            Fault::TargetLimit(number, rate) => {
+                let target = self.target(number).await;
+                target.set_limit(Some(f64::from(rate) / 1_000.0));
+                sleep(length).await;
+                target.set_limit(None);
+            }
             Fault::Configure(count) => {
                 for _ in 0..count {
                     self.configure().await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod connection;
 pub mod inject;
 pub mod kept;
+pub mod limits;
 pub mod plan;
 pub mod process;
 pub mod record;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,8 @@
             optional --folder path: PathBuf
             /// Changes the configuration and signals processes, without other faults.
             optional --changes
+            /// Lets targets name request limits beside other faults.
+            optional --limits
             /// Checks only the guarantees without a time bound.
             optional --untimed
         }
@@ -65,6 +67,11 @@
         std::env::current_exe().unwrap_or_default().with_file_name("sesamewind-gateway");
     let folder = flags.folder.unwrap_or_else(|| std::env::temp_dir().join("sesamewind-soak"));
     let program: PathBuf = flags.program.unwrap_or(default_program);
+    let profile = match (flags.changes, flags.limits) {
+        (true, _) => Profile::Changes,
+        (false, true) => Profile::Limits,
+        (false, false) => Profile::Faults,
+    };
     let mut failed = Vec::new();
     let seeds = flags.first..flags.first + flags.seeds.unwrap_or(1);
     let count = seeds.end - seeds.start;
@@ -73,7 +80,7 @@
             program: program.clone(),
             folder: folder.join(format!("{}-{seed}", std::process::id())),
             seed,
-            profile: if flags.changes { Profile::Changes } else { Profile::Faults },
+            profile,
             instances: flags.instances.unwrap_or(INSTANCES),
             length: Duration::from_secs(flags.length.unwrap_or(LENGTH_S)),
             timed: !flags.untimed,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -73,6 +73,8 @@
     /// One target, or all targets, pause after this many events for this many milliseconds, in some
     /// answers.
     TargetPause(Option<usize>, u64, u64),
+    /// A target names this request limit, in thousandths of a request a second.
+    TargetLimit(usize, u32),
     /// This many new configurations are written, one after the other.
     Configure(u32),
     /// This many new configurations are written, each with this aspect changed.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,6 +17,7 @@
 use crate::changes;
 use crate::check::{self, Arrived, Evidence};
 use crate::inject::Deployment;
+use crate::limits;
 use crate::plan::{self, PlannedFault};
 use crate::process::{Network, Process};
 use crate::record::{Breach, Outcome, Record, Scope};
@@ -49,6 +50,8 @@
     Faults,
     /// Changes of the configuration, with signals to the processes.
     Changes,
+    /// Faults of all kinds beside targets that name request limits.
+    Limits,
 }
 
 /// Options of a run.
@@ -165,6 +168,11 @@
     let planned = match options.profile {
         Profile::Faults => plan::plan(&mut rng, options.length, instances, targets),
         Profile::Changes => changes::plan(&mut rng, options.length, instances, targets),
+        Profile::Limits => {
+            let faults = plan::plan(&mut rng, options.length, instances, targets);
+            let limits = limits::plan(&mut rng, options.length, targets);
+            faults.into_iter().chain(limits).collect()
+        }
     };
     let mut tasks = JoinSet::new();
     for &planned_fault in &planned {
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -19,6 +19,9 @@
 /// Seeds of runs with changes.
 const CHANGE_SEEDS: [u64; 2] = [1, 26];
 
+/// Seeds of runs with targets that name request limits.
+const LIMIT_SEEDS: [u64; 2] = [3, 18];
+
 fn options(seed: u64, profile: Profile) -> Options {
     Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_sesamewind-gateway")),
@@ -53,3 +56,12 @@
         assert_kept(seed, &report);
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_limits_hold_under_random_faults() {
+    let [first, second] = &LIMIT_SEEDS.map(|seed| options(seed, Profile::Limits));
+    let reports = tokio::join!(run(first), run(second));
+    for (seed, report) in LIMIT_SEEDS.into_iter().zip([reports.0, reports.1]) {
+        assert_kept(seed, &report);
+    }
+}
