Leave out suspensions from the time that an answer waits for its caller

Callers got an answer that broke off when the process had been suspended for longer than answers wait for their callers (5.6 s in the test), although they read it all the while: the time of the suspension counted as theirs, and the connection was closed before the process had noticed that the socket takes bytes again (reason "blocked").

The wait is now counted in steps of 500 ms, of which each counts for a second at most.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -76,6 +76,14 @@
     }
 }
 
+/// Time for which a socket has taken no more bytes.
+#[derive(Debug, Clone, Copy)]
+struct BlockedTime {
+    /// Time until the last check.
+    waited: Duration,
+    checked: Instant,
+}
+
 /// State of a connection, shared by its parts.
 #[derive(Debug)]
 pub struct Activity {
@@ -84,8 +92,8 @@
     opened: Instant,
     served: Cell<u64>,
     head_bytes: Cell<usize>,
-    /// Since when the socket takes no more bytes of an answer; none if it does.
-    blocked: Cell<Option<Instant>>,
+    /// For how long the socket has taken no more bytes of an answer; none if it does.
+    blocked: Cell<Option<BlockedTime>>,
     /// Whether the body of the current request was read to its end.
     body_ended: Cell<bool>,
     /// Which side said that no request follows the current one.
@@ -163,9 +171,18 @@
         self.head_bytes.get()
     }
 
-    /// Returns since when bytes of an answer wait for the socket; none if they don't.
-    pub fn blocked_since(&self) -> Option<Instant> {
-        self.blocked.get()
+    /// Returns whether bytes of an answer wait for the socket.
+    pub fn is_blocked(&self) -> bool {
+        self.blocked.get().is_some()
+    }
+
+    /// Returns for how long bytes of an answer have waited for the socket; none if they don't. Of the
+    /// time since the last call, `most` counts at most: the process may have been suspended.
+    pub fn blocked_time(&self, most: Duration, now: Instant) -> Option<Duration> {
+        let before = self.blocked.get()?;
+        let waited = before.waited + now.duration_since(before.checked).min(most);
+        self.blocked.set(Some(BlockedTime { waited, checked: now.max(before.checked) }));
+        Some(waited)
     }
 
     /// Records that the head of a request was read; `last` tells whether its caller sends no other.
@@ -225,7 +242,7 @@
     /// Returns whether an orderly end of the connection would make an incomplete answer look
     /// complete.
     pub(crate) fn must_reset(&self) -> bool {
-        let is_incomplete = self.usage.get() == Usage::Request || self.blocked.get().is_some();
+        let is_incomplete = self.usage.get() == Usage::Request || self.is_blocked();
         self.unframed.get() && is_incomplete
     }
 
@@ -294,13 +311,14 @@
 
     /// Records whether the socket takes no more bytes at present.
     pub(crate) fn set_blocked(&self, blocked: bool, now: Instant) {
-        self.blocked.set(blocked.then(|| self.blocked.get().unwrap_or(now)));
+        let new = || BlockedTime { waited: Duration::ZERO, checked: now };
+        self.blocked.set(blocked.then(|| self.blocked.get().unwrap_or_else(new)));
         self.count();
     }
 
     fn count(&self) {
         let has_request = matches!(self.usage.get(), Usage::Head | Usage::Request);
-        self.set_counted(has_request || self.blocked.get().is_some());
+        self.set_counted(has_request || self.is_blocked());
     }
 
     fn set_counted(&self, counted: bool) {
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -43,6 +43,10 @@
 /// Shortest time for which an answer waits for its caller to read on.
 const MIN_BLOCKED_TIME: Duration = Duration::from_secs(5);
 
+/// Interval at which the time that an answer waits for its caller is counted. Time in which the process
+/// did not run is left out.
+const BLOCKED_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long a connection is read after its last answer.
 const LINGER_TIME: Duration = Duration::from_secs(2);
 
@@ -111,9 +115,13 @@
 fn decide(activity: &Activity, grant: &Grant, phase: Phase, now: Instant) -> Verdict {
     let (usage, since) = activity.usage();
     let limits = grant.limits(since);
-    if let Some(blocked) = activity.blocked_since() {
-        let end = blocked + limits.idle_timeout.max(MIN_BLOCKED_TIME);
-        return Verdict::until(end, CloseReason::Blocked, now);
+    if let Some(waited) = activity.blocked_time(2 * BLOCKED_INTERVAL, now) {
+        let left = limits.idle_timeout.max(MIN_BLOCKED_TIME).saturating_sub(waited);
+        return if left.is_zero() {
+            Verdict::Close(CloseReason::Blocked)
+        } else {
+            Verdict::Serve(Some(now + left.min(BLOCKED_INTERVAL)))
+        };
     }
     let is_stopping = phase == Phase::Closed;
     let (reason, limit) = match usage {
@@ -297,8 +305,7 @@
         let end = loop {
             let current = *phase.borrow_and_update();
             let is_outdated = || {
-                let is_quiet =
-                    activity.usage().0 == Usage::Idle && activity.blocked_since().is_none();
+                let is_quiet = activity.usage().0 == Usage::Idle && !activity.is_blocked();
                 is_quiet && grant.buffer_bytes() != buffer_bytes
             };
             let verdict = |now| decide(&activity, &grant, current, now);
