Ask the store again after a suspension before it counts as lost

A process that was suspended for 4 s logged "store_lost", since the call that waited for changes had timed out when it ran again, and took the list of targets for unreadable: targets that left it soon after stayed in use, and got 20 of 20 requests in the test.

A call that has no answer and whose time passed while the process did not run is repeated once, without a wait.

--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -11,7 +11,7 @@
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{Event, Gateway, RouteTable, Routing};
 use sesamewind_protocol::relay::{RowsReply, RowsRequest, StorePosition, StoreRow, Topic};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::driver::Driver;
 use crate::held_parts;
@@ -64,10 +64,14 @@
 /// Interval between the first reads of the announcements.
 const EARLY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time after a suspension of the process in which a failed call to the store is repeated at once.
+const SUSPENDED_TIME: Duration = Duration::from_millis(500);
+
 /// Keeps the local state of `topic` up to date for as long as the instance runs.
 pub async fn follow(driver: Rc<Driver>, source: Rc<dyn Source>, peers: Rc<Peers>, topic: Topic) {
     let known = StorePosition::default();
-    let mut watch = Watch { driver, source, peers, topic, known, read: false, failures: 0 };
+    let mut watch =
+        Watch { driver, source, peers, topic, known, read: false, failures: 0, suspended: false };
     loop {
         if watch.read && watch.driver.with_gateway(|g| g.follows_peers(watch.driver.now())) {
             watch.poll_peer().await;
@@ -88,28 +92,28 @@
     /// Whether all rows up to `known` were read, so that reading changes is enough.
     read: bool,
     failures: u32,
+    /// Whether the last call may have failed because the process did not run.
+    suspended: bool,
 }
 
 impl Watch {
     /// Reads changes from the store, or all rows.
     async fn poll_store(&mut self) {
-        let after = self.known;
+        let begun = Instant::now();
         let whole = !self.read;
-        let mut is_peer_ahead = false;
-        let result = if whole {
-            self.source.read(self.topic).await
-        } else if self.failures > 0 {
-            // While the store is unreachable, calls without a wait detect its recovery sooner.
-            self.source.changes(self.topic, after, Duration::ZERO).await
-        } else {
-            tokio::select! {
-                result = self.source.changes(self.topic, after, self.watch_wait()) => result,
-                () = peer_ahead(&self.driver) => {
-                    is_peer_ahead = true;
-                    self.source.changes(self.topic, after, Duration::ZERO).await
-                }
-            }
-        };
+        let (result, is_peer_ahead) = self.call_store(whole).await;
+        let is_lost = matches!(result, Err(SourceError::Lost(_)));
+        if is_lost && !self.suspended && self.was_suspended(begun) {
+            self.suspended = true;
+            log::info!(
+                event = "store_asked_again",
+                topic = self.topic.as_str();
+                "call to the store failed while the process did not run"
+            );
+            return;
+        }
+        self.suspended = false;
+        let after = self.known;
         match result {
             Ok(batch) => {
                 self.apply_batch(batch, whole).await;
@@ -146,6 +150,34 @@
         }
     }
 
+    /// Asks the store for changes, or all rows. Also returns whether a peer has newer rows than this
+    /// instance.
+    async fn call_store(&self, whole: bool) -> (Result<Batch, SourceError>, bool) {
+        let after = self.known;
+        if whole {
+            return (self.source.read(self.topic).await, false);
+        }
+        if self.failures > 0 || self.suspended {
+            // While the store is unreachable, calls without a wait detect its recovery sooner.
+            return (self.source.changes(self.topic, after, Duration::ZERO).await, false);
+        }
+        tokio::select! {
+            result = self.source.changes(self.topic, after, self.watch_wait()) => (result, false),
+            () = peer_ahead(&self.driver) => {
+                (self.source.changes(self.topic, after, Duration::ZERO).await, true)
+            }
+        }
+    }
+
+    /// Returns whether the process did not run until just now. The answer to a call since `begun` may
+    /// have arrived meanwhile, and its time may have passed.
+    fn was_suspended(&self, begun: Instant) -> bool {
+        let now = Instant::now();
+        self.driver.observe_turn(now);
+        let since_stall = self.driver.watchdog.since_stall(begun, now);
+        since_stall.is_some_and(|since| since < SUSPENDED_TIME)
+    }
+
     /// Returns how long the store waits for a change. Where few instances watch on behalf of many,
     /// the wait is short, because the others must see that the watch is alive.
     fn watch_wait(&self) -> Duration {
--- a/crates/relay/src/watchdog.rs
+++ b/crates/relay/src/watchdog.rs
@@ -64,12 +64,18 @@
     /// Returns what is known of a wait from `start`, when the length of all stalls was `stalled`, to
     /// `now`.
     pub fn wait(&self, start: Instant, stalled: Duration, now: Instant) -> Wait {
-        let stall_end = self.stall_end.get().filter(|end| *end > start);
         Wait {
             ran: now.duration_since(start).saturating_sub(self.stalled.get() - stalled),
-            since_stall: stall_end.map(|end| now.duration_since(end)),
+            since_stall: self.since_stall(start, now),
         }
     }
+
+    /// Returns the time from the end of the last stall to `now`; none if there was no stall since
+    /// `start`.
+    pub fn since_stall(&self, start: Instant, now: Instant) -> Option<Duration> {
+        let stall_end = self.stall_end.get().filter(|end| *end > start);
+        stall_end.map(|end| now.duration_since(end))
+    }
 }
 
 /// Logs and counts each panic of the process, in addition to what the previous hook does.
