Wait in a planned stop for requests whose body is on its way in

sesamewindd cut requests whose body arrived after the jobs had ended: it counted requests from their job on, which begins when the body was read. Requests are now counted from their head on, until the answer begins.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -79,6 +79,7 @@
     S: Stream<Item = Result<B, warp::Error>> + Send + Sync + 'static,
     B: Buf,
 {
+    let _unanswered = context.count_unanswered();
     let mut info = RequestInfo::default();
     match route(&context, &inbound, stream, &mut info).await {
         Ok(mut response) => {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,7 +1,7 @@
 //! State shared by the parts of one running instance.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
@@ -56,6 +56,18 @@
     control: Address<Control>,
     tickets: AtomicU64,
     stopping: AtomicBool,
+    /// Requests of callers whose head was read and whose answer has not begun.
+    unanswered: AtomicUsize,
+}
+
+/// Counts a caller's request as unanswered until it is dropped.
+#[derive(Debug)]
+pub struct Unanswered<'a>(&'a AtomicUsize);
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Context {
@@ -82,6 +94,7 @@
             control,
             tickets: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
+            unanswered: AtomicUsize::new(0),
             settings,
         }
     }
@@ -101,6 +114,18 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Counts a caller's request whose head was read.
+    pub fn count_unanswered(&self) -> Unanswered<'_> {
+        self.unanswered.fetch_add(1, Ordering::AcqRel);
+        Unanswered(&self.unanswered)
+    }
+
+    /// Returns the number of callers' requests whose answer has not begun, which includes those whose
+    /// body is on its way in.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.load(Ordering::Acquire)
+    }
+
     /// Reports a request's progress to the control thread.
     pub fn signal(&self, ticket: Ticket, signal: Signal) {
         self.notify(JobSignal { ticket, signal });
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -56,7 +56,9 @@
     let end = tokio::time::Instant::now() + limit;
     loop {
         let none = RemainingWork { requests: 0, lease: false };
-        let remaining = context.ask(Remaining).await.unwrap_or(none);
+        let mut remaining = context.ask(Remaining).await.unwrap_or(none);
+        // A request has no job before its body was read.
+        remaining.requests = remaining.requests.max(context.unanswered());
         if remaining == none || tokio::time::Instant::now() >= end {
             return remaining;
         }
