Don't panic at a limit of any age that a peer reports

The age of a peer's statement and its margin overflowed when they were added, which only a damaged message can cause. Found by a new test of statements of peers, which failed there; it also fails without the margin.

--- a/crates/gateway/src/limits/peers.rs
+++ b/crates/gateway/src/limits/peers.rs
@@ -40,7 +40,7 @@
                 continue;
             }
             let heard = now - entry.heard;
-            let asked = now - (entry.asked + PEER_MARGIN).max(entry.heard);
+            let asked = now - entry.asked.saturating_add(PEER_MARGIN).max(entry.heard);
             let new = Statement { rate: entry.rate, asked, heard };
             // A statement that goes back and forth between instances does not become a newer one.
             let known = target.limit.as_ref().map(|limit| limit.statement);
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -1,8 +1,10 @@
 //! Targets that state how many requests a second they take from all instances together.
 
+use std::time::Duration;
+
 use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
-use sesamewind_protocol::InstanceId;
-use sesamewind_protocol::relay::StorePosition;
+use sesamewind_protocol::relay::{LimitEntry, StorePosition};
+use sesamewind_protocol::{Incarnation, InstanceId};
 
 use crate::limit_fleet::{Named, Plan, play};
 use crate::support::{Bench, MODEL, at, bench, identity, routing, target};
@@ -321,3 +323,66 @@
     assert!((share(false) - 2.0).abs() < 1e-9);
     assert!((share(true) - 4.0).abs() < 1e-9);
 }
+
+/// A peer's statement is applied if it is the later one by more than a message may take, or the lower
+/// limit.
+#[test]
+fn statements_of_peers_are_ordered_with_a_margin() {
+    struct Case {
+        name: &'static str,
+        /// Times since the peer's request was sent and its answer received, in milliseconds; the
+        /// largest number stands for the longest time.
+        asked: u64,
+        heard: u64,
+        rate: Option<f64>,
+        incarnation: u64,
+        want: Option<f64>,
+    }
+    const OWN: f64 = 3.0;
+    const fn case(
+        name: &'static str,
+        asked: u64,
+        heard: u64,
+        rate: Option<f64>,
+        want: Option<f64>,
+    ) -> Case {
+        Case { name, asked, heard, rate, incarnation: 1, want }
+    }
+    // The own statement is 2 s old.
+    let cases = [
+        case("ended later", 500, 400, None, None),
+        case("ended at nearly the same time", 1_500, 1_400, None, Some(OWN)),
+        case("ended before", 5_000, 4_000, None, Some(OWN)),
+        case("raised later", 500, 400, Some(8.0), Some(8.0)),
+        case("raised at nearly the same time", 1_500, 1_400, Some(8.0), Some(OWN)),
+        case("lowered at nearly the same time", 2_100, 2_050, Some(1.0), Some(1.0)),
+        case("lowered before", 9_000, 8_000, Some(1.0), Some(OWN)),
+        case("of any age", u64::MAX, 0, Some(1.0), Some(1.0)),
+        case("not a number", 500, 400, Some(f64::NAN), Some(OWN)),
+        case("negative", 500, 400, Some(-1.0), Some(OWN)),
+        Case { incarnation: 2, ..case("of another incarnation", 500, 400, None, Some(OWN)) },
+    ];
+    for case in cases {
+        let mut bench = bench(1, 0);
+        let first = bench.arrive("urgent", 10, at(9_950));
+        bench.send(Event::TargetLimit(first, Some(OWN)), at(10_000));
+        let mut peer = Bench::of(identity("i2", "z1"), routing(), Vec::new(), Tuning::default());
+        let to = InstanceId::new("i1");
+        let position = StorePosition::default();
+        let mut update = peer.gateway.peer_update(&to, position, at(12_000), at(12_000));
+        update.limits = vec![LimitEntry {
+            target: target("m0", MODEL, 4).id,
+            incarnation: Incarnation(case.incarnation),
+            rate: case.rate,
+            asked: if case.asked == u64::MAX {
+                Duration::MAX
+            } else {
+                Duration::from_millis(case.asked)
+            },
+            heard: Duration::from_millis(case.heard),
+        }];
+        bench.send(Event::PeerUpdate(&update), at(12_000));
+        let rate = bench.gateway.take_limit_changes().pop().and_then(|change| change.rate);
+        assert_eq!(rate, case.want, "{}", case.name);
+    }
+}
