Remember peers without a share instead of giving them another one

A peer that had been silent for ten minutes was forgotten, so that its announcement, which remains in the store, was taken for that of a new instance and got a share of all limits for another minute. Peers are remembered now, up to 1,024. Found by reading; limits were kept, but less of them was used for that minute.

--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -19,8 +19,9 @@
 /// Time for which a peer that has fallen silent may be cut off, rather than gone.
 const CUT_TIME: Duration = Duration::from_secs(600);
 
-/// Maximum number of announced peers that are remembered without a report.
-const MAX_EXPECTED: usize = 1_024;
+/// Number of peers up to which those without a share are remembered. Announcements of instances that
+/// have ended remain in the store.
+const MAX_REMEMBERED: usize = 1_024;
 
 /// Time after its start in which an instance may not have heard of all others.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -59,7 +60,7 @@
     /// Adds announced peers, which may have a share already.
     pub(crate) fn expect<'a>(&mut self, peers: impl Iterator<Item = &'a InstanceId>, now: Time) {
         for name in peers {
-            if !self.peers.contains_key(name) && self.peers.len() < MAX_EXPECTED {
+            if !self.peers.contains_key(name) && self.peers.len() < MAX_REMEMBERED {
                 self.changed = true;
                 let hash = text_hash(name.as_str());
                 let until = now + SHARE_RETENTION;
@@ -118,11 +119,8 @@
         let changed =
             std::mem::take(&mut self.changed) | (count != self.count) | (settled != self.settled);
         (self.count, self.settled) = (count, settled);
-        if changed {
-            self.peers.retain(|_, sharer| {
-                let may_be_cut = sharer.heard.is_some_and(|heard| now.since(heard) < CUT_TIME);
-                sharer.zone.is_none() || sharer.until > now || may_be_cut
-            });
+        if changed && self.peers.len() > MAX_REMEMBERED {
+            self.peers.retain(|_, sharer| sharer.until > now);
         }
         changed
     }
