Let the busiest target name the limit in the tests with processes

The target chosen by its number got no request in the 9 s after it was to name a limit, since gateways with little load keep to targets that answered fast; nothing broke the bound. The test now takes the target that has got most requests in the second before. Bounds and checks are the same.

--- a/tests/all/relay/limits.rs
+++ b/tests/all/relay/limits.rs
@@ -89,6 +89,12 @@
         sum
     }
 
+    /// Returns the target that has got most requests, which gateways go on to use.
+    fn busiest(&self) -> &RelayTarget {
+        let targets = self.testbed.models.iter();
+        targets.max_by_key(|target| target.received().len()).expect("there are targets")
+    }
+
     /// Returns when each gateway was told of the limit by `target`.
     fn told(&self, target: &RelayTarget) -> HashMap<usize, Instant> {
         let answered = self.answered.lock().expect("no panic");
@@ -147,7 +153,7 @@
     for case in cases {
         let fleet = Fleet::start(3, 3).await;
         fleet.send_for(Duration::from_secs(1)).await;
-        let target = &fleet.testbed.models[0];
+        let target = fleet.busiest();
         target.set_limit(Some(case.rate));
         target.script().extend(case.behaviours);
         fleet.send_for(Duration::from_secs(9)).await;
@@ -160,7 +166,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_target_is_used_as_before_after_its_limit_has_ended() {
     let fleet = Fleet::start(3, 2).await;
-    let target = &fleet.testbed.models[0];
+    fleet.send_for(Duration::from_secs(1)).await;
+    let target = fleet.busiest();
     target.set_limit(Some(2.0));
     fleet.send_for(Duration::from_secs(4)).await;
     target.set_limit(None);
