Read bounds of cold targets, contact time and regions from the settings

Cause: targets that are cold, regions of availability zones and the time after which an instance is bound have no settings, so that the parts that are about to use them had no common source. Change: [bounds] takes contact, cold_overage and cold_slack, and [regions] names the region of each availability zone. Without them, cold targets get what they state and there are no regions. Tests: crates/settings/tests/settings/relay.rs.

--- a/crates/protocol/src/id.rs
+++ b/crates/protocol/src/id.rs
@@ -77,6 +77,10 @@
     /// Name of an availability zone.
     ZoneId
 }
+name_type! {
+    /// Name of a region, which contains availability zones.
+    RegionId
+}
 name_type! {
     /// Name of a target: a model engine or one replica of a plain service.
     TargetId
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use code::{Code, RunState};
 pub use id::{
-    AccountId, Incarnation, InstanceId, PartId, RequestKey, Revision, RolloutId, RouteId,
+    AccountId, Incarnation, InstanceId, PartId, RegionId, RequestKey, Revision, RolloutId, RouteId,
     ServiceId, TargetId, VersionId, ZoneId, bytes_hash, text_hash,
 };
 pub use time::{Time, WallTime};
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -1,12 +1,13 @@
 //! Settings of an instance that forwards requests by route.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use log::LevelFilter;
-use sesamewind_protocol::{InstanceId, ZoneId};
-use toml::Table;
+use sesamewind_protocol::{InstanceId, RegionId, ZoneId};
+use toml::{Table, Value};
 
 use crate::build::{self, log, name};
 use crate::section::Section;
@@ -25,6 +26,8 @@
     pub name: InstanceId,
     /// Availability zone of the instance.
     pub zone: ZoneId,
+    /// Region of each availability zone; empty if the deployment has no regions.
+    pub regions: BTreeMap<ZoneId, RegionId>,
     /// Whether the whole deployment starts for the first time, so that no other instance has run
     /// before.
     pub first_start: bool,
@@ -73,6 +76,14 @@
     pub drain: Duration,
     /// Time from the stop signal until the process must have ended.
     pub grace: Duration,
+    /// Time for which an instance has to be free of faults before the deployment's limits bind it.
+    pub contact: Duration,
+    /// Factor over the requests a second that a cold target states which all instances together may
+    /// send it.
+    pub cold_overage: f64,
+    /// Requests in one second that all instances together may send a cold target in addition to
+    /// `cold_overage`.
+    pub cold_slack: f64,
 }
 
 impl RelaySettings {
@@ -105,6 +116,7 @@
     let listen_table = top.required_table("listen");
     let store_table = top.required_table("store");
     let bounds_table = top.required_table("bounds");
+    let regions_table = top.table("regions");
     let log_table = top.table("log");
     let token = env(PEER_TOKEN_VAR);
     if token.is_none() {
@@ -122,6 +134,7 @@
     section.finish();
     let listen = listen_table.and_then(|table| listen(table, faults));
     let bounds = bounds_table.and_then(|table| bounds(table, faults));
+    let regions = regions_table.map(|table| regions(table, faults)).unwrap_or_default();
     let log = match log_table {
         Some(_) => log(log_table, faults),
         None => Log { level: LevelFilter::Info, ..Log::default() },
@@ -129,6 +142,7 @@
     Some(RelaySettings {
         name: InstanceId::new(instance_name?),
         zone: ZoneId::new(zone?),
+        regions,
         first_start: first_start?,
         listen: listen?,
         store: store?,
@@ -153,13 +167,34 @@
     })
 }
 
+/// Reads the region of each availability zone.
+fn regions(table: &Table, faults: &mut Vec<Fault>) -> BTreeMap<ZoneId, RegionId> {
+    let mut regions = BTreeMap::new();
+    for (zone, value) in table {
+        match value {
+            Value::String(region) if !region.trim().is_empty() => {
+                regions.insert(ZoneId::new(zone), RegionId::new(region));
+            }
+            _ => faults.push(Fault {
+                key: format!("regions.{zone}"),
+                message: "must be the name of a region".to_owned(),
+            }),
+        }
+    }
+    regions
+}
+
 fn bounds(table: &Table, faults: &mut Vec<Fault>) -> Option<RelayBounds> {
     let mut section = Section::new("bounds", Some(table), faults);
     let retry_ratio = section.parsed::<f64>("retry_ratio", NUMBER);
     let retry_extra = section.parsed::<f64>("retry_extra", NUMBER);
     let quota_overage = section.parsed::<f64>("quota_overage", NUMBER);
     let quota_slack = section.parsed::<f64>("quota_slack", NUMBER);
+    let cold_overage = section.optional_parsed::<f64>("cold_overage", NUMBER);
+    let cold_slack = section.optional_parsed::<f64>("cold_slack", NUMBER);
     let numbers = [
+        ("cold_overage", cold_overage),
+        ("cold_slack", cold_slack),
         ("retry_ratio", retry_ratio),
         ("retry_extra", retry_extra),
         ("quota_overage", quota_overage),
@@ -179,6 +214,9 @@
         quota_slack: quota_slack.unwrap_or_default(),
         drain: section.duration("drain", Duration::from_secs(2)),
         grace: section.duration("grace", Duration::from_secs(8)),
+        contact: section.duration("contact", Duration::from_secs(3)),
+        cold_overage: cold_overage.unwrap_or(1.0),
+        cold_slack: cold_slack.unwrap_or_default(),
     };
     section.finish();
     Some(bounds)
--- a/crates/settings/tests/settings/main.rs
+++ b/crates/settings/tests/settings/main.rs
@@ -2,3 +2,4 @@
 
 mod fuzz;
 mod parse;
+mod relay;
