Test that every instance learns of an order, and separate what a peer's update tells

The interval of exchanges and the comparison with a peer's positions move to a module without sockets, and each topic has its own notification, so that a peer's newer target list no longer makes the configuration be asked for.

--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::activity::Activity;
+use crate::exchange::Standing;
 use crate::journal::{self, Progress};
 use crate::memory::AnswerMemory;
 use crate::metrics::Metrics;
@@ -34,6 +35,8 @@
     pub checked: Cell<Time>,
     /// Peer that has newer rows than this instance.
     pub ahead_peer: Cell<Option<SocketAddr>>,
+    /// Notified when a peer has newer rows than this instance.
+    pub outdated: Notify,
 }
 
 /// State shared by all tasks of an instance.
@@ -60,8 +63,6 @@
     targets: TopicState,
     /// Latest known era of the store.
     era: Sender<Option<u64>>,
-    /// Notified when a peer has newer rows than this instance.
-    pub outdated: Notify,
 }
 
 impl Driver {
@@ -82,7 +83,6 @@
             configuration: TopicState::default(),
             targets: TopicState::default(),
             era: Sender::new(None),
-            outdated: Notify::new(),
         }
     }
 
@@ -200,6 +200,15 @@
         change(&mut self.gateway.borrow_mut())
     }
 
+    /// Returns what this instance has of the store.
+    pub fn standing(&self) -> Standing {
+        Standing {
+            revision: self.with_gateway(Gateway::revision),
+            configuration: self.configuration.cache.borrow().newest(),
+            targets: self.targets.cache.borrow().newest(),
+        }
+    }
+
     /// Returns this instance's state as sent to the peer `to`.
     pub fn peer_update(&self, to: &InstanceId) -> RelayUpdate {
         let listed = self.targets.cache.borrow().newest();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod close;
 mod connection;
 pub mod driver;
+pub mod exchange;
 mod held_parts;
 pub mod instance;
 pub mod journal;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -17,15 +17,16 @@
 use rand::RngExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use sesamewind_gateway::{Event, Gateway};
+use sesamewind_gateway::Event;
 use sesamewind_protocol::codec;
-use sesamewind_protocol::relay::{RelayUpdate, RowsReply, RowsRequest, Topic};
+use sesamewind_protocol::relay::{RelayUpdate, RowsReply, RowsRequest};
 use sesamewind_protocol::{InstanceId, ZoneId};
 use sesamewind_settings::Secret;
 use tokio::time::sleep;
 
 use crate::answer::{Answer, AnswerBody};
 use crate::driver::Driver;
+use crate::exchange::Surroundings;
 use crate::pool::Pool;
 use crate::source::Announcement;
 use crate::watched::RequestBody;
@@ -39,19 +40,6 @@
 /// Path of the metrics on the inner listener.
 const METRICS_PATH: &str = "/metrics";
 
-/// Interval between exchanges with one peer while there are at most [`INTERVAL_PEERS`] peers.
-const INTERVAL: Duration = Duration::from_millis(100);
-
-/// Interval between exchanges of instances that share targets where there are many peers.
-const SHARED_TARGETS_INTERVAL: Duration = Duration::from_millis(60);
-
-/// Number of peers up to which [`INTERVAL`] applies.
-///
-/// With more peers, the interval is multiplied for a peer of the same availability zone by twice
-/// the number of peers in that zone divided by this number, and for any other peer by the number
-/// of all peers divided by this number.
-const INTERVAL_PEERS: usize = 10;
-
 /// Timeout of a call to a peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -193,16 +181,13 @@
     /// consecutive failures.
     fn pause(&self, name: &InstanceId, zone: &ZoneId, failures: u32) -> Duration {
         let known = self.known.borrow();
-        let interval = if self.driver.with_gateway(|gateway| gateway.shares_targets(name)) {
-            SHARED_TARGETS_INTERVAL
-        } else if known.len() <= INTERVAL_PEERS {
-            INTERVAL
-        } else if *zone == self.zone {
-            let own = known.values().filter(|peer| peer.zone == self.zone).count();
-            INTERVAL.mul_f64((2.0 * own as f64 / INTERVAL_PEERS as f64).max(1.0))
-        } else {
-            INTERVAL.mul_f64(known.len() as f64 / INTERVAL_PEERS as f64)
-        };
+        let zone_peers = || known.values().filter(|peer| peer.zone == self.zone).count();
+        let interval = Surroundings {
+            peers: known.len(),
+            zone_peers: (*zone == self.zone).then(zone_peers),
+            shares_targets: self.driver.with_gateway(|gateway| gateway.shares_targets(name)),
+        }
+        .interval();
         let pause = (interval * (1 << failures.min(4))).min(MAX_PAUSE.max(interval));
         pause.mul_f64(rand::rng().random_range(0.9..1.1))
     }
@@ -258,16 +243,11 @@
     /// Applies a peer's state, and notes if the peer has newer rows than this instance.
     fn receive(&self, update: &RelayUpdate) {
         self.driver.handle(Event::PeerUpdate(update));
-        let known = self.driver.with_gateway(Gateway::revision);
-        let listed = self.driver.topic(Topic::Targets).cache.borrow().newest();
         let address = update.address.parse().ok();
-        if update.revision > known {
-            self.driver.topic(Topic::Configuration).ahead_peer.set(address);
-            self.driver.outdated.notify_waiters();
-        }
-        if update.list_position > listed {
-            self.driver.topic(Topic::Targets).ahead_peer.set(address);
-            self.driver.outdated.notify_waiters();
+        for topic in self.driver.standing().topics_behind(update) {
+            let state = self.driver.topic(topic);
+            state.ahead_peer.set(address);
+            state.outdated.notify_waiters();
         }
     }
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -163,12 +163,18 @@
         }
         tokio::select! {
             result = self.source.changes(self.topic, after, self.watch_wait()) => (result, false),
-            () = peer_ahead(&self.driver) => {
+            () = self.peer_ahead() => {
                 (self.source.changes(self.topic, after, Duration::ZERO).await, true)
             }
         }
     }
 
+    /// Completes [`PEER_AHEAD_DELAY`] after a peer was found to have newer rows.
+    async fn peer_ahead(&self) {
+        self.driver.topic(self.topic).outdated.notified().await;
+        sleep(PEER_AHEAD_DELAY).await;
+    }
+
     /// Returns whether the process did not run until just now. The answer to a call since `begun` may
     /// have arrived meanwhile, and its time may have passed.
     fn was_suspended(&self, begun: Instant) -> bool {
@@ -235,7 +241,7 @@
     /// such a peer.
     async fn poll_peer(&mut self) {
         tokio::select! {
-            () = self.driver.outdated.notified() => {}
+            () = self.driver.topic(self.topic).outdated.notified() => {}
             () = sleep(FOLLOW_INTERVAL) => {}
         }
         if let Some((after, reply)) = self.read_peer().await {
@@ -353,12 +359,6 @@
     }
 }
 
-/// Completes [`PEER_AHEAD_DELAY`] after a peer was found to have newer rows.
-async fn peer_ahead(driver: &Driver) {
-    driver.outdated.notified().await;
-    sleep(PEER_AHEAD_DELAY).await;
-}
-
 fn retry_pause(failures: u32) -> Duration {
     let pause = (RETRY_PAUSE.0 * (1 << failures.min(6))).min(RETRY_PAUSE.1);
     pause.mul_f64(rand::rng().random_range(0.5..1.0))
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -1,4 +1,4 @@
-//! Tests of the listener with sockets, and of stalls, without a process.
+//! Tests of the listener with sockets, of stalls, and of the spread of rows, without a process.
 
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
@@ -6,5 +6,6 @@
 mod exchanges;
 mod keep_alive;
 mod panics;
+mod spread;
 mod stalls;
 mod support;
