Tell peers the position of the configuration's rows

Cause: with 12 peers or more, four instances watch the store. The others ask a peer whose update tells a newer revision or list position, but an order of a rollout is a row that changes neither.

Updates tell the position of the configuration's rows. An instance compares it with the position up to which its rows are complete, which may exceed that of its newest row: without this, one that read all rows after a deletion would ask forever. A peer that lacks the deletions since an instance's position sends all rows, and rows that are missing there are decoded as deleted ones. move_ordered is logged once for each order, with its origin.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::quarantine::{PartChange, Quarantine, SavedPart};
 use crate::quota::{Quotas, SavedUsage};
 use crate::request::{Request, State};
-use crate::rollouts::{RolledBack, RolloutRecord, RolloutStatus, Rollouts};
+use crate::rollouts::{RolledBack, RolloutOrder, RolloutRecord, RolloutStatus, Rollouts};
 use crate::selection;
 use crate::service::ServiceState;
 use crate::sharers::Sharers;
@@ -257,6 +257,11 @@
         self.quarantine.held_parts()
     }
 
+    /// Returns whether the rollout of this order is the latest known one of its service.
+    pub fn knows_order(&self, order: &RolloutOrder) -> bool {
+        self.rollouts.knows(order)
+    }
+
     /// Returns the statuses of running rollouts that are due for a log line.
     pub fn due_rollout_statuses(&mut self, now: Time) -> Vec<RolloutStatus> {
         self.rollouts.due_statuses(now)
@@ -308,7 +313,8 @@
     }
 
     /// Returns this instance's state for the peer `to`. `list_position` is the newest position of
-    /// the target list known here, and `checked` the time of the last contact with the store.
+    /// the target list known here, and `checked` the time of the last contact with the store. The
+    /// position of the configuration's rows is left to the caller.
     pub fn peer_update(
         &mut self,
         to: &InstanceId,
@@ -355,6 +361,7 @@
             parts,
             limits,
             stopping: self.stopping,
+            config_position: StorePosition::default(),
         }
     }
 
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -141,10 +141,15 @@
 }
 
 impl Rollouts {
+    /// Returns whether the rollout of this order is the latest known one of its service.
+    pub fn knows(&self, order: &RolloutOrder) -> bool {
+        self.rollouts.get(&order.service).is_some_and(|rollout| rollout.order == *order)
+    }
+
     /// Starts the ordered rollout in place of the service's previous one. Does nothing if the
     /// previous one has the same order.
     pub fn add_order(&mut self, order: RolloutOrder, now: Time) {
-        if self.rollouts.get(&order.service).is_some_and(|rollout| rollout.order == order) {
+        if self.knows(&order) {
             return;
         }
         let schedule = Schedule::new(order.duration);
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -347,4 +347,7 @@
     /// Whether the instance stops, and uses no limit any more.
     #[serde(default)]
     pub stopping: bool,
+    /// Newest position of the rows of its configuration, which orders of rollouts are among.
+    #[serde(default)]
+    pub config_position: StorePosition,
 }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -204,16 +204,18 @@
     pub fn standing(&self) -> Standing {
         Standing {
             revision: self.with_gateway(Gateway::revision),
-            configuration: self.configuration.cache.borrow().newest(),
-            targets: self.targets.cache.borrow().newest(),
+            configuration: self.configuration.cache.borrow().complete(),
+            targets: self.targets.cache.borrow().complete(),
         }
     }
 
     /// Returns this instance's state as sent to the peer `to`.
     pub fn peer_update(&self, to: &InstanceId) -> RelayUpdate {
-        let listed = self.targets.cache.borrow().newest();
+        let newest = |topic: &TopicState| topic.cache.borrow().newest();
         let checked = self.configuration.checked.get().min(self.targets.checked.get());
-        self.gateway.borrow_mut().peer_update(to, listed, checked, self.now())
+        let listed = newest(&self.targets);
+        let update = self.gateway.borrow_mut().peer_update(to, listed, checked, self.now());
+        RelayUpdate { config_position: newest(&self.configuration), ..update }
     }
 
     /// Passes an event to the gateway and delivers the resulting actions. A stall before the event is
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -50,16 +50,19 @@
 pub struct Standing {
     /// Revision of the configuration in force.
     pub revision: Revision,
-    /// Position of the rows of [`Topic::Configuration`].
+    /// Position up to which its rows of [`Topic::Configuration`] are complete.
     pub configuration: StorePosition,
-    /// Position of the rows of [`Topic::Targets`].
+    /// Position up to which its rows of [`Topic::Targets`] are complete.
     pub targets: StorePosition,
 }
 
 impl Standing {
     /// Returns the topics of which the sender of `update` has more than this instance.
     pub fn topics_behind(self, update: &RelayUpdate) -> impl Iterator<Item = Topic> {
-        let configuration = update.revision > self.revision;
+        // A row beside the configuration, such as an order, doesn't change the revision. A revision
+        // that the store has lost doesn't change the position.
+        let configuration =
+            update.revision > self.revision || update.config_position > self.configuration;
         let targets = update.list_position > self.targets;
         let topics = [(Topic::Configuration, configuration), (Topic::Targets, targets)];
         topics.into_iter().filter_map(|(topic, is_behind)| is_behind.then_some(topic))
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use sesamewind_gateway::event::Dispatch;
-use sesamewind_gateway::rollouts::RolloutStatus;
+use sesamewind_gateway::rollouts::{RolloutOrder, RolloutStatus};
 use sesamewind_gateway::{
     AttemptOutcome, LimitChange, LimitSummary, NoRetry, PartChange, Refusal, RefusalReason,
 };
@@ -273,6 +273,18 @@
     }
 }
 
+/// Logs that an order of a rollout was read from `origin`.
+pub fn rollout_ordered(order: &RolloutOrder, origin: &str) {
+    log::info!(
+        event = "move_ordered",
+        service = order.service.as_str(),
+        version = order.version.as_str(),
+        duration_ms = order.duration.as_millis() as u64,
+        origin;
+        "rollout ordered"
+    );
+}
+
 /// Logs the evidence on a running rollout and the share that follows from it.
 pub fn rollout_progress(status: &RolloutStatus) {
     log::info!(
--- a/crates/relay/src/row_cache.rs
+++ b/crates/relay/src/row_cache.rs
@@ -12,10 +12,13 @@
     /// Rows of an earlier era that the store has lost or has in an older version, until they are
     /// written again.
     retained: BTreeMap<String, StoreRow>,
-    /// Newest version when all rows were last read. Deletions up to this version are unknown, so a
-    /// peer with an older version is sent all rows.
+    /// Version of the store when all rows were last read. Deletions up to this version are unknown,
+    /// so a peer with an older version is sent all rows.
     base: u64,
     newest: StorePosition,
+    /// Position up to which all changes are in `rows`. It exceeds `newest` where the newest change
+    /// was a deletion before all rows were read, or was of another topic.
+    complete: StorePosition,
 }
 
 impl RowCache {
@@ -24,9 +27,14 @@
         self.newest
     }
 
-    /// Applies changed rows of the current era and returns those that are newer than the cached
-    /// ones.
-    pub fn apply_changes(&mut self, rows: Vec<StoreRow>) -> Vec<StoreRow> {
+    /// Returns the position up to which the rows are complete.
+    pub fn complete(&self) -> StorePosition {
+        self.complete
+    }
+
+    /// Applies changed rows of the current era, which are all changes up to `position`, and returns
+    /// those that are newer than the cached ones.
+    pub fn apply_changes(&mut self, rows: Vec<StoreRow>, position: StorePosition) -> Vec<StoreRow> {
         let mut newer = Vec::new();
         for row in rows {
             if self.rows.get(&row.key).is_none_or(|known| known.version < row.version) {
@@ -36,27 +44,36 @@
                 newer.push(row);
             }
         }
+        self.complete = self.complete.max(position);
         newer
     }
 
-    /// Replaces the cached rows by a complete set that was read in `era`.
-    pub fn replace(&mut self, rows: &[StoreRow], era: u64) {
-        if era > self.newest.era {
-            self.newest = StorePosition { era, version: 0 };
+    /// Replaces the cached rows by a complete set that was read at `position`, and returns those
+    /// that are not in the set as deleted ones.
+    pub fn replace(&mut self, rows: &[StoreRow], position: StorePosition) -> Vec<StoreRow> {
+        if position.era > self.newest.era {
+            self.newest = StorePosition { era: position.era, version: 0 };
             self.retained.clear();
         }
-        self.rows = rows.iter().map(|row| (row.key.clone(), row.clone())).collect();
+        let read = rows.iter().map(|row| (row.key.clone(), row.clone())).collect();
+        let known = std::mem::replace(&mut self.rows, read).into_values();
+        let missing = known
+            .filter(|row| row.value.is_some() && !self.rows.contains_key(&row.key))
+            .map(|row| StoreRow { version: position.version, value: None, ..row })
+            .collect();
         let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
         self.newest.version = self.newest.version.max(newest);
-        self.base = self.newest.version;
+        self.complete = self.complete.max(position);
+        self.base = position.version;
+        missing
     }
 
     /// Replaces the cached rows after the store came back from an older copy. Rows that this copy
     /// does not have as they were are retained for peers until they are written again.
-    pub fn replace_and_retain(&mut self, rows: &[StoreRow], era: u64) {
+    pub fn replace_and_retain(&mut self, rows: &[StoreRow], position: StorePosition) {
         let mut lost = std::mem::take(&mut self.retained);
         lost.extend(std::mem::take(&mut self.rows));
-        self.replace(rows, era);
+        self.replace(rows, position);
         lost.retain(|key, row| {
             let kept = self.rows.get(key).is_some_and(|known| known.value == row.value);
             row.value.is_some() && !kept
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -225,7 +225,7 @@
         self.read = true;
         let changed = !batch.rows.is_empty();
         let unconfigured = self.driver.with_gateway(|gateway| gateway.table().is_none());
-        self.apply_rows(batch.rows, batch.position.era, whole);
+        self.apply_rows(batch.rows, batch.position, whole, "store");
         if self.topic == Topic::Configuration && unconfigured {
             restore_usage(&self.driver, self.source.as_ref()).await;
             if self.driver.with_gateway(Gateway::needs_saved_usage) {
@@ -240,9 +240,13 @@
     /// Waits until a peer has newer rows or [`FOLLOW_INTERVAL`] has passed, and reads the rows of
     /// such a peer.
     async fn poll_peer(&mut self) {
-        tokio::select! {
-            () = self.driver.topic(self.topic).outdated.notified() => {}
-            () = sleep(FOLLOW_INTERVAL) => {}
+        let state = self.driver.topic(self.topic);
+        // A peer may have been found to have more during the last read.
+        if state.ahead_peer.get().is_none() {
+            tokio::select! {
+                () = state.outdated.notified() => {}
+                () = sleep(FOLLOW_INTERVAL) => {}
+            }
         }
         if let Some((after, reply)) = self.read_peer().await {
             self.apply_reply(reply, after);
@@ -254,7 +258,7 @@
     async fn read_peer(&self) -> Option<(StorePosition, RowsReply)> {
         let state = self.driver.topic(self.topic);
         let address = state.ahead_peer.take()?;
-        let after = state.cache.borrow().newest();
+        let after = state.cache.borrow().complete();
         match self.peers.rows(address, RowsRequest { topic: self.topic, after }).await {
             Ok(reply) => Some((after, reply)),
             Err(err) => {
@@ -274,7 +278,7 @@
         if reply.newest >= after {
             self.driver.observe_era(reply.newest.era);
             self.known = self.known.max(reply.newest);
-            self.apply_rows(reply.rows, reply.newest.era, reply.whole);
+            self.apply_rows(reply.rows, reply.newest, reply.whole, "peer");
         }
         self.apply_retained(&reply.retained);
     }
@@ -296,25 +300,41 @@
     }
 
     /// Updates the local copy of the rows. Returns those to apply, and whether they are all rows of
-    /// an older copy of the store.
-    fn update_cache(&self, rows: Vec<StoreRow>, era: u64, whole: bool) -> (Vec<StoreRow>, bool) {
+    /// an older copy of the store. Rows of the configuration that are missing in a whole set are
+    /// returned as deleted ones.
+    fn update_cache(
+        &self,
+        mut rows: Vec<StoreRow>,
+        position: StorePosition,
+        whole: bool,
+    ) -> (Vec<StoreRow>, bool) {
         let mut cache = self.driver.topic(self.topic).cache.borrow_mut();
         let known = cache.newest();
         if !whole {
-            return (cache.apply_changes(rows), false);
+            return (cache.apply_changes(rows, position), false);
         }
-        let set_back = known != StorePosition::default() && era > known.era;
+        let set_back = known != StorePosition::default() && position.era > known.era;
         if set_back && self.topic == Topic::Configuration {
-            cache.replace_and_retain(&rows, era);
-        } else {
-            cache.replace(&rows, era);
+            cache.replace_and_retain(&rows, position);
+            return (rows, true);
+        }
+        let missing = cache.replace(&rows, position);
+        if self.topic == Topic::Configuration {
+            rows.extend(missing);
         }
         (rows, set_back)
     }
 
-    /// Applies changed rows, or all rows if `whole`, read in `era`.
-    fn apply_rows(&self, rows: Vec<StoreRow>, era: u64, whole: bool) {
-        let (rows, set_back) = self.update_cache(rows, era, whole);
+    /// Applies changed rows, or all rows if `whole`, that are complete up to `position` and were read
+    /// from `origin`.
+    fn apply_rows(
+        &self,
+        rows: Vec<StoreRow>,
+        position: StorePosition,
+        whole: bool,
+        origin: &'static str,
+    ) {
+        let (rows, set_back) = self.update_cache(rows, position, whole);
         let newest = self.driver.topic(self.topic).cache.borrow().newest().version;
         let mut changes = Vec::new();
         for notice in self.source.decode(self.topic, &rows) {
@@ -323,16 +343,10 @@
                 // The copy may hold the order before the latest one, which must not run again.
                 Notice::Order(_) if set_back => {}
                 Notice::Order(order) => {
-                    let (service, version) = (order.service.as_str(), order.version.as_str());
-                    let duration_ms = order.duration.as_millis() as u64;
-                    log::info!(
-                        event = "move_ordered",
-                        service,
-                        version,
-                        duration_ms;
-                        "rollout ordered"
-                    );
-                    self.driver.handle(Event::RolloutOrdered(order));
+                    if self.driver.with_gateway(|gateway| !gateway.knows_order(&order)) {
+                        journal::rollout_ordered(&order, origin);
+                        self.driver.handle(Event::RolloutOrdered(order));
+                    }
                 }
                 Notice::Target(change) => {
                     log_change(&change, newest);
--- a/crates/relay/tests/all/spread.rs
+++ b/crates/relay/tests/all/spread.rs
@@ -27,9 +27,8 @@
 /// which an order of 4.5 s, of the shortest kind, sends only a probing share to its version.
 const BOUND_MS: u64 = 500;
 
-/// When the instances have heard of each other, and the end of the play.
-const CHANGES_MS: u64 = 4_000;
-const END_MS: u64 = 8_000;
+/// When the two changes are made.
+const CHANGES_MS: [u64; 2] = [500, 500 + BOUND_MS + 100];
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -46,7 +45,6 @@
 struct Member {
     gateway: Gateway,
     rows: RowCache,
-    asks: u32,
     is_asking: bool,
 }
 
@@ -74,7 +72,7 @@
 
 impl Fleet {
     fn new(instances: usize, seed: u64, changes: Vec<(u64, StoreRow)>) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed);
+        let rng = StdRng::seed_from_u64(seed);
         let members = (0..instances).map(|instance| {
             let me = Identity {
                 instance: name(instance),
@@ -83,13 +81,13 @@
                 address: format!("10.0.0.1:{instance}"),
             };
             let gateway = Gateway::new(me, Default::default(), seed);
-            Member { gateway, rows: RowCache::default(), asks: 0, is_asking: false }
+            Member { gateway, rows: RowCache::default(), is_asking: false }
         });
         let members: Vec<Member> = members.collect();
         let mut due = BinaryHeap::new();
         for a in 0..instances {
             for b in a + 1..instances {
-                due.push(Reverse((rng.random_range(0..2_000), Due::Exchange(a, b))));
+                due.push(Reverse((0, Due::Exchange(a, b))));
             }
         }
         due.extend((0..).zip(&changes).map(|(number, (at, _))| Reverse((*at, Due::Made(number)))));
@@ -99,7 +97,7 @@
 
     fn play(&mut self) {
         while let Some(Reverse((now, due))) = self.due.pop() {
-            if now > END_MS {
+            if now > CHANGES_MS[1] + 2 * BOUND_MS {
                 return;
             }
             match due {
@@ -139,7 +137,6 @@
                 && !self.members[to].is_asking
             {
                 let member = &mut self.members[to];
-                member.asks += 1;
                 member.is_asking = true;
                 let at = now + self.rng.random_range(PATH_MS);
                 self.due.push(Reverse((at, Due::Asks(to, from))));
@@ -151,23 +148,26 @@
             zone_peers: (zone(a) == zone(b)).then_some(peers / ZONES),
             shares_targets: self.members[a].gateway.shares_targets(&name(b)),
         };
-        let interval = surroundings.interval().mul_f64(self.rng.random_range(0.9..1.1));
+        // Exchanges are spread over the interval once the instances have met.
+        let jitter = if now == 0 { 0.0..1.0 } else { 0.9..1.1 };
+        let interval = surroundings.interval().mul_f64(self.rng.random_range(jitter));
         let at = now + interval.as_millis() as u64 + self.rng.random_range(PATH_MS);
         self.due.push(Reverse((at, Due::Exchange(a, b))));
     }
 
     fn update(&mut self, from: usize, to: usize, now: u64) -> RelayUpdate {
-        let standing = self.standing(from);
         let now = Time::from_millis(now);
-        let checked = if self.members[from].gateway.follows_peers(now) { Time::ZERO } else { now };
-        self.members[from].gateway.peer_update(&name(to), standing.targets, checked, now)
+        let Member { gateway, rows, .. } = &mut self.members[from];
+        let checked = if gateway.follows_peers(now) { Time::ZERO } else { now };
+        let update = gateway.peer_update(&name(to), StorePosition::default(), checked, now);
+        RelayUpdate { config_position: rows.newest(), ..update }
     }
 
     fn standing(&self, instance: usize) -> Standing {
         let member = &self.members[instance];
         Standing {
             revision: member.gateway.revision(),
-            configuration: member.rows.newest(),
+            configuration: member.rows.complete(),
             targets: StorePosition::default(),
         }
     }
@@ -183,9 +183,9 @@
         let cache = &mut self.members[instance].rows;
         let before = cache.newest().version;
         if whole {
-            cache.replace(&rows, position.era);
+            cache.replace(&rows, position);
         } else {
-            cache.apply_changes(rows);
+            cache.apply_changes(rows, position);
         }
         let newest = cache.newest().version;
         for ((_, row), reached) in self.changes.iter().zip(&mut self.reached) {
@@ -199,15 +199,95 @@
 #[test]
 fn every_instance_has_an_order_and_its_removal_in_time() {
     for instances in [12, 13, 33, 60, 100, 300] {
-        let changes =
-            vec![(CHANGES_MS, row(10, Some("order"))), (CHANGES_MS + 2_000, row(11, None))];
+        let [ordered, removed] = CHANGES_MS;
+        let changes = vec![(ordered, row(10, Some("order"))), (removed, row(11, None))];
         let mut fleet = Fleet::new(instances, 1, changes);
         fleet.play();
         for ((made, row), &(last, count)) in fleet.changes.iter().zip(&fleet.reached) {
             let value = &row.value;
             assert_eq!(count, instances, "of {instances} instances have {value:?}");
             let took = Duration::from_millis(last - made);
+            println!("{instances} instances have {value:?} after {took:?}");
             assert!(took.as_millis() as u64 <= BOUND_MS, "{took:?}, {instances} instances");
         }
     }
 }
+
+fn position(version: u64) -> StorePosition {
+    StorePosition { era: 1, version }
+}
+
+/// Applies what `peer` has to the rows of `cache` if it tells more. Returns the rows to decode, or
+/// none if the peer is not asked.
+fn ask(cache: &mut RowCache, peer: &RowCache) -> Option<Vec<StoreRow>> {
+    let after = cache.complete();
+    (peer.newest() > after).then(|| {
+        let reply = peer.since(after);
+        match reply.whole {
+            true => [reply.rows.clone(), cache.replace(&reply.rows, reply.newest)].concat(),
+            false => cache.apply_changes(reply.rows, reply.newest),
+        }
+    })
+}
+
+#[test]
+fn a_deleted_row_is_passed_on() {
+    struct Case {
+        name: &'static str,
+        /// Position up to which the asking instance has read all rows.
+        read: u64,
+        /// Whether it has the row that is deleted.
+        has_row: bool,
+        /// Position at which the asked instance reads all rows, if it does so after the deletion.
+        read_again: Option<u64>,
+        /// Rows that the asking instance decodes.
+        decoded: Option<Vec<StoreRow>>,
+    }
+    let other = || StoreRow { key: "other".into(), version: 30, value: Some(Vec::new()) };
+    let cases = [
+        Case {
+            name: "change",
+            read: 12,
+            has_row: true,
+            read_again: None,
+            decoded: Some(vec![row(20, None)]),
+        },
+        Case {
+            name: "change of a row that is not known",
+            read: 12,
+            has_row: false,
+            read_again: None,
+            decoded: Some(vec![row(20, None)]),
+        },
+        Case {
+            name: "missing in all rows",
+            read: 12,
+            has_row: true,
+            read_again: Some(30),
+            decoded: Some(vec![other(), row(30, None)]),
+        },
+        Case {
+            name: "all rows read after the deletion",
+            read: 25,
+            has_row: false,
+            read_again: None,
+            decoded: None,
+        },
+    ];
+    for Case { name, read, has_row, read_again, decoded } in cases {
+        let (mut asking, mut asked) = (RowCache::default(), RowCache::default());
+        let first = row(10, Some("order"));
+        asked.replace(std::slice::from_ref(&first), position(12));
+        asking.replace(if has_row { std::slice::from_ref(&first) } else { &[] }, position(read));
+        match read_again {
+            Some(version) => {
+                asked.replace(&[other()], position(version));
+            }
+            None => {
+                asked.apply_changes(vec![row(20, None)], position(20));
+            }
+        }
+        assert_eq!(ask(&mut asking, &asked), decoded, "{name}");
+        assert_eq!(ask(&mut asking, &asked), None, "{name}: nothing is left to ask for");
+    }
+}
