Limit versions that no known order names

An instance that has not read an order took its version for any other, and ignored what peers reported of the rollout. A rollout that only peers know of now counts: rolled back, its version gets nothing; completed, it is preferred; running, it gets the probing share, until 2 s after the last report. Reports of a rollout that is older than the known one are ignored.

A version whose first target is listed beside another version gets the probing share for 1 s, so that an order that was given before is read first. The limit ends by itself, and does not apply where the new version has more slots than the others, since targets may be replaced without an order. Requests at such a version are not counted as those of the old one.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -398,6 +398,13 @@
         for service in self.services.values_mut() {
             service.targets.retain(|&index| targets.get(index).usability != Usability::Retired);
         }
+        for (name, service) in &self.services {
+            self.rollouts.observe_versions(
+                name,
+                &self.targets.version_slots(&service.targets),
+                now,
+            );
+        }
         self.prefer_targets();
         self.find_limited(now);
         self.dispatch_all_waiting(now);
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -10,6 +10,7 @@
 mod evidence;
 mod schedule;
 mod status;
+mod unordered;
 mod verdict;
 
 use std::collections::{BTreeMap, HashMap};
@@ -22,6 +23,7 @@
 use self::schedule::{Progress, Schedule, Stage};
 use self::status::StatusLimit;
 pub use self::status::{LatencyAverage, LatencyComparison, RolloutStatus};
+use self::unordered::Unordered;
 pub use self::verdict::EvidenceLevel;
 use self::verdict::{Measure, Verdict};
 
@@ -54,8 +56,8 @@
     Any,
     /// Only this version.
     Only(VersionId),
-    /// Any version except this one.
-    Except(VersionId),
+    /// Any version except these.
+    Except(Vec<VersionId>),
     /// This version, or another one if it has no free slot.
     Prefer(VersionId),
 }
@@ -66,7 +68,7 @@
         match self {
             Self::Any | Self::Prefer(_) => true,
             Self::Only(only) => only == version,
-            Self::Except(other) => other != version,
+            Self::Except(others) => !others.contains(version),
         }
     }
 }
@@ -138,6 +140,8 @@
     era: u64,
     /// What was observed of services without a rollout.
     earlier: HashMap<ServiceId, Evidence>,
+    /// Versions that no known order names.
+    unordered: HashMap<ServiceId, Unordered>,
 }
 
 impl Rollouts {
@@ -155,6 +159,8 @@
         let schedule = Schedule::new(order.duration);
         let service = order.service.clone();
         let earlier = self.earlier.remove(&service).unwrap_or_default();
+        let unordered = self.unordered.entry(service.clone()).or_default();
+        let outcome = unordered.order(&order.version).map(|outcome| (outcome, now));
         let rollout = Rollout {
             order,
             schedule,
@@ -164,7 +170,7 @@
             stage: Stage::Share(0.0),
             evaluated: None,
             only_new: None,
-            outcome: None,
+            outcome,
             recorded: None,
             status: None,
             status_limit: StatusLimit::default(),
@@ -175,24 +181,44 @@
     /// Returns the versions that may take a request to `service` at `point`, a split position in
     /// `[0, 1)`.
     pub fn allowed_versions(&self, service: &ServiceId, point: f64) -> AllowedVersions {
+        let allowed = self.versions_by_order(service, point);
+        match self.unordered.get(service) {
+            Some(unordered) => unordered.restrict(allowed, point),
+            None => allowed,
+        }
+    }
+
+    /// Applies the slots of each version of `service` that is listed now.
+    pub fn observe_versions(
+        &mut self,
+        service: &ServiceId,
+        slots: &BTreeMap<&VersionId, u32>,
+        now: Time,
+    ) {
+        let ordered = self.rollouts.get(service).map(|rollout| &rollout.order.version);
+        self.unordered.entry(service.clone()).or_default().observe(slots, ordered, now);
+    }
+
+    /// Returns the versions that may take a request by the known order.
+    fn versions_by_order(&self, service: &ServiceId, point: f64) -> AllowedVersions {
         let Some(rollout) = self.rollouts.get(service) else { return AllowedVersions::Any };
         let version = rollout.order.version.clone();
         match rollout.outcome {
             Some((RolloutOutcome::Completed, _)) => return AllowedVersions::Prefer(version),
-            Some((RolloutOutcome::TakenBack, _)) => return AllowedVersions::Except(version),
+            Some((RolloutOutcome::TakenBack, _)) => return AllowedVersions::Except(vec![version]),
             None => {}
         }
         match rollout.stage {
             Stage::Only => AllowedVersions::Only(version),
             Stage::Preferred => AllowedVersions::Prefer(version),
             Stage::Share(share) if point < share => AllowedVersions::Prefer(version),
-            Stage::Share(_) => AllowedVersions::Except(version),
+            Stage::Share(_) => AllowedVersions::Except(vec![version]),
         }
     }
 
     /// Counts a request sent to a target of `version`.
     pub fn count_sent(&mut self, service: &ServiceId, target: (&TargetId, &VersionId)) {
-        let (evidence, arm) = self.evidence(service, target);
+        let Some((evidence, arm)) = self.evidence(service, target) else { return };
         evidence.count_sent(arm);
     }
 
@@ -206,7 +232,7 @@
         ratio: f64,
         now: Time,
     ) {
-        let (evidence, arm) = self.evidence(service, target);
+        let Some((evidence, arm)) = self.evidence(service, target) else { return };
         evidence.count_request(route, arm);
         evidence.count_latency(arm, ratio, now);
     }
@@ -219,7 +245,7 @@
         pace: Duration,
         now: Time,
     ) {
-        let (evidence, arm) = self.evidence(service, target);
+        let Some((evidence, arm)) = self.evidence(service, target) else { return };
         evidence.count_pace(arm, pace, now);
     }
 
@@ -232,7 +258,7 @@
         target: (&TargetId, &VersionId),
         started: bool,
     ) {
-        let (evidence, arm) = self.evidence(service, target);
+        let Some((evidence, arm)) = self.evidence(service, target) else { return };
         if !started {
             evidence.count_request(route, arm);
         }
@@ -240,19 +266,24 @@
     }
 
     /// Returns where to count a request at a target: with the running rollout of the service, or
-    /// as what to expect in the next one.
+    /// as what to expect in the next one. Requests at a version without an order, which may have one
+    /// soon, are not counted.
     fn evidence(
         &mut self,
         service: &ServiceId,
         target: (&TargetId, &VersionId),
-    ) -> (&mut Evidence, Arm) {
-        match self.rollouts.get_mut(service) {
+    ) -> Option<(&mut Evidence, Arm)> {
+        if self.unordered.get(service).is_some_and(|known| known.contains(target.1)) {
+            return None;
+        }
+        let counted = match self.rollouts.get_mut(service) {
             Some(rollout) if rollout.outcome.is_none() => {
                 let arm = rollout.arm(target);
                 (&mut rollout.own, arm)
             }
             _ => (self.earlier.entry(service.clone()).or_default(), Arm::Old),
-        }
+        };
+        Some(counted)
     }
 
     /// Returns the progress to report to peers.
@@ -279,7 +310,8 @@
     }
 
     /// Merges the progress that a peer reports. An outcome that the store holds replaces a known
-    /// one; any other outcome of a peer does not.
+    /// one; any other outcome of a peer does not. Of a rollout whose order is not known, the outcome
+    /// counts, and while it runs its version gets no more than the probing share.
     pub fn apply_progress(
         &mut self,
         peer: &InstanceId,
@@ -288,14 +320,21 @@
         now: Time,
     ) {
         for entry in progress {
-            let Some(rollout) = self.rollouts.get_mut(&entry.service) else { continue };
-            if rollout.order.version != entry.version {
-                continue;
-            }
+            let is_recorded = entry.recorded.is_some_and(|era| era >= self.era);
+            let rollout = match self.rollouts.get_mut(&entry.service) {
+                Some(rollout) if rollout.order.version == entry.version => rollout,
+                // The peer has an older order.
+                Some(rollout) if rollout.age(now) <= entry.age => continue,
+                Some(_) | None => {
+                    let unordered = self.unordered.entry(entry.service.clone()).or_default();
+                    unordered.report(&entry.version, entry.outcome, is_recorded, now);
+                    continue;
+                }
+            };
             rollout.learn_age(entry.age, now);
             rollout.peers.insert(peer.clone(), (incarnation, entry.counts.clone()));
             let Some(outcome) = entry.outcome else { continue };
-            if entry.recorded.is_some_and(|era| era >= self.era) {
+            if is_recorded {
                 rollout.recorded = Some(RecordedState::Ended(outcome));
                 rollout.outcome = Some((outcome, now));
             } else if rollout.outcome.is_none() {
@@ -322,6 +361,7 @@
         capacity: impl Fn(&ServiceId, &VersionId) -> f64,
         now: Time,
     ) -> Vec<RolledBack> {
+        self.unordered.values_mut().for_each(|unordered| unordered.expire(now));
         let mut rolled_back = Vec::new();
         for rollout in self.rollouts.values_mut().filter(|rollout| rollout.outcome.is_none()) {
             rollout.own.advance(now);
--- a/crates/gateway/src/rollouts/schedule.rs
+++ b/crates/gateway/src/rollouts/schedule.rs
@@ -7,7 +7,7 @@
 /// Share of the requests that the new version receives in the first stage. Deployments allow a bad
 /// version a tenth of the requests; the difference covers what later stages may add before a
 /// verdict.
-const FIRST_SHARE: f64 = 0.05;
+pub(super) const FIRST_SHARE: f64 = 0.05;
 
 /// Upper limit on the share before it grows, for a service with few requests.
 const MAX_FIRST_SHARE: f64 = 0.5;
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -1,6 +1,6 @@
 //! Known state of targets: listing, load, latency and health.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -372,6 +372,15 @@
         if own == 0 { 0.0 } else { f64::from(own) / f64::from(others) }
     }
 
+    /// Returns the slots of the targets in `indexes` by version.
+    pub(crate) fn version_slots(&self, indexes: &[Index]) -> BTreeMap<&VersionId, u32> {
+        let mut slots = BTreeMap::new();
+        for listed in indexes.iter().map(|&index| &self.all[index].listed) {
+            *slots.entry(&listed.version).or_default() += listed.slots;
+        }
+        slots
+    }
+
     /// Returns whether this incarnation of a target is known to be leaving or gone.
     pub(crate) fn is_retired(&self, listed: &ListedTarget) -> bool {
         self.find(&listed.id).map(|index| &self.all[index]).is_some_and(|known| {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -23,3 +23,4 @@
 mod sse;
 mod stalls;
 mod support;
+mod unordered;
