--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -24,3 +24,4 @@
 mod sse;
 mod stalls;
 mod support;
+mod unordered;
