Send nothing new to targets of availability zones that operators have evacuated

Cause: the rows op/evacuate/ZONE were ignored, so that requests went on to targets of a zone that operators wanted emptied. Change: rows and their removal are decoded, and each update to a peer tells the orders known up to a position of the store. The later position wins, so that an instance without the store learns of orders and of their end from peers. Targets of an evacuated zone count as unusable for first sends, waiting requests, repeats, resumes and moves; attempts under way go on. Without another zone, requests are refused at once (evacuated). Lines zone_evacuated, zone_empty, zone_taken_back; metrics evacuated_zones and evacuated_zone_requests.

Tests changed: literals of RelayUpdate have the new field.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamewind_protocol::relay::RelayUpdate;
+use sesamewind_protocol::relay::{RelayUpdate, ZoneReport};
 use sesamewind_protocol::{Revision, TargetId, Time};
 
 use crate::arrival::{Arrival, Ticket};
@@ -101,6 +101,11 @@
     StoreEra(u64),
     /// The complete target list was read from the older copy.
     ListedFromCopy(Vec<TargetChange>),
+    /// Orders to evacuate availability zones changed in the store.
+    ZonesChanged(ZoneReport),
+    /// All orders to evacuate availability zones were read; zones that are not among them are no
+    /// longer evacuated.
+    ZonesRead(ZoneReport),
     /// Operators ordered the rollout of another version of a service.
     RolloutOrdered(RolloutOrder),
     /// A peer reported its state.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -60,6 +60,9 @@
         if self.stopping {
             return self.refuse(&arrival, proof, RefusalReason::Stopping, now);
         }
+        if let Some(reason) = self.barrier(&service, &arrival, now) {
+            return self.refuse(&arrival, proof, reason, now);
+        }
         let may_try = self.may_try_held(now);
         if let Err(wait) = self.quarantine.admit(&arrival.parts, may_try, now) {
             return self.refuse_for(&arrival, proof, RefusalReason::Quarantined, wait);
@@ -267,6 +270,7 @@
             Some(target) => self.dispatch(ticket, request, target, history, now),
             None if outcome != AttemptOutcome::Failing => {
                 self.requeue(ticket, request, history, now);
+                self.refuse_if_barred(ticket, now);
             }
             None => {
                 let failure = Failure { outcome, no_retry: NoRetry::NoTarget };
@@ -645,7 +649,10 @@
         let usable = self.services.get(&request.service).is_some_and(|service| {
             service.targets.iter().any(|&index| self.targets.get(index).is_usable(now))
         });
-        let reason = if !usable {
+        let barrier = self.barrier(&request.service, &request.arrival, now);
+        let reason = if let Some(barrier) = barrier {
+            barrier
+        } else if !usable {
             RefusalReason::NoTarget
         } else if self.is_limited(&request.service, now) {
             RefusalReason::Limited
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::arrival::Ticket;
+use crate::evacuation::Evacuations;
 use crate::event::{Action, Event};
 use crate::groups::Members;
 use crate::limits::Limits;
@@ -65,6 +66,7 @@
     pub(crate) sharers: Sharers,
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
+    pub(crate) evacuations: Evacuations,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -99,6 +101,7 @@
             sharers: Sharers::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
+            evacuations: Evacuations::default(),
             members: Members::default(),
             stopping: false,
             list_restored: None,
@@ -139,6 +142,8 @@
             }
             Event::StoreEra(era) => self.rollouts.enter_era(era),
             Event::ListedFromCopy(changes) => self.apply_copied_list(changes, now),
+            Event::ZonesChanged(report) => self.change_zones(&report, now),
+            Event::ZonesRead(report) => self.read_zones(&report, now),
             Event::RolloutOrdered(order) => self.rollouts.add_order(order, now),
             Event::PeerUpdate(update) => self.apply_update(update, now),
             Event::Tick => self.tick(now),
@@ -355,6 +360,7 @@
             parts,
             limits,
             stopping: self.stopping,
+            evacuations: self.evacuations.report(),
         }
     }
 
@@ -391,9 +397,11 @@
         for service in self.services.values_mut() {
             service.targets.retain(|&index| targets.get(index).usability != Usability::Retired);
         }
+        self.mark_evacuated();
         self.prefer_targets();
         self.find_limited(now);
         self.dispatch_all_waiting(now);
+        self.refuse_barred(now);
     }
 
     /// Updates the groups after instances were added or removed.
@@ -407,7 +415,7 @@
         self.prefer_targets();
     }
 
-    fn prefer_targets(&mut self) {
+    pub(crate) fn prefer_targets(&mut self) {
         let position = self.members.position(&self.me.instance);
         for service in self.services.values() {
             selection::mark_preferred(&mut self.targets, &service.targets, &self.me, position);
@@ -484,6 +492,7 @@
             self.quarantine.apply_report(report, now);
         }
         self.refuse_quarantined(now);
+        self.read_zones(&update.evacuations, now);
         for entry in &update.leaving {
             self.targets.retire(&entry.target, entry.incarnation, now);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,12 +9,13 @@
 //! their usage, [`budget`] the retry budget, [`queue`] the waiting requests, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
-//! of instances, `limits` the request limits that targets state, `quarantine` the prompt parts that end
+//! of instances, `evacuation` the availability zones that operators have evacuated, `limits` the request limits that targets state, `quarantine` the prompt parts that end
 //! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
 //! report.
 
 pub mod arrival;
 pub mod budget;
+mod evacuation;
 pub mod event;
 mod flow;
 pub mod gateway;
@@ -41,6 +42,7 @@
 pub mod tuning;
 
 pub use arrival::{Arrival, Ticket};
+pub use evacuation::ZoneChange;
 pub use event::{Action, AttemptOutcome, Event, Failure, NoRetry, Step};
 pub use gateway::Gateway;
 pub use limits::{LimitChange, LimitSummary};
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -29,6 +29,8 @@
     Quarantined,
     /// The request limits of all targets leave no request in time.
     Limited,
+    /// Operators have evacuated the availability zones of all targets.
+    Evacuated,
 }
 
 impl RefusalReason {
@@ -44,6 +46,7 @@
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::Limited => "limited",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -129,13 +129,15 @@
 
 /// Marks the `candidates` that the instance `me` prefers. With a `position` in the groups, these
 /// are the targets of its group. Otherwise targets of its own availability zone come first, in an
-/// order that differs between instances.
+/// order that differs between instances. Targets of evacuated zones are left out.
 pub(crate) fn mark_preferred(
     targets: &mut Targets,
     candidates: &[Index],
     me: &Identity,
     position: Option<MemberPosition>,
 ) {
+    let candidates: Vec<Index> =
+        candidates.iter().copied().filter(|&index| !targets.get(index).evacuated).collect();
     if let Some(position) = position {
         let is_own = |index: &Index| targets.get(*index).listed.zone == me.zone;
         let (own, others): (Vec<Index>, Vec<Index>) =
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -105,6 +105,8 @@
     pub preferred: bool,
     /// Whether the target may receive new requests.
     pub usability: Usability,
+    /// Whether operators have evacuated its availability zone.
+    pub(crate) evacuated: bool,
     /// Requests of this instance at the target.
     pub own_requests: u32,
     /// Requests among `own_requests` whose attempts make no progress.
@@ -139,6 +141,7 @@
             listed,
             preferred: true,
             usability: Usability::Usable,
+            evacuated: false,
             own_requests: 0,
             silent_requests: 0,
             other_requests: 0,
@@ -168,11 +171,12 @@
 
     /// Returns whether the target may receive new requests, regardless of failures.
     pub fn is_usable(&self, now: Time) -> bool {
-        match self.usability {
+        let is_listed = match self.usability {
             Usability::Usable => true,
             Usability::Suspect(until) => now < until,
             Usability::Retired => false,
-        }
+        };
+        is_listed && !self.evacuated
     }
 
     /// Returns for how long the target wants no more requests from this instance; zero if it takes
@@ -372,6 +376,19 @@
         if own == 0 { 0.0 } else { f64::from(own) / f64::from(others) }
     }
 
+    /// Marks the targets in availability zones that are evacuated according to `is_evacuated`.
+    pub(crate) fn mark_evacuated(&mut self, is_evacuated: impl Fn(&ZoneId) -> bool) {
+        for target in &mut self.all {
+            target.evacuated = is_evacuated(&target.listed.zone);
+        }
+    }
+
+    /// Returns the number of requests of this instance at targets of an availability zone.
+    pub(crate) fn requests_in(&self, zone: &ZoneId) -> u32 {
+        let inside = self.all.iter().filter(|target| target.listed.zone == *zone);
+        inside.map(|target| target.own_requests).sum()
+    }
+
     /// Returns whether this incarnation of a target is known to be leaving or gone.
     pub(crate) fn is_retired(&self, listed: &ListedTarget) -> bool {
         self.find(&listed.id).map(|index| &self.all[index]).is_some_and(|known| {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -5,6 +5,8 @@
 mod answered;
 mod crash_fleet;
 mod crashes;
+mod evacuation;
+mod evacuation_fleet;
 mod groups;
 mod health;
 mod limit_fleet;
--- a/crates/protocol/examples/update_size.rs
+++ b/crates/protocol/examples/update_size.rs
@@ -8,7 +8,7 @@
 
 use sesamewind_protocol::relay::{
     AccountTotal, ArmCounts, LatencyCounts, LatencyReport, LeavingEntry, RelayUpdate,
-    RolloutCounts, RolloutProgress, RouteCounts, StorePosition, TargetLoad,
+    RolloutCounts, RolloutProgress, RouteCounts, StorePosition, TargetLoad, ZoneReport,
 };
 use sesamewind_protocol::{AccountId, Incarnation, Revision, RouteId, TargetId, codec};
 
@@ -84,6 +84,7 @@
         parts: Vec::new(),
         limits: Vec::new(),
         stopping: false,
+        evacuations: ZoneReport::default(),
     }
 }
 
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -295,6 +295,27 @@
     pub heard: Duration,
 }
 
+/// Whether an availability zone is evacuated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneEntry {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Whether its targets get no new requests.
+    pub evacuated: bool,
+    /// Position of the store at which this was seen.
+    pub position: StorePosition,
+}
+
+/// Availability zones that operators have evacuated, as known to one instance.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ZoneReport {
+    /// Position of the store up to which all orders are known.
+    pub read: StorePosition,
+    /// The zones that are evacuated, and some that no longer are.
+    pub zones: Vec<ZoneEntry>,
+}
+
 /// State of one instance, sent to its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayUpdate {
@@ -347,4 +368,7 @@
     /// Whether the instance stops, and uses no limit any more.
     #[serde(default)]
     pub stopping: bool,
+    /// Evacuated availability zones.
+    #[serde(default)]
+    pub evacuations: ZoneReport,
 }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -183,6 +183,18 @@
         }
     }
 
+    /// Logs the changes of evacuated availability zones, and counts the requests at their targets.
+    pub fn report_zones(&self) {
+        for change in self.with_gateway_mut(|gateway| gateway.take_zone_changes(self.now())) {
+            journal::zone_changed(&change);
+        }
+        self.with_gateway(|gateway| {
+            for (zone, evacuated, running) in gateway.evacuated_zones() {
+                self.metrics.evacuated_zone(zone, evacuated, running);
+            }
+        });
+    }
+
     /// Returns an unused ticket for a new request.
     pub fn new_ticket(&self) -> Ticket {
         let ticket = self.next_ticket.get();
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -145,6 +145,7 @@
                     driver.handle(Event::Tick);
                     driver.report_parts();
                     driver.report_limits();
+                    driver.report_zones();
                 }
                 _ = sweep.tick() => {
                     driver.pool.sweep();
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -10,6 +10,7 @@
 use sesamewind_gateway::rollouts::RolloutStatus;
 use sesamewind_gateway::{
     AttemptOutcome, LimitChange, LimitSummary, NoRetry, PartChange, Refusal, RefusalReason,
+    ZoneChange,
 };
 use sesamewind_protocol::PartId;
 
@@ -273,6 +274,24 @@
     }
 }
 
+/// Logs that an availability zone was evacuated, is empty or was taken back.
+pub fn zone_changed(change: &ZoneChange) {
+    match change {
+        ZoneChange::Evacuated { zone, running } => log::warn!(
+            event = "zone_evacuated", zone = zone.as_str(), running = *running;
+            "targets of an availability zone get no new requests"
+        ),
+        ZoneChange::Empty { zone, took } => log::info!(
+            event = "zone_empty", zone = zone.as_str(), took_ms = took.as_millis() as u64;
+            "no request of this instance is in the evacuated availability zone"
+        ),
+        ZoneChange::TakenBack { zone, lasted } => log::warn!(
+            event = "zone_taken_back", zone = zone.as_str(), lasted_ms = lasted.as_millis() as u64;
+            "targets of an availability zone get requests again"
+        ),
+    }
+}
+
 /// Logs the evidence on a running rollout and the share that follows from it.
 pub fn rollout_progress(status: &RolloutStatus) {
     log::info!(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
-use sesamewind_protocol::RouteId;
+use sesamewind_protocol::{RouteId, ZoneId};
 
 /// Buckets of the latency histograms: first bound in seconds, factor, and number of bounds. They
 /// cover 5 ms to 20 s.
@@ -33,6 +33,12 @@
     route: String,
 }
 
+/// Label of gauges by availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ZoneLabels {
+    zone: String,
+}
+
 type RouteHistogram = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one instance.
@@ -51,6 +57,8 @@
     held_parts: Gauge,
     limited_targets: Gauge,
     held_off: Counter,
+    evacuated_zones: Family<ZoneLabels, Gauge>,
+    evacuated_requests: Family<ZoneLabels, Gauge>,
     first_byte: RouteHistogram,
     waited: RouteHistogram,
 }
@@ -81,6 +89,8 @@
             held_parts: Gauge::default(),
             limited_targets: Gauge::default(),
             held_off: Counter::default(),
+            evacuated_zones: Family::default(),
+            evacuated_requests: Family::default(),
             first_byte: Family::new_with_constructor(histogram),
             waited: Family::new_with_constructor(histogram),
             registry: Registry::default(),
@@ -117,6 +127,16 @@
             "Requests that waited or were refused since request limits left no turn",
             this.held_off.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Whether the targets of an availability zone get no new requests",
+            this.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuated_zone_requests",
+            "Requests at the targets of availability zones that are or were evacuated",
+            this.evacuated_requests.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time from arrival to the first byte of the answer",
@@ -167,6 +187,13 @@
         self.held_off.inc();
     }
 
+    /// Records whether an availability zone is evacuated, and the requests at its targets.
+    pub fn evacuated_zone(&self, zone: &ZoneId, evacuated: bool, running: u32) {
+        let labels = ZoneLabels { zone: zone.as_str().to_owned() };
+        self.evacuated_zones.get_or_create(&labels).set(evacuated.into());
+        self.evacuated_requests.get_or_create(&labels).set(running.into());
+    }
+
     /// Counts the loss of a dependency, such as the store or a peer.
     pub fn dependency_lost(&self, kind: &str) {
         self.lost.get_or_create(&ReasonLabels { reason: kind.to_owned() }).inc();
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -21,6 +21,15 @@
     Target(TargetChange),
     /// An order to roll a service out to another version.
     Order(RolloutOrder),
+    /// An order to evacuate an availability zone, or its removal.
+    Zone {
+        /// The zone.
+        zone: ZoneId,
+        /// Whether the order exists.
+        evacuated: bool,
+        /// Version of the store at the row's last change.
+        version: u64,
+    },
     /// An entry that can't be decoded.
     Damaged {
         /// Key of the entry.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -10,7 +10,9 @@
 use rand::RngExt;
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{Event, Gateway, RouteTable, Routing};
-use sesamewind_protocol::relay::{RowsReply, RowsRequest, StorePosition, StoreRow, Topic};
+use sesamewind_protocol::relay::{
+    RowsReply, RowsRequest, StorePosition, StoreRow, Topic, ZoneEntry, ZoneReport,
+};
 use tokio::time::{Instant, sleep};
 
 use crate::driver::Driver;
@@ -219,7 +221,7 @@
         self.read = true;
         let changed = !batch.rows.is_empty();
         let unconfigured = self.driver.with_gateway(|gateway| gateway.table().is_none());
-        self.apply_rows(batch.rows, batch.position.era, whole);
+        self.apply_rows(batch.rows, batch.position.era, whole, batch.position);
         if self.topic == Topic::Configuration && unconfigured {
             restore_usage(&self.driver, self.source.as_ref()).await;
             if self.driver.with_gateway(Gateway::needs_saved_usage) {
@@ -268,7 +270,9 @@
         if reply.newest >= after {
             self.driver.observe_era(reply.newest.era);
             self.known = self.known.max(reply.newest);
-            self.apply_rows(reply.rows, reply.newest.era, reply.whole);
+            // Rows of a peer don't tell which orders to evacuate are gone; its updates do.
+            let read = StorePosition::default();
+            self.apply_rows(reply.rows, reply.newest.era, reply.whole, read);
         }
         self.apply_retained(&reply.retained);
     }
@@ -306,11 +310,13 @@
         (rows, set_back)
     }
 
-    /// Applies changed rows, or all rows if `whole`, read in `era`.
-    fn apply_rows(&self, rows: Vec<StoreRow>, era: u64, whole: bool) {
+    /// Applies changed rows, or all rows if `whole`, read in `era`. They are all that the store has
+    /// up to `read`.
+    fn apply_rows(&self, rows: Vec<StoreRow>, era: u64, whole: bool, read: StorePosition) {
         let (rows, set_back) = self.update_cache(rows, era, whole);
         let newest = self.driver.topic(self.topic).cache.borrow().newest().version;
         let mut changes = Vec::new();
+        let mut zones = Vec::new();
         for notice in self.source.decode(self.topic, &rows) {
             match notice {
                 Notice::Routing(routing) => install_routing(&self.driver, *routing),
@@ -328,6 +334,10 @@
                     );
                     self.driver.handle(Event::RolloutOrdered(order));
                 }
+                Notice::Zone { zone, evacuated, version } => {
+                    let position = StorePosition { era, version };
+                    zones.push(ZoneEntry { zone, evacuated, position });
+                }
                 Notice::Target(change) => {
                     log_change(&change, newest);
                     changes.push(change);
@@ -343,6 +353,11 @@
                 }
             }
         }
+        if self.topic == Topic::Configuration {
+            let report = ZoneReport { read, zones };
+            let event = if whole { Event::ZonesRead } else { Event::ZonesChanged };
+            self.driver.handle(event(report));
+        }
         if self.topic == Topic::Targets && set_back {
             self.driver.handle(Event::ListedFromCopy(changes));
         } else if self.topic == Topic::Targets && whole {
--- a/crates/standins/src/relay/store.rs
+++ b/crates/standins/src/relay/store.rs
@@ -165,6 +165,16 @@
         self.put(names::OPERATOR_TABLE, names::CONFIGURATION_KEY, configuration);
     }
 
+    /// Orders the evacuation of an availability zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.put(names::OPERATOR_TABLE, &evacuation_key(zone), &json!({}));
+    }
+
+    /// Takes the evacuation of an availability zone back.
+    pub fn take_back(&self, zone: &str) {
+        self.remove(names::OPERATOR_TABLE, &evacuation_key(zone));
+    }
+
     /// Returns the row with this key, if it exists and contains JSON.
     pub fn row(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.core.state();
@@ -185,6 +195,10 @@
     }
 }
 
+fn evacuation_key(zone: &str) -> String {
+    format!("{}{zone}", names::EVACUATION_KEY_PREFIX)
+}
+
 impl Core {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -24,6 +24,8 @@
     pub id: String,
     /// Name of the service.
     pub service: String,
+    /// Availability zone.
+    pub zone: String,
     /// Whether the target answers with a stream of events.
     pub stream: bool,
     /// Number of events in a stream.
@@ -80,6 +82,7 @@
         Self {
             id: "i-1".into(),
             service: "model".into(),
+            zone: "z1".into(),
             stream: true,
             events: 5,
             delay: Duration::from_millis(5),
@@ -191,7 +194,7 @@
     pub fn entry(&self, state: &str) -> Value {
         let options = &self.core.options;
         json!({
-            "service": options.service, "address": self.addr().to_string(), "zone": "z1",
+            "service": options.service, "address": self.addr().to_string(), "zone": options.zone,
             "version": options.version, "slots": options.slots, "state": state, "coldRemainingMs": 0,
             "sequence": 1, "born": 1
         })
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -3,6 +3,7 @@
 mod bodies;
 mod crossings;
 mod early_answers;
+mod evacuation;
 mod explain;
 mod faults;
 mod floods;
