--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -30,6 +30,7 @@
         limits: Vec::new(),
         stopping: false,
         config_position: StorePosition::default(),
+        evacuations: Default::default(),
     }
 }
 
--- a/crates/protocol/examples/update_size.rs
+++ b/crates/protocol/examples/update_size.rs
@@ -8,7 +8,7 @@
 
 use sesamewind_protocol::relay::{
     AccountTotal, ArmCounts, LatencyCounts, LatencyReport, LeavingEntry, RelayUpdate,
-    RolloutCounts, RolloutProgress, RouteCounts, StorePosition, TargetLoad,
+    RolloutCounts, RolloutProgress, RouteCounts, StorePosition, TargetLoad, ZoneReport,
 };
 use sesamewind_protocol::{AccountId, Incarnation, Revision, RouteId, TargetId, codec};
 
@@ -85,6 +85,7 @@
         limits: Vec::new(),
         stopping: false,
         config_position: StorePosition { era: 1, version: 390 },
+        evacuations: ZoneReport::default(),
     }
 }
 
--- a/crates/protocol/tests/builds.rs
+++ b/crates/protocol/tests/builds.rs
@@ -244,6 +244,7 @@
         limits: Vec::new(),
         stopping: false,
         config_position: StorePosition { era: 2, version: 390 },
+        evacuations: Default::default(),
     }
 }
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -10,7 +10,9 @@
 use rand::RngExt;
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{Event, Gateway, RouteTable, Routing};
-use sesamewind_protocol::relay::{RowsReply, RowsRequest, StorePosition, StoreRow, Topic};
+use sesamewind_protocol::relay::{
+    RowsReply, RowsRequest, StorePosition, StoreRow, Topic, ZoneEntry, ZoneReport,
+};
 use tokio::time::{Instant, sleep};
 
 use crate::driver::Driver;
@@ -81,6 +83,25 @@
     }
 }
 
+/// Where rows were read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// In the store.
+    Store,
+    /// At a peer.
+    Peer,
+}
+
+impl Origin {
+    /// Returns the origin as written in logs.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// State of the task that follows one topic.
 struct Watch {
     driver: Rc<Driver>,
@@ -225,7 +246,7 @@
         self.read = true;
         let changed = !batch.rows.is_empty();
         let unconfigured = self.driver.with_gateway(|gateway| gateway.table().is_none());
-        self.apply_rows(batch.rows, batch.position, whole, "store");
+        self.apply_rows(batch.rows, batch.position, whole, Origin::Store);
         if self.topic == Topic::Configuration && unconfigured {
             restore_usage(&self.driver, self.source.as_ref()).await;
             if self.driver.with_gateway(Gateway::needs_saved_usage) {
@@ -278,7 +299,7 @@
         if reply.newest >= after {
             self.driver.observe_era(reply.newest.era);
             self.known = self.known.max(reply.newest);
-            self.apply_rows(reply.rows, reply.newest, reply.whole, "peer");
+            self.apply_rows(reply.rows, reply.newest, reply.whole, Origin::Peer);
         }
         self.apply_retained(&reply.retained);
     }
@@ -332,11 +353,18 @@
         rows: Vec<StoreRow>,
         position: StorePosition,
         whole: bool,
-        origin: &'static str,
+        origin: Origin,
     ) {
         let (rows, set_back) = self.update_cache(rows, position, whole);
+        // Rows of a peer don't tell which orders to evacuate are gone; its updates do.
+        let read = match origin {
+            Origin::Store => position,
+            Origin::Peer => StorePosition::default(),
+        };
+        let era = position.era;
         let newest = self.driver.topic(self.topic).cache.borrow().newest().version;
         let mut changes = Vec::new();
+        let mut zones = Vec::new();
         for notice in self.source.decode(self.topic, &rows) {
             match notice {
                 Notice::Routing(routing) => install_routing(&self.driver, *routing),
@@ -344,10 +372,14 @@
                 Notice::Order(_) if set_back => {}
                 Notice::Order(order) => {
                     if self.driver.with_gateway(|gateway| !gateway.knows_order(&order)) {
-                        journal::rollout_ordered(&order, origin);
+                        journal::rollout_ordered(&order, origin.as_str());
                         self.driver.handle(Event::RolloutOrdered(order));
                     }
                 }
+                Notice::Zone { zone, evacuated, version } => {
+                    let position = StorePosition { era, version };
+                    zones.push(ZoneEntry { zone, evacuated, position });
+                }
                 Notice::Target(change) => {
                     log_change(&change, newest);
                     changes.push(change);
@@ -363,6 +395,11 @@
                 }
             }
         }
+        if self.topic == Topic::Configuration {
+            let report = ZoneReport { read, zones };
+            let event = if whole { Event::ZonesRead } else { Event::ZonesChanged };
+            self.driver.handle(event(report));
+        }
         if self.topic == Topic::Targets && set_back {
             self.driver.handle(Event::ListedFromCopy(changes));
         } else if self.topic == Topic::Targets && whole {
