--- a/crates/gateway/tests/all/unordered.rs
+++ b/crates/gateway/tests/all/unordered.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use sesamewind_gateway::rollouts::{AllowedVersions, RolloutOrder, Rollouts};
+use sesamewind_gateway::targets::TargetChange;
+use sesamewind_gateway::{Event, ListedTarget};
 use sesamewind_protocol::relay::{RolloutOutcome, RolloutProgress};
-use sesamewind_protocol::{Incarnation, InstanceId, ServiceId, VersionId};
+use sesamewind_protocol::{Incarnation, InstanceId, ServiceId, TargetId, VersionId};
 
-use crate::support::at;
+use crate::support::{PLAIN, at, bench, target};
 
 fn service() -> ServiceId {
     ServiceId::new("s")
@@ -135,3 +137,22 @@
         assert_eq!(share(&rollouts, "v2"), 1.0, "{name}, later");
     }
 }
+
+/// Requests at split position 0.5 are outside of the probing share.
+#[test]
+fn targets_of_a_new_version_are_used_once_it_has_settled() {
+    let mut bench = bench(0, 1);
+    let replacement = ListedTarget { version: version("v2"), ..target("p1", PLAIN, 4) };
+    bench.send(Event::Listed(vec![TargetChange::Listed(replacement)]), at(5_000));
+    for (time, wanted) in [(5_010, false), (6_200, true)] {
+        bench.gateway.evaluate_rollouts(at(time));
+        let tickets: Vec<_> = (0..6).map(|_| bench.arrive("once", 10, at(time))).collect();
+        let is_new = |ticket: &u64| {
+            bench.dispatch(*ticket).is_some_and(|dispatch| dispatch.target == TargetId::new("p1"))
+        };
+        assert_eq!(tickets.iter().any(is_new), wanted, "at {time} ms");
+        for ticket in tickets {
+            bench.send(Event::CallerLeft(ticket), at(time));
+        }
+    }
+}
