Bound what cold targets get over all instances together

Cause: a target that has started again while requests are sent got as many requests as any other. Change: the division of stated limits also serves bounds on the requests in any second (limits/division.rs). A target is cold if it says so in the list or an answer, if its start was seen, and for a while after it failed as targets do that start again (limits/cold.rs); peers tell each other. Turns at a cold target are counted from the last request sent to it. Announced peers are known with their availability zone, so that an instance that starts while it is cut off chooses the same senders as the others. Changed for the new argument or field only: partitions.rs, retries.rs, health.rs, support.rs, builds.rs.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -76,6 +76,8 @@
     /// The target of the attempt stated how many requests a second it takes from all instances
     /// together; none if it takes any number.
     TargetLimit(Ticket, Option<f64>),
+    /// The target of the attempt stated for how long it stays cold.
+    TargetCold(Ticket, Duration),
     /// The target of the attempt has made no progress for longer than the silence timeout. The gateway
     /// always returns a step for the request: [`Step::Dispatch`] ends the attempt, [`Step::Wait`] does
     /// not.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -197,6 +197,7 @@
         };
         self.release(&attempt, request.prompt());
         self.record_outcome(attempt.target, outcome, now);
+        self.record_possible_start(attempt.target, outcome, now);
         self.observe_break(&request, &attempt, outcome, now);
         let is_failure = match outcome {
             AttemptOutcome::Whole => false,
@@ -512,9 +513,7 @@
         let ahead = target.prefill();
         target.own_requests += 1;
         target.own_prefill = target.own_prefill.saturating_add(prompt);
-        if let Some(limit) = &mut target.limit {
-            limit.record_send(now);
-        }
+        target.record_send(now);
         request.sends += 1;
         let (id, version) = (&target.listed.id, &target.listed.version);
         self.rollouts.count_sent(&request.service, (id, version));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::event::{Action, Event};
 use crate::groups::Members;
 use crate::limits::Limits;
+use crate::limits::cold::ColdListing;
 use crate::peers::Peers;
 use crate::quarantine::{PartChange, Quarantine, SavedPart};
 use crate::quota::{Quotas, SavedUsage};
@@ -69,8 +70,8 @@
     members: Members,
     pub(crate) stopping: bool,
     /// When the target list became readable again after the last outage.
-    list_restored: Option<Time>,
-    list_lost: bool,
+    pub(crate) list_restored: Option<Time>,
+    pub(crate) list_lost: bool,
     list_read: bool,
     /// Until when the instance reads what has arrived during its last stall.
     pub(crate) read_until: Time,
@@ -124,6 +125,7 @@
             Event::TargetLeaving(ticket) => self.target_leaving(ticket, now),
             Event::TargetResting(ticket, rest) => self.target_resting(ticket, rest, now),
             Event::TargetLimit(ticket, rate) => self.target_limit(ticket, rate, now),
+            Event::TargetCold(ticket, left) => self.target_cold(ticket, left, now),
             Event::Silent(ticket) => self.silent(ticket, now),
             Event::SilenceEnded(ticket) => self.silence_ended(ticket),
             Event::Ended(ticket, outcome) => self.ended(ticket, outcome, now),
@@ -185,8 +187,8 @@
     }
 
     /// Adds announced peers, including those from which no update has been received yet.
-    pub fn expect_peers(&mut self, peers: &[&InstanceId], now: Time) {
-        self.quotas.expect_peers(peers.iter().copied(), now);
+    pub fn expect_peers(&mut self, peers: &[(&InstanceId, &ZoneId)], now: Time) {
+        self.quotas.expect_peers(peers.iter().map(|(name, _)| *name), now);
         self.sharers.expect(peers.iter().copied(), now);
     }
 
@@ -319,6 +321,7 @@
         let usage = self.quotas.report(to, now);
         let parts = self.quarantine.reports(to, now);
         let limits = self.limit_entries(now);
+        let cold = self.cold_entries(now);
         self.sequence += 1;
         let loads = self.targets.iter().filter(|(_, target)| target.own_requests > 0);
         let loads = loads.map(|(_, target)| TargetLoad {
@@ -355,6 +358,7 @@
             parts,
             limits,
             stopping: self.stopping,
+            cold,
         }
     }
 
@@ -368,6 +372,7 @@
                 .entry(service.name.clone())
                 .or_insert_with(|| ServiceState::new(&self.tuning));
             state.model = service.model;
+            state.cold = service.cold;
             state.top_rank = table.top_rank(&service.name);
         }
         self.quotas.configure(table.accounts().iter().map(Arc::as_ref), now);
@@ -376,9 +381,11 @@
     }
 
     fn apply_changes(&mut self, changes: Vec<TargetChange>, now: Time) {
-        self.list_read = true;
+        let is_first = !std::mem::replace(&mut self.list_read, true);
         let suspect_until = self.suspect_until(now);
+        let mut listings = Vec::new();
         for change in changes {
+            listings.extend(ColdListing::of(&change));
             let Some(index) = self.targets.apply(change, suspect_until) else { continue };
             let service = self.targets.get(index).listed.service.clone();
             let state =
@@ -393,6 +400,9 @@
         }
         self.prefer_targets();
         self.find_limited(now);
+        for listing in &listings {
+            self.record_listing(listing, is_first, now);
+        }
         self.dispatch_all_waiting(now);
     }
 
@@ -470,6 +480,7 @@
         }
         self.update_shares(now);
         self.apply_limits(&update.limits, &update.from, now);
+        self.apply_cold(&update.cold, now);
         if self.peers.take_change() {
             self.regroup();
         }
@@ -495,6 +506,7 @@
         self.quarantine.expire(|name| self.peers.is_known(name), now);
         self.confirm_breaks(now);
         self.update_shares(now);
+        self.expire_cold(now);
         if self.peers.take_change() {
             self.regroup();
         }
@@ -508,6 +520,7 @@
         self.sharers.postpone(length, now);
         self.read_until = now + STALL_READ_TIME;
         self.last_stall = (now, length);
+        self.record_stall(length, now);
     }
 
     /// Returns the time that a target took from `from`, for an answer or a part of it that is read at
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -5,6 +5,8 @@
 //! if it has one. The shares of all instances add up to the limit. Where that leaves an instance less
 //! than a useful share, a few instances share the limit, which all instances choose alike.
 
+pub(crate) mod cold;
+mod division;
 mod peers;
 mod refusals;
 mod statement;
@@ -12,24 +14,22 @@
 
 use std::time::Duration;
 
-use sesamewind_protocol::{InstanceId, TargetId, Time, text_hash};
+use sesamewind_protocol::{InstanceId, TargetId, Time};
 
+pub use self::cold::{ColdCause, ColdChange};
 pub use self::refusals::LimitSummary;
 use crate::arrival::Ticket;
-use crate::gateway::{Gateway, Identity};
+use crate::gateway::Gateway;
+use crate::limits::cold::ColdTargets;
+use crate::limits::division::Bound;
 use crate::limits::statement::Statement;
 use crate::limits::turns::Turns;
-use crate::sharers::Sharers;
-use crate::targets::{Index, ListedTarget};
+use crate::targets::Index;
 
 /// Requests a second that are sent to a target which takes fewer or none, since only its answers tell
 /// when that has ended.
 pub(crate) const MIN_RATE: f64 = 0.1;
 
-/// Maximum number of instances that share a limit: so many, and this factor times the limit. Each may
-/// send one request at any time, so that their number bounds what arrives at once.
-const MAX_SENDERS: (f64, f64) = (5.0, 0.9);
-
 /// A target's request limit as known to this instance.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestLimit {
@@ -46,6 +46,11 @@
         self.statement.rate
     }
 
+    /// Returns the limit: requests a second, this instance's share, and when it was stated.
+    pub(crate) fn bound(&self) -> Option<(f64, f64, Time)> {
+        Some((self.rate()?, self.turns.share(), self.statement.heard))
+    }
+
     /// Returns the time until this instance may send the target a request.
     pub(crate) fn wait(&self, now: Time) -> Duration {
         if self.rate().is_none() { Duration::ZERO } else { self.turns.wait(now) }
@@ -82,6 +87,7 @@
     /// Targets whose limit has ended recently, and when that became known.
     ended: Vec<(Index, Time)>,
     changes: Vec<LimitChange>,
+    pub(crate) cold: ColdTargets,
 }
 
 impl Gateway {
@@ -141,7 +147,7 @@
 
     /// Finds the targets with a limit after these or the list of targets have changed.
     pub(crate) fn find_limited(&mut self, now: Time) {
-        let limited = self.targets.iter().filter(|(_, one)| one.is_limited() && one.is_listed());
+        let limited = self.targets.iter().filter(|(_, one)| one.has_limit() && one.is_listed());
         self.limits.limited = limited.map(|(index, _)| index).collect();
         self.share_limits(now);
     }
@@ -155,22 +161,31 @@
 
     /// Sets this instance's share of each limit.
     pub(crate) fn share_limits(&mut self, now: Time) {
-        let (me, sharers) = (&self.me, &self.sharers);
-        let is_sending = !self.stopping && sharers.is_settled();
+        let is_sending = self.is_sharing();
         for &index in &self.limits.limited {
             let target = self.targets.get_mut(index);
             let Some(limit) = &mut target.limit else { continue };
             let Some(rate) = limit.rate() else { continue };
-            let share =
-                if is_sending { share(rate, &target.listed, me, sharers, now) } else { 0.0 };
+            let bound = Bound::Rate(rate);
+            let share = if is_sending {
+                bound.share(&target.listed, &self.me, &self.sharers, now)
+            } else {
+                0.0
+            };
             limit.turns.set_share(share, now);
         }
+        self.share_all_cold(now);
+    }
+
+    /// Returns whether this instance has a share of what targets take from all instances together.
+    fn is_sharing(&self) -> bool {
+        !self.stopping && self.sharers.is_settled()
     }
 
     /// Returns whether the target of a request's attempt has a known request limit.
     pub fn is_target_limited(&self, ticket: Ticket) -> bool {
         let index = self.attempt_of(ticket).map(|(index, _)| index);
-        index.is_some_and(|index| self.targets.get(index).is_limited())
+        index.is_some_and(|index| self.targets.get(index).has_limit())
     }
 
     /// Returns the changes of targets' request limits since the last call.
@@ -183,15 +198,3 @@
         self.limits.limited.len()
     }
 }
-
-/// Returns the part of the limit `rate` of `target` that the instance `me` may use.
-fn share(rate: f64, target: &ListedTarget, me: &Identity, sharers: &Sharers, now: Time) -> f64 {
-    let rate = rate.max(MIN_RATE);
-    let senders = (MAX_SENDERS.0 + MAX_SENDERS.1 * rate) as usize;
-    if sharers.instances() <= senders {
-        return rate / sharers.instances() as f64;
-    }
-    let salt = text_hash(target.id.as_str());
-    let position = sharers.position((&me.instance, &me.zone), &target.zone, salt, now);
-    if position < senders { rate / senders as f64 } else { 0.0 }
-}
--- a/crates/gateway/src/limits/refusals.rs
+++ b/crates/gateway/src/limits/refusals.rs
@@ -41,23 +41,23 @@
 
     /// Returns the limits of the usable targets of a service; none if no target has one.
     pub(crate) fn limit_summary(&self, service: &ServiceId, now: Time) -> Option<LimitSummary> {
-        let limited = self.usable_targets(service, now).filter_map(|target| target.limit.as_ref());
-        let limited = limited.filter_map(|limit| Some((limit.rate()?, limit)));
         let mut summary: Option<LimitSummary> = None;
-        for (rate, limit) in limited {
-            let age = now.since(limit.statement.heard);
+        for target in self.usable_targets(service, now) {
+            let Some((rate, share, since)) = target.bound() else { continue };
+            let age = now.since(since);
+            let source = target.limit.as_ref().and_then(|limit| limit.source.clone());
             let sum = summary.get_or_insert_with(|| LimitSummary {
                 targets: 0,
                 rate: 0.0,
                 share: 0.0,
                 age,
-                source: limit.source.clone(),
+                source: source.clone(),
             });
             sum.targets += 1;
             sum.rate += rate;
-            sum.share += limit.turns.share();
+            sum.share += share;
             if age < sum.age {
-                (sum.age, sum.source) = (age, limit.source.clone());
+                (sum.age, sum.source) = (age, source);
             }
         }
         summary
@@ -132,7 +132,7 @@
     /// Returns the average time between two turns of this instance; zero if a usable target of the
     /// service takes any number of requests.
     fn turn_interval(&self, service: &ServiceId, now: Time) -> Duration {
-        if self.usable_targets(service, now).any(|target| !target.is_limited()) {
+        if self.usable_targets(service, now).any(|target| target.bound().is_none()) {
             return Duration::ZERO;
         }
         let share = self.limit_summary(service, now).map_or(0.0, |summary| summary.share);
--- a/crates/gateway/src/limits/turns.rs
+++ b/crates/gateway/src/limits/turns.rs
@@ -34,6 +34,11 @@
         self.share
     }
 
+    /// Adds the turns of the time `unused` in which this instance has sent no request, one at most.
+    pub(crate) fn accrue_for(&mut self, unused: Duration) {
+        self.level = (self.share * unused.as_secs_f64()).min(1.0);
+    }
+
     /// Lets turns accrue at `share` a second from now on. Without a share, saved turns are lost.
     pub(crate) fn set_share(&mut self, share: f64, now: Time) {
         self.level = if share > 0.0 { self.level(now) } else { self.level.min(0.0) };
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -8,6 +8,7 @@
 use crate::budget::RetryBudget;
 use crate::queue::Queue;
 use crate::rate::Rate;
+use crate::table::ColdStart;
 use crate::targets::Index;
 use crate::tuning::Tuning;
 
@@ -41,6 +42,8 @@
 pub(crate) struct ServiceState {
     /// Whether the targets are model engines.
     pub(crate) model: bool,
+    /// What its targets take while they are cold.
+    pub(crate) cold: Option<ColdStart>,
     /// Rank of the most urgent route to the service.
     pub(crate) top_rank: u8,
     /// Average number of events in the streams of each route.
@@ -64,6 +67,7 @@
     pub(crate) fn new(tuning: &Tuning) -> Self {
         Self {
             model: false,
+            cold: None,
             top_rank: 0,
             events: HashMap::new(),
             last_shortage: None,
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -29,8 +29,8 @@
 /// A peer that has or had a share.
 #[derive(Debug)]
 struct Sharer {
-    /// Availability zone; none until the peer has reported.
-    zone: Option<ZoneId>,
+    /// Availability zone.
+    zone: ZoneId,
     /// Hash of its name.
     hash: u64,
     /// Until when it has a share.
@@ -58,13 +58,18 @@
     }
 
     /// Adds announced peers, which may have a share already.
-    pub(crate) fn expect<'a>(&mut self, peers: impl Iterator<Item = &'a InstanceId>, now: Time) {
-        for name in peers {
+    pub(crate) fn expect<'a>(
+        &mut self,
+        peers: impl Iterator<Item = (&'a InstanceId, &'a ZoneId)>,
+        now: Time,
+    ) {
+        for (name, zone) in peers {
             if !self.peers.contains_key(name) && self.peers.len() < MAX_REMEMBERED {
                 self.changed = true;
                 let hash = text_hash(name.as_str());
                 let until = now + SHARE_RETENTION;
-                let sharer = Sharer { zone: None, hash, until, heard: None };
+                let zone = zone.clone();
+                let sharer = Sharer { zone, hash, until, heard: None };
                 self.peers.insert(name.clone(), sharer);
             }
         }
@@ -74,7 +79,7 @@
     pub(crate) fn record_update(&mut self, name: &InstanceId, zone: &ZoneId, now: Time) {
         let until = now + SHARE_RETENTION;
         match self.peers.get_mut(name) {
-            Some(sharer) if sharer.zone.as_ref() == Some(zone) => {
+            Some(sharer) if sharer.zone == *zone => {
                 self.changed |= sharer.until <= now;
                 sharer.until = until;
                 sharer.heard = Some(now);
@@ -82,7 +87,7 @@
             _ => {
                 self.changed = true;
                 let hash = text_hash(name.as_str());
-                let sharer = Sharer { zone: Some(zone.clone()), hash, until, heard: Some(now) };
+                let sharer = Sharer { zone: zone.clone(), hash, until, heard: Some(now) };
                 self.peers.insert(name.clone(), sharer);
             }
         }
@@ -146,7 +151,7 @@
     ) -> usize {
         let own = (me.1 != zone, text_hash(me.0.as_str()) ^ salt);
         let peers = self.peers.values().filter(|sharer| sharer.until > now);
-        let keys = peers.map(|sharer| (sharer.zone.as_ref() != Some(zone), sharer.hash ^ salt));
+        let keys = peers.map(|sharer| (sharer.zone != *zone, sharer.hash ^ salt));
         keys.filter(|key| *key < own).count()
     }
 }
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -26,6 +26,7 @@
         let target = attempt.target;
         if !std::mem::replace(&mut attempt.silent, true) {
             self.targets.get_mut(target).record_silence(now);
+            self.record_possible_start(target, AttemptOutcome::Silent, now);
         }
         match self.next_target(&mut request, target, now) {
             Some(next) => self.leave_silent(ticket, request, next, now),
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -83,6 +83,17 @@
     pub connections: u32,
     /// Whether its targets are model engines.
     pub model: bool,
+    /// What its targets take while they are cold; none if that is not bounded.
+    pub cold: Option<ColdStart>,
+}
+
+/// What a target takes after its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a target is cold after a start while requests are sent.
+    pub duration: Duration,
+    /// Requests a second that a cold target takes from all instances together.
+    pub rate: f64,
 }
 
 /// Unit in which the usage of a client account is counted.
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -7,6 +7,7 @@
 use sesamewind_protocol::{Incarnation, ServiceId, TargetId, Time, VersionId, ZoneId};
 
 use crate::limits::RequestLimit;
+use crate::limits::cold::Cold;
 
 /// Position of a target in [`Targets`]; never reused for another target.
 pub type Index = usize;
@@ -73,6 +74,8 @@
     pub slots: u32,
     /// Announced state.
     pub state: ListedState,
+    /// For how long it stays cold from when the entry was written.
+    pub cold: Duration,
 }
 
 /// A change of the target list.
@@ -127,6 +130,7 @@
     rest_until: Time,
     /// Request limit that the target has stated, if it ever did.
     pub(crate) limit: Option<RequestLimit>,
+    pub(crate) cold: Cold,
     /// Until when peers are told that the target is leaving.
     report_leaving_until: Time,
     /// When an attempt of this instance last succeeded.
@@ -151,6 +155,7 @@
             backoff_until: Time::ZERO,
             rest_until: Time::ZERO,
             limit: None,
+            cold: Cold::default(),
             report_leaving_until: Time::ZERO,
             last_success: Time::ZERO,
         }
@@ -186,11 +191,19 @@
         self.usability != Usability::Retired
     }
 
-    /// Returns whether the target takes only so many requests a second from all instances together.
-    pub(crate) fn is_limited(&self) -> bool {
+    /// Returns whether the target has stated a request limit that holds.
+    pub(crate) fn has_limit(&self) -> bool {
         self.limit.as_ref().is_some_and(|limit| limit.rate().is_some())
     }
 
+    /// Returns what the target takes from all instances together, if that is bounded: requests a
+    /// second, this instance's share, and since when that is known.
+    pub(crate) fn bound(&self) -> Option<(f64, f64, Time)> {
+        let limit = self.limit.as_ref().and_then(RequestLimit::bound);
+        let bounds = limit.into_iter().chain(self.cold.bound());
+        bounds.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
     /// Returns for how long this instance sends the target no requests, since the target wants none
     /// or its request limit leaves none.
     pub(crate) fn pause_left(&self, now: Time) -> Duration {
@@ -199,7 +212,16 @@
 
     /// Returns the time until the target's request limit allows a request of this instance.
     pub(crate) fn turn_wait(&self, now: Time) -> Duration {
-        self.limit.as_ref().map_or(Duration::ZERO, |limit| limit.wait(now))
+        let limit = self.limit.as_ref().map_or(Duration::ZERO, |limit| limit.wait(now));
+        limit.max(self.cold.wait(now))
+    }
+
+    /// Counts a request that this instance sends.
+    pub(crate) fn record_send(&mut self, now: Time) {
+        if let Some(limit) = &mut self.limit {
+            limit.record_send(now);
+        }
+        self.cold.record_send(now);
     }
 
     /// Returns whether the target takes requests of this instance, regardless of failures.
@@ -251,6 +273,11 @@
         self.failures > 0 && now < self.backoff_until && self.usability == Usability::Usable
     }
 
+    /// Returns the number of consecutive failures, up to [`MAX_COUNTED_FAILURES`].
+    pub(crate) fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Records a successful attempt.
     pub fn record_success(&mut self, now: Time) {
         self.failures = 0;
@@ -458,14 +485,16 @@
         }
         // The same incarnation may be listed at another address.
         let known = self.find(&listed.id).map(|known| &self.all[known]);
+        let next = known.map(|known| known.cold.next_incarnation()).unwrap_or_default();
         let known = known.filter(|known| known.listed.incarnation == listed.incarnation);
         let was_leaving = known.is_some_and(|known| known.listed.state == ListedState::Leaving);
         let limit = known.and_then(|known| known.limit.clone());
+        let cold = known.map(|known| known.cold.clone()).unwrap_or(next);
         let latency_ratio = self.initial_latency_ratio(&listed.service);
         let index = self.all.len();
         self.names.insert(listed.id.clone(), index);
         let leaving = was_leaving || listed.state == ListedState::Leaving;
-        let mut target = Target { limit, ..Target::new(listed, latency_ratio) };
+        let mut target = Target { limit, cold, ..Target::new(listed, latency_ratio) };
         if leaving {
             target.listed.state = ListedState::Leaving;
             target.usability = Usability::Retired;
--- a/crates/gateway/src/tuning.rs
+++ b/crates/gateway/src/tuning.rs
@@ -21,6 +21,12 @@
     /// Time after which a leaving target must receive no new requests, from the deployment's
     /// bounds.
     pub drain: Duration,
+    /// Factor over the requests a second that a cold target takes which all instances together may
+    /// send it, from the deployment's bounds.
+    pub cold_overage: f64,
+    /// Requests in one second to a cold target in addition to `cold_overage`, from the deployment's
+    /// bounds.
+    pub cold_slack: f64,
     /// Time after a list outage in which a target's removal from the list is not yet trusted.
     pub removal_grace: Duration,
 }
@@ -34,6 +40,8 @@
             quota: QuotaBounds { window: Duration::from_secs(8), overage: 0.1, slack: 0.0 },
             joined: false,
             drain: Duration::from_secs(2),
+            cold_overage: 1.0,
+            cold_slack: 0.0,
             removal_grace: Duration::from_millis(2_200),
         }
     }
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -28,6 +28,7 @@
         relayed: Vec::new(),
         parts: Vec::new(),
         limits: Vec::new(),
+        cold: Vec::new(),
         stopping: false,
     }
 }
--- a/crates/gateway/tests/all/limit_fleet.rs
+++ b/crates/gateway/tests/all/limit_fleet.rs
@@ -12,13 +12,13 @@
 use sesamewind_gateway::gateway::Identity;
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{
-    Arrival, AttemptOutcome, Event, Gateway, ListedTarget, Refusal, RouteTable, Step, Ticket,
-    Tuning,
+    Arrival, AttemptOutcome, ColdStart, Event, Gateway, ListedTarget, Refusal, RouteTable, Step,
+    Ticket, Tuning,
 };
 use sesamewind_protocol::relay::{RelayUpdate, StorePosition};
-use sesamewind_protocol::{Incarnation, InstanceId, Time, ZoneId};
+use sesamewind_protocol::{Incarnation, InstanceId, TargetId, Time, ZoneId};
 
-use crate::support::{MODEL, at, identity, routing, target};
+use crate::support::{self, MODEL, at, identity, routing};
 
 /// Milliseconds from a target's first statement of a limit until the bound holds.
 const CONTACT_MS: u64 = 3_000;
@@ -54,6 +54,22 @@
 const TICK_MS: u64 = 20;
 const EXCHANGE_MS: u64 = 100;
 
+/// Milliseconds for which a target is cold after it has started again.
+const COLD_MS: u64 = 3_000;
+
+/// Milliseconds from a change of the target list until an instance reads it.
+const LIST_MS: Range<u64> = 50..1_500;
+
+/// Milliseconds after which a target that is down is removed from the list.
+const EXPIRY_MS: u64 = 3_600;
+
+/// Requests in a second at a cold target from which those of an instance that is cut off count too. It
+/// may not have heard that the target failed; a bound of fewer requests has no margin for it.
+const MARGIN_FROM: f64 = 8.0;
+
+/// Start of the deployment and its first targets, as incarnations.
+const EPOCH: u64 = 1_000_000;
+
 /// A span of time in milliseconds.
 type Span = Range<u64>;
 
@@ -82,6 +98,10 @@
     /// When no requests arrive.
     pub quiet: Option<Span>,
     pub limits: Vec<Named>,
+    /// Targets that are down and then start again, cold.
+    pub restarts: Vec<(Span, usize)>,
+    /// Requests in any second that a cold target takes from all instances together.
+    pub cold: f64,
     pub cuts: Vec<(Span, Cut)>,
     pub freezes: Vec<(Span, usize)>,
     /// Instances that are killed and start again.
@@ -94,6 +114,8 @@
 /// A request that reached a target.
 #[derive(Debug, Clone, Copy)]
 struct Reached {
+    instance: usize,
+    sent: u64,
     at: u64,
     /// When its instance was told of the present limit.
     told: Option<u64>,
@@ -108,6 +130,10 @@
     pub window: String,
     /// Requests that reached targets while these stated a limit, and how many the limits allow.
     pub used: (f64, f64),
+    /// Most requests in one second at a cold target, relative to those allowed, and its description.
+    pub worst_cold: (f64, String),
+    /// Requests that reached cold targets, and how many the bound allows.
+    pub used_cold: (f64, f64),
     pub asked: u32,
     pub refused: u32,
     /// Refusals with their time and the time until the caller may return.
@@ -116,7 +142,10 @@
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Reaches(usize, Ticket, usize),
+    /// A request that its instance has sent at this time.
+    Reaches(usize, Ticket, usize, u64),
+    /// An instance reads the entry of a target that started at this time, or that it is removed.
+    Listed(usize, usize, Option<u64>),
     /// Head of an answer, with the position of the limit that its target states.
     Head(usize, Ticket, Option<usize>, usize, Kind),
     Ends(usize, Ticket, Kind),
@@ -130,6 +159,8 @@
     Fails,
     Declines,
     Breaks,
+    /// No connection is established.
+    Refuses,
 }
 
 struct Member {
@@ -145,7 +176,6 @@
     rng: ChaCha8Rng,
     table: Arc<RouteTable>,
     members: Vec<Option<Member>>,
-    targets: Vec<ListedTarget>,
     reached: BTreeMap<usize, Vec<Reached>>,
     /// When each limit was first named in an answer.
     first: HashMap<usize, u64>,
@@ -170,10 +200,18 @@
     InstanceId::new(format!("i{instance:03}"))
 }
 
+fn target_name(target: usize) -> TargetId {
+    TargetId::new(format!("m{target}"))
+}
+
 fn zone(number: usize) -> usize {
     number % ZONES
 }
 
+fn zone_name(number: usize) -> ZoneId {
+    ZoneId::new(format!("z{}", zone(number)))
+}
+
 impl Plan {
     /// Draws a play with limits that begin, change and end, and with faults of instances, one after
     /// the other and at once.
@@ -199,6 +237,41 @@
                 start = end + pause;
             }
         }
+        this.add_faults(&mut rng);
+        this
+    }
+
+    /// Draws a play in which targets start again, one or all of an availability zone at once, between
+    /// faults of instances.
+    pub fn random_cold(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let instances = [1, 2, 3, 6, 11, 16, 30, 60][rng.random_range(0..8)];
+        let targets = rng.random_range(3..16);
+        let cold = [1.0, 1.5, 2.0, 3.0, 8.0, 30.5, 80.0][rng.random_range(0..7)];
+        let requests = rng.random_range(4.0..14.0) * targets as f64;
+        let length = 40_000;
+        let mut this = Self { instances, targets, cold, requests, length, ..Self::default() };
+        let mut start = rng.random_range(5_000..9_000);
+        while start < length {
+            let down = start..start + rng.random_range(1_500..5_000);
+            let one = rng.random_range(0..targets);
+            let all = (0..targets).filter(|target| zone(*target) == zone(one));
+            let down_all = all.map(|target| (down.clone(), target));
+            if rng.random_bool(0.4) {
+                this.restarts.extend(down_all);
+            } else {
+                this.restarts.push((down.clone(), one));
+            }
+            start = down.end + rng.random_range(4_000..9_000);
+        }
+        this.add_faults(&mut rng);
+        this
+    }
+
+    /// Adds faults of instances.
+    fn add_faults(&mut self, rng: &mut ChaCha8Rng) {
+        let (instances, length) = (self.instances, self.length);
+        let this = self;
         let mut now = 2_000;
         while now < length {
             let span = now..now + rng.random_range(200..12_000);
@@ -217,7 +290,26 @@
             }
             now += rng.random_range(100..5_000);
         }
-        this
+    }
+
+    /// Returns when the target last started, if it runs at `now`.
+    fn started(&self, target: usize, now: u64) -> Option<u64> {
+        let own = self.restarts.iter().filter(|(_, one)| *one == target);
+        let is_down = own.clone().any(|(down, _)| down.contains(&now));
+        let ends = own.map(|(down, _)| down.end).filter(|end| *end <= now);
+        (!is_down).then(|| ends.max().unwrap_or(0))
+    }
+
+    /// Returns the entry of a target that started at `start`, as it was written at `now`.
+    fn entry(&self, target: usize, start: u64, now: u64) -> ListedTarget {
+        let left = if start == 0 { 0 } else { (start + COLD_MS).saturating_sub(now) };
+        ListedTarget {
+            zone: zone_name(target),
+            incarnation: Incarnation(EPOCH + start),
+            cold: Duration::from_millis(left),
+            id: target_name(target),
+            ..support::target("", MODEL, SLOTS)
+        }
     }
 
     /// Returns the position of the limit that a target states at `now`.
@@ -233,6 +325,14 @@
         })
     }
 
+    /// Returns whether the instance was cut off from any other at some time of `span`.
+    fn was_cut(&self, instance: usize, span: Span) -> bool {
+        let overlaps = |during: &Span| during.start < span.end && span.start < during.end;
+        self.cuts.iter().any(|(during, cut)| {
+            overlaps(during) && (matches!(cut, Cut::Zone(_)) || *cut == Cut::Instance(instance))
+        })
+    }
+
     fn is_down(&self, instance: usize, now: u64) -> bool {
         let all = self.kills.iter().chain(&self.stops);
         all.clone().any(|(during, one)| *one == instance && during.contains(&now))
@@ -252,16 +352,15 @@
 
 impl<'a> Fleet<'a> {
     fn new(plan: &'a Plan, seed: u64) -> Self {
-        let listed = |number: usize| ListedTarget {
-            zone: ZoneId::new(format!("z{}", zone(number))),
-            ..target(&format!("m{number}"), MODEL, SLOTS)
-        };
+        let mut routing = routing();
+        let duration = Duration::from_millis(COLD_MS);
+        let cold = ColdStart { duration, rate: plan.cold };
+        routing.services[0].cold = (plan.cold > 0.0).then_some(cold);
         Self {
             plan,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            table: Arc::new(RouteTable::new(routing())),
+            table: Arc::new(RouteTable::new(routing)),
             members: (0..plan.instances).map(|_| None).collect(),
-            targets: (0..plan.targets).map(listed).collect(),
             reached: BTreeMap::new(),
             first: HashMap::new(),
             due: BinaryHeap::new(),
@@ -275,17 +374,22 @@
     fn start(&mut self, instance: usize, now: u64) {
         self.starts += 1;
         let me = Identity {
-            incarnation: Incarnation(self.starts),
+            incarnation: Incarnation(EPOCH + now + self.starts),
             ..identity(name(instance).as_str(), &format!("z{}", zone(instance)))
         };
         let tuning = Tuning { joined: now > 0, ..Tuning::default() };
         let mut gateway = Gateway::new(me, tuning, self.starts + self.rng.random::<u64>() / 2);
         gateway.handle(Event::Configured(Arc::clone(&self.table)), at(now));
-        let listed = self.targets.iter().cloned().map(TargetChange::Listed).collect();
+        let listed = (0..self.plan.targets).filter_map(|target| {
+            let start = self.plan.started(target, now)?;
+            Some(TargetChange::Listed(self.plan.entry(target, start, now)))
+        });
+        let listed = listed.collect();
         gateway.handle(Event::ListedAll(listed), at(now));
-        let peers: Vec<_> =
-            (0..self.plan.instances).filter(|peer| *peer != instance).map(name).collect();
-        gateway.expect_peers(&peers.iter().collect::<Vec<_>>(), at(now));
+        let others = (0..self.plan.instances).filter(|peer| *peer != instance);
+        let peers: Vec<_> = others.map(|peer| (name(peer), zone_name(peer))).collect();
+        let peers: Vec<_> = peers.iter().map(|(name, zone)| (name, zone)).collect();
+        gateway.expect_peers(&peers, at(now));
         let member = Member { gateway, told: HashMap::new(), frozen: Vec::new() };
         self.members[instance] = Some(member);
     }
@@ -316,6 +420,7 @@
                 }
             }
         }
+        self.restart_targets(now);
         self.arrivals(now);
         while self.due.peek().is_some_and(|Reverse((when, ..))| *when <= now) {
             if let Some(Reverse((_, _, due))) = self.due.pop() {
@@ -325,7 +430,36 @@
         self.exchange(now);
     }
 
+    /// Has all instances read the entries of targets that start or are removed at `now`.
+    fn restart_targets(&mut self, now: u64) {
+        let plan = self.plan;
+        for &(ref down, target) in &plan.restarts {
+            let expiry = down.start + EXPIRY_MS;
+            let entry = if (now..now + 5).contains(&down.end) {
+                Some(down.end)
+            } else if (now..now + 5).contains(&expiry) && down.contains(&expiry) {
+                None
+            } else {
+                continue;
+            };
+            for instance in 0..plan.instances {
+                // Each instance reads the changes of a target in their order.
+                let delay =
+                    (instance as u64 * 379 + target as u64 * 97) % (LIST_MS.end - LIST_MS.start);
+                let read = now + LIST_MS.start + delay;
+                self.push(read, Due::Listed(instance, target, entry));
+            }
+        }
+    }
+
     fn thaw(&mut self, instance: usize, now: u64) {
+        let mut ended = self.plan.freezes.iter().filter(|(during, one)| {
+            *one == instance && (now..now + 5).contains(&during.end.next_multiple_of(5))
+        });
+        if let Some((during, _)) = ended.next() {
+            let length = Duration::from_millis(during.end - during.start);
+            self.send(instance, Event::Stalled(length), now);
+        }
         let Some(member) = &mut self.members[instance] else { return };
         for due in std::mem::take(&mut member.frozen) {
             self.happen(due, now);
@@ -387,18 +521,19 @@
     }
 
     fn dispatch(&mut self, instance: usize, ticket: Ticket, dispatch: &Dispatch, now: u64) {
-        let target = self.targets.iter().position(|one| one.id == dispatch.target);
-        let Some(target) = target else { return };
+        let Ok(target) = dispatch.target.as_str()[1..].parse() else { return };
         let is_late = self.rng.random_range(0..LATE_ONE_IN) == 0;
         let path = self.rng.random_range(if is_late { LATE_PATH_MS } else { PATH_MS });
-        self.push(now + path, Due::Reaches(instance, ticket, target));
+        self.push(now + path, Due::Reaches(instance, ticket, target, now));
     }
 
     fn happen(&mut self, due: Due, now: u64) {
         match due {
-            Due::Reaches(instance, ticket, target) => self.reach(instance, ticket, target, now),
+            Due::Reaches(instance, ticket, target, sent) => {
+                self.reach(instance, ticket, target, sent, now);
+            }
             Due::Message(from, to, number) => self.deliver(from, to, number, now),
-            Due::Head(instance, ..) | Due::Ends(instance, ..)
+            Due::Head(instance, ..) | Due::Ends(instance, ..) | Due::Listed(instance, ..)
                 if self.plan.is_frozen(instance, now) =>
             {
                 if let Some(member) = &mut self.members[instance] {
@@ -421,13 +556,25 @@
                     Kind::Fails => AttemptOutcome::Failing,
                     Kind::Declines => AttemptOutcome::Declined,
                     Kind::Breaks => AttemptOutcome::Broken,
+                    Kind::Refuses => AttemptOutcome::Unconnected,
                 };
                 self.send(instance, Event::Ended(ticket, outcome), now);
             }
+            Due::Listed(instance, target, start) => {
+                let change = match start {
+                    Some(start) => TargetChange::Listed(self.plan.entry(target, start, start)),
+                    None => TargetChange::Removed(target_name(target)),
+                };
+                self.send(instance, Event::Listed(vec![change]), now);
+            }
         }
     }
 
-    fn reach(&mut self, instance: usize, ticket: Ticket, target: usize, now: u64) {
+    fn reach(&mut self, instance: usize, ticket: Ticket, target: usize, sent: u64, now: u64) {
+        if self.plan.started(target, now).is_none() {
+            let back = now + self.path_ms();
+            return self.push(back, Due::Ends(instance, ticket, Kind::Refuses));
+        }
         let is_limited = self.plan.named(target, now).is_some();
         let told = self.members[instance].as_mut().and_then(|member| {
             if !is_limited {
@@ -435,7 +582,7 @@
             }
             member.told.get(&target).copied()
         });
-        self.reached.entry(target).or_default().push(Reached { at: now, told });
+        self.reached.entry(target).or_default().push(Reached { instance, sent, at: now, told });
         let kind = match self.rng.random_range(0..100) {
             0..4 => Kind::Fails,
             4..7 => Kind::Declines,
@@ -503,8 +650,37 @@
         }
     }
 
+    /// Compares what reached the cold targets with what they allow.
+    fn count_cold(&mut self) {
+        for &(ref down, target) in &self.plan.restarts {
+            let cold = down.end..(down.end + COLD_MS).min(self.plan.length);
+            let Some(reached) = self.reached.get(&target) else { continue };
+            let knows = |one: &Reached| {
+                self.plan.cold >= MARGIN_FROM
+                    || !self.plan.was_cut(one.instance, down.start..one.sent)
+            };
+            let is_cold = |one: &&Reached| cold.contains(&one.at) && knows(one);
+            let reached: Vec<_> = reached.iter().filter(is_cold).collect();
+            for last in &reached {
+                let second = last.at.saturating_sub(1_000) + 1..last.at + 1;
+                let is_counted =
+                    |one: &&&Reached| second.contains(&one.at) && second.contains(&one.sent);
+                let count = reached.iter().filter(is_counted).count();
+                let ratio = count as f64 / self.plan.cold;
+                if ratio > self.report.worst_cold.0 {
+                    let window = format!("m{target}: {count} in 1 s until {}", last.at);
+                    self.report.worst_cold = (ratio, window);
+                }
+            }
+            self.report.used_cold.0 += reached.len() as f64;
+            let seconds = cold.end.saturating_sub(cold.start) as f64 / 1_000.0;
+            self.report.used_cold.1 += seconds * self.plan.cold.floor();
+        }
+    }
+
     /// Compares what reached the targets with what their limits allow.
     fn count(&mut self) {
+        self.count_cold();
         for (&target, reached) in &self.reached {
             for named in self.plan.limits.iter().filter(|one| one.target == target) {
                 let during = &named.during;
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -179,6 +179,60 @@
     }
 }
 
+/// A search for a broken bound of cold targets: targets start again, one or all of an availability
+/// zone, while instances are cut off, suspended, killed and stopped.
+#[test]
+fn random_faults_do_not_break_the_bound_of_cold_targets() {
+    for seed in 0..60 {
+        let report = play(&Plan::random_cold(seed), seed);
+        assert!(report.worst_cold.0 <= 1.0, "seed {seed}: {}", report.worst_cold.1);
+    }
+}
+
+/// Returns a play in which all targets of an availability zone are down and start again.
+fn zone_start(instances: usize, cold: f64, requests: f64) -> Plan {
+    let restarts = (0..12).step_by(3).map(|target| (5_000..7_500, target)).collect();
+    Plan { instances, targets: 12, cold, requests, restarts, length: 11_000, ..Plan::default() }
+}
+
+/// Half of what is divided among the instances.
+const HALF: f64 = 0.4;
+
+/// Cold targets are used to half of what is divided among the instances at least, if there is demand.
+#[test]
+fn cold_targets_are_used_within_their_bound() {
+    struct Case {
+        instances: usize,
+        cold: f64,
+        requests: f64,
+    }
+    let cases = [
+        Case { instances: 1, cold: 30.5, requests: 400.0 },
+        Case { instances: 3, cold: 8.0, requests: 300.0 },
+        Case { instances: 11, cold: 1.0, requests: 300.0 },
+        Case { instances: 30, cold: 8.0, requests: 300.0 },
+        Case { instances: 88, cold: 30.5, requests: 400.0 },
+        Case { instances: 300, cold: 30.5, requests: 600.0 },
+    ];
+    for Case { instances, cold, requests } in cases {
+        let report = play(&zone_start(instances, cold, requests), 1);
+        let name = format!("{instances} instances, {cold} a second");
+        assert!(report.worst_cold.0 <= 1.0, "{name}: {}", report.worst_cold.1);
+        let used = report.used_cold.0 / report.used_cold.1;
+        assert!(used >= HALF, "{name}: {used} used");
+    }
+}
+
+/// While targets are cold, no more requests are refused than without a bound if others have room.
+#[test]
+fn cold_targets_cause_no_refusals_while_others_have_room() {
+    for instances in [1, 8, 30] {
+        let refused = |cold: f64| play(&zone_start(instances, cold, 60.0), 1).refused;
+        let (bounded, unbounded) = (refused(2.0), refused(0.0));
+        assert!(bounded <= unbounded + 2, "{instances}: {bounded}, {unbounded} without a bound");
+    }
+}
+
 /// Returns a gateway whose model engines have stated these limits, and have no turn at [`LIMITED`].
 fn limited(rates: &[f64]) -> Bench {
     let mut bench = bench(rates.len() as u32, 0);
--- a/crates/gateway/tests/all/partitions.rs
+++ b/crates/gateway/tests/all/partitions.rs
@@ -13,7 +13,7 @@
     Account, Arrival, AttemptOutcome, Event, Gateway, RouteTable, Routing, Step, Ticket, Tuning,
 };
 use sesamewind_protocol::relay::{RelayUpdate, StorePosition};
-use sesamewind_protocol::{Incarnation, InstanceId};
+use sesamewind_protocol::{Incarnation, InstanceId, ZoneId};
 
 use crate::support::{MODEL, account, at, identity, routing, target};
 
@@ -180,7 +180,9 @@
             let age = Duration::from_millis(now - self.saved.0);
             gateway.restore_usage(&self.saved.1, age, at(now));
             let peers: Vec<_> = (0..INSTANCES).filter(|peer| *peer != instance).map(name).collect();
-            gateway.expect_peers(&peers.iter().collect::<Vec<_>>(), at(now));
+            let zone = ZoneId::new("z1");
+            let peers: Vec<_> = peers.iter().map(|peer| (peer, &zone)).collect();
+            gateway.expect_peers(&peers, at(now));
         }
         self.gateways[instance] = Some(gateway);
     }
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -5,8 +5,8 @@
 use sesamewind_gateway::budget::RetryBudget;
 use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
 
-use sesamewind_protocol::InstanceId;
 use sesamewind_protocol::relay::StorePosition;
+use sesamewind_protocol::{InstanceId, ZoneId};
 
 use crate::support::{Bench, MODEL, PLAIN, at, bench, identity, routing, target};
 
@@ -239,7 +239,8 @@
     for case in cases {
         let mut parted = Parted::new(8, case.joined);
         if case.announced {
-            let names: Vec<&InstanceId> = parted.names.iter().collect();
+            let zone = ZoneId::new("z1");
+            let names: Vec<_> = parted.names.iter().map(|name| (name, &zone)).collect();
             for bench in &mut parted.benches {
                 bench.gateway.expect_peers(&names, at(0));
             }
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -80,8 +80,8 @@
             plain_route("read", Repeat::Whole),
         ],
         services: vec![
-            Service { name: ServiceId::new(MODEL), connections: 600, model: true },
-            Service { name: ServiceId::new(PLAIN), connections: 100, model: false },
+            Service { name: ServiceId::new(MODEL), connections: 600, model: true, cold: None },
+            Service { name: ServiceId::new(PLAIN), connections: 100, model: false, cold: None },
         ],
         accounts: vec![account("a")],
         limits: CallerLimits::default(),
@@ -99,6 +99,7 @@
         version: VersionId::new("v1"),
         slots,
         state: ListedState::Ready,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -295,6 +295,21 @@
     pub heard: Duration,
 }
 
+/// What an instance has observed of a target that is or may be cold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdEntry {
+    /// The target.
+    pub target: TargetId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// For how long it stays cold, as it has stated.
+    #[serde(default)]
+    pub left: Duration,
+    /// Time since it failed so that it may have started again.
+    #[serde(default)]
+    pub failed: Option<Duration>,
+}
+
 /// State of one instance, sent to its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayUpdate {
@@ -347,4 +362,7 @@
     /// Whether the instance stops, and uses no limit any more.
     #[serde(default)]
     pub stopping: bool,
+    /// Targets that are or may be cold.
+    #[serde(default)]
+    pub cold: Vec<ColdEntry>,
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -218,6 +218,9 @@
             journal::target_resting(self, dispatch, rest);
             self.driver.handle(Event::TargetResting(self.ticket, rest));
         }
+        if let Some(left) = notice.cold {
+            self.driver.handle(Event::TargetCold(self.ticket, left));
+        }
         match notice.limit {
             LimitNotice::Unstated => {}
             LimitNotice::Rate(rate) => {
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -181,6 +181,10 @@
         for change in self.with_gateway_mut(Gateway::take_limit_changes) {
             journal::limit_changed(&change);
         }
+        self.metrics.cold_targets(self.with_gateway(Gateway::cold_targets));
+        for change in self.with_gateway_mut(Gateway::take_cold_changes) {
+            journal::cold_changed(&change);
+        }
     }
 
     /// Returns an unused ticket for a new request.
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -332,6 +332,8 @@
             slack: bounds.quota_slack,
         },
         drain: bounds.drain,
+        cold_overage: bounds.cold_overage,
+        cold_slack: bounds.cold_slack,
         joined: !settings.first_start,
         ..Tuning::default()
     }
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -9,7 +9,8 @@
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::RolloutStatus;
 use sesamewind_gateway::{
-    AttemptOutcome, LimitChange, LimitSummary, NoRetry, PartChange, Refusal, RefusalReason,
+    AttemptOutcome, ColdChange, LimitChange, LimitSummary, NoRetry, PartChange, Refusal,
+    RefusalReason,
 };
 use sesamewind_protocol::PartId;
 
@@ -273,6 +274,20 @@
     }
 }
 
+/// Logs that a target's cold time has begun or ended.
+pub fn cold_changed(change: &ColdChange) {
+    let target = change.target.as_str();
+    if let Some(cause) = change.cause {
+        let (rate, share) = (change.rate, change.share);
+        log::info!(
+            event = "target_cold", target, cause = cause.as_str(), rate, share;
+            "target takes only so many requests a second for a while after its start"
+        );
+    } else {
+        log::info!(event = "cold_ended", target; "target is no longer cold");
+    }
+}
+
 /// Logs the evidence on a running rollout and the share that follows from it.
 pub fn rollout_progress(status: &RolloutStatus) {
     log::info!(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -50,6 +50,7 @@
     store_era: Gauge,
     held_parts: Gauge,
     limited_targets: Gauge,
+    cold_targets: Gauge,
     held_off: Counter,
     first_byte: RouteHistogram,
     waited: RouteHistogram,
@@ -80,6 +81,7 @@
             store_era: Gauge::default(),
             held_parts: Gauge::default(),
             limited_targets: Gauge::default(),
+            cold_targets: Gauge::default(),
             held_off: Counter::default(),
             first_byte: Family::new_with_constructor(histogram),
             waited: Family::new_with_constructor(histogram),
@@ -112,6 +114,11 @@
             "Targets that take only so many requests a second from all instances together",
             this.limited_targets.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that take few requests for a while after their start",
+            this.cold_targets.clone(),
+        );
         registry.register(
             "held_off",
             "Requests that waited or were refused since request limits left no turn",
@@ -162,6 +169,11 @@
         self.limited_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of cold targets.
+    pub fn cold_targets(&self, targets: usize) {
+        self.cold_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request for which the request limits of targets left no turn.
     pub fn held_off(&self) {
         self.held_off.inc();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -96,9 +96,9 @@
     /// Adds the instances that announced themselves in the store.
     pub fn add_announced(self: &Rc<Self>, announced: &[Announcement]) {
         let others = announced.iter().filter(|peer| peer.instance != self.me);
-        let names: Vec<&InstanceId> = others.map(|peer| &peer.instance).collect();
+        let others: Vec<_> = others.map(|peer| (&peer.instance, &peer.zone)).collect();
         let now = self.driver.now();
-        self.driver.with_gateway_mut(|gateway| gateway.expect_peers(&names, now));
+        self.driver.with_gateway_mut(|gateway| gateway.expect_peers(&others, now));
         for peer in announced {
             let known = KnownPeer { address: peer.address, zone: peer.zone.clone() };
             if self.discover(&peer.instance, &known) && peer.instance < self.me {
--- a/crates/relay/src/wire_format.rs
+++ b/crates/relay/src/wire_format.rs
@@ -108,6 +108,8 @@
     pub rest: Option<Duration>,
     /// Requests that the target takes from all instances together.
     pub limit: LimitNotice,
+    /// For how long the target stays cold.
+    pub cold: Option<Duration>,
 }
 
 /// Translates between HTTP heads and the values that this crate works with.
