--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -75,6 +75,12 @@
         self.zones.get(zone).filter(|known| !known.evacuated).map(|known| known.since)
     }
 
+    /// Returns the zones whose evacuation was taken back at `now`.
+    fn taken_back_at(&self, now: Time) -> Vec<ZoneId> {
+        let ended = self.zones.iter().filter(|(_, known)| !known.evacuated && known.since == now);
+        ended.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// Returns the evacuated zones.
     fn evacuated(&self) -> impl Iterator<Item = &ZoneId> {
         self.zones.iter().filter(|(_, known)| known.evacuated).map(|(zone, _)| zone)
@@ -176,6 +182,10 @@
                 self.evacuations.changes.push(ZoneChange::Evacuated { zone, running });
             }
         }
+        // Targets may have become cold while nothing was sent to them.
+        for zone in self.evacuations.taken_back_at(now) {
+            self.record_possibly_cold(&zone, now);
+        }
         self.prefer_targets();
         self.find_limited(now);
         self.dispatch_all_waiting(now);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::event::{Action, Event};
 use crate::groups::Members;
 use crate::limits::Limits;
+use crate::limits::cold::ColdListing;
 use crate::peers::Peers;
 use crate::quarantine::{PartChange, Quarantine, SavedPart};
 use crate::quota::{Quotas, SavedUsage};
@@ -71,8 +72,8 @@
     members: Members,
     pub(crate) stopping: bool,
     /// When the target list became readable again after the last outage.
-    list_restored: Option<Time>,
-    list_lost: bool,
+    pub(crate) list_restored: Option<Time>,
+    pub(crate) list_lost: bool,
     list_read: bool,
     /// Until when the instance reads what has arrived during its last stall.
     pub(crate) read_until: Time,
@@ -127,6 +128,7 @@
             Event::TargetLeaving(ticket) => self.target_leaving(ticket, now),
             Event::TargetResting(ticket, rest) => self.target_resting(ticket, rest, now),
             Event::TargetLimit(ticket, rate) => self.target_limit(ticket, rate, now),
+            Event::TargetCold(ticket, left) => self.target_cold(ticket, left, now),
             Event::Silent(ticket) => self.silent(ticket, now),
             Event::SilenceEnded(ticket) => self.silence_ended(ticket),
             Event::Slow(ticket, second) => self.slow(ticket, second, now),
@@ -192,8 +194,8 @@
     }
 
     /// Adds announced peers, including those from which no update has been received yet.
-    pub fn expect_peers(&mut self, peers: &[&InstanceId], now: Time) {
-        self.quotas.expect_peers(peers.iter().copied(), now);
+    pub fn expect_peers(&mut self, peers: &[(&InstanceId, &ZoneId)], now: Time) {
+        self.quotas.expect_peers(peers.iter().map(|(name, _)| *name), now);
         self.sharers.expect(peers.iter().copied(), now);
     }
 
@@ -332,6 +334,7 @@
         let usage = self.quotas.report(to, now);
         let parts = self.quarantine.reports(to, now);
         let limits = self.limit_entries(now);
+        let cold = self.cold_entries(now);
         self.sequence += 1;
         let loads = self.targets.iter().filter(|(_, target)| target.own_requests > 0);
         let loads = loads.map(|(_, target)| TargetLoad {
@@ -370,6 +373,7 @@
             stopping: self.stopping,
             config_position: StorePosition::default(),
             evacuations: self.evacuations.report(),
+            cold,
         }
     }
 
@@ -383,6 +387,7 @@
                 .entry(service.name.clone())
                 .or_insert_with(|| ServiceState::new(&self.tuning));
             state.model = service.model;
+            state.cold = service.cold;
             state.top_rank = table.top_rank(&service.name);
         }
         self.quotas.configure(table.accounts().iter().map(Arc::as_ref), now);
@@ -391,9 +396,11 @@
     }
 
     fn apply_changes(&mut self, changes: Vec<TargetChange>, now: Time) {
-        self.list_read = true;
+        let is_first = !std::mem::replace(&mut self.list_read, true);
         let suspect_until = self.suspect_until(now);
+        let mut listings = Vec::new();
         for change in changes {
+            listings.extend(ColdListing::of(&change));
             let Some(index) = self.targets.apply(change, suspect_until) else { continue };
             let service = self.targets.get(index).listed.service.clone();
             let state =
@@ -416,6 +423,9 @@
         self.mark_evacuated();
         self.prefer_targets();
         self.find_limited(now);
+        for listing in &listings {
+            self.record_listing(listing, is_first, now);
+        }
         self.dispatch_all_waiting(now);
         self.refuse_barred(now);
     }
@@ -494,6 +504,7 @@
         }
         self.update_shares(now);
         self.apply_limits(&update.limits, &update.from, now);
+        self.apply_cold(&update.cold, now);
         if self.peers.take_change() {
             self.regroup();
         }
@@ -520,6 +531,7 @@
         self.quarantine.expire(|name| self.peers.is_known(name), now);
         self.confirm_breaks(now);
         self.update_shares(now);
+        self.expire_cold(now);
         if self.peers.take_change() {
             self.regroup();
         }
@@ -533,6 +545,7 @@
         self.sharers.postpone(length, now);
         self.read_until = now + STALL_READ_TIME;
         self.last_stall = (now, length);
+        self.record_stall(length, now);
     }
 
     /// Returns the time that a target took from `from`, for an answer or a part of it that is read at
--- a/crates/gateway/src/tuning.rs
+++ b/crates/gateway/src/tuning.rs
@@ -23,6 +23,12 @@
     pub drain: Duration,
     /// Second attempts of slow requests for each first attempt, at most; zero for none.
     pub hedge_share: f64,
+    /// Factor over the requests a second that a cold target takes which all instances together may
+    /// send it, from the deployment's bounds.
+    pub cold_overage: f64,
+    /// Requests in one second to a cold target in addition to `cold_overage`, from the deployment's
+    /// bounds.
+    pub cold_slack: f64,
     /// Time after a list outage in which a target's removal from the list is not yet trusted.
     pub removal_grace: Duration,
 }
@@ -37,6 +43,8 @@
             joined: false,
             drain: Duration::from_secs(2),
             hedge_share: 0.0,
+            cold_overage: 1.0,
+            cold_slack: 0.0,
             removal_grace: Duration::from_millis(2_200),
         }
     }
--- a/crates/protocol/examples/update_size.rs
+++ b/crates/protocol/examples/update_size.rs
@@ -86,6 +86,7 @@
         stopping: false,
         config_position: StorePosition { era: 1, version: 390 },
         evacuations: ZoneReport::default(),
+        cold: Vec::new(),
     }
 }
 
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -316,6 +316,21 @@
     pub zones: Vec<ZoneEntry>,
 }
 
+/// What an instance has observed of a target that is or may be cold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdEntry {
+    /// The target.
+    pub target: TargetId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// For how long it stays cold, as it has stated.
+    #[serde(default)]
+    pub left: Duration,
+    /// Time since it failed so that it may have started again.
+    #[serde(default)]
+    pub failed: Option<Duration>,
+}
+
 /// State of one instance, sent to its peers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayUpdate {
@@ -374,4 +389,7 @@
     /// Evacuated availability zones.
     #[serde(default)]
     pub evacuations: ZoneReport,
+    /// Targets that are or may be cold.
+    #[serde(default)]
+    pub cold: Vec<ColdEntry>,
 }
--- a/crates/protocol/tests/builds.rs
+++ b/crates/protocol/tests/builds.rs
@@ -245,6 +245,7 @@
         stopping: false,
         config_position: StorePosition { era: 2, version: 390 },
         evacuations: Default::default(),
+        cold: Vec::new(),
     }
 }
 
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -181,6 +181,10 @@
         for change in self.with_gateway_mut(Gateway::take_limit_changes) {
             journal::limit_changed(&change);
         }
+        self.metrics.cold_targets(self.with_gateway(Gateway::cold_targets));
+        for change in self.with_gateway_mut(Gateway::take_cold_changes) {
+            journal::cold_changed(&change);
+        }
     }
 
     /// Logs the changes of evacuated availability zones, and counts the requests at their targets.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -57,6 +57,7 @@
     store_era: Gauge,
     held_parts: Gauge,
     limited_targets: Gauge,
+    cold_targets: Gauge,
     held_off: Counter,
     evacuated_zones: Family<ZoneLabels, Gauge>,
     evacuated_requests: Family<ZoneLabels, Gauge>,
@@ -90,6 +91,7 @@
             store_era: Gauge::default(),
             held_parts: Gauge::default(),
             limited_targets: Gauge::default(),
+            cold_targets: Gauge::default(),
             held_off: Counter::default(),
             evacuated_zones: Family::default(),
             evacuated_requests: Family::default(),
@@ -129,6 +131,11 @@
             "Targets that take only so many requests a second from all instances together",
             this.limited_targets.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that take few requests for a while after their start",
+            this.cold_targets.clone(),
+        );
         registry.register(
             "held_off",
             "Requests that waited or were refused since request limits left no turn",
@@ -194,6 +201,11 @@
         self.limited_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of cold targets.
+    pub fn cold_targets(&self, targets: usize) {
+        self.cold_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
     /// Counts a request for which the request limits of targets left no turn.
     pub fn held_off(&self) {
         self.held_off.inc();
