Keep requests of routes and accounts within the regions that these allow

Cause: allowedRegions of routes and accounts were ignored, so that any target of the service could get their requests. Change: each attempt, repeat, resume and move goes to a zone whose region the route and the account allow, as far as they name any; Homes::allows decides it for one zone. Targets elsewhere no longer hide that all at home are failing. Without a usable target at home, requests are refused at once (no_home). Without [regions] nothing changes.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -190,21 +190,26 @@
     }
 
     /// Returns why no listed target of a service may take the request of `arrival`; `None` if one
-    /// may, or if the service has no targets.
+    /// may, or if the service has no targets at all.
     pub(crate) fn barrier(
         &self,
         service: &ServiceId,
-        _arrival: &Arrival,
+        arrival: &Arrival,
         now: Time,
     ) -> Option<RefusalReason> {
+        let homes = self.homes(arrival);
         let mut barrier = None;
         for &index in &self.services.get(service)?.targets {
             let target = self.targets.get(index);
-            if target.is_usable(now) {
-                return None;
+            let is_usable = target.is_usable(now);
+            let is_evacuated = target.evacuated && target.is_listed();
+            if !is_usable && !is_evacuated {
+                continue;
             }
-            if target.evacuated && target.is_listed() {
-                barrier = Some(RefusalReason::Evacuated);
+            match (homes.allows(&target.listed.zone), is_usable) {
+                (true, true) => return None,
+                (true, false) => barrier = Some(RefusalReason::Evacuated),
+                (false, _) => barrier = barrier.or(Some(RefusalReason::NoHome)),
             }
         }
         barrier
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -8,6 +8,7 @@
 use crate::arrival::{Arrival, Ticket};
 use crate::event::{Action, AttemptOutcome, Dispatch, Failure, NoRetry, Step};
 use crate::gateway::Gateway;
+use crate::homes::Homes;
 use crate::proof::{NotRunProof, Refusal, RefusalReason};
 use crate::request::{Attempt, History, Request, State};
 use crate::rollouts::AllowedVersions;
@@ -481,6 +482,7 @@
             strict_pause: latency_limit.is_some() && now.since(request.arrived) < pause_wait,
             candidates,
             versions: &versions,
+            homes: Homes::of(&request.arrival, &self.tuning.regions),
         };
         let margin = self.margin();
         let context = SelectionContext {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! their usage, [`budget`] the retry budget, [`queue`] the waiting requests, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
-//! of instances, `evacuation` the availability zones that operators have evacuated, `limits` the request limits that targets state, `quarantine` the prompt parts that end
+//! of instances, `evacuation` the availability zones that operators have evacuated, [`homes`] the regions that requests are bound to, `limits` the request limits that targets state, `quarantine` the prompt parts that end
 //! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
 //! report.
 
@@ -20,6 +20,7 @@
 mod flow;
 pub mod gateway;
 mod groups;
+pub mod homes;
 mod limits;
 mod meter;
 mod notices;
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -31,6 +31,8 @@
     Limited,
     /// Operators have evacuated the availability zones of all targets.
     Evacuated,
+    /// No target in the regions of the route and the account is usable.
+    NoHome,
 }
 
 impl RefusalReason {
@@ -47,6 +49,7 @@
             Self::Quarantined => "quarantined",
             Self::Limited => "limited",
             Self::Evacuated => "evacuated",
+            Self::NoHome => "no_home",
         }
     }
 }
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::Identity;
 use crate::groups::{self, MemberPosition};
+use crate::homes::Homes;
 use crate::rollouts::AllowedVersions;
 use crate::targets::{Index, Target, Targets};
 
@@ -95,6 +96,8 @@
     pub candidates: Candidates,
     /// Versions that may take the request.
     pub versions: &'a AllowedVersions,
+    /// Regions that may have the request.
+    pub homes: Homes<'a>,
 }
 
 /// Targets that may be selected despite recent failures.
@@ -218,6 +221,7 @@
         let (mut all_backing_off, mut any_suitable) = (true, false);
         let (mut sum, mut count) = (0.0, 0.0);
         let all = candidates.iter().map(|&index| targets.get(index));
+        let all = all.filter(|target| request.homes.allows(&target.listed.zone));
         for target in all.filter(|target| target.is_willing(now) && !target.is_backing_off(now)) {
             all_backing_off = false;
             any_suitable |= !exceeds_pause_limit(request, target);
@@ -248,6 +252,7 @@
     ) -> bool {
         target.is_willing(context.now)
             && request.versions.allows(&target.listed.version)
+            && request.homes.allows(&target.listed.zone)
             && self.is_candidate(target, request.candidates, context.now)
             && !(self.strict_pause && exceeds_pause_limit(request, target))
             && f64::from(target.load()) < context.capacity(target, request)
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamewind_protocol::{AccountId, Revision, RouteId, ServiceId};
+use sesamewind_protocol::{AccountId, RegionId, Revision, RouteId, ServiceId};
 
 /// What may be repeated after a target has started to run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +53,8 @@
     pub attempts: u32,
     /// Whether requests are accepted without a key.
     pub public: bool,
+    /// Regions that may have its requests; empty if any may.
+    pub homes: Vec<RegionId>,
 }
 
 impl Route {
@@ -112,6 +114,8 @@
     pub rate: f64,
     /// Units that may be used at once after a period without usage.
     pub burst: f64,
+    /// Regions that may have its requests; empty if any may.
+    pub homes: Vec<RegionId>,
 }
 
 /// Limits on what a caller may send.
--- a/crates/gateway/src/tuning.rs
+++ b/crates/gateway/src/tuning.rs
@@ -1,7 +1,10 @@
 //! Limits and weights of the gateway's decisions.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sesamewind_protocol::{RegionId, ZoneId};
+
 use crate::quota::QuotaBounds;
 
 /// Limits and weights of the decisions of one instance.
@@ -23,6 +26,8 @@
     pub drain: Duration,
     /// Time after a list outage in which a target's removal from the list is not yet trusted.
     pub removal_grace: Duration,
+    /// Region of each availability zone; empty if the deployment has no regions.
+    pub regions: BTreeMap<ZoneId, RegionId>,
 }
 
 impl Default for Tuning {
@@ -35,6 +40,7 @@
             joined: false,
             drain: Duration::from_secs(2),
             removal_grace: Duration::from_millis(2_200),
+            regions: BTreeMap::new(),
         }
     }
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod evacuation_fleet;
 mod groups;
 mod health;
+mod homes;
 mod limit_fleet;
 mod limits;
 mod load;
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -42,6 +42,7 @@
         split: vec![Branch { service: ServiceId::new(MODEL), weight: 1.0 }],
         attempts: if repeat == Repeat::Never { 1 } else { 2 },
         public: false,
+        homes: Vec::new(),
     }
 }
 
@@ -65,6 +66,7 @@
         unit: Unit::Tokens { default: 200 },
         rate: 0.0,
         burst: 0.0,
+        homes: Vec::new(),
     }
 }
 
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -334,6 +334,7 @@
         },
         drain: bounds.drain,
         joined: !settings.first_start,
+        regions: settings.regions.clone(),
         ..Tuning::default()
     }
 }
