Report each evacuated zone once, also if two are evacuated in one moment

Cause: the log line of a zone was written again if another zone's order was read within the same millisecond. Change: the change is recorded where the order is applied, and its requests are counted when it is reported. Test: evacuation::changes_are_reported_once evacuates two zones in one moment; not run on the code before.

--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -52,6 +52,13 @@
     },
 }
 
+impl ZoneChange {
+    /// Returns the evacuation of `zone`, whose requests are counted when it is reported.
+    fn evacuated(zone: &ZoneId) -> Self {
+        Self::Evacuated { zone: zone.clone(), running: 0 }
+    }
+}
+
 /// Evacuated availability zones as known to this instance.
 #[derive(Debug, Default)]
 pub(crate) struct Evacuations {
@@ -75,11 +82,6 @@
         self.zones.get(zone).filter(|known| !known.evacuated).map(|known| known.since)
     }
 
-    /// Returns the evacuated zones.
-    fn evacuated(&self) -> impl Iterator<Item = &ZoneId> {
-        self.zones.iter().filter(|(_, known)| known.evacuated).map(|(zone, _)| zone)
-    }
-
     /// Returns what is known here, for peers.
     pub(crate) fn report(&self) -> ZoneReport {
         let zones = self.zones.iter().map(|(zone, known)| ZoneEntry {
@@ -134,6 +136,9 @@
             let zone =
                 Zone { evacuated: entry.evacuated, position, since: now, busy: entry.evacuated };
             self.zones.insert(entry.zone.clone(), zone);
+            if entry.evacuated {
+                self.changes.push(ZoneChange::evacuated(&entry.zone));
+            }
             return entry.evacuated;
         };
         if position <= known.position {
@@ -145,9 +150,11 @@
         }
         let lasted = now.since(std::mem::replace(&mut known.since, now));
         (known.evacuated, known.busy) = (entry.evacuated, entry.evacuated);
-        if !entry.evacuated {
-            self.changes.push(ZoneChange::TakenBack { zone: entry.zone.clone(), lasted });
-        }
+        self.changes.push(if entry.evacuated {
+            ZoneChange::evacuated(&entry.zone)
+        } else {
+            ZoneChange::TakenBack { zone: entry.zone.clone(), lasted }
+        });
         true
     }
 }
@@ -169,13 +176,6 @@
 
     fn zones_changed(&mut self, now: Time) {
         self.mark_evacuated();
-        for zone in self.evacuations.evacuated().cloned().collect::<Vec<_>>() {
-            let running = self.targets.requests_in(&zone);
-            let known = self.evacuations.zones.get(&zone);
-            if known.is_some_and(|known| known.since == now) {
-                self.evacuations.changes.push(ZoneChange::Evacuated { zone, running });
-            }
-        }
         self.prefer_targets();
         self.find_limited(now);
         self.dispatch_all_waiting(now);
@@ -240,6 +240,11 @@
     pub fn take_zone_changes(&mut self, now: Time) -> Vec<ZoneChange> {
         let (targets, evacuations) = (&self.targets, &mut self.evacuations);
         let mut changes = std::mem::take(&mut evacuations.changes);
+        for change in &mut changes {
+            if let ZoneChange::Evacuated { zone, running } = change {
+                *running = targets.requests_in(zone);
+            }
+        }
         for (zone, known) in evacuations.zones.iter_mut().filter(|(_, known)| known.busy) {
             if targets.requests_in(zone) == 0 {
                 known.busy = false;
--- a/crates/gateway/tests/all/evacuation.rs
+++ b/crates/gateway/tests/all/evacuation.rs
@@ -317,8 +317,11 @@
 #[test]
 fn changes_are_reported_once() {
     let mut bench = three_zones(8);
-    bench.send(order(3, &["z2", "z3"]), at(0));
-    bench.gateway.take_zone_changes(at(0));
+    bench.send(order(3, &["z2"]), at(0));
+    bench.send(order(3, &["z3"]), at(0));
+    let evacuated = bench.gateway.take_zone_changes(at(0));
+    let evacuated = evacuated.iter().filter(|one| matches!(one, ZoneChange::Evacuated { .. }));
+    assert_eq!(evacuated.count(), 2, "in the same moment");
     let ticket = bench.arrive("urgent", 100, at(10));
     let zone = ZoneId::new("z1");
     bench.send(order(5, &["z1"]), at(20));
