--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -52,6 +52,13 @@
     },
 }
 
+impl ZoneChange {
+    /// Returns the evacuation of `zone`, whose requests are counted when it is reported.
+    fn evacuated(zone: &ZoneId) -> Self {
+        Self::Evacuated { zone: zone.clone(), running: 0 }
+    }
+}
+
 /// Evacuated availability zones as known to this instance.
 #[derive(Debug, Default)]
 pub(crate) struct Evacuations {
@@ -81,11 +88,6 @@
         ended.map(|(zone, _)| zone.clone()).collect()
     }
 
-    /// Returns the evacuated zones.
-    fn evacuated(&self) -> impl Iterator<Item = &ZoneId> {
-        self.zones.iter().filter(|(_, known)| known.evacuated).map(|(zone, _)| zone)
-    }
-
     /// Returns what is known here, for peers.
     pub(crate) fn report(&self) -> ZoneReport {
         let zones = self.zones.iter().map(|(zone, known)| ZoneEntry {
@@ -140,6 +142,9 @@
             let zone =
                 Zone { evacuated: entry.evacuated, position, since: now, busy: entry.evacuated };
             self.zones.insert(entry.zone.clone(), zone);
+            if entry.evacuated {
+                self.changes.push(ZoneChange::evacuated(&entry.zone));
+            }
             return entry.evacuated;
         };
         if position <= known.position {
@@ -151,9 +156,11 @@
         }
         let lasted = now.since(std::mem::replace(&mut known.since, now));
         (known.evacuated, known.busy) = (entry.evacuated, entry.evacuated);
-        if !entry.evacuated {
-            self.changes.push(ZoneChange::TakenBack { zone: entry.zone.clone(), lasted });
-        }
+        self.changes.push(if entry.evacuated {
+            ZoneChange::evacuated(&entry.zone)
+        } else {
+            ZoneChange::TakenBack { zone: entry.zone.clone(), lasted }
+        });
         true
     }
 }
@@ -175,13 +182,6 @@
 
     fn zones_changed(&mut self, now: Time) {
         self.mark_evacuated();
-        for zone in self.evacuations.evacuated().cloned().collect::<Vec<_>>() {
-            let running = self.targets.requests_in(&zone);
-            let known = self.evacuations.zones.get(&zone);
-            if known.is_some_and(|known| known.since == now) {
-                self.evacuations.changes.push(ZoneChange::Evacuated { zone, running });
-            }
-        }
         // Targets may have become cold while nothing was sent to them.
         for zone in self.evacuations.taken_back_at(now) {
             self.record_possibly_cold(&zone, now);
@@ -200,21 +200,26 @@
     }
 
     /// Returns why no listed target of a service may take the request of `arrival`; `None` if one
-    /// may, or if the service has no targets.
+    /// may, or if the service has no targets at all.
     pub(crate) fn barrier(
         &self,
         service: &ServiceId,
-        _arrival: &Arrival,
+        arrival: &Arrival,
         now: Time,
     ) -> Option<RefusalReason> {
+        let homes = self.homes(arrival);
         let mut barrier = None;
         for &index in &self.services.get(service)?.targets {
             let target = self.targets.get(index);
-            if target.is_usable(now) {
-                return None;
+            let is_usable = target.is_usable(now);
+            let is_evacuated = target.evacuated && target.is_listed();
+            if !is_usable && !is_evacuated {
+                continue;
             }
-            if target.evacuated && target.is_listed() {
-                barrier = Some(RefusalReason::Evacuated);
+            match (homes.allows(&target.listed.zone), is_usable) {
+                (true, true) => return None,
+                (true, false) => barrier = Some(RefusalReason::Evacuated),
+                (false, _) => barrier = barrier.or(Some(RefusalReason::NoHome)),
             }
         }
         barrier
@@ -245,6 +250,11 @@
     pub fn take_zone_changes(&mut self, now: Time) -> Vec<ZoneChange> {
         let (targets, evacuations) = (&self.targets, &mut self.evacuations);
         let mut changes = std::mem::take(&mut evacuations.changes);
+        for change in &mut changes {
+            if let ZoneChange::Evacuated { zone, running } = change {
+                *running = targets.requests_in(zone);
+            }
+        }
         for (zone, known) in evacuations.zones.iter_mut().filter(|(_, known)| known.busy) {
             if targets.requests_in(zone) == 0 {
                 known.busy = false;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,8 +10,8 @@
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
 //! of instances, `hedging` the second attempts of slow requests, `evacuation` the availability zones
-//! that operators have evacuated, `limits` the request limits that targets state, `quarantine` the
-//! prompt parts that end
+//! that operators have evacuated, [`homes`] the regions that requests are bound to, `limits` the
+//! request limits that targets state and what cold ones take, `quarantine` the prompt parts that end
 //! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
 //! report.
 
@@ -23,6 +23,7 @@
 pub mod gateway;
 mod groups;
 mod hedging;
+pub mod homes;
 mod limits;
 mod meter;
 mod notices;
--- a/crates/gateway/src/tuning.rs
+++ b/crates/gateway/src/tuning.rs
@@ -1,7 +1,10 @@
 //! Limits and weights of the gateway's decisions.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sesamewind_protocol::{RegionId, ZoneId};
+
 use crate::quota::QuotaBounds;
 
 /// Limits and weights of the decisions of one instance.
@@ -31,6 +34,8 @@
     pub cold_slack: f64,
     /// Time after a list outage in which a target's removal from the list is not yet trusted.
     pub removal_grace: Duration,
+    /// Region of each availability zone; empty if the deployment has no regions.
+    pub regions: BTreeMap<ZoneId, RegionId>,
 }
 
 impl Default for Tuning {
@@ -46,6 +51,7 @@
             cold_overage: 1.0,
             cold_slack: 0.0,
             removal_grace: Duration::from_millis(2_200),
+            regions: BTreeMap::new(),
         }
     }
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod groups;
 mod health;
 mod hedging;
+mod homes;
 mod limit_fleet;
 mod limits;
 mod load;
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -337,6 +337,7 @@
         cold_slack: bounds.cold_slack,
         joined: !settings.first_start,
         hedge_share: settings.hedge_share,
+        regions: settings.regions.clone(),
         ..Tuning::default()
     }
 }
