--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::peers::Peers;
 use crate::quarantine::{PartChange, Quarantine, SavedPart};
 use crate::quota::{Quotas, SavedUsage};
+use crate::reach::Reach;
 use crate::request::{Request, State};
 use crate::rollouts::{RolledBack, RolloutOrder, RolloutRecord, RolloutStatus, Rollouts};
 use crate::selection;
@@ -68,6 +69,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
     pub(crate) evacuations: Evacuations,
+    pub(crate) reach: Reach,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -103,6 +105,7 @@
             quarantine: Quarantine::default(),
             limits: Limits::default(),
             evacuations: Evacuations::default(),
+            reach: Reach::new(seed),
             members: Members::default(),
             stopping: false,
             list_restored: None,
@@ -121,7 +124,8 @@
     pub fn handle(&mut self, event: Event<'_>, now: Time) -> Vec<Action> {
         self.sharers.record_start(now);
         match event {
-            Event::Arrive(arrival) => self.arrive(arrival, now),
+            Event::Arrive(arrival) => self.arrive(arrival, false, now),
+            Event::ArrivePassed(arrival) => self.arrive(arrival, true, now),
             Event::Started(ticket) => self.started(ticket, now),
             Event::Streamed(ticket, events, pause) => self.streamed(ticket, events, pause),
             Event::Paced(ticket, pace) => self.paced(ticket, pace, now),
@@ -130,10 +134,13 @@
             Event::TargetLimit(ticket, rate) => self.target_limit(ticket, rate, now),
             Event::TargetCold(ticket, left) => self.target_cold(ticket, left, now),
             Event::Silent(ticket) => self.silent(ticket, now),
-            Event::SilenceEnded(ticket) => self.silence_ended(ticket),
+            Event::SilenceEnded(ticket) => self.silence_ended(ticket, now),
             Event::Slow(ticket, second) => self.slow(ticket, second, now),
             Event::Superseded(ticket, outcome) => self.superseded(ticket, outcome, now),
             Event::Ended(ticket, outcome) => self.ended(ticket, outcome, now),
+            Event::PassEnded(ticket, outcome) => self.pass_ended(ticket, outcome, now),
+            Event::ConnectionBroke(ticket) => self.connection_broke(ticket, now),
+            Event::Probed(target, answered) => self.probed(target, answered, now),
             Event::CallerLeft(ticket) => self.caller_left(ticket, now),
             Event::Configured(table) => self.configure(table, now),
             Event::Listed(changes) => self.apply_changes(changes, now),
@@ -336,7 +343,10 @@
         let limits = self.limit_entries(now);
         let cold = self.cold_entries(now);
         self.sequence += 1;
-        let loads = self.targets.iter().filter(|(_, target)| target.own_requests > 0);
+        // Requests of an instance that is cut off don't reach their targets.
+        let is_cut_off = self.is_cut_off();
+        let loads =
+            self.targets.iter().filter(|(_, target)| target.own_requests > 0 && !is_cut_off);
         let loads = loads.map(|(_, target)| TargetLoad {
             target: target.listed.id.clone(),
             requests: target.own_requests,
@@ -374,6 +384,7 @@
             config_position: StorePosition::default(),
             evacuations: self.evacuations.report(),
             cold,
+            reach: Some(self.reach.report(now)),
         }
     }
 
@@ -502,6 +513,7 @@
         } else {
             self.sharers.record_update(&update.from, &update.zone, now);
         }
+        self.reach.apply_update(update, &self.targets, now);
         self.update_shares(now);
         self.apply_limits(&update.limits, &update.from, now);
         self.apply_cold(&update.cold, now);
@@ -535,6 +547,7 @@
         if self.peers.take_change() {
             self.regroup();
         }
+        self.update_reach(now);
         self.dispatch_all_waiting(now);
         self.expire_waiting(now);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
 //! of instances, `hedging` the second attempts of slow requests, `evacuation` the availability zones
-//! that operators have evacuated, [`homes`] the regions that requests are bound to, `limits` the
+//! that operators have evacuated, [`homes`] the regions that requests are bound to, `reach` whether
+//! this instance reaches targets and `passing` what it passes on to peers if not, `limits` the
 //! request limits that targets state and what cold ones take, `quarantine` the prompt parts that end
 //! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
 //! report.
@@ -27,12 +28,14 @@
 mod limits;
 mod meter;
 mod notices;
+mod passing;
 pub mod peers;
 pub mod proof;
 mod quarantine;
 pub mod queue;
 pub mod quota;
 mod rate;
+mod reach;
 mod reports;
 mod request;
 pub mod rollouts;
@@ -47,12 +50,15 @@
 
 pub use arrival::{Arrival, Ticket};
 pub use evacuation::ZoneChange;
-pub use event::{Action, AttemptOutcome, Event, Failure, NoRetry, Step};
+pub use event::{
+    Action, AttemptOutcome, Event, Failure, NoRetry, PassOn, PassOutcome, Probe, Step,
+};
 pub use gateway::Gateway;
 pub use hedging::{Hedge, HedgeObstacle};
 pub use limits::{ColdCause, ColdChange, LimitChange, LimitSummary};
 pub use proof::{Refusal, RefusalReason};
 pub use quarantine::{PartChange, SavedPart};
+pub use reach::ReachChange;
 pub use table::{Account, ColdStart, Repeat, Route, RouteTable, Routing, Service};
 pub use targets::{ListedState, ListedTarget};
 pub use tuning::Tuning;
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -33,6 +33,8 @@
     Evacuated,
     /// No target in the regions of the route and the account is usable.
     NoHome,
+    /// A peer has passed the request on, and this instance takes no such request now.
+    NotTaken,
 }
 
 impl RefusalReason {
@@ -50,6 +52,7 @@
             Self::Limited => "limited",
             Self::Evacuated => "evacuated",
             Self::NoHome => "no_home",
+            Self::NotTaken => "not_taken",
         }
     }
 }
@@ -89,3 +92,16 @@
         Self::new(NotRunProof::at_arrival(), reason, retry_after)
     }
 }
+
+/// A peer's refusal of a request that has not run at this instance either.
+#[derive(Debug)]
+pub struct PassedRefusal {
+    _proof: NotRunProof,
+}
+
+impl PassedRefusal {
+    /// Creates the refusal of the request that `proof` belongs to.
+    pub(crate) fn new(proof: NotRunProof) -> Self {
+        Self { _proof: proof }
+    }
+}
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -32,6 +32,7 @@
         stopping: false,
         config_position: StorePosition::default(),
         evacuations: Default::default(),
+        reach: None,
     }
 }
 
