Leave the slots of busy engines to requests that can be in time

Cause: callers that were refused return seconds after their first attempt, from which their objective counts, and took slots from requests that could still be in time; those were refused and returned in turn. At the end of its wait, a request went to any free slot, also the reserved ones, and mostly came too late. Change: a shorter stated time than usual for the route tells how long a caller has waited. Requests for model engines that can't meet their objective and were not sent yet leave three of ten slots free, wait for a quarter of the time left, and are counted apart in the queue.

--- /dev/null
+++ b/crates/gateway/src/admission.rs
@@ -0,0 +1,69 @@
+//! How long callers have waited before their request arrived here, and how long they may still wait.
+//!
+//! A caller that was refused returns to any instance and states a shorter time than at first. Its
+//! objective counts from its first attempt, so that by then it is mostly missed, while a request
+//! that has just been made can still meet its own. While there is too little room, a slot that goes
+//! to a late request makes a request late that was not, whose caller returns later in turn, and the
+//! shortage outlasts its cause. Late requests therefore get the slots that others leave free.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewind_protocol::{RouteId, Time};
+
+/// Time for which the longest stated time of a route is remembered, at least.
+const SPAN: Duration = Duration::from_secs(10);
+
+/// Difference between stated times that says nothing about an earlier attempt, such as the time for
+/// reading a request.
+const TOLERANCE: Duration = Duration::from_millis(50);
+
+/// Fraction of the time left to a late request for which it may wait for a slot. A caller that is
+/// refused once more may not return.
+const LATE_WAIT_FRACTION: f64 = 0.25;
+
+/// Longest time that callers of one route have lately stated: during the present span and the one
+/// before.
+#[derive(Debug, Clone, Copy)]
+struct Longest {
+    start: Time,
+    present: Duration,
+    before: Duration,
+}
+
+/// Times that callers of each route state for their requests.
+#[derive(Debug, Default)]
+pub(crate) struct StatedTimes {
+    routes: HashMap<RouteId, Longest>,
+}
+
+impl StatedTimes {
+    /// Records that a caller will wait for another `left`, and returns for how long it has probably
+    /// waited since its first attempt: callers of a route that have not waited yet state the same
+    /// time, of which a route's timeout leaves no more than `timeout`.
+    pub(crate) fn elapsed(
+        &mut self,
+        route: &RouteId,
+        left: Duration,
+        timeout: Duration,
+        now: Time,
+    ) -> Duration {
+        if !self.routes.contains_key(route) {
+            let first = Longest { start: now, present: left, before: Duration::ZERO };
+            self.routes.insert(route.clone(), first);
+        }
+        let Some(longest) = self.routes.get_mut(route) else { return Duration::ZERO };
+        if now.since(longest.start) >= SPAN {
+            *longest = Longest { start: now, present: left, before: longest.present };
+        }
+        longest.present = longest.present.max(left);
+        let usual = longest.present.max(longest.before).min(timeout);
+        let elapsed = usual.saturating_sub(left);
+        if elapsed < TOLERANCE { Duration::ZERO } else { elapsed }
+    }
+}
+
+/// Returns until when a late request may wait for a slot.
+pub(crate) fn late_wait_end(deadline: Time, now: Time) -> Time {
+    now + deadline.since(now).mul_f64(LATE_WAIT_FRACTION)
+}
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use sesamewind_protocol::{ServiceId, Time};
 
+use crate::admission;
 use crate::arrival::{Arrival, Ticket};
 use crate::event::{Action, AttemptOutcome, Dispatch, Failure, NoRetry, Step};
 use crate::gateway::Gateway;
@@ -73,13 +74,25 @@
         let state =
             self.services.entry(service.clone()).or_insert_with(|| ServiceState::new(&self.tuning));
         state.budget.record_first(now);
-        let until =
-            (now + arrival.route.objective.mul_f64(MAX_WAIT_FRACTION)).min(arrival.deadline);
-        let position = state.queue.push(ticket, arrival.rank(), now, until);
+        let route = &arrival.route;
+        let left = arrival.deadline.since(now);
+        let since = now - self.stated.elapsed(&route.name, left, route.timeout, now);
+        let latest = since + route.objective.mul_f64(MAX_WAIT_FRACTION);
+        let late = state.model && latest <= now;
+        let (position, wait) = if late {
+            let until = admission::late_wait_end(arrival.deadline, now);
+            (state.queue.push_late(ticket, arrival.rank(), now, until), until.since(now))
+        } else {
+            let until = latest.min(arrival.deadline);
+            let wait = route.objective.mul_f64(QUEUE_WAIT_FRACTION);
+            (state.queue.push(ticket, arrival.rank(), now, until), wait)
+        };
         let request = Request {
             arrival,
             service: service.clone(),
             arrived: now,
+            since,
+            late,
             sends: 0,
             runs: 0,
             started: false,
@@ -91,7 +104,6 @@
             cost,
             state: State::Waiting { position, history: History::NotRun(proof) },
         };
-        let wait = request.arrival.route.objective.mul_f64(QUEUE_WAIT_FRACTION);
         let rank = request.arrival.route.rank;
         self.requests.insert(ticket, request);
         self.dispatch_waiting(&service, now);
@@ -99,28 +111,31 @@
         if self.requests.get(&ticket).is_some_and(waits)
             && let Some(state) = self.services.get_mut(&service)
         {
-            state.record_shortage(rank, now);
+            if !late {
+                state.record_shortage(rank, now);
+            }
             self.note_held_off(ticket, now);
         }
-        self.shorten_queue(&service, wait, now);
+        self.shorten_queue(&service, late, wait, now);
         self.refuse_during_pause(&service, now);
     }
 
-    /// Refuses the last requests of a queue that is too long for them to meet their objective, so
-    /// that their callers are refused immediately instead of later.
-    fn shorten_queue(&mut self, service: &ServiceId, wait: Duration, now: Time) {
+    /// Refuses the last requests of a queue that is too long for them to leave it within `wait`, so
+    /// that their callers are refused immediately instead of later. Late requests, which leave the
+    /// others their slots, count separately.
+    fn shorten_queue(&mut self, service: &ServiceId, late: bool, wait: Duration, now: Time) {
         // With limits, the turns to come are known; see `refuse_during_pause`.
         if now < self.read_until || self.is_limited(service, now) {
             return;
         }
         loop {
             let Some(state) = self.services.get_mut(service) else { return };
-            if state.queue.len() <= state.queue_limit(wait, now) {
+            if state.queue.tickets_by(late).count() <= state.queue_limit(wait, now) {
                 return;
             }
             let requests = &self.requests;
             let is_held = |ticket: &Ticket| requests.get(ticket).is_some_and(|one| one.held);
-            let last = state.queue.tickets().rev().find(|ticket| !is_held(ticket));
+            let last = state.queue.tickets_by(late).rev().find(|ticket| !is_held(ticket));
             let Some(ticket) = last else { return };
             let Some(request) = self.requests.remove(&ticket) else { return };
             self.abandon(ticket, request, now);
@@ -459,9 +474,12 @@
     ) -> Option<Index> {
         let service = self.services.get(&request.service)?;
         let versions = self.rollouts.allowed_versions(&request.service, request.arrival.point);
-        // A request without a latency limit has waited long enough to use the reserved slots.
-        let headroom =
-            latency_limit.map_or(0.0, |_| service.headroom(request.arrival.route.rank, now));
+        let headroom = match latency_limit {
+            _ if request.late => service.late_headroom(),
+            Some(_) => service.headroom(request.arrival.route.rank, now),
+            // A request that was sent before may use the reserved slots.
+            None => 0.0,
+        };
         let prompt = request.prompt();
         let route = &request.arrival.route;
         let pause_wait = route.objective.mul_f64(PAUSE_WAIT_FRACTION);
@@ -516,6 +534,7 @@
             limit.record_send(now);
         }
         request.sends += 1;
+        request.late = false;
         let (id, version) = (&target.listed.id, &target.listed.version);
         self.rollouts.count_sent(&request.service, (id, version));
         let route = &request.arrival.route;
@@ -555,17 +574,22 @@
     pub(crate) fn dispatch_waiting(&mut self, service: &ServiceId, now: Time) {
         let Some(state) = self.services.get(service) else { return };
         let next: Vec<Ticket> = state.queue.tickets().take(MAX_SCANNED).collect();
+        let mut full_for_late = false;
         for ticket in next {
+            if full_for_late && self.requests.get(&ticket).is_some_and(|request| request.late) {
+                continue;
+            }
             let Some(mut request) = self.requests.remove(&ticket) else { continue };
             let objective = request.arrival.route.objective;
             // A request that has already missed its objective, or that can't be refused, goes to any
             // target with a free slot.
             let latency_limit =
-                objective.checked_sub(now.since(request.arrived)).filter(|_| !request.held);
+                objective.checked_sub(now.since(request.since)).filter(|_| !request.held);
             let choice = self.select_target(&request, latency_limit, now);
             match choice.filter(|_| self.charge_retry(&mut request, now)) {
                 Some(target) => self.leave_queue(ticket, request, target, now),
                 None => {
+                    full_for_late |= request.late;
                     self.requests.insert(ticket, request);
                 }
             }
@@ -596,8 +620,8 @@
         self.dispatch(ticket, request, target, history, now);
     }
 
-    /// Dispatches requests that have reached the end of their wait to any free slot, and refuses
-    /// the others.
+    /// Dispatches requests that have reached the end of their wait, if a slot is free for requests
+    /// that miss their objective, and refuses the others.
     pub(crate) fn expire_waiting(&mut self, now: Time) {
         let overdue: Vec<Ticket> =
             self.services.values().flat_map(|service| service.queue.overdue(now)).collect();
@@ -608,6 +632,8 @@
                 self.postpone(ticket, request);
                 continue;
             }
+            let is_model = self.services.get(&request.service).is_some_and(|state| state.model);
+            request.late |= is_model && request.sends == 0;
             let choice = self.select_target(&request, None, now).filter(|_| in_time);
             match choice.filter(|_| self.charge_retry(&mut request, now)) {
                 Some(target) => self.leave_queue(ticket, request, target, now),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
     Incarnation, InstanceId, PartId, Revision, ServiceId, Time, VersionId, ZoneId,
 };
 
+use crate::admission::StatedTimes;
 use crate::arrival::Ticket;
 use crate::event::{Action, Event};
 use crate::groups::Members;
@@ -65,6 +66,7 @@
     pub(crate) sharers: Sharers,
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
+    pub(crate) stated: StatedTimes,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -99,6 +101,7 @@
             sharers: Sharers::default(),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
+            stated: StatedTimes::default(),
             members: Members::default(),
             stopping: false,
             list_restored: None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,13 +6,15 @@
 //! activity into events and carries out the actions.
 //!
 //! [`table`] holds the active configuration, [`quota`] the limits of client accounts and `meter`
-//! their usage, [`budget`] the retry budget, [`queue`] the waiting requests, [`targets`] the state
+//! their usage, [`budget`] the retry budget, [`queue`] the waiting requests,
+//! `admission` how long their callers have waited before, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
 //! of instances, `limits` the request limits that targets state, `quarantine` the prompt parts that end
 //! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
 //! report.
 
+mod admission;
 pub mod arrival;
 pub mod budget;
 pub mod event;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -72,6 +72,10 @@
     pub(crate) service: ServiceId,
     /// When it arrived.
     pub(crate) arrived: Time,
+    /// When its caller probably made its first attempt.
+    pub(crate) since: Time,
+    /// Whether it can no longer meet its objective, and has not been sent to a target.
+    pub(crate) late: bool,
     /// Number of attempts, including those that certainly did not run.
     pub(crate) sends: u32,
     /// Number of attempts that may have run.
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -26,6 +26,10 @@
 /// slots.
 const SHORTAGE_HEADROOM_FRACTION: f64 = 0.25;
 
+/// Fraction of a model engine's slots that requests leave free that can no longer meet their
+/// objective: three of ten slots, more than is reserved for the most urgent routes.
+const LATE_HEADROOM_FRACTION: f64 = 0.3;
+
 /// How long the larger reservation lasts after a shortage: about the duration of one request.
 const SHORTAGE_TIME: Duration = Duration::from_millis(1_000);
 
@@ -93,6 +97,12 @@
         if is_short { SHORTAGE_HEADROOM_FRACTION } else { HEADROOM_FRACTION }
     }
 
+    /// Returns the fraction of a target's slots that a request must leave free that can no longer
+    /// meet its objective.
+    pub(crate) fn late_headroom(&self) -> f64 {
+        if self.model { LATE_HEADROOM_FRACTION } else { 0.0 }
+    }
+
     /// Returns the average number of events in a stream of `route`, if known.
     pub(crate) fn events(&self, route: &RouteId) -> Option<f64> {
         self.events.get(route).copied()
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod retries;
 mod rollout_simulation;
 mod rollouts;
+mod room;
 mod route;
 mod silence;
 mod sse;
