Tell returning callers by a fifth of their time, and count their refusals

The test's callers all stated the same. Change: a caller has returned if it states less than 0.82 of the longest time, since it was told to wait for 0.18 at least; how long it has waited is bounded from below. Late requests of a most urgent route leave the reserved slots only. The test's callers state different times. Refusals of late requests have the cause "late" in logs and metrics.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -11,13 +11,11 @@
 
 use sesamewind_protocol::{RouteId, Time};
 
+use crate::flow::MIN_RETRY_AFTER_FRACTION;
+
 /// Time for which the longest stated time of a route is remembered, at least.
 const SPAN: Duration = Duration::from_secs(10);
 
-/// Difference between stated times that says nothing about an earlier attempt, such as the time for
-/// reading a request.
-const TOLERANCE: Duration = Duration::from_millis(50);
-
 /// Fraction of the time left to a late request for which it may wait for a slot. A caller that is
 /// refused once more may not return.
 const LATE_WAIT_FRACTION: f64 = 0.25;
@@ -38,10 +36,12 @@
 }
 
 impl StatedTimes {
-    /// Records that a caller will wait for another `left`, and returns for how long it has probably
-    /// waited since its first attempt: callers of a route that have not waited yet state the same
-    /// time, of which a route's timeout leaves no more than `timeout`.
-    pub(crate) fn elapsed(
+    /// Records that a caller will wait for another `left`, of which its route's timeout leaves no more
+    /// than `timeout`. Returns for how long it has waited at least since its first attempt.
+    ///
+    /// Callers that have not waited yet state different times. One that was told to return has used
+    /// up a known fraction of its time, and so states clearly less than the longest.
+    pub(crate) fn waited(
         &mut self,
         route: &RouteId,
         left: Duration,
@@ -58,8 +58,11 @@
         }
         longest.present = longest.present.max(left);
         let usual = longest.present.max(longest.before).min(timeout);
-        let elapsed = usual.saturating_sub(left);
-        if elapsed < TOLERANCE { Duration::ZERO } else { elapsed }
+        let kept = 1.0 - MIN_RETRY_AFTER_FRACTION;
+        if left > usual.mul_f64(kept) {
+            return Duration::ZERO;
+        }
+        left.mul_f64(MIN_RETRY_AFTER_FRACTION / kept)
     }
 }
 
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -41,7 +41,8 @@
 /// Bounds on the retry delay of a refused caller, as fractions of the time left until its deadline.
 /// Callers honor up to a third of their timeout, and most retry only once, so a late retry is more
 /// likely to find a free slot than an early one.
-const RETRY_AFTER_FRACTIONS: (f64, f64) = (0.18, MAX_RETRY_AFTER_FRACTION);
+const RETRY_AFTER_FRACTIONS: (f64, f64) = (MIN_RETRY_AFTER_FRACTION, MAX_RETRY_AFTER_FRACTION);
+pub(crate) const MIN_RETRY_AFTER_FRACTION: f64 = 0.18;
 pub(crate) const MAX_RETRY_AFTER_FRACTION: f64 = 0.32;
 
 /// Fraction of its latency objective that a request may have to wait because of the queue's length.
@@ -76,7 +77,7 @@
         state.budget.record_first(now);
         let route = &arrival.route;
         let left = arrival.deadline.since(now);
-        let since = now - self.stated.elapsed(&route.name, left, route.timeout, now);
+        let since = now - self.stated.waited(&route.name, left, route.timeout, now);
         let latest = since + route.objective.mul_f64(MAX_WAIT_FRACTION);
         let late = state.model && latest <= now;
         let (position, wait) = if late {
@@ -475,7 +476,7 @@
         let service = self.services.get(&request.service)?;
         let versions = self.rollouts.allowed_versions(&request.service, request.arrival.point);
         let headroom = match latency_limit {
-            _ if request.late => service.late_headroom(),
+            _ if request.late => service.late_headroom(request.arrival.route.rank, now),
             Some(_) => service.headroom(request.arrival.route.rank, now),
             // A request that was sent before may use the reserved slots.
             None => 0.0,
@@ -675,6 +676,8 @@
             RefusalReason::NoTarget
         } else if self.is_limited(&request.service, now) {
             RefusalReason::Limited
+        } else if request.late {
+            RefusalReason::Late
         } else {
             RefusalReason::Full
         };
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -19,6 +19,8 @@
     NoTarget,
     /// Every target is full, and no slot is expected to become free in time.
     Full,
+    /// The request can't meet its objective any more, and no slot is left free for such requests.
+    Late,
     /// Targets refused the request, and no further attempt is allowed.
     Refused,
     /// The deadline passed before the request was handed to a target.
@@ -39,6 +41,7 @@
             Self::OverLimit => "over_limit",
             Self::NoTarget => "no_target",
             Self::Full => "full",
+            Self::Late => "late",
             Self::Refused => "refused",
             Self::Expired => "expired",
             Self::Stopping => "stopping",
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -98,9 +98,16 @@
     }
 
     /// Returns the fraction of a target's slots that a request must leave free that can no longer
-    /// meet its objective.
-    pub(crate) fn late_headroom(&self) -> f64 {
-        if self.model { LATE_HEADROOM_FRACTION } else { 0.0 }
+    /// meet its objective. One of a most urgent route counts as less urgent, so that it isn't served
+    /// less often than less urgent requests.
+    pub(crate) fn late_headroom(&self, rank: u8, now: Time) -> f64 {
+        if !self.model {
+            0.0
+        } else if rank <= self.top_rank {
+            self.headroom(rank.saturating_add(1), now)
+        } else {
+            LATE_HEADROOM_FRACTION
+        }
     }
 
     /// Returns the average number of events in a stream of `route`, if known.
--- a/crates/gateway/tests/all/room.rs
+++ b/crates/gateway/tests/all/room.rs
@@ -26,7 +26,7 @@
 /// requests a second together.
 const WORK_MS: (u64, u64) = (100, 1_000);
 
-/// Milliseconds that callers wait for an answer, and within which the first event should arrive.
+/// Most milliseconds that callers wait for an answer, and within which the first event should arrive.
 const CALLER_MS: (u64, u64) = (12_000, 600);
 
 /// A wave of requests: calm and raised number a second, start and end of the wave, and length of the
@@ -42,6 +42,7 @@
 struct Call {
     route: usize,
     first: u64,
+    deadline: u64,
     returns: u32,
 }
 
@@ -122,7 +123,8 @@
             draw -= share;
             draw < 0.0
         });
-        self.calls.push(Call { route: route.unwrap_or(1), first: now, returns: 0 });
+        let deadline = now + self.rng.random_range(CALLER_MS.0 * 85 / 100..=CALLER_MS.0);
+        self.calls.push(Call { route: route.unwrap_or(1), first: now, deadline, returns: 0 });
         self.seconds[(now / 1_000) as usize].asked += 1;
         self.ask(self.calls.len() - 1, now);
     }
@@ -140,7 +142,7 @@
             output_tokens: 100,
             parts: Arc::default(),
             point: 0.5,
-            deadline: at(call.first + CALLER_MS.0),
+            deadline: at(call.deadline),
         };
         let instance = self.rng.random_range(0..INSTANCES);
         self.send(instance, Event::Arrive(arrival), now);
@@ -158,7 +160,7 @@
                 Step::Refuse(refusal) => {
                     let call = &mut self.calls[ticket as usize];
                     let wait = refusal.retry_after.as_millis() as u64;
-                    let left = (call.first + CALLER_MS.0).saturating_sub(now);
+                    let left = call.deadline.saturating_sub(now);
                     if call.returns == 0 && wait <= left / 3 {
                         call.returns = 1;
                         self.due.push(Reverse((now + wait, Due::Returns(ticket as usize))));
