Let late requests wait for a second at most

Cause: callers abandon a stream without an event after two to three seconds, and late requests waited for up to three. Change: a late request waits for a quarter of its time, and a second at most.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -20,6 +20,10 @@
 /// refused once more may not return.
 const LATE_WAIT_FRACTION: f64 = 0.25;
 
+/// Longest time that a late request may wait for a slot. Callers abandon a stream without an event
+/// after two seconds or more, and the target needs time for the prompt.
+const MAX_LATE_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Longest time that callers of one route have lately stated: during the present span and the one
 /// before.
 #[derive(Debug, Clone, Copy)]
@@ -68,5 +72,5 @@
 
 /// Returns until when a late request may wait for a slot.
 pub(crate) fn late_wait_end(deadline: Time, now: Time) -> Time {
-    now + deadline.since(now).mul_f64(LATE_WAIT_FRACTION)
+    now + deadline.since(now).mul_f64(LATE_WAIT_FRACTION).min(MAX_LATE_WAIT)
 }
