Leave a slot of busy engines to accounts below their fair share

Cause: between limits, the surge of one account takes the slots that others wait for; the queue knows no accounts. Change: gateway::shares compares the used fraction of an account's limit, which instances exchange already, with that of all accounts. From 1.5 times as much, a request leaves one of ten slots free beside the reserved ones and stands one rank behind. Accounts without a limit are served as before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::selection;
 use crate::service::ServiceState;
 use crate::sharers::Sharers;
+use crate::shares::FairShares;
 use crate::table::RouteTable;
 use crate::targets::{TargetChange, Targets, Usability};
 use crate::tuning::Tuning;
@@ -67,6 +68,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) limits: Limits,
     pub(crate) stated: StatedTimes,
+    pub(crate) shares: FairShares,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -102,6 +104,7 @@
             quarantine: Quarantine::default(),
             limits: Limits::default(),
             stated: StatedTimes::default(),
+            shares: FairShares::default(),
             members: Members::default(),
             stopping: false,
             list_restored: None,
