--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
     Incarnation, InstanceId, PartId, Revision, ServiceId, Time, VersionId, ZoneId,
 };
 
+use crate::admission::StatedTimes;
 use crate::arrival::Ticket;
 use crate::evacuation::Evacuations;
 use crate::event::{Action, Event};
@@ -26,6 +27,7 @@
 use crate::selection;
 use crate::service::ServiceState;
 use crate::sharers::Sharers;
+use crate::shares::FairShares;
 use crate::table::RouteTable;
 use crate::targets::{TargetChange, Targets, Usability};
 use crate::tuning::Tuning;
@@ -70,6 +72,8 @@
     pub(crate) limits: Limits,
     pub(crate) evacuations: Evacuations,
     pub(crate) reach: Reach,
+    pub(crate) stated: StatedTimes,
+    pub(crate) shares: FairShares,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -106,6 +110,8 @@
             limits: Limits::default(),
             evacuations: Evacuations::default(),
             reach: Reach::new(seed),
+            stated: StatedTimes::default(),
+            shares: FairShares::default(),
             members: Members::default(),
             stopping: false,
             list_restored: None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,9 @@
 //! seeded generator, so that tests can replay any order of events. `sesamewind-relay` turns socket
 //! activity into events and carries out the actions.
 //!
-//! [`table`] holds the active configuration, [`quota`] the limits of client accounts and `meter`
-//! their usage, [`budget`] the retry budget, [`queue`] the waiting requests, [`targets`] the state
+//! [`table`] holds the active configuration, [`quota`] the limits of client accounts, `meter`
+//! their usage and `shares` their fair shares, [`budget`] the retry budget, [`queue`] the waiting requests,
+//! `admission` how long their callers have waited before, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
 //! of instances, `hedging` the second attempts of slow requests, `evacuation` the availability zones
@@ -16,6 +17,7 @@
 //! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
 //! report.
 
+mod admission;
 pub mod arrival;
 pub mod budget;
 mod evacuation;
@@ -42,6 +44,7 @@
 pub mod selection;
 pub mod service;
 mod sharers;
+mod shares;
 mod silence;
 pub mod sse;
 pub mod table;
