Test a process that is partitioned from all targets

The fault proxy can cut one process from its upstream: hang, reset, or new connections reset while open ones go on. The process is found by both ends of a connection, since several connections may share a local port; by one end alone, some were missed.

--- a/crates/standins/src/proxy/mod.rs
+++ b/crates/standins/src/proxy/mod.rs
@@ -1,6 +1,7 @@
 //! A TCP proxy on loopback that injects faults: it closes connections, and drops, holds back or
 //! delays their bytes.
 
+mod cut;
 mod relay;
 
 use std::collections::{HashMap, HashSet};
@@ -19,6 +20,8 @@
 const REBIND_ATTEMPTS: u32 = 100;
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
+pub use cut::Cut;
+
 /// What happens to bytes in one direction of a connection.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Flow {
@@ -69,6 +72,7 @@
 #[derive(Debug)]
 struct OpenConnection {
     source: IpAddr,
+    from: SocketAddr,
     mode: watch::Sender<ConnectionMode>,
     task: JoinHandle<()>,
 }
@@ -78,6 +82,7 @@
     upstream: SocketAddr,
     new_mode: ConnectionMode,
     blocked: HashSet<IpAddr>,
+    cut: Option<(u32, Cut)>,
     open: HashMap<u64, OpenConnection>,
     by_peer: HashMap<SocketAddr, u64>,
     accepted: u64,
@@ -138,12 +143,13 @@
             upstream,
             new_mode: ConnectionMode::default(),
             blocked: HashSet::new(),
+            cut: None,
             open: HashMap::new(),
             by_peer: HashMap::new(),
             accepted: 0,
         };
         let shared = Arc::new(Shared { table: Mutex::new(table) });
-        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        let task = tokio::spawn(accept(listener, addr, Arc::clone(&shared)));
         Self { addr, shared, listener: Mutex::new(Some(task)) }
     }
 
@@ -213,6 +219,24 @@
         table.set_source(source, Flow::Pass);
     }
 
+    /// Simulates a network partition between the process `pid` and the upstream, or ends it. Only one
+    /// process can be cut.
+    pub fn set_cut(&self, pid: u32, cut: Option<Cut>) {
+        let mut table = self.shared.table();
+        table.cut = cut.map(|cut| (pid, cut));
+        let own = table.open.values().filter(|open| cut::is_from(pid, open.from, self.addr));
+        for open in own {
+            match cut {
+                Some(Cut::Reset) => open.task.abort(),
+                Some(Cut::RefuseNew) => {}
+                Some(Cut::Hang) | None => {
+                    let flow = if cut.is_some() { Flow::Freeze } else { Flow::Pass };
+                    open.mode.send_modify(|mode| *mode = mode.with_flow(Side::Both, flow));
+                }
+            }
+        }
+    }
+
     /// Closes every open connection; new ones are accepted.
     pub async fn close_open(&self) {
         let open: Vec<OpenConnection> = {
@@ -256,7 +280,7 @@
             return;
         }
         let listener = rebind(self.addr).await;
-        let task = tokio::spawn(accept(listener, Arc::clone(&self.shared)));
+        let task = tokio::spawn(accept(listener, self.addr, Arc::clone(&self.shared)));
         *self.listener() = Some(task);
     }
 
@@ -295,7 +319,7 @@
     panic!("address {addr} of the proxy was taken by another socket");
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, addr: SocketAddr, shared: Arc<Shared>) {
     loop {
         let Ok((client, from)) = listener.accept().await else {
             sleep(RETRY_DELAY).await;
@@ -305,8 +329,17 @@
         let id = table.accepted;
         table.accepted += 1;
         let source = from.ip();
-        let (mode, modes) = watch::channel(table.mode_for(source));
+        let mut mode = table.mode_for(source);
+        match table.cut.filter(|(pid, _)| cut::is_from(*pid, from, addr)) {
+            Some((_, Cut::Hang)) => mode = mode.with_flow(Side::Both, Flow::Freeze),
+            Some((_, Cut::Reset | Cut::RefuseNew)) => {
+                let _ = client.set_zero_linger();
+                continue;
+            }
+            None => {}
+        }
+        let (mode, modes) = watch::channel(mode);
         let task = tokio::spawn(relay::connection(Arc::clone(&shared), id, client, modes));
-        table.open.insert(id, OpenConnection { source, mode, task });
+        table.open.insert(id, OpenConnection { source, from, mode, task });
     }
 }
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -12,6 +12,7 @@
 mod notices;
 mod path;
 mod quarantine;
+mod reach;
 mod rollouts;
 mod set_back;
 mod silence;
--- a/tests/all/relay/testbed.rs
+++ b/tests/all/relay/testbed.rs
@@ -126,6 +126,16 @@
         kilobytes.parse::<u64>().expect("a number") * 1_024
     }
 
+    /// Returns the id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+    }
+
     /// Sends the process a stop signal.
     pub fn terminate(&self) {
         self.signal(libc::SIGTERM);
