--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -14,6 +14,7 @@
 mod notices;
 mod path;
 mod quarantine;
+mod reach;
 mod rollouts;
 mod set_back;
 mod silence;
