--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -99,22 +99,18 @@
         let since = now - self.stated.waited(&route.name, left, route.timeout, now);
         let latest = since + route.objective.mul_f64(MAX_WAIT_FRACTION);
         let late = state.model && latest <= now;
-        let account = arrival.account.as_deref();
-        let above_share =
-            account.is_some_and(|account| self.shares.is_above(account, &self.quotas, now));
-        let rank = arrival.rank().saturating_add(u8::from(above_share));
         let (position, wait) = if late {
             let until = admission::late_wait_end(arrival.deadline, now);
-            (state.queue.push_late(ticket, rank, now, until), until.since(now))
+            (state.queue.push_late(ticket, arrival.rank(), now, until), until.since(now))
         } else {
             let until = latest.min(arrival.deadline);
             let wait = route.objective.mul_f64(QUEUE_WAIT_FRACTION);
-            (state.queue.push(ticket, rank, now, until), wait)
+            (state.queue.push(ticket, arrival.rank(), now, until), wait)
         };
         let waiting = State::Waiting { position, history: History::NotRun(proof) };
         let mut request = Request::new(arrival, service.clone(), cost, waiting, now);
         request.passed = is_passed;
-        (request.since, request.late, request.above_share) = (since, late, above_share);
+        (request.since, request.late) = (since, late);
         let rank = request.arrival.route.rank;
         self.requests.insert(ticket, request);
         self.dispatch_waiting(&service, now);
@@ -527,10 +523,7 @@
         let versions = self.rollouts.allowed_versions(&request.service, request.arrival.point);
         let headroom = match latency_limit {
             _ if request.late => service.late_headroom(request.arrival.route.rank, now),
-            Some(_) => {
-                let others = if request.above_share { service.share_headroom() } else { 0.0 };
-                service.headroom(request.arrival.route.rank, now) + others
-            }
+            Some(_) => service.headroom(request.arrival.route.rank, now),
             // A request that was sent before may use the reserved slots.
             None => 0.0,
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,8 @@
 //! seeded generator, so that tests can replay any order of events. `sesamewind-relay` turns socket
 //! activity into events and carries out the actions.
 //!
-//! [`table`] holds the active configuration, [`quota`] the limits of client accounts, `meter`
-//! their usage and `shares` their fair shares, [`budget`] the retry budget, [`queue`] the waiting requests,
+//! [`table`] holds the active configuration, [`quota`] the limits of client accounts and `meter`
+//! their usage, [`budget`] the retry budget, [`queue`] the waiting requests,
 //! `admission` how long their callers have waited before, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
@@ -44,7 +44,6 @@
 pub mod selection;
 pub mod service;
 mod sharers;
-mod shares;
 mod silence;
 pub mod sse;
 pub mod table;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -107,8 +107,6 @@
     pub(crate) since: Time,
     /// Whether it can no longer meet its objective, and has not been sent to a target.
     pub(crate) late: bool,
-    /// Whether its account used more than its fair share on its arrival.
-    pub(crate) above_share: bool,
     /// Number of attempts, including those that certainly did not run.
     pub(crate) sends: u32,
     /// Number of attempts that may have run.
@@ -153,7 +151,6 @@
             arrived: now,
             since: now,
             late: false,
-            above_share: false,
             sends: 0,
             runs: 0,
             started: false,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -32,10 +32,6 @@
 /// objective: three of ten slots, more than is reserved for the most urgent routes.
 const LATE_HEADROOM_FRACTION: f64 = 0.3;
 
-/// Fraction of a model engine's slots that accounts above their fair share leave free for others,
-/// besides the reserved ones: one of ten slots.
-const SHARE_HEADROOM_FRACTION: f64 = 0.1;
-
 /// How long the larger reservation lasts after a shortage: about the duration of one request.
 const SHORTAGE_TIME: Duration = Duration::from_millis(1_000);
 
@@ -109,12 +105,6 @@
         if is_short { SHORTAGE_HEADROOM_FRACTION } else { HEADROOM_FRACTION }
     }
 
-    /// Returns the fraction of a target's slots that a request of an account above its fair share must
-    /// leave free for other accounts.
-    pub(crate) fn share_headroom(&self) -> f64 {
-        if self.model { SHARE_HEADROOM_FRACTION } else { 0.0 }
-    }
-
     /// Returns the fraction of a target's slots that a request must leave free that can no longer
     /// meet its objective. One of a most urgent route counts as less urgent, so that it isn't served
     /// less often than less urgent requests.
