Answer reports at the stand-in for targets without counting them as requests

Cause: an instance probes a target after a failed connection, and the stand-in counted the probe as a request and gave it the next scripted behaviour, so that relay::faults::calls_avoid_a_crashed_target saw 21 requests instead of 20. Targets answer reports without a slot. The test is unchanged.

--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -249,6 +249,10 @@
 
 impl Handler for Core {
     async fn handle(self: Arc<Self>, call: Call) -> Response {
+        if call.path == names::REPORT_PATH {
+            // A report is no request to run, and takes no slot.
+            return server::text(StatusCode::OK, "{}");
+        }
         let mut behaviour = self.options.script.next(&call);
         if call.header(names::EXPECT_TARGET).is_some_and(|id| id != self.options.id) {
             behaviour = Behaviour::Replaced;
