--- a/crates/gateway/tests/all/limit_fleet.rs
+++ b/crates/gateway/tests/all/limit_fleet.rs
@@ -132,6 +132,8 @@
     pub used: (f64, f64),
     /// Most requests in one second at a cold target, relative to those allowed, and its description.
     pub worst_cold: (f64, String),
+    /// The same, of all requests, also of instances that are cut off.
+    pub worst_cold_of_all: (f64, String),
     /// Requests that reached cold targets, and how many the bound allows.
     pub used_cold: (f64, f64),
     pub asked: u32,
@@ -659,17 +661,16 @@
                 self.plan.cold >= MARGIN_FROM
                     || !self.plan.was_cut(one.instance, down.start..one.sent)
             };
-            let is_cold = |one: &&Reached| cold.contains(&one.at) && knows(one);
-            let reached: Vec<_> = reached.iter().filter(is_cold).collect();
-            for last in &reached {
-                let second = last.at.saturating_sub(1_000) + 1..last.at + 1;
-                let is_counted =
-                    |one: &&&Reached| second.contains(&one.at) && second.contains(&one.sent);
-                let count = reached.iter().filter(is_counted).count();
+            let all: Vec<_> = reached.iter().filter(|one| cold.contains(&one.at)).collect();
+            let reached: Vec<_> = all.iter().copied().filter(|one| knows(one)).collect();
+            let report = &mut self.report;
+            for (counted, worst) in
+                [(&reached, &mut report.worst_cold), (&all, &mut report.worst_cold_of_all)]
+            {
+                let (count, until) = busiest_second(counted);
                 let ratio = count as f64 / self.plan.cold;
-                if ratio > self.report.worst_cold.0 {
-                    let window = format!("m{target}: {count} in 1 s until {}", last.at);
-                    self.report.worst_cold = (ratio, window);
+                if ratio > worst.0 {
+                    *worst = (ratio, format!("m{target}: {count} in 1 s until {until}"));
                 }
             }
             self.report.used_cold.0 += reached.len() as f64;
@@ -730,3 +731,13 @@
         Some((start, BOUND.0 * rate * WINDOW_MS as f64 / 1_000.0 + BOUND.1))
     }
 }
+
+/// Returns the most requests that were sent and arrived within one second, and when it ended.
+fn busiest_second(reached: &[&Reached]) -> (usize, u64) {
+    let counts = reached.iter().map(|last| {
+        let second = last.at.saturating_sub(1_000) + 1..last.at + 1;
+        let is_counted = |one: &&&Reached| second.contains(&one.at) && second.contains(&one.sent);
+        (reached.iter().filter(is_counted).count(), last.at)
+    });
+    counts.max_by_key(|(count, _)| *count).unwrap_or_default()
+}
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -189,6 +189,16 @@
     }
 }
 
+/// The same search, with the requests of instances that are cut off while the target starts again.
+#[test]
+fn random_faults_do_not_break_the_bound_of_cold_targets_at_instances_that_are_cut_off() {
+    for seed in 0..60 {
+        let report = play(&Plan::random_cold(seed), seed);
+        let (ratio, window) = report.worst_cold_of_all;
+        assert!(ratio <= 1.0, "seed {seed}: {window}");
+    }
+}
+
 /// Returns a play in which all targets of an availability zone are down and start again.
 fn zone_start(instances: usize, cold: f64, requests: f64) -> Plan {
     let restarts = (0..12).step_by(3).map(|target| (5_000..7_500, target)).collect();
