--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -76,17 +76,9 @@
     };
     let ticket = driver.new_ticket();
     guard.enter_gateway(ticket);
-    let call = Call {
-        driver,
-        ticket,
-        head,
-        caller,
-        body,
-        route: resolved.route,
-        account: resolved.account,
-        arrived,
-        timing: Cell::default(),
-    };
+    let (route, account) = (resolved.route, resolved.account);
+    let timing = Cell::default();
+    let call = Call { driver, ticket, head, caller, body, route, account, arrived, timing };
     let event = Event::Arrive(call.arrival());
     call.serve(event, guard).await
 }
@@ -130,17 +122,9 @@
     let mut guard = CallerGuard::new(Rc::clone(&driver), &caller.id, arrived, connection);
     let ticket = driver.new_ticket();
     guard.enter_gateway(ticket);
-    let call = Call {
-        driver,
-        ticket,
-        head,
-        caller,
-        body,
-        route: resolved.route,
-        account: resolved.account,
-        arrived,
-        timing: Cell::default(),
-    };
+    let (route, account) = (resolved.route, resolved.account);
+    let timing = Cell::default();
+    let call = Call { driver, ticket, head, caller, body, route, account, arrived, timing };
     let event = Event::ArrivePassed(call.arrival());
     passing::finish(call.serve(event, guard).await)
 }
