Answer reports at the wire stand-in too, and call only returning callers' refusals late

Cause: probes of targets took scripted answers of the wire stand-in (relay::unframed, 4 tests), and a first request that was refused at the end of its wait was logged as late instead of full (relay::explain). The tests are unchanged.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -740,7 +740,7 @@
             RefusalReason::NoTarget
         } else if self.is_limited(&request.service, now) {
             RefusalReason::Limited
-        } else if request.late {
+        } else if request.has_returned() {
             RefusalReason::Late
         } else {
             RefusalReason::Full
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Returns whether its caller has probably been refused before.
+    pub(crate) fn has_returned(&self) -> bool {
+        self.since < self.arrived
+    }
+
     /// Returns the tokens of the prompt; zero if unknown.
     pub(crate) fn prompt(&self) -> u32 {
         self.arrival.prompt_tokens.unwrap_or(0)
--- a/crates/standins/src/relay/wire.rs
+++ b/crates/standins/src/relay/wire.rs
@@ -90,6 +90,9 @@
         Self { framing: Framing::Chunked, extent: Extent::Whole, end: End::Keep, pause: 0 };
 }
 
+/// Answer to a request for a report.
+const REPORT: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+
 /// A request received by a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WireRequest {
@@ -205,6 +208,11 @@
         let mut buffer = Vec::new();
         loop {
             let head = read_request(&mut stream, &mut buffer).await?;
+            if head.split(' ').nth(1) == Some(names::REPORT_PATH) {
+                // A report is no request to run, and has no answer in the script.
+                stream.write_all(REPORT).await?;
+                continue;
+            }
             let id = header(&head, names::REQUEST_ID).unwrap_or_default().to_owned();
             let after = header(&head, names::LAST_EVENT).and_then(|value| value.parse().ok());
             let request = WireRequest { id, after: after.unwrap_or(0), connection };
