Pass requests on to peers in doubt where none is known to reach targets

Change: a peer in doubt is chosen where none is known to reach targets; only those that are cut off are not. New test reach::requests_are_passed_on_to_peers_in_doubt_rather_than_to_targets_out_of_reach; failed before, passes now.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -178,6 +178,11 @@
         self.state == ReachState::Reaching && now.since(self.heard) < REPORT_TIME
     }
 
+    /// Returns whether the peer is not known to be cut off, as far as it has told lately.
+    fn may_reach(&self, now: Time) -> bool {
+        self.state != ReachState::CutOff && now.since(self.heard) < REPORT_TIME
+    }
+
     /// Returns whether the peer has more passed requests than its own callers should share it with.
     fn is_crowded(&self) -> bool {
         self.passed.max(self.in_flight) > self.own.max(FREE_PASSED)
@@ -499,7 +504,7 @@
         now: Time,
     ) -> Option<(InstanceId, SocketAddr)> {
         let can_take = |(name, peer): &(&InstanceId, &PeerReach)| {
-            peer.is_reaching(now)
+            peer.may_reach(now)
                 && now >= peer.avoid_until
                 && peer.in_flight < MAX_AT_PEER
                 && Self::may_take(&peer.zone)
@@ -508,6 +513,10 @@
         let mut able: Vec<_> = self.peers.iter().filter(can_take).collect();
         // The order of a map differs from run to run.
         able.sort_unstable_by_key(|(name, _)| *name);
+        // A peer in doubt may reach targets, which this instance does not.
+        if able.iter().any(|(_, peer)| peer.is_reaching(now)) {
+            able.retain(|(_, peer)| peer.is_reaching(now));
+        }
         let is_near = |peer: &PeerReach| peer.zone == *zone && !peer.is_crowded();
         if able.iter().any(|(_, peer)| is_near(peer)) {
             able.retain(|(_, peer)| is_near(peer));
--- a/crates/gateway/tests/all/reach.rs
+++ b/crates/gateway/tests/all/reach.rs
@@ -1,6 +1,13 @@
 //! Instances that reach no target while peers do.
 
+use std::time::Duration;
+
+use sesamewind_gateway::{AttemptOutcome, Event, Gateway, Step, Tuning};
+use sesamewind_protocol::Time;
+use sesamewind_protocol::relay::{ReachReport, ReachState, RelayUpdate, StorePosition};
+
 use crate::reach_fleet::{Fault, Plan, play};
+use crate::support::{Bench, PLAIN, at, identity, routing, target};
 
 const FAULTS: [Fault; 3] = [Fault::Hang, Fault::Reset, Fault::RefuseNew];
 
@@ -81,3 +88,52 @@
         }
     }
 }
+
+/// Returns the update of a peer in `state` whose targets have just answered.
+fn report(peer: &mut Gateway, state: ReachState, now: Time) -> RelayUpdate {
+    let position = StorePosition::default();
+    let to = identity("i1", "z1").instance;
+    let update = peer.peer_update(&to, position, now, now);
+    let just = Some(Duration::ZERO);
+    let reach = ReachReport { state, answered: just, probed: just, own: 1, passed: 0 };
+    RelayUpdate { reach: Some(reach), address: "127.0.0.1:7600".into(), ..update }
+}
+
+/// Guards against sending a request to an unreachable target since the peers are in doubt, which they may
+/// be because of the requests that they have just taken.
+#[test]
+fn requests_are_passed_on_to_peers_in_doubt_rather_than_to_targets_out_of_reach() {
+    struct Case {
+        state: ReachState,
+        passed: bool,
+    }
+    let cases = [
+        Case { state: ReachState::Reaching, passed: true },
+        Case { state: ReachState::InDoubt, passed: true },
+        Case { state: ReachState::CutOff, passed: false },
+    ];
+    for Case { state, passed } in cases {
+        let targets = (0..3).map(|n| target(&format!("p{n}"), PLAIN, 4)).collect();
+        let mut bench = Bench::new(routing(), targets, Tuning::default());
+        let mut peer = Gateway::new(identity("i2", "z1"), Tuning::default(), 1);
+        let mut now = 1_000;
+        while !bench.gateway.is_cut_off() {
+            let update = report(&mut peer, ReachState::Reaching, at(now));
+            bench.send(Event::PeerUpdate(&update), at(now));
+            let ticket = bench.arrive("read", 0, at(now));
+            bench.end(ticket, AttemptOutcome::Unconnected, at(now));
+            bench.send(Event::CallerLeft(ticket), at(now));
+            bench.send(Event::Tick, at(now));
+            for probe in bench.gateway.take_probes() {
+                bench.send(Event::Probed(probe.target, false), at(now + 10));
+            }
+            now += 20;
+            assert!(now < 5_000, "the instance is cut off");
+        }
+        let update = report(&mut peer, state, at(now));
+        bench.send(Event::PeerUpdate(&update), at(now));
+        let ticket = bench.arrive("once", 0, at(now));
+        let step = &bench.steps[&ticket];
+        assert_eq!(matches!(step, Step::PassOn(_)), passed, "{state:?}: {step:?}");
+    }
+}
