Keep instances that are cut off to their turns at targets with small bounds while cold

Cause: an instance that doesn't hear from the others isn't told that a target failed, and until the list tells of the start, up to 2 s later, sends it requests without a turn. Bounds below 5 requests a second are divided completely, so that each such request breaks them.

Change: an instance that has heard of no peer for 0.5 s, or of half of the instances at most, needs turns at all targets whose bound is divided completely, and for 2 s after that. Other bounds are served as before; a test says so. Another new test shows that work returns to a zone that has become warm.

--- a/crates/gateway/src/limits/cold.rs
+++ b/crates/gateway/src/limits/cold.rs
@@ -40,6 +40,8 @@
     Started,
     /// It may have started again.
     Failed,
+    /// It may have started again without this instance being told, which is cut off from others.
+    Apart,
 }
 
 impl ColdCause {
@@ -49,6 +51,7 @@
             Self::Stated => "stated",
             Self::Started => "started",
             Self::Failed => "failed",
+            Self::Apart => "apart",
         }
     }
 }
@@ -164,6 +167,8 @@
 pub(crate) struct ColdTargets {
     indexes: Vec<Index>,
     changes: Vec<ColdChange>,
+    /// Until when starts may be unknown since this instance was cut off from half of the others or more.
+    apart_until: Time,
 }
 
 /// What an entry of the target list says about a cold time.
@@ -300,8 +305,15 @@
         }
     }
 
-    /// Ends the cold times that are over.
+    /// Begins the cold times of an instance that is now cut off, and ends those that are over.
     pub(crate) fn expire_cold(&mut self, now: Time) {
+        if self.sharers.is_apart(now) {
+            let known = std::mem::replace(&mut self.limits.cold.apart_until, now + LIST_AGE);
+            if known <= now {
+                let indexes: Vec<Index> = self.targets.iter().map(|(index, _)| index).collect();
+                indexes.into_iter().for_each(|index| self.update_cold(index, now));
+            }
+        }
         for index in self.limits.cold.indexes.clone() {
             self.update_cold(index, now);
         }
@@ -312,13 +324,17 @@
         let target = self.targets.get_mut(index);
         let service = self.services.get(&target.listed.service).and_then(|service| service.cold);
         let list = (self.list_lost, self.list_restored);
+        let service = service.filter(|_| target.is_listed());
+        let bound = service.map(|service| {
+            Bound::Second(service.rate * self.tuning.cold_overage + self.tuning.cold_slack)
+        });
+        // Otherwise, what is not divided covers requests of instances that do not hear of a start.
+        let apart = bound.filter(|bound| now < self.limits.cold.apart_until && bound.margin() == 0);
         let cause = service
-            .filter(|_| target.is_listed())
-            .and_then(|service| target.cold.cause(&service, list, now));
-        let change = match (cause, service, target.cold.is_cold()) {
-            (Some(cause), Some(service), false) => {
-                let allowed = service.rate * self.tuning.cold_overage + self.tuning.cold_slack;
-                let bound = Bound::Second(allowed);
+            .and_then(|service| target.cold.cause(&service, list, now))
+            .or(apart.map(|_| ColdCause::Apart));
+        let change = match (cause, bound, target.cold.is_cold()) {
+            (Some(cause), Some(bound), false) => {
                 target.begin_cold(bound, now);
                 self.limits.cold.indexes.push(index);
                 self.share_cold(index, now);
--- a/crates/gateway/src/limits/division.rs
+++ b/crates/gateway/src/limits/division.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Returns the requests in any second that are allowed and not divided among the instances.
+    pub(crate) fn margin(self) -> usize {
+        match self {
+            Self::Rate(_) => 0,
+            Self::Second(requests) => requests.max(0.0) as usize - self.requests(),
+        }
+    }
+
     /// Returns the requests in any second that are divided among the instances.
     fn requests(self) -> usize {
         match self {
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -19,6 +19,13 @@
 /// Time for which a peer that has fallen silent may be cut off, rather than gone.
 const CUT_TIME: Duration = Duration::from_secs(600);
 
+/// Time in which an instance that is not cut off hears of some peer. It is the shortest time in which a
+/// target starts again.
+const CONTACT_TIME: Duration = Duration::from_millis(500);
+
+/// Time for each peer in which all peers that are not cut off are heard.
+const CONTACT_TIME_PER_PEER: Duration = Duration::from_millis(15);
+
 /// Number of peers up to which those without a share are remembered. Announcements of instances that
 /// have ended remain in the store.
 const MAX_REMEMBERED: usize = 1_024;
@@ -109,6 +116,19 @@
         silent.any(|silence| (SILENCE_TIME..CUT_TIME).contains(&silence))
     }
 
+    /// Returns whether this instance may be cut off from the others: it has heard of none of them
+    /// recently, or at most half of the instances are left with it.
+    pub(crate) fn is_apart(&self, now: Time) -> bool {
+        let sharing = self.peers.values().filter(|sharer| sharer.until > now);
+        let silences: Vec<_> =
+            sharing.filter_map(|sharer| sharer.heard).map(|heard| now.since(heard)).collect();
+        let peers = silences.len();
+        let limit = CONTACT_TIME.max(CONTACT_TIME_PER_PEER * peers as u32);
+        let heard = silences.iter().filter(|silence| **silence < limit).count();
+        let is_alone = silences.iter().all(|silence| *silence >= CONTACT_TIME);
+        peers > 0 && (is_alone || (heard + 1) * 2 <= peers + 1)
+    }
+
     /// Leaves out a stall of this instance, which has ended now, from the silence of its peers.
     pub(crate) fn postpone(&mut self, stall: Duration, now: Time) {
         for sharer in self.peers.values_mut().filter(|sharer| sharer.until > now - stall) {
--- a/crates/gateway/tests/all/limit_fleet.rs
+++ b/crates/gateway/tests/all/limit_fleet.rs
@@ -57,6 +57,9 @@
 /// Milliseconds for which a target is cold after it has started again.
 const COLD_MS: u64 = 3_000;
 
+/// Milliseconds after which work has returned to a target that was cold.
+const WARM_MS: u64 = 500;
+
 /// Milliseconds from a change of the target list until an instance reads it.
 const LIST_MS: Range<u64> = 50..1_500;
 
@@ -136,6 +139,8 @@
     pub worst_cold_of_all: (f64, String),
     /// Requests that reached cold targets, and how many the bound allows.
     pub used_cold: (f64, f64),
+    /// Requests that reached targets after these were cold, and an even share of all requests then.
+    pub returned: (f64, f64),
     pub asked: u32,
     pub refused: u32,
     /// Refusals with their time and the time until the caller may return.
@@ -656,12 +661,12 @@
     fn count_cold(&mut self) {
         for &(ref down, target) in &self.plan.restarts {
             let cold = down.end..(down.end + COLD_MS).min(self.plan.length);
-            let Some(reached) = self.reached.get(&target) else { continue };
+            let Some(all_reached) = self.reached.get(&target) else { continue };
             let knows = |one: &Reached| {
                 self.plan.cold >= MARGIN_FROM
                     || !self.plan.was_cut(one.instance, down.start..one.sent)
             };
-            let all: Vec<_> = reached.iter().filter(|one| cold.contains(&one.at)).collect();
+            let all: Vec<_> = all_reached.iter().filter(|one| cold.contains(&one.at)).collect();
             let reached: Vec<_> = all.iter().copied().filter(|one| knows(one)).collect();
             let report = &mut self.report;
             for (counted, worst) in
@@ -673,6 +678,11 @@
                     *worst = (ratio, format!("m{target}: {count} in 1 s until {until}"));
                 }
             }
+            let warm = down.end + COLD_MS + WARM_MS..self.plan.length;
+            let is_warm = |one: &&Reached| warm.contains(&one.at);
+            let everywhere = self.reached.values().flatten().filter(is_warm).count();
+            report.returned.0 += all_reached.iter().filter(is_warm).count() as f64;
+            report.returned.1 += everywhere as f64 / self.plan.targets as f64;
             self.report.used_cold.0 += reached.len() as f64;
             let seconds = cold.end.saturating_sub(cold.start) as f64 / 1_000.0;
             self.report.used_cold.1 += seconds * self.plan.cold.floor();
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -6,7 +6,7 @@
 use sesamewind_protocol::relay::{LimitEntry, StorePosition};
 use sesamewind_protocol::{Incarnation, InstanceId};
 
-use crate::limit_fleet::{Named, Plan, play};
+use crate::limit_fleet::{Cut, Named, Plan, play};
 use crate::support::{Bench, MODEL, at, bench, identity, routing, target};
 
 /// Time at which the first request is sent, in milliseconds.
@@ -243,6 +243,46 @@
     }
 }
 
+/// Work of a zone whose targets return cold stays elsewhere, and returns once they are warm.
+#[test]
+fn work_returns_to_a_zone_that_has_become_warm() {
+    for instances in [1, 8, 88] {
+        let plan = Plan { length: 14_000, ..zone_start(instances, 2.0, 60.0) };
+        let report = play(&plan, 1);
+        assert!(report.worst_cold.0 <= 1.0, "{instances}: {}", report.worst_cold.1);
+        let (returned, even) = report.returned;
+        assert!(returned >= even / 2.0, "{instances}: {returned} of {even} requests");
+    }
+}
+
+/// Instances that are cut off need turns only if the bound leaves no margin for their requests, and
+/// serve what these allow.
+#[test]
+fn instances_that_are_cut_off_serve_within_their_turns() {
+    struct Case {
+        instances: usize,
+        cold: f64,
+        requests: f64,
+    }
+    let cases = [
+        Case { instances: 2, cold: 2.0, requests: 6.0 },
+        Case { instances: 3, cold: 2.0, requests: 12.0 },
+        Case { instances: 3, cold: 8.0, requests: 150.0 },
+        Case { instances: 33, cold: 20.0, requests: 300.0 },
+        Case { instances: 88, cold: 8.0, requests: 100.0 },
+    ];
+    for Case { instances, cold, requests } in cases {
+        let cut_off = (0..instances).filter(|one| one % 3 == 1);
+        let cuts = cut_off.map(|one| (5_000..25_000, Cut::Instance(one))).collect();
+        let plan =
+            Plan { instances, targets: 12, requests, cuts, length: 25_000, ..Plan::default() };
+        let unbounded = play(&plan, 1).refused;
+        let bounded = play(&Plan { cold, ..plan }, 1).refused;
+        let name = format!("{instances} instances, {cold} a second");
+        assert!(bounded <= unbounded, "{name}: {bounded}, {unbounded} without a bound");
+    }
+}
+
 /// Returns a gateway whose model engines have stated these limits, and have no turn at [`LIMITED`].
 fn limited(rates: &[f64]) -> Bench {
     let mut bench = bench(rates.len() as u32, 0);
