Explain where a request would go now, without sending it

Operators could see from the log why past requests went where they did, and not where the next one would go. `sesamewind where` asks an instance of sesamewind-gateway, which lets the described request arrive at a copy of its gateway and reports what the copy decides, with the predicted time or the obstacle for each target. The selection names the obstacle in place of a plain no, so that both use one decision. Tests: the answer is what happens to the next request, for 40 levels of load and five routes; 1,000 questions change nothing; obstacles are named.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -5,8 +5,8 @@
 
 use error_stack::{Report, ResultExt};
 use reqwest::{RequestBuilder, Response};
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use sesamewind_protocol::operator::{Accepted, Conflict, Faulty, SHEET_PATH, Unavailable};
 
 use crate::{Failure, Reply, Submission};
@@ -56,14 +56,31 @@
         &mut self,
         path: &str,
     ) -> Result<T, Report<Failure>> {
-        let mut result = self.get_once(path).await;
+        self.try_each(|client| client.http.get(client.url(path))).await
+    }
+
+    /// Posts a question as a JSON body, which changes nothing at the instance. Tries the next address
+    /// if one is unreachable, each at most once.
+    pub(crate) async fn ask<Q: Serialize, T: DeserializeOwned>(
+        &mut self,
+        path: &str,
+        question: &Q,
+    ) -> Result<T, Report<Failure>> {
+        self.try_each(|client| client.http.post(client.url(path)).json(question)).await
+    }
+
+    async fn try_each<T: DeserializeOwned>(
+        &mut self,
+        request: impl Fn(&Self) -> RequestBuilder,
+    ) -> Result<T, Report<Failure>> {
+        let mut result = self.call(request(self)).await;
         for _ in 1..self.addresses.len() {
             let Err(report) = &result else { break };
             if report.current_context().exit() != crate::Exit::Unreachable {
                 break;
             }
             self.rotate();
-            result = self.get_once(path).await;
+            result = self.call(request(self)).await;
         }
         result
     }
@@ -109,8 +126,11 @@
         }
     }
 
-    async fn get_once<T: DeserializeOwned>(&self, path: &str) -> Result<T, Report<Failure>> {
-        let response = self.send(self.http.get(self.url(path))).await?;
+    async fn call<T: DeserializeOwned>(
+        &self,
+        request: RequestBuilder,
+    ) -> Result<T, Report<Failure>> {
+        let response = self.send(request).await?;
         let status = response.status().as_u16();
         let body = response.bytes().await.change_context_lazy(|| Failure::Lost(self.address()))?;
         if status != 200 {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -12,11 +12,12 @@
 use sesamewind_protocol::operator::{
     INSTANCES_PATH, REFUSALS_PATH, ROLLOUTS_PATH, SHEET_PATH, STATUS_PATH, SheetBody, TARGETS_PATH,
 };
+use sesamewind_protocol::placement::{PLACEMENT_PATH, Placement, PlacementQuery};
 use sesamewind_sheet::Sheet;
 
 use crate::client::Client;
 use crate::console::Console;
-use crate::flags::{Diff, Explain, Sesamewind, SesamewindCmd, SheetCmd, Submit};
+use crate::flags::{Diff, Explain, Sesamewind, SesamewindCmd, SheetCmd, Submit, Where};
 use crate::{Exit, Failure, RequestTrace, Submission, submit, views};
 
 /// Inner listener of an instance on this machine that runs with the example settings.
@@ -56,6 +57,7 @@
         }
         SesamewindCmd::Refusals(_) => show(REFUSALS_PATH, views::refusals, client, console).await,
         SesamewindCmd::Explain(explain) => explain_request(&explain, console),
+        SesamewindCmd::Where(flags) => show_placement(flags, client, console).await,
         SesamewindCmd::Status(_) => show(STATUS_PATH, views::status, client, console).await,
     }
 }
@@ -227,6 +229,27 @@
     Ok(Exit::Ok)
 }
 
+/// Asks where a request would go, and prints it.
+async fn show_placement(
+    flags: Where,
+    client: &mut Client,
+    console: &mut Console<'_>,
+) -> CommandResult {
+    let query = PlacementQuery {
+        host: flags.host,
+        path: flags.path,
+        account: flags.account.as_deref().map(Into::into),
+        prompt: flags.prompt,
+        output: flags.output.unwrap_or_default(),
+        parts: flags.part,
+        wait_ms: flags.wait_ms,
+        point: flags.point,
+    };
+    let placement: Placement = client.ask(PLACEMENT_PATH, &query).await?;
+    console.result(&placement, views::placement);
+    Ok(Exit::Ok)
+}
+
 /// Gets a body and prints it.
 async fn show<T: DeserializeOwned + Serialize>(
     path: &str,
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -54,6 +54,26 @@
         cmd refusals {}
         /// Show the state of the instance that answers.
         cmd status {}
+        /// Explain where a request would go now, and why, without sending it. Asks an instance of
+        /// sesamewind-gateway, with the token of its peers.
+        cmd where {
+            /// Host of the request.
+            required host: String
+            /// Path of the request.
+            required path: String
+            /// Client account, unless the route is public.
+            optional --account name: String
+            /// Tokens of the prompt.
+            optional --prompt tokens: u32
+            /// Maximum number of output tokens. Default: 0.
+            optional --output tokens: u32
+            /// A part of the prompt, in hexadecimal; may be given several times.
+            repeated --part id: String
+            /// Milliseconds for which the caller waits. Default: the route's timeout.
+            optional --wait-ms millis: u64
+            /// Position in [0, 1) for routes that are split over services. Default: random.
+            optional --point point: f64
+        }
         /// Print the log lines of one request, sorted by time. Calls no instance.
         cmd explain {
             /// Identity of the request.
@@ -82,6 +102,7 @@
     Instances(Instances),
     Refusals(Refusals),
     Status(Status),
+    Where(Where),
     Explain(Explain),
 }
 
@@ -135,6 +156,19 @@
 #[derive(Debug)]
 pub struct Status;
 
+#[derive(Debug)]
+pub struct Where {
+    pub host: String,
+    pub path: String,
+
+    pub account: Option<String>,
+    pub prompt: Option<u32>,
+    pub output: Option<u32>,
+    pub part: Vec<String>,
+    pub wait_ms: Option<u64>,
+    pub point: Option<f64>,
+}
+
 #[derive(Debug)]
 pub struct Explain {
     pub request: String,
--- a/crates/cli/src/views.rs
+++ b/crates/cli/src/views.rs
@@ -6,6 +6,7 @@
 use sesamewind_protocol::operator::{
     Faulty, InstancesBody, Outcome, RefusalsBody, RolloutRow, RolloutsBody, StatusBody, TargetsBody,
 };
+use sesamewind_protocol::placement::{Placement, PlacementOutcome};
 use sesamewind_protocol::{VersionId, WallTime};
 
 use crate::console::table;
@@ -35,6 +36,42 @@
     )
 }
 
+/// Formats where a request would go, and why.
+pub(crate) fn placement(body: &Placement) -> String {
+    let Placement { instance, zone, route, service, rank, revision, versions, .. } = body;
+    let outcome = match &body.outcome {
+        PlacementOutcome::Sent(target) => format!("sent to {target}"),
+        PlacementOutcome::PassedOn(peer) => format!("passed on to {peer}: no target is reachable"),
+        PlacementOutcome::Waits { ahead, wait_ms } => {
+            format!("waits for a slot behind {ahead} others, {wait_ms} ms at most")
+        }
+        PlacementOutcome::Refused { reason, retry_ms } => {
+            format!("refused ({reason}), to return after {retry_ms} ms")
+        }
+    };
+    let rows: Vec<[String; 6]> = body
+        .targets
+        .iter()
+        .map(|row| {
+            [
+                row.target.to_string(),
+                row.zone.to_string(),
+                row.version.to_string(),
+                format!("{}/{}", row.load, row.slots),
+                row.predicted_ms
+                    .map_or("-".to_owned(), |predicted_ms| format!("{predicted_ms:.0}")),
+                if row.obstacle.is_empty() { "-" } else { &row.obstacle }.to_owned(),
+            ]
+        })
+        .collect();
+    let returned = if body.returned { ", its caller has returned" } else { "" };
+    format!(
+        "{outcome}\nat {instance} in {zone}, revision {revision}: route {route} to {service}, rank \
+         {rank}, versions: {versions}{returned}\n{}",
+        table(["target", "zone", "version", "load", "predicted ms", "obstacle"], &rows)
+    )
+}
+
 /// Formats the instances and their revisions.
 pub(crate) fn instances(body: &InstancesBody) -> String {
     let rows: Vec<[String; 4]> = body
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -34,7 +34,7 @@
 }
 
 /// Times that callers of each route state for their requests.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct StatedTimes {
     routes: HashMap<RouteId, Longest>,
 }
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -25,7 +25,7 @@
 }
 
 /// Retry budget of one service at one instance.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct RetryBudget {
     ratio: f64,
     extra: f64,
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -15,7 +15,7 @@
 use crate::request::{Request, State};
 
 /// What is known of one availability zone.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Zone {
     evacuated: bool,
     /// Position at which the store was seen to have the order, or not to have it any more.
@@ -60,7 +60,7 @@
 }
 
 /// Evacuated availability zones as known to this instance.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Evacuations {
     /// All zones that were ever evacuated. Those that no longer are remain, so that a peer with an
     /// older state does not evacuate them again.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rand::RngExt;
+use rand::{Rng, RngExt};
 use sesamewind_protocol::{ServiceId, Time};
 
 use crate::admission;
@@ -519,19 +519,55 @@
         latency_limit: Option<Duration>,
         now: Time,
     ) -> Option<Index> {
-        let service = self.services.get(&request.service)?;
         let versions = self.rollouts.allowed_versions(&request.service, request.arrival.point);
+        let mut rng = self.rng.clone();
+        let limits = (candidates, latency_limit);
+        let found = self.select_by_version(limits, request, &versions, &mut rng, now);
+        self.rng = rng;
+        found
+    }
+
+    fn select_by_version(
+        &self,
+        limits: (Candidates, Option<Duration>),
+        request: &Request,
+        versions: &AllowedVersions,
+        rng: &mut impl Rng,
+        now: Time,
+    ) -> Option<Index> {
+        let service = self.services.get(&request.service)?;
+        let (query, context) = self.selection(limits, request, (service, versions), now);
+        if let AllowedVersions::Prefer(version) = versions {
+            let only = AllowedVersions::Only(version.clone());
+            let query = SelectionRequest { versions: &only, ..query };
+            let found = selection::choose(&self.targets, &service.targets, query, context, rng);
+            if found.is_some() {
+                return found;
+            }
+        }
+        selection::choose(&self.targets, &service.targets, query, context, rng)
+    }
+
+    /// Returns what the selection of a target for `request` depends on: which targets may be selected
+    /// despite failures and the upper limit on the predicted time to the first byte in `limits`, the
+    /// service and the versions that may take the request in `choice`.
+    pub(crate) fn selection<'a>(
+        &'a self,
+        (candidates, latency_limit): (Candidates, Option<Duration>),
+        request: &'a Request,
+        (service, versions): (&'a ServiceState, &'a AllowedVersions),
+        now: Time,
+    ) -> (SelectionRequest<'a>, SelectionContext<'a>) {
         let headroom = match latency_limit {
             _ if request.late => service.late_headroom(request.arrival.route.rank, now),
             Some(_) => service.headroom(request.arrival.route.rank, now),
             // A request that was sent before may use the reserved slots.
             None => 0.0,
         };
-        let prompt = request.prompt();
         let route = &request.arrival.route;
         let pause_wait = route.objective.mul_f64(PAUSE_WAIT_FRACTION);
         let query = SelectionRequest {
-            prompt,
+            prompt: request.prompt(),
             tried: &request.tried,
             latency_limit,
             headroom,
@@ -541,26 +577,16 @@
                 .map(|events| events >= LONG_STREAM_EVENTS as f64),
             strict_pause: latency_limit.is_some() && now.since(request.arrived) < pause_wait,
             candidates,
-            versions: &versions,
+            versions,
             homes: Homes::of(&request.arrival, &self.tuning.regions),
         };
-        let margin = self.margin();
         let context = SelectionContext {
             zone: &self.me.zone,
             slot_requests: service.requests_per_slot(),
-            margin,
+            margin: self.margin(),
             now,
         };
-        if let AllowedVersions::Prefer(version) = &versions {
-            let only = AllowedVersions::Only(version.clone());
-            let query = SelectionRequest { versions: &only, ..query };
-            let rng = &mut self.rng;
-            let found = selection::choose(&self.targets, &service.targets, query, context, rng);
-            if found.is_some() {
-                return found;
-            }
-        }
-        selection::choose(&self.targets, &service.targets, query, context, &mut self.rng)
+        (query, context)
     }
 
     pub(crate) fn dispatch(
@@ -642,11 +668,7 @@
                 continue;
             }
             let Some(mut request) = self.requests.remove(&ticket) else { continue };
-            let objective = request.arrival.route.objective;
-            // A request that has already missed its objective, or that can't be refused, goes to any
-            // target with a free slot.
-            let latency_limit =
-                objective.checked_sub(now.since(request.since)).filter(|_| !request.held);
+            let latency_limit = request.latency_limit(now);
             let choice = self.select_target(&request, latency_limit, now);
             match choice.filter(|_| self.charge_retry(&mut request, now)) {
                 Some(target) => self.leave_queue(ticket, request, target, now),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -73,19 +73,19 @@
     pub(crate) reach: Reach,
     pub(crate) stated: StatedTimes,
     /// Instances of this availability zone, if there are enough instances to form groups.
-    members: Members,
+    pub(crate) members: Members,
     pub(crate) stopping: bool,
     /// When the target list became readable again after the last outage.
     pub(crate) list_restored: Option<Time>,
     pub(crate) list_lost: bool,
-    list_read: bool,
+    pub(crate) list_read: bool,
     /// Until when the instance reads what has arrived during its last stall.
     pub(crate) read_until: Time,
     /// End and length of that stall.
-    last_stall: (Time, Duration),
+    pub(crate) last_stall: (Time, Duration),
     /// Whether the load balancer should stop sending callers.
-    unready: bool,
-    sequence: u64,
+    pub(crate) unready: bool,
+    pub(crate) sequence: u64,
     pub(crate) out: Vec<Action>,
 }
 
--- a/crates/gateway/src/groups.rs
+++ b/crates/gateway/src/groups.rs
@@ -33,7 +33,7 @@
 }
 
 /// Instances of an availability zone, in an order that is the same at all of them.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Members {
     order: Vec<(u64, InstanceId)>,
 }
--- a/crates/gateway/src/hedging/allowance.rs
+++ b/crates/gateway/src/hedging/allowance.rs
@@ -10,7 +10,7 @@
 const MAX_ALLOWANCE: f64 = 4.0;
 
 /// Hedges of one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Hedges {
     /// Hedges that may be sent now.
     allowance: f64,
--- a/crates/gateway/src/hedging/quantile.rs
+++ b/crates/gateway/src/hedging/quantile.rs
@@ -19,7 +19,7 @@
 const GROWTH: f64 = 1.15;
 
 /// Counts of ratios in logarithmic buckets.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct RatioQuantile {
     counts: [u32; BUCKETS],
     total: u32,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,8 +14,8 @@
 //! that operators have evacuated, [`homes`] the regions that requests are bound to, `reach` whether
 //! this instance reaches targets and `passing` what it passes on to peers if not, `limits` the
 //! request limits that targets state and what cold ones take, `quarantine` the prompt parts that end
-//! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
-//! report.
+//! targets, [`rollouts`] the rollouts of new versions, [`peers`] the state that other instances
+//! report, and `placement` where a request would go.
 
 mod admission;
 pub mod arrival;
@@ -32,6 +32,7 @@
 mod notices;
 mod passing;
 pub mod peers;
+mod placement;
 pub mod proof;
 mod quarantine;
 pub mod queue;
--- a/crates/gateway/src/limits/cold.rs
+++ b/crates/gateway/src/limits/cold.rs
@@ -160,14 +160,14 @@
 }
 
 /// Cold targets.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ColdTargets {
     indexes: Vec<Index>,
     changes: Vec<ColdChange>,
 }
 
 /// What an entry of the target list says about a cold time.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ColdListing {
     target: TargetId,
     incarnation: Incarnation,
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -80,7 +80,7 @@
 }
 
 /// Request limits of all targets.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Limits {
     /// Targets in use with a limit.
     limited: Vec<Index>,
--- a/crates/gateway/src/meter.rs
+++ b/crates/gateway/src/meter.rs
@@ -45,7 +45,7 @@
 }
 
 /// Usage of one account at all instances, as known to this instance.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Meter {
     /// Limit within the window.
     pub(crate) limit: f64,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,7 +36,7 @@
 }
 
 /// Last known state of one peer.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Peer {
     incarnation: Incarnation,
     zone: ZoneId,
@@ -48,7 +48,7 @@
 }
 
 /// Last known states of the other instances.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Peers {
     peers: HashMap<InstanceId, Peer>,
     /// Whether a peer was added or removed since the last [`Peers::take_change`].
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -61,7 +61,7 @@
 }
 
 /// Proof that no target has run or will run a request. It is not `Clone`, so each request has only
-/// one.
+/// one, and another one in each preview, from which no refusal is sent.
 #[derive(Debug)]
 pub struct NotRunProof(());
 
--- a/crates/gateway/src/quarantine/begun.rs
+++ b/crates/gateway/src/quarantine/begun.rs
@@ -9,7 +9,7 @@
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Times at which answers to parts last began. A part may displace another one.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct BegunParts {
     /// Empty until the first part.
     slots: Vec<(PartId, Time)>,
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -83,7 +83,7 @@
 }
 
 /// An attempt that broke before its answer began.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Break {
     target: Index,
     /// Identity of the target's incarnation, the same at all instances.
@@ -93,7 +93,7 @@
 }
 
 /// What is known of parts that may end targets.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Quarantine {
     records: HashMap<PartId, Record>,
     begun: BegunParts,
--- a/crates/gateway/src/quarantine/record.rs
+++ b/crates/gateway/src/quarantine/record.rs
@@ -38,7 +38,7 @@
 }
 
 /// What is known of one part.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Record {
     /// Targets that ended before an answer to the part began, since one last did.
     targets: Vec<u64>,
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -33,7 +33,7 @@
 }
 
 /// Waiting requests of one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Queue {
     waiting: BTreeMap<Position, Wait>,
 }
@@ -88,6 +88,12 @@
         overdue.map(|((_, ticket), _)| *ticket).collect()
     }
 
+    /// Returns the number of requests before `position` and the end of the wait there.
+    pub(crate) fn place(&self, position: Position) -> Option<(usize, Time)> {
+        let wait = self.waiting.get(&position)?;
+        Some((self.waiting.range(..position).count(), wait.until))
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -139,7 +139,7 @@
 }
 
 /// Limits of all client accounts.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Quotas {
     bounds: QuotaBounds,
     /// Whether the instance joined a deployment that may have been running before.
--- a/crates/gateway/src/rate.rs
+++ b/crates/gateway/src/rate.rs
@@ -8,7 +8,7 @@
 const SPAN: Duration = Duration::from_millis(500);
 
 /// Counts of the current interval and of the previous one.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Rate {
     start: Time,
     count: u32,
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -81,13 +81,13 @@
 }
 
 /// Attempts at targets give no reason for doubt.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Reaching {
     since: Time,
 }
 
 /// Attempts fail, and probes find out whether all targets are unreachable.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct InDoubt {
     since: Time,
     /// Targets whose probes failed.
@@ -104,7 +104,7 @@
 }
 
 /// No target is reachable, although peers reach some.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct CutOff {
     since: Time,
     /// Answered probes in a row.
@@ -112,7 +112,7 @@
     next_probe: Time,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum Condition {
     Reaching(Reaching),
     InDoubt(InDoubt),
@@ -154,7 +154,7 @@
 }
 
 /// What a peer has reported, and this instance's requests there.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct PeerReach {
     zone: ZoneId,
     address: SocketAddr,
@@ -194,7 +194,7 @@
 }
 
 /// Attempts that have failed, and when a target last answered.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Evidence {
     answered: Option<Time>,
     /// When a probe was last answered.
@@ -227,7 +227,7 @@
 }
 
 /// Reach of this instance, and of its peers.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Reach {
     /// Generator of its own, so that probes don't change other random choices.
     rng: ChaCha8Rng,
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -12,7 +12,7 @@
 const RATE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Usage of one account at one peer.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct PeerUsage {
     /// Units used since the peer's start.
     pub(crate) used: f64,
@@ -38,7 +38,7 @@
 }
 
 /// Newest known report of one incarnation of a peer.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Reported {
     pub(crate) incarnation: Incarnation,
     /// Number of the message.
@@ -65,7 +65,7 @@
 }
 
 /// Reports of one peer.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct PeerReports {
     /// When the peer sent its last message that is known here, or was first expected.
     pub(crate) last_seen: Time,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,7 @@
 //! State of a request while it waits or is at a target.
 
+use std::time::Duration;
+
 use sesamewind_protocol::{InstanceId, ServiceId, Time};
 
 use crate::arrival::{Arrival, Ticket};
@@ -17,6 +19,16 @@
     MayHaveRun,
 }
 
+impl History {
+    /// Returns the history for a copy of the request that is neither sent nor answered.
+    fn preview(&self) -> Self {
+        match self {
+            Self::NotRun(_) => Self::NotRun(NotRunProof::at_arrival()),
+            Self::MayHaveRun => Self::MayHaveRun,
+        }
+    }
+}
+
 /// Where a request currently is. While a request is at a target, its proof is kept in the attempt
 /// and is valid again only if the target did not run the request.
 #[derive(Debug)]
@@ -36,6 +48,24 @@
     Moving,
 }
 
+impl State {
+    /// Returns the state of a copy of the request that is neither sent nor answered.
+    fn preview(&self) -> Self {
+        match self {
+            Self::Waiting { position, history } => {
+                Self::Waiting { position: *position, history: history.preview() }
+            }
+            Self::InFlight(attempt) => {
+                Self::InFlight(Attempt { before: attempt.before.preview(), ..*attempt })
+            }
+            Self::Passed(passed) => {
+                Self::Passed(Passed::new(passed.peer.clone(), passed.before.preview()))
+            }
+            Self::Moving => Self::Moving,
+        }
+    }
+}
+
 /// A request at a peer.
 #[derive(Debug)]
 pub(crate) struct Passed {
@@ -172,6 +202,25 @@
         self.since < self.arrived
     }
 
+    /// Returns the upper limit on the predicted time to the first byte. A request that has already
+    /// missed its objective, or that can't be refused, has none.
+    pub(crate) fn latency_limit(&self, now: Time) -> Option<Duration> {
+        let objective = self.arrival.route.objective;
+        objective.checked_sub(now.since(self.since)).filter(|_| !self.held)
+    }
+
+    /// Returns a copy of the request that is neither sent nor answered.
+    pub(crate) fn preview(&self) -> Self {
+        Self {
+            arrival: self.arrival.clone(),
+            service: self.service.clone(),
+            tried: self.tried.clone(),
+            peers: self.peers.clone(),
+            state: self.state.preview(),
+            ..*self
+        }
+    }
+
     /// Returns the tokens of the prompt; zero if unknown.
     pub(crate) fn prompt(&self) -> u32 {
         self.arrival.prompt_tokens.unwrap_or(0)
--- a/crates/gateway/src/rollouts/evidence.rs
+++ b/crates/gateway/src/rollouts/evidence.rs
@@ -65,7 +65,7 @@
 const HISTORY_INTERVALS: u32 = 20;
 
 /// Times of one kind that one instance observes.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Latencies {
     counts: LatencyReport,
     old_interval: Interval,
@@ -105,7 +105,7 @@
 }
 
 /// Evidence of one instance.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Evidence {
     routes: BTreeMap<RouteId, RouteCounts>,
     /// Requests since the start of the rollout.
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -74,7 +74,7 @@
 }
 
 /// State of one rollout.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Rollout {
     order: RolloutOrder,
     schedule: Schedule,
@@ -133,7 +133,7 @@
 }
 
 /// Latest rollout of each service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Rollouts {
     rollouts: HashMap<ServiceId, Rollout>,
     /// Era of the store; see [`Rollouts::enter_era`].
--- a/crates/gateway/src/rollouts/status.rs
+++ b/crates/gateway/src/rollouts/status.rs
@@ -72,7 +72,7 @@
 type StatusKey = (bool, bool, &'static str, EvidenceLevel, EvidenceLevel);
 
 /// Limits how often the status of a rollout is returned.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct StatusLimit {
     last: Option<(Time, StatusKey)>,
 }
--- a/crates/gateway/src/rollouts/unordered.rs
+++ b/crates/gateway/src/rollouts/unordered.rs
@@ -34,7 +34,7 @@
 }
 
 /// Versions of one service without an order.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Unordered {
     versions: BTreeMap<VersionId, Knowledge>,
     /// Versions that have been listed.
--- a/crates/gateway/src/rollouts/verdict.rs
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -145,7 +145,7 @@
 }
 
 /// Evidence of all instances.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Verdict<'a> {
     reports: Vec<&'a RolloutCounts>,
     /// Counts of all reports.
@@ -352,7 +352,7 @@
 }
 
 /// Failure rates to expect of the new version.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Baseline<'a> {
     service: f64,
     routes: BTreeMap<&'a RouteId, f64>,
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -111,6 +111,55 @@
     Sound,
 }
 
+/// Why a target may not receive a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// An attempt of the request has failed there.
+    Tried,
+    /// Operators have evacuated its availability zone.
+    Evacuated,
+    /// It is leaving or gone.
+    Leaving,
+    /// It wants no requests from this instance for a while.
+    Resting,
+    /// What it takes a second from all instances leaves this one no turn.
+    Limited,
+    /// A rollout gives the request to another version.
+    OtherVersion,
+    /// It lies in no region that the route and the account allow.
+    OtherRegion,
+    /// Attempts have failed there recently.
+    Failing,
+    /// Its streams pause for too long, and another target stays within the limit.
+    LongPauses,
+    /// All slots that the request may use are taken.
+    Full,
+    /// It belongs to another group of instances, and has enough requests of this one.
+    OtherGroup,
+    /// The predicted time to the first byte exceeds the time that is left.
+    TooSlow,
+}
+
+impl Obstacle {
+    /// Returns the obstacle as shown to operators.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Tried => "tried",
+            Self::Evacuated => "evacuated",
+            Self::Leaving => "leaving",
+            Self::Resting => "resting",
+            Self::Limited => "limited",
+            Self::OtherVersion => "other_version",
+            Self::OtherRegion => "other_region",
+            Self::Failing => "failing",
+            Self::LongPauses => "long_pauses",
+            Self::Full => "full",
+            Self::OtherGroup => "other_group",
+            Self::TooSlow => "too_slow",
+        }
+    }
+}
+
 /// State of the instance that selects a target.
 #[derive(Debug, Clone, Copy)]
 pub struct SelectionContext<'a> {
@@ -165,6 +214,19 @@
     }
 }
 
+/// Returns for each of the `candidates` the predicted time to the first byte in milliseconds, or why
+/// it may not receive the request.
+pub(crate) fn assess(
+    targets: &Targets,
+    candidates: &[Index],
+    request: SelectionRequest<'_>,
+    context: SelectionContext<'_>,
+) -> Vec<(Index, Result<f64, Obstacle>)> {
+    let summary = CandidateSummary::new(targets, candidates, request, context.now);
+    let assess = |index| summary.assess(index, targets.get(index), request, context);
+    candidates.iter().map(|&index| (index, assess(index))).collect()
+}
+
 /// Selects the target with the lowest score among `candidates`. Returns `None` if all are excluded,
 /// full, unusable or too slow.
 pub fn choose(
@@ -178,16 +240,7 @@
     let summary = CandidateSummary::new(targets, candidates, request, context.now);
     for &index in candidates {
         let target = targets.get(index);
-        if request.tried.contains(&index) || !summary.is_eligible(target, request, context) {
-            continue;
-        }
-        let predicted = target.latency_ratio * estimate_ms(request.prompt, target.prefill());
-        if request
-            .latency_limit
-            .is_some_and(|latency_limit| predicted > latency_limit.as_secs_f64() * 1_000.0)
-        {
-            continue;
-        }
+        let Ok(predicted) = summary.assess(index, target, request, context) else { continue };
         let jitter = if context.is_other_group(target) { OTHER_GROUP_JITTER_MS } else { 0.0 };
         let score = score(target, predicted, request, context)
             + jitter * rng.random::<f64>()
@@ -243,20 +296,62 @@
         }
     }
 
-    /// Returns whether `target` may receive the request and has a free slot for it.
-    fn is_eligible(
+    /// Returns the predicted time to the first byte in milliseconds if `target` may receive the
+    /// request and has a free slot for it.
+    fn assess(
+        &self,
+        index: Index,
+        target: &Target,
+        request: SelectionRequest<'_>,
+        context: SelectionContext<'_>,
+    ) -> Result<f64, Obstacle> {
+        if request.tried.contains(&index) {
+            return Err(Obstacle::Tried);
+        }
+        if let Some(obstacle) = self.obstacle(target, request, context) {
+            return Err(obstacle);
+        }
+        let predicted = target.latency_ratio * estimate_ms(request.prompt, target.prefill());
+        let limit_ms = request.latency_limit.map(|limit| limit.as_secs_f64() * 1_000.0);
+        if limit_ms.is_some_and(|limit_ms| predicted > limit_ms) {
+            return Err(Obstacle::TooSlow);
+        }
+        Ok(predicted)
+    }
+
+    /// Returns why `target` may not receive the request; none if it may and has a free slot for it.
+    fn obstacle(
         &self,
         target: &Target,
         request: SelectionRequest<'_>,
         context: SelectionContext<'_>,
-    ) -> bool {
-        target.is_willing(context.now)
-            && request.versions.allows(&target.listed.version)
-            && request.homes.allows(&target.listed.zone)
-            && self.is_candidate(target, request.candidates, context.now)
-            && !(self.strict_pause && exceeds_pause_limit(request, target))
-            && f64::from(target.load()) < context.capacity(target, request)
-            && !(context.is_other_group(target) && target.own_requests >= OTHER_GROUP_MAX_OWN)
+    ) -> Option<Obstacle> {
+        let now = context.now;
+        let is_crowded =
+            || context.is_other_group(target) && target.own_requests >= OTHER_GROUP_MAX_OWN;
+        if target.evacuated {
+            Some(Obstacle::Evacuated)
+        } else if !target.is_usable(now) {
+            Some(Obstacle::Leaving)
+        } else if !target.rest_left(now).is_zero() {
+            Some(Obstacle::Resting)
+        } else if !target.pause_left(now).is_zero() {
+            Some(Obstacle::Limited)
+        } else if !request.versions.allows(&target.listed.version) {
+            Some(Obstacle::OtherVersion)
+        } else if !request.homes.allows(&target.listed.zone) {
+            Some(Obstacle::OtherRegion)
+        } else if !self.is_candidate(target, request.candidates, now) {
+            Some(Obstacle::Failing)
+        } else if self.strict_pause && exceeds_pause_limit(request, target) {
+            Some(Obstacle::LongPauses)
+        } else if f64::from(target.load()) >= context.capacity(target, request) {
+            Some(Obstacle::Full)
+        } else if is_crowded() {
+            Some(Obstacle::OtherGroup)
+        } else {
+            None
+        }
     }
 }
 
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -43,7 +43,7 @@
 const MIN_QUEUE_LEN: usize = 2;
 
 /// State of one service.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ServiceState {
     /// Whether the targets are model engines.
     pub(crate) model: bool,
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -27,7 +27,7 @@
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// A peer that has or had a share.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Sharer {
     /// Availability zone.
     zone: ZoneId,
@@ -40,7 +40,7 @@
 }
 
 /// The other instances with a share.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Sharers {
     peers: HashMap<InstanceId, Sharer>,
     /// Number of peers with a share at the last [`Sharers::update`].
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -242,6 +242,11 @@
         &self.accounts
     }
 
+    /// Returns the client account with this name.
+    pub fn account(&self, name: &AccountId) -> Option<&Arc<Account>> {
+        self.accounts.iter().find(|account| account.name == *name)
+    }
+
     /// Returns the rank of the most urgent route to `service`.
     pub fn top_rank(&self, service: &ServiceId) -> u8 {
         let routes = self.hosts.values().flatten();
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -100,7 +100,7 @@
 }
 
 /// State of one incarnation of a target.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Target {
     /// Last listed description.
     pub listed: ListedTarget,
@@ -363,7 +363,7 @@
 }
 
 /// All targets that were listed since this instance started.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Targets {
     all: Vec<Target>,
     names: HashMap<TargetId, Index>,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod load;
 mod notices;
 mod partitions;
+mod placement;
 mod quarantine;
 mod quota;
 mod reach;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`message`] holds the periodic exchange between instances, [`traffic`] and [`evidence`] its
 //!   sections on traffic and on rollouts, and [`record`] the lookups of request records.
 //! - [`relay`] holds the messages between instances that forward by route.
+//! - [`placement`] holds the bodies of the call that explains where a request would go.
 //! - [`codec`] encodes and decodes the messages between instances.
 
 pub mod code;
@@ -18,6 +19,7 @@
 mod keyed;
 pub mod message;
 pub mod operator;
+pub mod placement;
 pub mod record;
 pub mod relay;
 pub mod target;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod pace;
 pub mod passing;
 pub mod peers;
+mod placement;
 pub mod pool;
 pub mod row_cache;
 pub mod server;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body::Body;
 use http_body_util::{BodyExt, Collected, Full, Limited};
 use rand::RngExt;
@@ -19,6 +19,7 @@
 use serde::de::DeserializeOwned;
 use sesamewind_gateway::Event;
 use sesamewind_protocol::codec;
+use sesamewind_protocol::placement::{PLACEMENT_PATH, PlacementQuery};
 use sesamewind_protocol::relay::{RelayUpdate, RowsReply, RowsRequest};
 use sesamewind_protocol::{InstanceId, ZoneId};
 use sesamewind_settings::Secret;
@@ -29,6 +30,7 @@
 use crate::driver::Driver;
 use crate::exchange::Surroundings;
 use crate::passing::PASS_PATH;
+use crate::placement;
 use crate::pool::Pool;
 use crate::source::Announcement;
 use crate::watched::RequestBody;
@@ -42,6 +44,9 @@
 /// Path of the metrics on the inner listener.
 const METRICS_PATH: &str = "/metrics";
 
+/// Prefix of a bearer token.
+const BEARER: &str = "Bearer ";
+
 /// Timeout of a call to a peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -257,10 +262,8 @@
             (&Method::GET, METRICS_PATH) => {
                 respond(StatusCode::OK, self.driver.metrics.render().into())
             }
-            (&Method::POST, path @ (EXCHANGE_PATH | ROWS_PATH | PASS_PATH)) => {
-                let offered = head.headers.get(header::AUTHORIZATION).map(HeaderValue::as_bytes);
-                let offered = offered.and_then(|bytes| std::str::from_utf8(bytes).ok());
-                if !offered.is_some_and(|offered| self.token.matches(offered)) {
+            (&Method::POST, path @ (EXCHANGE_PATH | ROWS_PATH | PASS_PATH | PLACEMENT_PATH)) => {
+                if !self.is_authorized(&head.headers) {
                     log::warn!(event = "peer_unknown"; "request of a peer without a valid token");
                     return respond(StatusCode::UNAUTHORIZED, Bytes::new());
                 }
@@ -270,6 +273,7 @@
                         callers::serve_passed(Rc::clone(&self.driver), &bytes, connection).await
                     }
                     Ok(bytes) if path == ROWS_PATH => self.serve_rows(&bytes),
+                    Ok(bytes) if path == PLACEMENT_PATH => self.serve_placement(&bytes),
                     Ok(bytes) => self.serve_exchange(&bytes),
                     Err(err) => unreadable(&err),
                 }
@@ -278,6 +282,33 @@
         }
     }
 
+    /// Returns whether the head has the token of the peers, which operators' tools send as a bearer
+    /// token.
+    fn is_authorized(&self, headers: &HeaderMap) -> bool {
+        let offered = headers.get(header::AUTHORIZATION).map(HeaderValue::as_bytes);
+        let offered = offered.and_then(|bytes| std::str::from_utf8(bytes).ok());
+        offered.is_some_and(|offered| {
+            self.token.matches(offered.strip_prefix(BEARER).unwrap_or(offered))
+        })
+    }
+
+    fn serve_placement(&self, bytes: &[u8]) -> Answer {
+        let query: PlacementQuery = match serde_json::from_slice(bytes) {
+            Ok(query) => query,
+            Err(err) => return respond(StatusCode::BAD_REQUEST, err.to_string().into()),
+        };
+        match placement::explain(&self.driver, query) {
+            Ok(placement) => match serde_json::to_vec(&placement) {
+                Ok(bytes) => respond(StatusCode::OK, bytes.into()),
+                Err(err) => {
+                    log::error!(event = "peer_unwritable"; "placement could not be encoded: {err}");
+                    respond(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+                }
+            },
+            Err((status, text)) => respond(status, text.into()),
+        }
+    }
+
     fn serve_exchange(self: &Rc<Self>, bytes: &[u8]) -> Answer {
         let update: RelayUpdate = match codec::decode(bytes) {
             Ok(update) => update,
