--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamewind_protocol::Time;
 use sesamewind_protocol::placement::{Placement, PlacementOutcome, PlacementTarget};
+use sesamewind_protocol::{Time, VersionId};
 
 use crate::arrival::{Arrival, Ticket};
 use crate::event::{Event, Step};
@@ -137,7 +137,7 @@
         AllowedVersions::Only(version) => format!("only {version}"),
         AllowedVersions::Prefer(version) => format!("{version} if it has room"),
         AllowedVersions::Except(others) => {
-            let others: Vec<_> = others.iter().map(|version| version.as_str()).collect();
+            let others: Vec<_> = others.iter().map(VersionId::as_str).collect();
             format!("any except {}", others.join(", "))
         }
     }
