Count late answers of probes, and wait for them as long as targets lately took

A probe failed after 400 ms. Where all targets took longer, the peers of an instance that is cut off came in doubt as well, so that it recognized the cut late, and an instance with few targets could take slow answers for a cut.

Probes of a doubt now wait one and a half times as long as the latest answered ones of this instance and its peers took (400 ms to 1 s), other ones 1 s; late answers count. Reports to peers carry the longest time (a new field with a default).

Test: plays in which all targets answer after 600 ms. Recognition is within 2.6 s in all plays, the return within 2.0 s. In the plays, a hanging probe now fails when the gateway says, not after 400 ms.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -116,6 +116,23 @@
     pub target: Index,
     /// Its address.
     pub address: SocketAddr,
+    /// Time without an answer after which the probe is reported as failed. An answer that arrives
+    /// later, but within [`Probe::MAX_TIME`], is reported as well.
+    pub patience: Duration,
+}
+
+impl Probe {
+    /// Longest time for which an answer is awaited.
+    pub const MAX_TIME: Duration = Duration::from_secs(1);
+}
+
+/// Result of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProbeResult {
+    /// Whether the target has answered.
+    pub answered: bool,
+    /// Time since the probe was sent.
+    pub took: Duration,
 }
 
 /// Input of the gateway.
@@ -159,8 +176,8 @@
     PassEnded(Ticket, PassOutcome),
     /// The new connection of the attempt broke before any byte was received.
     ConnectionBroke(Ticket),
-    /// A probe of a target ended; tells whether the target has answered.
-    Probed(Index, bool),
+    /// A target has answered a probe, or has not in time.
+    Probed(Index, ProbeResult),
     /// The caller disconnected; its attempt, if any, was cancelled.
     CallerLeft(Ticket),
     /// A configuration was accepted.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -143,7 +143,7 @@
             Event::Ended(ticket, outcome) => self.ended(ticket, outcome, now),
             Event::PassEnded(ticket, outcome) => self.pass_ended(ticket, outcome, now),
             Event::ConnectionBroke(ticket) => self.connection_broke(ticket, now),
-            Event::Probed(target, answered) => self.probed(target, answered, now),
+            Event::Probed(target, result) => self.probed(target, result, now),
             Event::CallerLeft(ticket) => self.caller_left(ticket, now),
             Event::Configured(table) => self.configure(table, now),
             Event::Listed(changes) => self.apply_changes(changes, now),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,7 +53,7 @@
 pub use arrival::{Arrival, Ticket};
 pub use evacuation::ZoneChange;
 pub use event::{
-    Action, AttemptOutcome, Event, Failure, NoRetry, PassOn, PassOutcome, Probe, Step,
+    Action, AttemptOutcome, Event, Failure, NoRetry, PassOn, PassOutcome, Probe, ProbeResult, Step,
 };
 pub use gateway::Gateway;
 pub use hedging::{Hedge, HedgeObstacle};
--- a/crates/gateway/src/passing.rs
+++ b/crates/gateway/src/passing.rs
@@ -3,7 +3,9 @@
 use sesamewind_protocol::Time;
 
 use crate::arrival::{Arrival, Ticket};
-use crate::event::{Action, AttemptOutcome, Failure, NoRetry, PassOn, PassOutcome, Probe, Step};
+use crate::event::{
+    Action, AttemptOutcome, Failure, NoRetry, PassOn, PassOutcome, Probe, ProbeResult, Step,
+};
 use crate::gateway::Gateway;
 use crate::proof::{NotRunProof, PassedRefusal, RefusalReason};
 use crate::reach::ReachChange;
@@ -30,10 +32,10 @@
 
     /// Returns the probes to send now.
     pub fn take_probes(&mut self) -> Vec<Probe> {
+        let patience = self.reach.patience();
         let probes = self.reach.take_probes().into_iter();
-        probes
-            .map(|target| Probe { target, address: self.targets.get(target).listed.address })
-            .collect()
+        let address = |target| self.targets.get(target).listed.address;
+        probes.map(|target| Probe { target, address: address(target), patience }).collect()
     }
 
     /// Records that a target has sent a part of an answer.
@@ -246,8 +248,8 @@
         }
     }
 
-    pub(crate) fn probed(&mut self, target: Index, answered: bool, now: Time) {
-        self.reach.record_probe(target, answered, now);
+    pub(crate) fn probed(&mut self, target: Index, result: ProbeResult, now: Time) {
+        self.reach.record_probe(target, result, now);
     }
 
     /// Decides whether this instance reaches targets, and passes waiting requests on if not.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -5,7 +5,7 @@
 //! answers of targets meanwhile tells a partition from targets that are down. `docs/design/reach.md`
 //! describes the rules.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 use sesamewind_protocol::relay::{ReachReport, ReachState, RelayUpdate};
 use sesamewind_protocol::{InstanceId, Time, ZoneId};
 
-use crate::event::{AttemptOutcome, PassOutcome};
+use crate::event::{AttemptOutcome, PassOutcome, Probe, ProbeResult};
 use crate::targets::{Index, Targets};
 
 /// Number of different targets at which attempts must fail to raise a doubt, and smallest number of
@@ -31,12 +31,16 @@
 /// Time for which a failed connection counts.
 const FAILURE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Time without any answer after which attempts that wait raise a doubt.
-const SILENCE: Duration = Duration::from_millis(400);
-
 /// Time after a doubt has ended in which attempts that wait raise none.
 const SILENCE_PAUSE: Duration = Duration::from_secs(2);
 
+/// Shortest time without an answer after which a probe of a doubt has failed, and attempts that wait
+/// raise a doubt.
+const MIN_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Number of the latest answered probes whose times count.
+const PROBE_TIMES: usize = 8;
+
 /// Interval of the probes while the doubt can't be confirmed.
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -96,8 +100,11 @@
     next: Vec<Index>,
     /// Number of failed probes that confirm the doubt; none without enough targets.
     needed: Option<usize>,
-    /// When the last round of probes began.
+    /// When the last round of probes began, and when its last probes were sent.
     round: Time,
+    sent: Time,
+    /// Time without an answer after which a probe of this round has failed.
+    patience: Duration,
     /// Whether peers had answers of targets just before.
     witnessed: bool,
     next_probe: Time,
@@ -109,6 +116,8 @@
     since: Time,
     /// Answered probes in a row.
     answered: u32,
+    /// When the first of them was sent.
+    first: Time,
     next_probe: Time,
 }
 
@@ -127,6 +136,8 @@
             next: Vec::new(),
             needed: None,
             round: now,
+            sent: now,
+            patience: MIN_PATIENCE,
             witnessed: false,
             next_probe: now,
         }
@@ -139,7 +150,7 @@
     }
 
     fn cut_off(self, now: Time) -> CutOff {
-        CutOff { since: now, answered: 0, next_probe: now }
+        CutOff { since: now, answered: 0, first: now, next_probe: now }
     }
 
     fn end(self, now: Time) -> Reaching {
@@ -163,6 +174,8 @@
     answered: Time,
     /// When a probe of the peer was last answered.
     probed: Time,
+    /// Longest time that the peer's latest answered probes took.
+    probe_time: Duration,
     /// When the peer last reported a doubt of its own.
     doubted: Time,
     own: u32,
@@ -199,6 +212,8 @@
     answered: Option<Time>,
     /// When a probe was last answered.
     probed: Option<Time>,
+    /// Times that the latest answered probes took.
+    probe_times: VecDeque<Duration>,
     /// Targets to which no connection could be made, and when.
     unconnected: HashMap<Index, Time>,
     /// Targets at which attempts broke or fell silent since the last answer.
@@ -215,6 +230,13 @@
         self.broken.clear();
     }
 
+    fn record_answered_probe(&mut self, took: Duration, now: Time) {
+        self.record_answer(now);
+        self.probed = Some(now);
+        self.probe_times.truncate(PROBE_TIMES - 1);
+        self.probe_times.push_front(took);
+    }
+
     fn raises_doubt(&mut self, now: Time) -> bool {
         self.unconnected.retain(|_, at| now.since(*at) < FAILURE_WINDOW);
         self.unconnected.len() >= MIN_TARGETS || self.broken.len() >= MIN_TARGETS
@@ -280,7 +302,17 @@
         let answered = self.evidence.since_answer(now);
         let (own, passed) = self.open;
         let probed = self.evidence.probed.map(|probed| now.since(probed));
-        ReachReport { state: self.state().0, answered, probed, own, passed }
+        let probe_time = self.evidence.probe_times.iter().max().copied();
+        ReachReport { state: self.state().0, answered, probed, probe_time, own, passed }
+    }
+
+    /// Returns the time without an answer after which a probe that is sent now has failed. Only a doubt
+    /// has use for an early failure.
+    pub(crate) fn patience(&self) -> Duration {
+        match &self.condition {
+            Condition::InDoubt(doubt) => doubt.patience,
+            Condition::Reaching(_) | Condition::CutOff(_) => Probe::MAX_TIME,
+        }
     }
 
     /// Returns the changes since the last call.
@@ -340,6 +372,7 @@
             state: report.state,
             answered,
             probed,
+            probe_time: report.probe_time.unwrap_or_default(),
             doubted: if is_reaching { doubted } else { now },
             own: report.own,
             passed: report.passed,
@@ -355,10 +388,10 @@
     }
 
     /// Records the result of a probe.
-    pub(crate) fn record_probe(&mut self, target: Index, answered: bool, now: Time) {
+    pub(crate) fn record_probe(&mut self, target: Index, result: ProbeResult, now: Time) {
+        let ProbeResult { answered, took } = result;
         if answered {
-            self.evidence.record_answer(now);
-            self.evidence.probed = Some(now);
+            self.evidence.record_answered_probe(took, now);
         }
         match &mut self.condition {
             Condition::Reaching(_) if answered => {}
@@ -375,12 +408,22 @@
                 if !doubt.failed.contains(&target) {
                     doubt.failed.push(target);
                 }
-                if doubt.failed.len() == FIRST_PROBES {
+                if doubt.failed.len() == FIRST_PROBES && !doubt.next.is_empty() {
+                    doubt.sent = now;
                     self.probes.append(&mut doubt.next);
                 }
             }
             Condition::CutOff(cut) => {
-                cut.answered = if answered { cut.answered + 1 } else { 0 };
+                let sent = now - took;
+                if answered && cut.answered == 0 {
+                    cut.first = sent;
+                }
+                // Probes that were sent before the path was back fail after newer ones are answered.
+                if answered {
+                    cut.answered += 1;
+                } else if sent >= cut.first {
+                    cut.answered = 0;
+                }
                 if cut.answered >= RETURN_PROBES {
                     self.change(now, |condition| match condition {
                         Condition::CutOff(cut) => Condition::Reaching(cut.end(now)),
@@ -400,13 +443,14 @@
         now: Time,
     ) {
         self.warnings.retain(|_, at| now.since(*at) < WARNING_TIME);
+        let silence = self.late_after(now);
         match &mut self.condition {
             Condition::Reaching(reaching) => {
                 let may_wait =
                     reaching.since == Time::ZERO || now.since(reaching.since) >= SILENCE_PAUSE;
                 let is_silent = may_wait
-                    && self.evidence.since_answer(now).is_none_or(|age| age >= SILENCE)
-                    && waiting(SILENCE) >= MIN_TARGETS;
+                    && self.evidence.since_answer(now).is_none_or(|age| age >= silence)
+                    && waiting(silence) >= MIN_TARGETS;
                 if self.evidence.raises_doubt(now) || is_silent {
                     self.change(now, |condition| match condition {
                         Condition::Reaching(reaching) => Condition::InDoubt(reaching.doubt(now)),
@@ -419,10 +463,17 @@
             }
             Condition::InDoubt(doubt) => {
                 let round = doubt.round;
-                let is_witness = |peer: &PeerReach| {
+                let is_witness = |peer: &&PeerReach| {
                     peer.is_reaching(now) && peer.probed > round && peer.doubted < round
                 };
-                if doubt.is_confirmed() && self.peers.values().any(is_witness) {
+                // As slow an answer as the peers get may still arrive.
+                let witnesses = self.peers.values().filter(is_witness);
+                let wait = witnesses.map(|peer| late_after(peer.probe_time)).min();
+                let wait = wait.filter(|_| doubt.is_confirmed());
+                if wait.is_some_and(|wait| now.since(doubt.sent) < wait) {
+                    return;
+                }
+                if wait.is_some() {
                     self.change(now, |condition| match condition {
                         Condition::InDoubt(doubt) => Condition::CutOff(doubt.cut_off(now)),
                         other => other,
@@ -440,6 +491,13 @@
         }
     }
 
+    /// Returns the time after which an answer is late, as far as this instance and its peers know.
+    fn late_after(&self, now: Time) -> Duration {
+        let reaching = self.peers.values().filter(|peer| peer.is_reaching(now));
+        let times = reaching.map(|peer| &peer.probe_time).chain(&self.evidence.probe_times);
+        late_after(times.max().copied().unwrap_or_default())
+    }
+
     fn change(&mut self, now: Time, next: impl FnOnce(Condition) -> Condition) {
         let (_, before) = self.state();
         let placeholder = Condition::Reaching(Reaching { since: now });
@@ -452,6 +510,7 @@
 
     /// Sends the probes of a doubt.
     fn probe_for_doubt(&mut self, targets: &Targets, now: Time) {
+        let patience = self.late_after(now);
         let Condition::InDoubt(doubt) = &mut self.condition else { return };
         let warnings = &self.warnings;
         // If peers see most targets fail as well, it is not the path of this instance.
@@ -460,16 +519,23 @@
             (usable(targets, now).filter(is_warned).count(), usable(targets, now).count());
         let candidates = usable(targets, now).filter(|index| !warnings.contains_key(index));
         let mut chosen = candidates.sample(&mut self.rng, CONFIRMING_PROBES);
-        doubt.next_probe = now + DOUBT_INTERVAL;
+        doubt.patience = patience;
+        doubt.next_probe = now + DOUBT_INTERVAL + (doubt.patience - MIN_PATIENCE);
         doubt.failed.clear();
         doubt.round = now;
+        doubt.sent = now;
         doubt.witnessed = self
             .peers
             .values()
             .any(|peer| peer.is_reaching(now) && now.since(peer.answered) < WITNESS_TIME);
         let may_confirm = chosen.len() >= MIN_TARGETS && 2 * warned < all;
         doubt.needed = may_confirm.then_some(chosen.len());
-        doubt.next = chosen.split_off(FIRST_PROBES.min(chosen.len()));
+        // Two turns of slow probes would take too long.
+        if doubt.patience == MIN_PATIENCE {
+            doubt.next = chosen.split_off(FIRST_PROBES.min(chosen.len()));
+        } else {
+            doubt.next.clear();
+        }
         self.probes.extend(chosen);
     }
 
@@ -562,6 +628,11 @@
     }
 }
 
+/// Returns the time after which a probe is late where other ones took `longest`.
+fn late_after(longest: Duration) -> Duration {
+    (longest + longest / 2).clamp(MIN_PATIENCE, Probe::MAX_TIME)
+}
+
 fn usable(targets: &Targets, now: Time) -> impl Iterator<Item = Index> {
     targets.iter().filter(move |(_, target)| target.is_usable(now)).map(|(index, _)| index)
 }
--- a/crates/gateway/tests/all/reach.rs
+++ b/crates/gateway/tests/all/reach.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use sesamewind_gateway::{AttemptOutcome, Event, Gateway, Step, Tuning};
+use sesamewind_gateway::{AttemptOutcome, Event, Gateway, ProbeResult, Step, Tuning};
 use sesamewind_protocol::Time;
 use sesamewind_protocol::relay::{ReachReport, ReachState, RelayUpdate, StorePosition};
 
-use crate::reach_fleet::{Fault, Plan, play};
+use crate::reach_fleet::{Fault, PROBE_MS, Plan, Tries, WORK_MS, play};
 use crate::support::{Bench, PLAIN, at, identity, routing, target};
 
 const FAULTS: [Fault; 3] = [Fault::Hang, Fault::Reset, Fault::RefuseNew];
@@ -21,6 +21,8 @@
         fault,
         cut: 0..cut,
         down: 0..0,
+        work: WORK_MS,
+        probe: PROBE_MS,
         during: 3_000..9_000,
         length: 10_700,
     }
@@ -89,13 +91,53 @@
     }
 }
 
+/// Guards against recognizing a cut late, or where there is none, in a deployment whose targets take
+/// long to answer probes.
+#[test]
+fn slow_answers_of_all_targets_neither_hide_a_cut_nor_look_like_one() {
+    let (mut at_cut, mut others) = (Tries::default(), Tries::default());
+    for fault in FAULTS {
+        for (cut, targets) in [(0, 3), (0, 24), (1, 3), (1, 24), (3, 24)] {
+            for (work, seed) in [(WORK_MS, 1), (600..700, 2), (600..700, 3), (600..700, 4)] {
+                let targets = (targets, 32);
+                let plan = Plan {
+                    targets,
+                    work,
+                    probe: 600,
+                    rate: 4.0,
+                    during: 3_000..12_000,
+                    length: 14_000,
+                    ..plan(6, cut, fault)
+                };
+                let report = play(&plan, seed);
+                let what = format!("{cut} cut, {targets:?}, {fault:?}, seed {seed}: {report:?}");
+                assert_eq!((report.mistaken, report.repeated), (0, 0), "{what}");
+                if cut > 0 {
+                    assert!(report.recognized.is_some_and(|after| after <= 2_600), "{what}");
+                    assert!(report.returned.is_some_and(|after| after <= 2_000), "{what}");
+                    if targets.0 > 3 {
+                        at_cut.add(&report.tries[0]);
+                        others.add(&report.tries[1]);
+                    }
+                }
+            }
+        }
+    }
+    // Where targets have room for all requests.
+    assert!(
+        others.share() > 0.9 && at_cut.share() >= 0.9 * others.share(),
+        "{at_cut:?} {others:?}"
+    );
+}
+
 /// Returns the update of a peer in `state` whose targets have just answered.
 fn report(peer: &mut Gateway, state: ReachState, now: Time) -> RelayUpdate {
     let position = StorePosition::default();
     let to = identity("i1", "z1").instance;
     let update = peer.peer_update(&to, position, now, now);
     let just = Some(Duration::ZERO);
-    let reach = ReachReport { state, answered: just, probed: just, own: 1, passed: 0 };
+    let reach =
+        ReachReport { state, answered: just, probed: just, probe_time: just, own: 1, passed: 0 };
     RelayUpdate { reach: Some(reach), address: "127.0.0.1:7600".into(), ..update }
 }
 
@@ -125,7 +167,8 @@
             bench.send(Event::CallerLeft(ticket), at(now));
             bench.send(Event::Tick, at(now));
             for probe in bench.gateway.take_probes() {
-                bench.send(Event::Probed(probe.target, false), at(now + 10));
+                let result = ProbeResult { answered: false, took: Duration::from_millis(10) };
+                bench.send(Event::Probed(probe.target, result), at(now + 10));
             }
             now += 20;
             assert!(now < 5_000, "the instance is cut off");
--- a/crates/gateway/tests/all/reach_fleet.rs
+++ b/crates/gateway/tests/all/reach_fleet.rs
@@ -4,12 +4,14 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::ops::Range;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{
-    Arrival, AttemptOutcome, Event, Gateway, PassOutcome, RouteTable, Step, Ticket, Tuning,
+    Arrival, AttemptOutcome, Event, Gateway, PassOutcome, ProbeResult, RouteTable, Step, Ticket,
+    Tuning,
 };
 use sesamewind_protocol::relay::{ReachState, StorePosition};
 use sesamewind_protocol::{InstanceId, TargetId, Time};
@@ -24,8 +26,9 @@
 const CONNECT_MS: u64 = 400;
 const SILENCE_MS: u64 = 700;
 
-/// Milliseconds that a target works on a request.
-const WORK_MS: Range<u64> = 60..160;
+/// Milliseconds that a target works on a request, and takes to answer a probe.
+pub const WORK_MS: Range<u64> = 60..160;
+pub const PROBE_MS: u64 = 10;
 
 /// How paths to targets fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +56,10 @@
     pub cut: Range<usize>,
     /// Targets that are down for everybody.
     pub down: Range<usize>,
+    /// Milliseconds that a target works on a request.
+    pub work: Range<u64>,
+    /// Milliseconds that a target takes to answer a probe.
+    pub probe: u64,
     /// When the cut holds.
     pub during: Range<u64>,
     /// Length of the play.
@@ -69,6 +76,12 @@
 }
 
 impl Tries {
+    /// Adds the tries of another play.
+    pub fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.served += other.served;
+    }
+
     /// Returns the fraction of requests that were served.
     pub fn share(&self) -> f64 {
         f64::from(self.served) / f64::from(self.asked.max(1))
@@ -97,7 +110,7 @@
 enum Due {
     Ends(usize, Ticket, u32, End),
     Silent(usize, Ticket, u32),
-    Probed(usize, usize, bool),
+    Probed(usize, usize, ProbeResult),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -194,9 +207,21 @@
             for probe in self.gateways[instance].take_probes() {
                 self.report.probes += 1;
                 let is_up = self.reaches(instance, now) && !self.is_down(probe.target, now);
-                let took = if is_up || self.plan.fault != Fault::Hang { 10 } else { CONNECT_MS };
-                let due = Due::Probed(instance, probe.target, is_up);
-                self.due.push(Reverse((now + took, due)));
+                let mut push = |answered, took| {
+                    let result = ProbeResult { answered, took: Duration::from_millis(took) };
+                    let due = Due::Probed(instance, probe.target, result);
+                    self.due.push(Reverse((now + took, due)));
+                };
+                let patience = probe.patience.as_millis() as u64;
+                match self.plan.fault {
+                    _ if is_up && self.plan.probe <= patience => push(true, self.plan.probe),
+                    _ if is_up => {
+                        push(false, patience);
+                        push(true, self.plan.probe);
+                    }
+                    Fault::Hang => push(false, patience),
+                    Fault::Reset | Fault::RefuseNew => push(false, 10),
+                }
             }
             self.note_changes(instance, now);
         }
@@ -345,7 +370,7 @@
                 let end = |end| Due::Ends(instance, ticket, attempt, end);
                 let due = if works {
                     self.flights.entry(key).and_modify(|flight| flight.runs += 1);
-                    (now + self.rng.random_range(WORK_MS), end(End::Whole))
+                    (now + self.rng.random_range(self.plan.work.clone()), end(End::Whole))
                 } else if self.plan.fault == Fault::Hang {
                     (now + CONNECT_MS, end(End::Unconnected))
                 } else {
@@ -402,8 +427,8 @@
 
     fn happen(&mut self, due: Due, now: u64) {
         match due {
-            Due::Probed(instance, target, answered) => {
-                self.send(instance, Event::Probed(target, answered), now);
+            Due::Probed(instance, target, result) => {
+                self.send(instance, Event::Probed(target, result), now);
             }
             Due::Silent(instance, ticket, attempt) => {
                 let flight = self.flights.get(&(instance, ticket));
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -353,6 +353,9 @@
     /// Time since a probe over a new connection was last answered; none if none was.
     #[serde(default)]
     pub probed: Option<Duration>,
+    /// Longest time that the latest answered probes took; none if none was answered.
+    #[serde(default)]
+    pub probe_time: Option<Duration>,
     /// Open requests of its own callers.
     #[serde(default)]
     pub own: u32,
--- a/crates/relay/src/passing.rs
+++ b/crates/relay/src/passing.rs
@@ -3,6 +3,7 @@
 //! The peer answers over the inner listener, with a header that tells whether it took the request.
 //! Once a byte of the request may have been sent, only such an answer says that it has not run.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use http::{HeaderName, HeaderValue, Method, Request, header, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use sesamewind_gateway::{Event, PassOn, PassOutcome, Probe, Refusal, RefusalReason};
+use sesamewind_gateway::{Event, PassOn, PassOutcome, Probe, ProbeResult, Refusal, RefusalReason};
 use sesamewind_protocol::codec;
 use sesamewind_protocol::relay::{PassedHeader, PassedRequest};
 use sesamewind_settings::Secret;
@@ -35,9 +36,6 @@
 /// a longer one.
 const MAX_IDLE: Duration = Duration::from_millis(1_500);
 
-/// Time limit of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Largest refusal of a peer, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
@@ -318,15 +316,37 @@
     }
     for probe in driver.with_gateway_mut(sesamewind_gateway::Gateway::take_probes) {
         let driver = Rc::clone(driver);
-        spawn_local(async move {
-            let answered = driver.timeout(PROBE_TIMEOUT, send_probe(&driver, probe)).await;
-            let answered = answered.unwrap_or_else(|_| Err("timed out".to_owned()));
-            if let Err(err) = &answered {
-                log::debug!(event = "probe_failed", address:% = probe.address; "{err}");
-            }
-            driver.metrics.probe(if answered.is_ok() { "answered" } else { "failed" });
-            driver.handle(Event::Probed(probe.target, answered.is_ok()));
-        });
+        spawn_local(async move { run_probe(&driver, probe).await });
+    }
+}
+
+/// Sends a probe and reports its result; an answer that is late, too.
+async fn run_probe(driver: &Driver, probe: Probe) {
+    let sent = driver.run_time();
+    let report = |answered| {
+        let took = driver.run_time().saturating_sub(sent);
+        driver.handle(Event::Probed(probe.target, ProbeResult { answered, took }));
+    };
+    let mut answer = pin!(send_probe(driver, probe));
+    let (mut result, mut is_late) = (driver.timeout(probe.patience, answer.as_mut()).await, false);
+    let left = Probe::MAX_TIME.saturating_sub(probe.patience);
+    if result.is_err() && !left.is_zero() {
+        report(false);
+        is_late = true;
+        result = driver.timeout(left, answer).await;
+    }
+    let result = result.unwrap_or_else(|_| Err("timed out".to_owned()));
+    if let Err(err) = &result {
+        log::debug!(event = "probe_failed", address:% = probe.address; "{err}");
+    }
+    let answered = result.is_ok();
+    driver.metrics.probe(match (answered, is_late) {
+        (true, false) => "answered",
+        (true, true) => "late",
+        (false, _) => "failed",
+    });
+    if answered || !is_late {
+        report(answered);
     }
 }
 
