--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -11,6 +11,7 @@
 use crate::gateway::Gateway;
 use crate::homes::Homes;
 use crate::proof::{NotRunProof, Refusal, RefusalReason};
+use crate::queue::Standing;
 use crate::request::{Attempt, History, Request, State};
 use crate::rollouts::AllowedVersions;
 use crate::selection::{self, Candidates, SelectionContext, SelectionRequest};
@@ -99,14 +100,16 @@
         let since = now - self.stated.waited(&route.name, left, route.timeout, now);
         let latest = since + route.objective.mul_f64(MAX_WAIT_FRACTION);
         let late = state.model && latest <= now;
-        let (position, wait) = if late {
+        let lag = self.shares.lag(arrival.account.as_deref(), &self.quotas, now);
+        let standing = Standing { rank: arrival.rank(), lag, late };
+        let (until, wait) = if late {
             let until = admission::late_wait_end(arrival.deadline, now);
-            (state.queue.push_late(ticket, arrival.rank(), now, until), until.since(now))
+            (until, until.since(now))
         } else {
-            let until = latest.min(arrival.deadline);
             let wait = route.objective.mul_f64(QUEUE_WAIT_FRACTION);
-            (state.queue.push(ticket, arrival.rank(), now, until), wait)
+            (latest.min(arrival.deadline), wait)
         };
+        let position = state.queue.push(ticket, standing, now, until);
         let waiting = State::Waiting { position, history: History::NotRun(proof) };
         let mut request = Request::new(arrival, service.clone(), cost, waiting, now);
         request.passed = is_passed;
@@ -137,7 +140,7 @@
         }
         loop {
             let Some(state) = self.services.get_mut(service) else { return };
-            if state.queue.tickets_by(late).count() <= state.queue_limit(wait, now) {
+            if state.queue.len_by(late) <= state.queue_limit(wait, now) {
                 return;
             }
             let requests = &self.requests;
@@ -366,7 +369,7 @@
     fn requeue(&mut self, ticket: Ticket, mut request: Request, history: History, now: Time) {
         let until = (now + request.arrival.route.objective).min(request.arrival.deadline);
         let Some(service) = self.services.get_mut(&request.service) else { return };
-        let position = service.queue.push(ticket, 0, request.arrived, until);
+        let position = service.queue.push(ticket, Standing::FIRST, request.arrived, until);
         request.state = State::Waiting { position, history };
         self.requests.insert(ticket, request);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::selection;
 use crate::service::ServiceState;
 use crate::sharers::Sharers;
+use crate::shares::FairShares;
 use crate::table::RouteTable;
 use crate::targets::{TargetChange, Targets, Usability};
 use crate::tuning::Tuning;
@@ -72,6 +73,7 @@
     pub(crate) evacuations: Evacuations,
     pub(crate) reach: Reach,
     pub(crate) stated: StatedTimes,
+    pub(crate) shares: FairShares,
     /// Instances of this availability zone, if there are enough instances to form groups.
     members: Members,
     pub(crate) stopping: bool,
@@ -109,6 +111,7 @@
             evacuations: Evacuations::default(),
             reach: Reach::new(seed),
             stated: StatedTimes::default(),
+            shares: FairShares::default(),
             members: Members::default(),
             stopping: false,
             list_restored: None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! activity into events and carries out the actions.
 //!
 //! [`table`] holds the active configuration, [`quota`] the limits of client accounts and `meter`
-//! their usage, [`budget`] the retry budget, [`queue`] the waiting requests,
+//! their usage, `shares` their fair shares, [`budget`] the retry budget, [`queue`] the waiting requests,
 //! `admission` how long their callers have waited before, [`targets`] the state
 //! of targets, [`selection`] the choice of a target, `silence` what
 //! happens to the requests of a silent target, `groups` the assignment of targets to groups
@@ -44,6 +44,7 @@
 pub mod selection;
 pub mod service;
 mod sharers;
+mod shares;
 mod silence;
 pub mod sse;
 pub mod table;
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -240,6 +240,19 @@
         }
     }
 
+    /// Returns the fraction of an account's limit that is used; none if it has no limit.
+    pub(crate) fn used_fraction_of(&self, account: &AccountId) -> Option<f64> {
+        self.meters.get(account).map(|meter| meter.total / meter.limit)
+    }
+
+    /// Returns the fraction of the limits of all accounts in use that is used.
+    pub(crate) fn used_fraction(&self) -> f64 {
+        let active = self.meters.values().filter(|meter| meter.total > 0.0);
+        let sums = active
+            .fold((0.0, 0.0), |(total, limit), meter| (total + meter.total, limit + meter.limit));
+        if sums.1 > 0.0 { sums.0 / sums.1 } else { 0.0 }
+    }
+
     /// Returns whether this instance needs a peer's report of the usage before its own start.
     pub fn is_joining(&self) -> bool {
         self.meters.values().any(|meter| meter.basis.0 != Basis::Known)
--- a/crates/gateway/tests/all/room.rs
+++ b/crates/gateway/tests/all/room.rs
@@ -8,14 +8,14 @@
 use rand_chacha::ChaCha8Rng;
 use sesamewind_gateway::targets::TargetChange;
 use sesamewind_gateway::{
-    Arrival, AttemptOutcome, Event, Gateway, RouteTable, Step, Ticket, Tuning,
+    Account, Arrival, AttemptOutcome, Event, Gateway, RouteTable, Routing, Step, Ticket, Tuning,
 };
 use sesamewind_protocol::relay::StorePosition;
 use sesamewind_protocol::{InstanceId, TargetId, Time};
 
-use crate::support::{MODEL, at, identity, routing, target};
+use crate::support::{MODEL, account, at, identity, routing, target};
 
-/// Number of instances, and milliseconds between two exchanges of each pair.
+/// Number of instances, and usual milliseconds between two exchanges of each pair.
 const INSTANCES: usize = 6;
 const EXCHANGE_MS: u64 = 60;
 
@@ -29,18 +29,46 @@
 /// Most milliseconds that callers wait for an answer, and within which the first event should arrive.
 const CALLER_MS: (u64, u64) = (12_000, 600);
 
-/// A wave of requests: calm and raised number a second, start and end of the wave, and length of the
-/// play in seconds.
+/// Milliseconds after which hasty callers return, and how often they do.
+const HASTE: (u64, u32) = (50, 20);
+
+/// Number of accounts, all with the same limit.
+const ACCOUNTS: usize = 8;
+
+/// A wave of requests.
+#[derive(Clone, Copy)]
 struct Wave {
+    /// Calm and raised number a second.
     rates: (f64, f64),
+    /// Seconds of its start and its end.
     span: (u64, u64),
+    /// Length of the play in seconds.
     length: u64,
+    /// Number of accounts that send what is above the calm number; zero if all do.
+    hot: usize,
+    /// Whether refused callers of those accounts return at once, and often.
+    hasty: bool,
+    /// Milliseconds between two exchanges of each pair of instances.
+    exchange: u64,
+    /// Whether the halves of the instances hear nothing of each other during the wave.
+    cut: bool,
 }
 
+const WAVE: Wave = Wave {
+    rates: (85.0, 170.0),
+    span: (4, 10),
+    length: 24,
+    hot: 0,
+    hasty: false,
+    exchange: EXCHANGE_MS,
+    cut: false,
+};
+
 /// A caller's request over all of its attempts.
 #[derive(Debug, Clone, Copy)]
 struct Call {
     route: usize,
+    account: usize,
     first: u64,
     deadline: u64,
     returns: u32,
@@ -52,6 +80,8 @@
     asked: u32,
     timely: u32,
     late: u32,
+    /// Requests of accounts that are not hot among those asked and those answered in time.
+    others: (u32, u32),
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,6 +92,7 @@
 }
 
 struct Play {
+    wave: Wave,
     gateways: Vec<Gateway>,
     table: Arc<RouteTable>,
     rng: ChaCha8Rng,
@@ -77,8 +108,14 @@
 const ROUTES: [(&str, f64); 3] = [("urgent", 0.25), ("usual", 0.5), ("bulk", 0.25)];
 
 impl Play {
-    fn new(seed: u64) -> Self {
-        let table = Arc::new(RouteTable::new(routing()));
+    fn new(wave: Wave, seed: u64) -> Self {
+        let limited = |number| Account {
+            rate: 100_000.0,
+            burst: 100_000.0,
+            ..account(&format!("a{number}"))
+        };
+        let accounts = (0..ACCOUNTS).map(limited).collect();
+        let table = Arc::new(RouteTable::new(Routing { accounts, ..routing() }));
         let gateways = (0..INSTANCES).map(|number| {
             let me = identity(&format!("i{number}"), "z1");
             let mut gateway = Gateway::new(me, Tuning::default(), number as u64);
@@ -89,6 +126,7 @@
             gateway
         });
         Self {
+            wave,
             gateways: gateways.collect(),
             table,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -100,8 +138,9 @@
         }
     }
 
-    /// Plays `wave`; returns the results by second.
-    fn run(mut self, wave: &Wave) -> Vec<Second> {
+    /// Plays the wave; returns the results by second.
+    fn run(mut self) -> Vec<Second> {
+        let wave = self.wave;
         self.seconds = vec![Second::default(); wave.length as usize];
         let mut owed = 0.0;
         for now in 1..(wave.length + 12) * 1_000 {
@@ -110,22 +149,28 @@
             owed += rate / 1_000.0;
             while owed >= 1.0 && now < wave.length * 1_000 {
                 owed -= self.rng.random_range(0.0..2.0);
-                self.call(now);
+                let more = wave.hot > 0 && self.rng.random_bool(1.0 - wave.rates.0 / rate);
+                let senders = if more { wave.hot } else { ACCOUNTS };
+                let account = self.rng.random_range(0..senders);
+                self.call(account, now);
             }
             self.step(now);
         }
         self.seconds
     }
 
-    fn call(&mut self, now: u64) {
+    fn call(&mut self, account: usize, now: u64) {
         let mut draw = self.rng.random::<f64>();
         let route = ROUTES.iter().position(|(_, share)| {
             draw -= share;
             draw < 0.0
         });
         let deadline = now + self.rng.random_range(CALLER_MS.0 * 85 / 100..=CALLER_MS.0);
-        self.calls.push(Call { route: route.unwrap_or(1), first: now, deadline, returns: 0 });
-        self.seconds[(now / 1_000) as usize].asked += 1;
+        let route = route.unwrap_or(1);
+        self.calls.push(Call { route, account, first: now, deadline, returns: 0 });
+        let second = &mut self.seconds[(now / 1_000) as usize];
+        second.asked += 1;
+        second.others.0 += u32::from(account >= self.wave.hot);
         self.ask(self.calls.len() - 1, now);
     }
 
@@ -133,7 +178,8 @@
     fn ask(&mut self, number: usize, now: u64) {
         let call = self.calls[number];
         let path = format!("/{}/x", ROUTES[call.route].0);
-        let found = self.table.resolve("host.example", &path, Some("key-a")).expect("a route");
+        let key = format!("key-a{}", call.account);
+        let found = self.table.resolve("host.example", &path, Some(&key)).expect("a route");
         let arrival = Arrival {
             ticket: number as Ticket,
             route: found.route,
@@ -159,10 +205,12 @@
                 }
                 Step::Refuse(refusal) => {
                     let call = &mut self.calls[ticket as usize];
-                    let wait = refusal.retry_after.as_millis() as u64;
+                    let hasty = self.wave.hasty && call.account < self.wave.hot;
+                    let stated = refusal.retry_after.as_millis() as u64;
+                    let (wait, most) = if hasty { HASTE } else { (stated, 1) };
                     let left = call.deadline.saturating_sub(now);
-                    if call.returns == 0 && wait <= left / 3 {
-                        call.returns = 1;
+                    if call.returns < most && wait <= left / 3 {
+                        call.returns += 1;
                         self.due.push(Reverse((now + wait, Due::Returns(ticket as usize))));
                     }
                 }
@@ -194,6 +242,7 @@
                     let second = &mut self.seconds[(call.first / 1_000) as usize];
                     let timely = now - call.first <= CALLER_MS.1;
                     *(if timely { &mut second.timely } else { &mut second.late }) += 1;
+                    second.others.1 += u32::from(timely && call.account >= self.wave.hot);
                     self.send(instance, Event::Started(ticket), now);
                 }
                 Due::Ends(instance, ticket, target) => {
@@ -209,7 +258,10 @@
                 self.send(instance, Event::Tick, now);
             }
             for other in (0..INSTANCES).filter(|other| *other != instance) {
-                if (now + (7 * instance + other) as u64).is_multiple_of(EXCHANGE_MS) {
+                let during = (self.wave.span.0..self.wave.span.1).contains(&(now / 1_000));
+                let is_cut = self.wave.cut && during && instance % 2 != other % 2;
+                let turn = (now + (7 * instance + other) as u64).is_multiple_of(self.wave.exchange);
+                if turn && !is_cut {
                     let to = InstanceId::new(format!("i{other}"));
                     let from = &mut self.gateways[instance];
                     let position = StorePosition::default();
@@ -228,14 +280,21 @@
     f64::from(timely) / f64::from(asked)
 }
 
+/// Returns the fraction of the requests of accounts that are not hot, first made in these seconds,
+/// that were answered in time.
+fn timely_others(seconds: &[Second]) -> f64 {
+    let asked: u32 = seconds.iter().map(|second| second.others.0).sum();
+    let timely: u32 = seconds.iter().map(|second| second.others.1).sum();
+    f64::from(timely) / f64::from(asked)
+}
+
 /// Callers that a wave of twice the calm demand leaves without an answer return while demand is calm
 /// again. They get what the others leave, so that service is calm within three seconds of the
 /// wave's end, and most of them are answered.
 #[test]
 fn service_is_calm_soon_after_a_wave() {
-    let wave = Wave { rates: (85.0, 170.0), span: (4, 10), length: 24 };
     for seed in 0..5 {
-        let seconds = Play::new(seed).run(&wave);
+        let seconds = Play::new(WAVE, seed).run();
         assert!(timely(&seconds[..4]) > 0.95, "seed {seed}: {seconds:?}");
         // The engines take 100 of 170 requests a second.
         let during = timely(&seconds[5..10]);
@@ -244,3 +303,38 @@
         assert!(after > 0.95, "seed {seed}: {after}, {seconds:?}");
     }
 }
+
+/// Accounts that send several times as much as before don't do so at the cost of the others, which
+/// ask for less than their share of what the engines take, and no slot is left unused.
+#[test]
+fn surges_of_accounts_are_not_at_the_cost_of_others() {
+    struct Case {
+        name: &'static str,
+        wave: Wave,
+        /// Least fraction in time of the requests of the others, and of all.
+        least: (f64, f64),
+    }
+    let surge = Wave { rates: (80.0, 150.0), span: (4, 14), length: 16, hot: 1, ..WAVE };
+    let cases = [
+        Case { name: "one account", wave: surge, least: (0.0, 0.0) },
+        Case { name: "three accounts", wave: Wave { hot: 3, ..surge }, least: (0.0, 0.0) },
+        Case {
+            name: "one with most of the traffic",
+            wave: Wave { rates: (40.0, 200.0), ..surge },
+            least: (0.0, 0.0),
+        },
+        Case { name: "stale news", wave: Wave { exchange: 800, ..surge }, least: (0.0, 0.0) },
+        Case { name: "cut instances", wave: Wave { cut: true, ..surge }, least: (0.0, 0.0) },
+        Case { name: "hasty callers", wave: Wave { hasty: true, ..surge }, least: (0.0, 0.0) },
+    ];
+    for Case { name, wave, least } in cases {
+        for seed in 0..5 {
+            let seconds = Play::new(wave, seed).run();
+            let during = &seconds[6..14];
+            let (others, all) = (timely_others(during), timely(during));
+            println!("{name}, seed {seed}: {others:.3} of the others, {all:.3} of all");
+            assert!(others > least.0, "{name}, seed {seed}: {others} of the others");
+            assert!(all > least.1, "{name}, seed {seed}: {all} of all");
+        }
+    }
+}
