--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -141,6 +141,9 @@
     TargetLimit(Ticket, Option<f64>),
     /// The target of the attempt stated for how long it stays cold.
     TargetCold(Ticket, Duration),
+    /// The target of the attempt stated that it falls over if it rejects more than so many requests in
+    /// a second; none if it is not brittle.
+    TargetBrittle(Ticket, Option<u32>),
     /// The target of the attempt has made no progress for longer than the silence timeout. The gateway
     /// always returns a step for the request: [`Step::Wait`] lets the attempt go on, others end it.
     Silent(Ticket),
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -122,6 +122,7 @@
                 state.record_shortage(rank, now);
             }
             self.note_held_off(ticket, now);
+            self.refuse_without_place(ticket, &service, now);
         }
         self.shorten_queue(&service, late, wait, now);
         self.refuse_during_pause(&service, now);
@@ -211,7 +212,10 @@
                     self.refund(&request, now);
                 }
             }
-            State::InFlight(attempt) => self.release(attempt, request.prompt()),
+            State::InFlight(attempt) => {
+                self.release(attempt, request.prompt());
+                self.record_cancel(attempt.target, now);
+            }
             State::Passed(passed) => self.reach.record_pass_end(&passed.peer, None, now),
             State::Moving => {}
         }
@@ -249,6 +253,7 @@
     ) {
         self.record_outcome(attempt.target, outcome, now);
         self.record_possible_start(attempt.target, outcome, now);
+        self.record_brittle_end(attempt.target, outcome, now);
         self.observe_break(request, attempt, outcome, now);
         let is_failure = match outcome {
             AttemptOutcome::Whole => false,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -136,6 +136,7 @@
             Event::TargetResting(ticket, rest) => self.target_resting(ticket, rest, now),
             Event::TargetLimit(ticket, rate) => self.target_limit(ticket, rate, now),
             Event::TargetCold(ticket, left) => self.target_cold(ticket, left, now),
+            Event::TargetBrittle(ticket, allowed) => self.target_brittle(ticket, allowed, now),
             Event::Silent(ticket) => self.silent(ticket, now),
             Event::SilenceEnded(ticket) => self.silence_ended(ticket, now),
             Event::Slow(ticket, second) => self.slow(ticket, second, now),
@@ -387,6 +388,7 @@
             config_position: StorePosition::default(),
             evacuations: self.evacuations.report(),
             cold,
+            brittle: self.brittle_entries(now),
             reach: Some(self.reach.report(now)),
         }
     }
@@ -520,6 +522,7 @@
         self.update_shares(now);
         self.apply_limits(&update.limits, &update.from, now);
         self.apply_cold(&update.cold, now);
+        self.apply_brittle(&update.brittle, &update.from, now);
         if self.peers.take_change() {
             self.regroup();
         }
@@ -547,6 +550,7 @@
         self.confirm_breaks(now);
         self.update_shares(now);
         self.expire_cold(now);
+        self.update_brittle(None, now);
         if self.peers.take_change() {
             self.regroup();
         }
--- a/crates/gateway/src/hedging/mod.rs
+++ b/crates/gateway/src/hedging/mod.rs
@@ -201,7 +201,10 @@
         self.release(attempt, request.prompt());
         match outcome {
             Some(outcome) => self.record_end(&request, attempt, outcome, now),
-            None => self.observe_slow(&request, now),
+            None => {
+                self.record_cancel(attempt.target, now);
+                self.observe_slow(&request, now);
+            }
         }
         let service = request.service.clone();
         self.dispatch_waiting(&service, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! of instances, `hedging` the second attempts of slow requests, `evacuation` the availability zones
 //! that operators have evacuated, [`homes`] the regions that requests are bound to, `reach` whether
 //! this instance reaches targets and `passing` what it passes on to peers if not, `limits` the
-//! request limits that targets state and what cold ones take, `quarantine` the prompt parts that end
+//! request limits that targets state and what cold and brittle ones take, `quarantine` the prompt parts that end
 //! targets, [`rollouts`] the rollouts of new versions, and [`peers`] the state that other instances
 //! report.
 
@@ -57,7 +57,7 @@
 };
 pub use gateway::Gateway;
 pub use hedging::{Hedge, HedgeObstacle};
-pub use limits::{ColdCause, ColdChange, LimitChange, LimitSummary};
+pub use limits::{BrittleChange, BrittleTotals, ColdCause, ColdChange, LimitChange, LimitSummary};
 pub use proof::{Refusal, RefusalReason};
 pub use quarantine::{PartChange, SavedPart};
 pub use reach::ReachChange;
--- a/crates/gateway/src/limits/division.rs
+++ b/crates/gateway/src/limits/division.rs
@@ -1,6 +1,6 @@
 //! Division of what a target takes from all instances together.
 
-use sesamewind_protocol::{Time, text_hash};
+use sesamewind_protocol::Time;
 
 use crate::gateway::Identity;
 use crate::limits::MIN_RATE;
@@ -46,10 +46,7 @@
         now: Time,
     ) -> f64 {
         let instances = sharers.instances();
-        let position = || {
-            let salt = text_hash(target.id.as_str());
-            sharers.position((&me.instance, &me.zone), &target.zone, salt, now)
-        };
+        let position = || sharers.position_at(target, me, now);
         match self {
             Self::Rate(rate) => {
                 let rate = rate.max(MIN_RATE);
@@ -63,9 +60,7 @@
                 }
             }
             Self::Second(_) => {
-                let requests = self.requests();
-                let rest = usize::from(position() < requests % instances);
-                (requests / instances + rest) as f64 * TURNS_PER_REQUEST
+                whole_share(self.requests(), instances, position) as f64 * TURNS_PER_REQUEST
             }
         }
     }
@@ -80,3 +75,13 @@
         }
     }
 }
+
+/// Returns the share of the instance at `position` when `total` is divided in whole numbers.
+pub(crate) fn whole_share(
+    total: usize,
+    instances: usize,
+    position: impl FnOnce() -> usize,
+) -> usize {
+    let rest = total % instances;
+    total / instances + usize::from(rest > 0 && position() < rest)
+}
--- a/crates/gateway/src/limits/mod.rs
+++ b/crates/gateway/src/limits/mod.rs
@@ -5,6 +5,7 @@
 //! if it has one. The shares of all instances add up to the limit. Where that leaves an instance less
 //! than a useful share, a few instances share the limit, which all instances choose alike.
 
+pub(crate) mod brittle;
 pub(crate) mod cold;
 mod division;
 mod peers;
@@ -16,10 +17,12 @@
 
 use sesamewind_protocol::{InstanceId, TargetId, Time};
 
+pub use self::brittle::{BrittleChange, BrittleTotals};
 pub use self::cold::{ColdCause, ColdChange};
 pub use self::refusals::LimitSummary;
 use crate::arrival::Ticket;
 use crate::gateway::Gateway;
+use crate::limits::brittle::BrittleServices;
 use crate::limits::cold::ColdTargets;
 use crate::limits::division::Bound;
 use crate::limits::statement::Statement;
@@ -88,6 +91,7 @@
     ended: Vec<(Index, Time)>,
     changes: Vec<LimitChange>,
     pub(crate) cold: ColdTargets,
+    pub(crate) brittle: BrittleServices,
 }
 
 impl Gateway {
@@ -175,6 +179,7 @@
             limit.turns.set_share(share, now);
         }
         self.share_all_cold(now);
+        self.share_brittle(now);
     }
 
     /// Returns whether this instance has a share of what targets take from all instances together.
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -255,8 +255,7 @@
             && request.homes.allows(&target.listed.zone)
             && self.is_candidate(target, request.candidates, context.now)
             && !(self.strict_pause && exceeds_pause_limit(request, target))
-            && f64::from(target.load()) < context.capacity(target, request)
-            && !(context.is_other_group(target) && target.own_requests >= OTHER_GROUP_MAX_OWN)
+            && context.has_place(target, request)
     }
 }
 
@@ -266,6 +265,16 @@
         self.margin > 0 && !target.preferred
     }
 
+    /// Returns whether the target has a place for such a request. At a brittle target, only the places
+    /// of this instance count, since the reported load of others is too old.
+    fn has_place(&self, target: &Target, request: SelectionRequest<'_>) -> bool {
+        if let Some(room) = &target.room {
+            return room.is_open(target.own_requests, request.headroom, self.now);
+        }
+        f64::from(target.load()) < self.capacity(target, request)
+            && !(self.is_other_group(target) && target.own_requests >= OTHER_GROUP_MAX_OWN)
+    }
+
     /// Returns the number of requests at which the target is full for such a request.
     fn capacity(&self, target: &Target, request: SelectionRequest<'_>) -> f64 {
         let slots = f64::from(target.listed.slots);
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -8,6 +8,9 @@
 
 use sesamewind_protocol::{InstanceId, Time, ZoneId, text_hash};
 
+use crate::gateway::Identity;
+use crate::targets::ListedTarget;
+
 /// Time without an update after which a peer's share is divided among the others, and time for which
 /// a share is left to an announced peer that has not reported yet.
 const SHARE_RETENTION: Duration = Duration::from_secs(60);
@@ -140,15 +143,16 @@
         self.count + 1
     }
 
+    /// Returns the position of the instance `me` among those that share what a target takes, in an
+    /// order that all of them know.
+    pub(crate) fn position_at(&self, target: &ListedTarget, me: &Identity, now: Time) -> usize {
+        let salt = text_hash(target.id.as_str());
+        self.position((&me.instance, &me.zone), &target.zone, salt, now)
+    }
+
     /// Returns the position of the instance `me` in an order of the instances that all of them
     /// know: those in `zone` come first, and otherwise the order depends on `salt`.
-    pub(crate) fn position(
-        &self,
-        me: (&InstanceId, &ZoneId),
-        zone: &ZoneId,
-        salt: u64,
-        now: Time,
-    ) -> usize {
+    fn position(&self, me: (&InstanceId, &ZoneId), zone: &ZoneId, salt: u64, now: Time) -> usize {
         let own = (me.1 != zone, text_hash(me.0.as_str()) ^ salt);
         let peers = self.peers.values().filter(|sharer| sharer.until > now);
         let keys = peers.map(|sharer| (sharer.zone != *zone, sharer.hash ^ salt));
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -74,6 +74,7 @@
             State::Waiting { position: (request.arrived, ticket), history: History::MayHaveRun };
         if let State::InFlight(attempt) = std::mem::replace(&mut request.state, waiting) {
             self.release(&attempt, request.prompt());
+            self.record_cancel(attempt.target, now);
             self.count_failure(&request, &attempt);
         }
         request.runs += 1;
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -7,6 +7,7 @@
 use sesamewind_protocol::{Incarnation, ServiceId, TargetId, Time, VersionId, ZoneId};
 
 use crate::limits::RequestLimit;
+use crate::limits::brittle::Room;
 use crate::limits::cold::Cold;
 
 /// Position of a target in [`Targets`]; never reused for another target.
@@ -133,6 +134,8 @@
     /// Request limit that the target has stated, if it ever did.
     pub(crate) limit: Option<RequestLimit>,
     pub(crate) cold: Cold,
+    /// Places of this instance while the target is brittle.
+    pub(crate) room: Option<Room>,
     /// Until when peers are told that the target is leaving.
     report_leaving_until: Time,
     /// When an attempt of this instance last succeeded.
@@ -159,6 +162,7 @@
             rest_until: Time::ZERO,
             limit: None,
             cold: Cold::default(),
+            room: None,
             report_leaving_until: Time::ZERO,
             last_success: Time::ZERO,
         }
--- a/crates/gateway/tests/all/health.rs
+++ b/crates/gateway/tests/all/health.rs
@@ -29,6 +29,7 @@
         parts: Vec::new(),
         limits: Vec::new(),
         cold: Vec::new(),
+        brittle: Vec::new(),
         stopping: false,
         config_position: StorePosition::default(),
         evacuations: Default::default(),
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,8 @@
 #![allow(unreachable_pub, reason = "modules of one test program")]
 
 mod answered;
+mod brittle;
+mod brittle_fleet;
 mod crash_fleet;
 mod crashes;
 mod evacuation;
--- a/crates/protocol/examples/update_size.rs
+++ b/crates/protocol/examples/update_size.rs
@@ -87,6 +87,7 @@
         config_position: StorePosition { era: 1, version: 390 },
         evacuations: ZoneReport::default(),
         cold: Vec::new(),
+        brittle: Vec::new(),
         reach: None,
     }
 }
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -331,6 +331,38 @@
     pub failed: Option<Duration>,
 }
 
+/// What an instance has observed of a service whose targets fall over if they reject too many requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleEntry {
+    /// The service.
+    pub service: ServiceId,
+    /// Rejections in a second that each target bears.
+    #[serde(default)]
+    pub allowed: u32,
+    /// Time since a target last stated that.
+    #[serde(default)]
+    pub heard: Option<Duration>,
+    /// Time since the last request was sent whose answer did not state it.
+    #[serde(default)]
+    pub sound: Option<Duration>,
+    /// Targets that have rejected requests.
+    #[serde(default)]
+    pub cuts: Vec<CutEntry>,
+}
+
+/// Places that rejections have cost a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CutEntry {
+    /// The target.
+    pub target: TargetId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Number of places.
+    pub places: u32,
+    /// Time since the last rejection that counts.
+    pub age: Duration,
+}
+
 /// Whether an instance reaches targets, as far as it knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReachState {
@@ -448,6 +480,9 @@
     /// Targets that are or may be cold.
     #[serde(default)]
     pub cold: Vec<ColdEntry>,
+    /// Services whose targets fall over if they reject too many requests.
+    #[serde(default)]
+    pub brittle: Vec<BrittleEntry>,
     /// Its reach of targets; none from builds that take no passed requests.
     #[serde(default)]
     pub reach: Option<ReachReport>,
--- a/crates/protocol/tests/builds.rs
+++ b/crates/protocol/tests/builds.rs
@@ -246,6 +246,7 @@
         config_position: StorePosition { era: 2, version: 390 },
         evacuations: Default::default(),
         cold: Vec::new(),
+        brittle: Vec::new(),
         reach: None,
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::journal;
 use crate::pool::{Connection, SendError};
 use crate::silence::Silence;
-use crate::wire_format::{AnswerClass, CallerHead, ForwardHead, LimitNotice};
+use crate::wire_format::{AnswerClass, BrittleNotice, CallerHead, ForwardHead, LimitNotice};
 
 /// Longest idle time of a pooled connection that a request which may run only once can use.
 ///
@@ -222,6 +222,17 @@
         if let Some(left) = notice.cold {
             self.driver.handle(Event::TargetCold(self.ticket, left));
         }
+        match notice.brittle {
+            BrittleNotice::Unstated => {}
+            BrittleNotice::Rejections(allowed) => {
+                self.driver.handle(Event::TargetBrittle(self.ticket, Some(allowed)));
+            }
+            BrittleNotice::Sound => {
+                if self.driver.with_gateway(|gateway| gateway.is_target_brittle(self.ticket)) {
+                    self.driver.handle(Event::TargetBrittle(self.ticket, None));
+                }
+            }
+        }
         match notice.limit {
             LimitNotice::Unstated => {}
             LimitNotice::Rate(rate) => {
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -194,6 +194,10 @@
         for change in self.with_gateway_mut(Gateway::take_cold_changes) {
             journal::cold_changed(&change);
         }
+        self.metrics.brittle(&self.with_gateway(Gateway::brittle_totals));
+        for change in self.with_gateway_mut(Gateway::take_brittle_changes) {
+            journal::brittle_changed(&change);
+        }
     }
 
     /// Logs the changes of evacuated availability zones, and counts the requests at their targets.
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -391,6 +391,21 @@
     }
 }
 
+/// Logs that a service's targets have become brittle, or no longer are.
+pub fn brittle_changed(change: &BrittleChange) {
+    let service = change.service.as_str();
+    let source = change.source.as_ref().map_or("", |peer| peer.as_str());
+    if let Some(allowed) = change.allowed {
+        let (targets, room, share) = (change.targets, change.room, change.share);
+        log::warn!(
+            event = "target_brittle", service, allowed, targets, room, share, source;
+            "targets fall over if they reject more than so many requests in a second"
+        );
+    } else {
+        log::info!(event = "brittle_ended", service, source; "targets are no longer brittle");
+    }
+}
+
 /// Logs the evidence on a running rollout and the share that follows from it.
 pub fn rollout_progress(status: &RolloutStatus) {
     log::info!(
--- a/crates/relay/src/wire_format.rs
+++ b/crates/relay/src/wire_format.rs
@@ -99,6 +99,18 @@
     Rate(f64),
 }
 
+/// What a target says in the head of an answer about the requests that it may reject.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum BrittleNotice {
+    /// The head says nothing about it, or nothing that can be read.
+    #[default]
+    Unstated,
+    /// The target rejects any number.
+    Sound,
+    /// The target falls over if it rejects more than so many in a second.
+    Rejections(u32),
+}
+
 /// What a target says about itself in the head of an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetNotice {
@@ -110,6 +122,8 @@
     pub limit: LimitNotice,
     /// For how long the target stays cold.
     pub cold: Option<Duration>,
+    /// Requests that the target may reject.
+    pub brittle: BrittleNotice,
 }
 
 /// Translates between HTTP heads and the values that this crate works with.
