--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -9,8 +9,8 @@
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::{RolloutOrder, RolloutStatus};
 use sesamewind_gateway::{
-    AttemptOutcome, ColdChange, HedgeObstacle, LimitChange, LimitSummary, NoRetry, PartChange,
-    PassOn, PassOutcome, ReachChange, Refusal, RefusalReason, ZoneChange,
+    AttemptOutcome, BrittleChange, ColdChange, HedgeObstacle, LimitChange, LimitSummary, NoRetry,
+    PartChange, PassOn, PassOutcome, ReachChange, Refusal, RefusalReason, ZoneChange,
 };
 use sesamewind_protocol::PartId;
 use sesamewind_protocol::relay::ReachState;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use sesamewind_gateway::BrittleTotals;
 use sesamewind_protocol::relay::ReachState;
 use sesamewind_protocol::{RouteId, ZoneId};
 
@@ -40,6 +41,12 @@
     zone: String,
 }
 
+/// Label of gauges by whose places they count.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RoomLabels {
+    of: &'static str,
+}
+
 type RouteHistogram = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one instance.
@@ -59,6 +66,10 @@
     held_parts: Gauge,
     limited_targets: Gauge,
     cold_targets: Gauge,
+    brittle_targets: Gauge,
+    brittle_room: Family<RoomLabels, Gauge>,
+    brittle_rejections: Counter,
+    brittle_falls: Counter,
     held_off: Counter,
     evacuated_zones: Family<ZoneLabels, Gauge>,
     evacuated_requests: Family<ZoneLabels, Gauge>,
@@ -97,6 +108,10 @@
             held_parts: Gauge::default(),
             limited_targets: Gauge::default(),
             cold_targets: Gauge::default(),
+            brittle_targets: Gauge::default(),
+            brittle_room: Family::default(),
+            brittle_rejections: Counter::default(),
+            brittle_falls: Counter::default(),
             held_off: Counter::default(),
             evacuated_zones: Family::default(),
             evacuated_requests: Family::default(),
@@ -145,6 +160,26 @@
             "Targets that take few requests for a while after their start",
             this.cold_targets.clone(),
         );
+        registry.register(
+            "brittle_targets",
+            "Targets that fall over if they reject too many requests in a second",
+            this.brittle_targets.clone(),
+        );
+        registry.register(
+            "brittle_room",
+            "Places at brittle targets, of all instances together and of this one",
+            this.brittle_room.clone(),
+        );
+        registry.register(
+            "brittle_rejections",
+            "Requests of this instance that brittle targets rejected",
+            this.brittle_rejections.clone(),
+        );
+        registry.register(
+            "brittle_falls",
+            "Brittle targets that were found to accept no connection any more",
+            this.brittle_falls.clone(),
+        );
         registry.register(
             "held_off",
             "Requests that waited or were refused since request limits left no turn",
@@ -223,6 +258,19 @@
         self.cold_targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
+    /// Records the brittle targets.
+    pub fn brittle(&self, totals: &BrittleTotals) {
+        self.brittle_targets.set(i64::try_from(totals.targets).unwrap_or(i64::MAX));
+        for (of, places) in [("all", totals.room), ("own", totals.share)] {
+            self.brittle_room.get_or_create(&RoomLabels { of }).set(places.into());
+        }
+        for (counter, total) in
+            [(&self.brittle_rejections, totals.rejections), (&self.brittle_falls, totals.falls)]
+        {
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
+    }
+
     /// Counts a request for which the request limits of targets left no turn.
     pub fn held_off(&self) {
         self.held_off.inc();
--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 use warp::reply::Response;
 
+use super::brittle::{Admission, Brittle, Brittleness, Place};
 use super::store::RowStore;
 use crate::proxy::FaultProxy;
 use crate::server::{self, Call, Handler, Server};
@@ -166,6 +167,7 @@
     received: Mutex<Vec<Received>>,
     /// Requests a second that the target states to take from all instances together.
     limit: Mutex<Option<f64>>,
+    brittle: Brittle,
 }
 
 /// A running target; dropping it stops it.
@@ -178,7 +180,12 @@
 impl RelayTarget {
     /// Starts a target and registers it.
     pub async fn start(options: TargetOptions, store: &RowStore) -> Self {
-        let core = Arc::new(Core { options, received: Mutex::default(), limit: Mutex::default() });
+        let core = Arc::new(Core {
+            options,
+            received: Mutex::default(),
+            limit: Mutex::default(),
+            brittle: Brittle::default(),
+        });
         let server = Server::start(([127, 0, 0, 1], 0).into(), Arc::clone(&core)).await;
         let this = Self { core, server };
         this.register(store, names::STATE_READY);
@@ -221,6 +228,16 @@
         *lock(&self.core.limit) = limit;
     }
 
+    /// Makes the target brittle from now on, as it states in all answers, or no longer.
+    pub fn set_brittle(&self, terms: Option<Brittleness>) {
+        self.core.brittle.set(terms);
+    }
+
+    /// Returns how often the target has fallen over.
+    pub fn falls(&self) -> usize {
+        self.core.brittle.falls()
+    }
+
     /// Returns the address that instances connect to.
     pub fn addr(&self) -> SocketAddr {
         self.server.proxy.addr()
@@ -257,6 +274,18 @@
         if call.header(names::EXPECT_TARGET).is_some_and(|id| id != self.options.id) {
             behaviour = Behaviour::Replaced;
         }
+        let place = match self.brittle.admit(self.options.slots, Instant::now()) {
+            Admission::Run(place) => Some(place),
+            Admission::Rejected => {
+                behaviour = Behaviour::Decline;
+                None
+            }
+            Admission::Down => {
+                behaviour = Behaviour::BreakOff(0);
+                None
+            }
+        };
+        let stated = self.brittle.stated().filter(|_| behaviour != Behaviour::Replaced);
         let ran =
             !matches!(behaviour, Behaviour::Decline | Behaviour::Rest(_) | Behaviour::Replaced);
         let limit = lock(&self.limit).filter(|_| behaviour != Behaviour::Replaced);
@@ -269,16 +298,25 @@
             at: Instant::now(),
             limit,
         });
-        let mut answer = self.answer(&call, behaviour).await;
+        let mut answer = self.answer(&call, behaviour, place).await;
         if let Some(rate) = limit {
             set_header(&mut answer, names::LIMIT, &rate.to_string());
         }
+        if let Some(allowed) = stated {
+            set_header(&mut answer, names::BRITTLE, &allowed.to_string());
+        }
         answer
     }
 }
 
 impl Core {
-    async fn answer(self: Arc<Self>, call: &Call, behaviour: Behaviour) -> Response {
+    /// Answers a request, which has its `place` until the end of the answer.
+    async fn answer(
+        self: Arc<Self>,
+        call: &Call,
+        behaviour: Behaviour,
+        place: Option<Place>,
+    ) -> Response {
         match behaviour {
             Behaviour::Decline | Behaviour::Rest(_) => {
                 let mut answer = server::text(StatusCode::SERVICE_UNAVAILABLE, "full");
@@ -299,7 +337,7 @@
         let id = call.header(names::REQUEST_ID).unwrap_or_default().to_owned();
         let after = call.number(names::LAST_EVENT).map_or(0, u64::from);
         let mut answer = if self.options.stream && behaviour != Behaviour::Fail {
-            Arc::clone(&self).stream(id.clone(), after, behaviour)
+            Arc::clone(&self).stream(id.clone(), after, behaviour, place)
         } else {
             sleep(self.options.delay).await;
             server::text(StatusCode::OK, body(&id))
@@ -318,9 +356,16 @@
         answer
     }
 
-    fn stream(self: Arc<Self>, id: String, after: u64, behaviour: Behaviour) -> Response {
+    fn stream(
+        self: Arc<Self>,
+        id: String,
+        after: u64,
+        behaviour: Behaviour,
+        place: Option<Place>,
+    ) -> Response {
         let (sender, receiver) = mpsc::channel(1);
         tokio::spawn(async move {
+            let _place = place;
             for number in after + 1..=self.options.events {
                 let breaks_off = match behaviour {
                     Behaviour::BreakOff(events) => number == events + 1,
--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of real gateway processes against stand-ins of the users' platform.
 
 mod bodies;
+mod brittle;
 mod crossings;
 mod early_answers;
 mod evacuation;
