--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,9 +13,9 @@
 //! of instances, `hedging` the second attempts of slow requests, `evacuation` the availability zones
 //! that operators have evacuated, [`homes`] the regions that requests are bound to, `reach` whether
 //! this instance reaches targets and `passing` what it passes on to peers if not, `limits` the
-//! request limits that targets state and what cold ones take, `quarantine` the prompt parts that end
-//! targets, [`rollouts`] the rollouts of new versions, [`peers`] the state that other instances
-//! report, and `placement` where a request would go.
+//! request limits that targets state and what cold and brittle ones take, `quarantine` the prompt
+//! parts that end targets, [`rollouts`] the rollouts of new versions, [`peers`] the state that other
+//! instances report, and `placement` where a request would go.
 
 mod admission;
 pub mod arrival;
@@ -59,7 +59,7 @@
 };
 pub use gateway::Gateway;
 pub use hedging::{Hedge, HedgeObstacle};
-pub use limits::{ColdCause, ColdChange, LimitChange, LimitSummary};
+pub use limits::{BrittleChange, BrittleTotals, ColdCause, ColdChange, LimitChange, LimitSummary};
 pub use proof::{Refusal, RefusalReason};
 pub use quarantine::{PartChange, SavedPart};
 pub use reach::ReachChange;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -119,6 +119,7 @@
             evacuations: self.evacuations.clone(),
             reach: self.reach.clone(),
             stated: self.stated.clone(),
+            shares: self.shares.clone(),
             members: self.members.clone(),
             out: Vec::new(),
             ..*self
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -132,10 +132,8 @@
     Failing,
     /// Its streams pause for too long, and another target stays within the limit.
     LongPauses,
-    /// All slots that the request may use are taken.
+    /// All places that this instance may use for the request are taken.
     Full,
-    /// It belongs to another group of instances, and has enough requests of this one.
-    OtherGroup,
     /// The predicted time to the first byte exceeds the time that is left.
     TooSlow,
 }
@@ -154,7 +152,6 @@
             Self::Failing => "failing",
             Self::LongPauses => "long_pauses",
             Self::Full => "full",
-            Self::OtherGroup => "other_group",
             Self::TooSlow => "too_slow",
         }
     }
@@ -327,8 +324,6 @@
         context: SelectionContext<'_>,
     ) -> Option<Obstacle> {
         let now = context.now;
-        let is_crowded =
-            || context.is_other_group(target) && target.own_requests >= OTHER_GROUP_MAX_OWN;
         if target.evacuated {
             Some(Obstacle::Evacuated)
         } else if !target.is_usable(now) {
@@ -345,10 +340,8 @@
             Some(Obstacle::Failing)
         } else if self.strict_pause && exceeds_pause_limit(request, target) {
             Some(Obstacle::LongPauses)
-        } else if f64::from(target.load()) >= context.capacity(target, request) {
+        } else if !context.has_place(target, request) {
             Some(Obstacle::Full)
-        } else if is_crowded() {
-            Some(Obstacle::OtherGroup)
         } else {
             None
         }
@@ -361,6 +354,16 @@
         self.margin > 0 && !target.preferred
     }
 
+    /// Returns whether the target has a place for such a request. At a brittle target, only the places
+    /// of this instance count, since the reported load of others is too old.
+    fn has_place(&self, target: &Target, request: SelectionRequest<'_>) -> bool {
+        if let Some(room) = &target.room {
+            return room.is_open(target.own_requests, request.headroom, self.now);
+        }
+        f64::from(target.load()) < self.capacity(target, request)
+            && !(self.is_other_group(target) && target.own_requests >= OTHER_GROUP_MAX_OWN)
+    }
+
     /// Returns the number of requests at which the target is full for such a request.
     fn capacity(&self, target: &Target, request: SelectionRequest<'_>) -> f64 {
         let slots = f64::from(target.listed.slots);
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -19,7 +19,7 @@
 const AVERAGE_TIME: Duration = Duration::from_millis(100);
 
 /// Average used fraction of the limits of all accounts in use.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct FairShares {
     average: f64,
     until: Time,
