--- a/tests/all/relay/brittle.rs
+++ b/tests/all/relay/brittle.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sesamewind_standins::relay::{Brittleness, TargetOptions};
+use sesamewind_standins::relay::{Brittleness, RelayTarget, TargetOptions};
 use tokio::time::sleep;
 
 use super::testbed::{Gateway, Testbed, until};
@@ -67,10 +67,10 @@
     };
     set(6);
     send_for(&testbed, &gateways, CONTACT).await;
-    let before: usize = testbed.models.iter().map(|target| target.falls()).sum();
+    let before: usize = testbed.models.iter().map(RelayTarget::falls).sum();
     set(0);
     let (served, refused) = send_for(&testbed, &gateways, Duration::from_secs(6)).await;
-    let falls = testbed.models.iter().map(|target| target.falls()).sum::<usize>() - before;
+    let falls = testbed.models.iter().map(RelayTarget::falls).sum::<usize>() - before;
     assert_eq!(falls, 0, "{served} served, {refused} refused");
     // Each of eight slots runs a request in 0.3 s; the testbed's own gateway has no callers.
     assert!(served > 60, "{served} served, {refused} refused");
