--- a/tests/all/relay/mod.rs
+++ b/tests/all/relay/mod.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod notices;
 mod path;
+mod placement;
 mod quarantine;
 mod reach;
 mod rollouts;
