--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -556,9 +556,8 @@
         selection::choose(&self.targets, &service.targets, query, context, rng)
     }
 
-    /// Returns what the selection of a target for `request` depends on: which targets may be selected
-    /// despite failures and the upper limit on the predicted time to the first byte in `limits`, the
-    /// service and the versions that may take the request in `choice`.
+    /// Returns what the selection of a target of `service` for `request` depends on. `candidates` may be
+    /// selected despite failures, and `latency_limit` bounds the predicted time to the first byte.
     pub(crate) fn selection<'a>(
         &'a self,
         (candidates, latency_limit): (Candidates, Option<Duration>),
