Use one piece of code where the change had written it twice

Behaviour is meant to stay as it is. What was found in the read-through: - The random generator was copied and put back for each selection of a target, so that a method could borrow the whole gateway. The request's part is now a function of what it needs, and the selection borrows the generator beside it. - The copy of the gateway for previews was made in another module, for which five fields had become visible. How long a caller waits was worked out again for placement: wait_time. - The answer of the inner listener was encoded with two copies of the same fallback: encoded takes either encoding.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
+use rand::RngExt;
 use sesamewind_protocol::{ServiceId, Time};
 
 use crate::admission;
@@ -14,10 +14,11 @@
 use crate::queue::Standing;
 use crate::request::{Attempt, History, Request, State};
 use crate::rollouts::AllowedVersions;
-use crate::selection::{self, Candidates, SelectionContext, SelectionRequest};
+use crate::selection::{self, Candidates, SelectionRequest};
 use crate::service::ServiceState;
 use crate::table::Repeat;
 use crate::targets::Index;
+use crate::tuning::Tuning;
 
 /// Fraction of its latency objective that a request may wait for a slot. The target needs the rest.
 const MAX_WAIT_FRACTION: f64 = 0.75;
@@ -528,24 +529,15 @@
         now: Time,
     ) -> Option<Index> {
         let versions = self.rollouts.allowed_versions(&request.service, request.arrival.point);
-        let mut rng = self.rng.clone();
-        let limits = (candidates, latency_limit);
-        let found = self.select_by_version(limits, request, &versions, &mut rng, now);
-        self.rng = rng;
-        found
-    }
-
-    fn select_by_version(
-        &self,
-        limits: (Candidates, Option<Duration>),
-        request: &Request,
-        versions: &AllowedVersions,
-        rng: &mut impl Rng,
-        now: Time,
-    ) -> Option<Index> {
+        let margin = self.margin();
         let service = self.services.get(&request.service)?;
-        let (query, context) = self.selection(limits, request, (service, versions), now);
-        if let AllowedVersions::Prefer(version) = versions {
+        let context = service.selection_context(&self.me.zone, margin, now);
+        let query = SelectionRequest {
+            candidates,
+            ..selection_request(request, latency_limit, (service, &versions), &self.tuning, now)
+        };
+        let rng = &mut self.rng;
+        if let AllowedVersions::Prefer(version) = &versions {
             let only = AllowedVersions::Only(version.clone());
             let query = SelectionRequest { versions: &only, ..query };
             let found = selection::choose(&self.targets, &service.targets, query, context, rng);
@@ -556,46 +548,6 @@
         selection::choose(&self.targets, &service.targets, query, context, rng)
     }
 
-    /// Returns what the selection of a target of `service` for `request` depends on. `candidates` may be
-    /// selected despite failures, and `latency_limit` bounds the predicted time to the first byte.
-    pub(crate) fn selection<'a>(
-        &'a self,
-        (candidates, latency_limit): (Candidates, Option<Duration>),
-        request: &'a Request,
-        (service, versions): (&'a ServiceState, &'a AllowedVersions),
-        now: Time,
-    ) -> (SelectionRequest<'a>, SelectionContext<'a>) {
-        let headroom = match latency_limit {
-            _ if request.late => service.late_headroom(request.arrival.route.rank, now),
-            Some(_) => service.headroom(request.arrival.route.rank, now),
-            // A request that was sent before may use the reserved slots.
-            None => 0.0,
-        };
-        let route = &request.arrival.route;
-        let pause_wait = route.objective.mul_f64(PAUSE_WAIT_FRACTION);
-        let query = SelectionRequest {
-            prompt: request.prompt(),
-            tried: &request.tried,
-            latency_limit,
-            headroom,
-            pause_limit: route.pause,
-            long_stream: service
-                .events(&route.name)
-                .map(|events| events >= LONG_STREAM_EVENTS as f64),
-            strict_pause: latency_limit.is_some() && now.since(request.arrived) < pause_wait,
-            candidates,
-            versions,
-            homes: Homes::of(&request.arrival, &self.tuning.regions),
-        };
-        let context = SelectionContext {
-            zone: &self.me.zone,
-            slot_requests: service.requests_per_slot(),
-            margin: self.margin(),
-            now,
-        };
-        (query, context)
-    }
-
     pub(crate) fn dispatch(
         &mut self,
         ticket: Ticket,
@@ -809,3 +761,35 @@
         }
     }
 }
+
+/// Returns what a request asks of its target: a version that `versions` allows among the targets of
+/// `service`. `latency_limit` bounds the predicted time to the first byte.
+pub(crate) fn selection_request<'a>(
+    request: &'a Request,
+    latency_limit: Option<Duration>,
+    (service, versions): (&ServiceState, &'a AllowedVersions),
+    tuning: &'a Tuning,
+    now: Time,
+) -> SelectionRequest<'a> {
+    let route = &request.arrival.route;
+    let headroom = match latency_limit {
+        _ if request.late => service.late_headroom(route.rank, now),
+        Some(_) => service.headroom(route.rank, now),
+        // A request that was sent before may use the reserved slots.
+        None => 0.0,
+    };
+    let pause_wait = route.objective.mul_f64(PAUSE_WAIT_FRACTION);
+    let events = service.events(&route.name);
+    SelectionRequest {
+        prompt: request.prompt(),
+        tried: &request.tried,
+        latency_limit,
+        headroom,
+        pause_limit: route.pause,
+        long_stream: events.map(|events| events >= LONG_STREAM_EVENTS as f64),
+        strict_pause: latency_limit.is_some() && now.since(request.arrived) < pause_wait,
+        candidates: Candidates::All,
+        versions,
+        homes: Homes::of(&request.arrival, &tuning.regions),
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -75,19 +75,19 @@
     pub(crate) stated: StatedTimes,
     pub(crate) shares: FairShares,
     /// Instances of this availability zone, if there are enough instances to form groups.
-    pub(crate) members: Members,
+    members: Members,
     pub(crate) stopping: bool,
     /// When the target list became readable again after the last outage.
     pub(crate) list_restored: Option<Time>,
     pub(crate) list_lost: bool,
-    pub(crate) list_read: bool,
+    list_read: bool,
     /// Until when the instance reads what has arrived during its last stall.
     pub(crate) read_until: Time,
     /// End and length of that stall.
-    pub(crate) last_stall: (Time, Duration),
+    last_stall: (Time, Duration),
     /// Whether the load balancer should stop sending callers.
-    pub(crate) unready: bool,
-    pub(crate) sequence: u64,
+    unready: bool,
+    sequence: u64,
     pub(crate) out: Vec<Action>,
 }
 
@@ -126,6 +126,32 @@
         }
     }
 
+    /// Returns a copy whose open requests are neither sent nor answered.
+    pub(crate) fn preview(&self) -> Self {
+        Self {
+            me: self.me.clone(),
+            tuning: self.tuning.clone(),
+            rng: self.rng.clone(),
+            table: self.table.as_ref().map(Arc::clone),
+            services: self.services.clone(),
+            targets: self.targets.clone(),
+            requests: self.requests.iter().map(|(&key, one)| (key, one.preview())).collect(),
+            quotas: self.quotas.clone(),
+            rollouts: self.rollouts.clone(),
+            peers: self.peers.clone(),
+            sharers: self.sharers.clone(),
+            quarantine: self.quarantine.clone(),
+            limits: self.limits.clone(),
+            evacuations: self.evacuations.clone(),
+            reach: self.reach.clone(),
+            stated: self.stated.clone(),
+            shares: self.shares.clone(),
+            members: self.members.clone(),
+            out: Vec::new(),
+            ..*self
+        }
+    }
+
     /// Processes an event at `now` and returns the resulting actions.
     pub fn handle(&mut self, event: Event<'_>, now: Time) -> Vec<Action> {
         self.sharers.record_start(now);
--- a/crates/gateway/src/limits/cold.rs
+++ b/crates/gateway/src/limits/cold.rs
@@ -307,7 +307,8 @@
 
     /// Begins the cold times of an instance that is now cut off, and ends those that are over.
     pub(crate) fn expire_cold(&mut self, now: Time) {
-        if self.sharers.is_apart(now) {
+        let is_bounded = self.services.values().any(|service| service.cold.is_some());
+        if is_bounded && self.sharers.is_apart(now) {
             let known = std::mem::replace(&mut self.limits.cold.apart_until, now + LIST_AGE);
             if known <= now {
                 let indexes: Vec<Index> = self.targets.iter().map(|(index, _)| index).collect();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,7 +2,6 @@
 //!
 //! The request arrives at a copy of the gateway, so that each decision is that of a real request.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use sesamewind_protocol::placement::{Placement, PlacementOutcome, PlacementTarget};
@@ -10,11 +9,12 @@
 
 use crate::arrival::{Arrival, Ticket};
 use crate::event::{Event, Step};
+use crate::flow::selection_request;
 use crate::gateway::Gateway;
 use crate::proof::{NotRunProof, RefusalReason};
 use crate::request::{History, Request, State};
 use crate::rollouts::AllowedVersions;
-use crate::selection::{self, Candidates};
+use crate::selection;
 
 /// Ticket of the described request in the copy; tickets of real requests count up from zero.
 const PREVIEW_TICKET: Ticket = Ticket::MAX;
@@ -80,8 +80,9 @@
         now: Time,
     ) -> Vec<PlacementTarget> {
         let Some(service) = self.services.get(&request.service) else { return Vec::new() };
-        let limits = (Candidates::All, request.latency_limit(now));
-        let (query, context) = self.selection(limits, request, (service, versions), now);
+        let limit = request.latency_limit(now);
+        let query = selection_request(request, limit, (service, versions), &self.tuning, now);
+        let context = service.selection_context(&self.me.zone, self.margin(), now);
         let assessed = selection::assess(&self.targets, &service.targets, query, context);
         assessed
             .into_iter()
@@ -99,32 +100,6 @@
             })
             .collect()
     }
-
-    /// Returns a copy whose requests are neither sent nor answered.
-    fn preview(&self) -> Self {
-        Self {
-            me: self.me.clone(),
-            tuning: self.tuning.clone(),
-            rng: self.rng.clone(),
-            table: self.table.as_ref().map(Arc::clone),
-            services: self.services.clone(),
-            targets: self.targets.clone(),
-            requests: self.requests.iter().map(|(&key, one)| (key, one.preview())).collect(),
-            quotas: self.quotas.clone(),
-            rollouts: self.rollouts.clone(),
-            peers: self.peers.clone(),
-            sharers: self.sharers.clone(),
-            quarantine: self.quarantine.clone(),
-            limits: self.limits.clone(),
-            evacuations: self.evacuations.clone(),
-            reach: self.reach.clone(),
-            stated: self.stated.clone(),
-            shares: self.shares.clone(),
-            members: self.members.clone(),
-            out: Vec::new(),
-            ..*self
-        }
-    }
 }
 
 fn refused(reason: RefusalReason, retry: Duration) -> PlacementOutcome {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -3,12 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use sesamewind_protocol::{RouteId, Time};
+use sesamewind_protocol::{RouteId, Time, ZoneId};
 
 use crate::budget::RetryBudget;
 use crate::hedging::Hedges;
 use crate::queue::Queue;
 use crate::rate::Rate;
+use crate::selection::SelectionContext;
 use crate::table::ColdStart;
 use crate::targets::Index;
 use crate::tuning::Tuning;
@@ -137,6 +138,17 @@
         }
     }
 
+    /// Returns the state that selections of an instance in `zone` depend on, which leaves `margin` slots
+    /// free at targets of other groups.
+    pub(crate) fn selection_context<'a>(
+        &self,
+        zone: &'a ZoneId,
+        margin: u32,
+        now: Time,
+    ) -> SelectionContext<'a> {
+        SelectionContext { zone, slot_requests: self.requests_per_slot(), margin, now }
+    }
+
     /// Returns the number of requests sent to a target per slot.
     pub(crate) fn requests_per_slot(&self) -> f64 {
         if self.model { MODEL_REQUESTS_PER_SLOT } else { PLAIN_REQUESTS_PER_SLOT }
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -7,15 +7,16 @@
 
 use bytes::Bytes;
 use http::uri::PathAndQuery;
-use http::{Request, Response, response};
+use http::{Request, Response, request, response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use sesamewind_gateway::sse::EventScanner;
+use sesamewind_gateway::table::Resolved;
 use sesamewind_gateway::{
     Arrival, AttemptOutcome, Event, Failure, Gateway, NoRetry, PassOn, PassOutcome, Refusal,
     RefusalReason, Repeat, Route, Step,
 };
-use sesamewind_protocol::{PartId, RequestKey, bytes_hash, text_hash};
+use sesamewind_protocol::{PartId, RequestKey, Time, bytes_hash, text_hash};
 use tokio::time::timeout;
 
 use crate::activity::Activity;
@@ -57,7 +58,7 @@
             return driver.wire_format.rejected(rejection);
         }
     };
-    let wait = wait_time(&caller, &resolved.route);
+    let wait = wait_time(caller.timeout, &resolved.route);
     let mut guard = CallerGuard::new(Rc::clone(&driver), &caller.id, arrived, connection);
     let body = match read_body(body, table.limits.body_bytes, wait).await {
         Ok(body) => body,
@@ -74,13 +75,23 @@
             };
         }
     };
+    let call = enter(driver, (head, caller, body), resolved, &mut guard, arrived);
+    let event = Event::Arrive(call.arrival());
+    call.serve(event, guard).await
+}
+
+/// Returns the call of a request that enters the gateway now, and whose caller `guard` watches.
+fn enter(
+    driver: Rc<Driver>,
+    (head, caller, body): (request::Parts, CallerHead, Bytes),
+    Resolved { route, account }: Resolved,
+    guard: &mut CallerGuard,
+    arrived: Time,
+) -> Call {
     let ticket = driver.new_ticket();
     guard.enter_gateway(ticket);
-    let (route, account) = (resolved.route, resolved.account);
     let timing = Cell::default();
-    let call = Call { driver, ticket, head, caller, body, route, account, arrived, timing };
-    let event = Event::Arrive(call.arrival());
-    call.serve(event, guard).await
+    Call { driver, ticket, head, caller, body, route, account, arrived, timing }
 }
 
 fn unconfigured(driver: &Driver) -> Answer {
@@ -120,11 +131,7 @@
     };
     driver.metrics.taken();
     let mut guard = CallerGuard::new(Rc::clone(&driver), &caller.id, arrived, connection);
-    let ticket = driver.new_ticket();
-    guard.enter_gateway(ticket);
-    let (route, account) = (resolved.route, resolved.account);
-    let timing = Cell::default();
-    let call = Call { driver, ticket, head, caller, body, route, account, arrived, timing };
+    let call = enter(driver, (head, caller, body), resolved, &mut guard, arrived);
     let event = Event::ArrivePassed(call.arrival());
     passing::finish(call.serve(event, guard).await)
 }
@@ -168,9 +175,9 @@
     }
 }
 
-/// Returns how long the caller of a request waits for its answer.
-fn wait_time(caller: &CallerHead, route: &Route) -> Duration {
-    caller.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout))
+/// Returns how long a caller that states `timeout` waits for its answer.
+pub(crate) fn wait_time(timeout: Option<Duration>, route: &Route) -> Duration {
+    timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout))
 }
 
 impl Call {
@@ -183,7 +190,7 @@
             output_tokens: self.caller.output_tokens,
             parts: self.parts(),
             point: split_point(&self.caller.id),
-            deadline: self.arrived + wait_time(&self.caller, &self.route),
+            deadline: self.arrived + wait_time(self.caller.timeout, &self.route),
         }
     }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -298,13 +299,7 @@
             Err(err) => return respond(StatusCode::BAD_REQUEST, err.to_string().into()),
         };
         match placement::explain(&self.driver, query) {
-            Ok(placement) => match serde_json::to_vec(&placement) {
-                Ok(bytes) => respond(StatusCode::OK, bytes.into()),
-                Err(err) => {
-                    log::error!(event = "peer_unwritable"; "placement could not be encoded: {err}");
-                    respond(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
-                }
-            },
+            Ok(placement) => encoded(serde_json::to_vec(&placement)),
             Err((status, text)) => respond(status, text.into()),
         }
     }
@@ -318,7 +313,7 @@
             self.discover(&update.from, &KnownPeer { address, zone: update.zone.clone() });
         }
         self.receive(&update);
-        encoded(&self.driver.peer_update(&update.from))
+        encoded(codec::encode(&self.driver.peer_update(&update.from)))
     }
 
     fn serve_rows(&self, bytes: &[u8]) -> Answer {
@@ -326,7 +321,8 @@
             Ok(request) => request,
             Err(err) => return unreadable(&err.to_string()),
         };
-        encoded(&self.driver.topic(request.topic).cache.borrow().since(request.after))
+        let rows = self.driver.topic(request.topic).cache.borrow().since(request.after);
+        encoded(codec::encode(&rows))
     }
 }
 
@@ -343,8 +339,8 @@
     respond(StatusCode::BAD_REQUEST, Bytes::new())
 }
 
-fn encoded<T: Serialize>(message: &T) -> Answer {
-    match codec::encode(message) {
+fn encoded<E: Display>(message: Result<Vec<u8>, E>) -> Answer {
+    match message {
         Ok(bytes) => respond(StatusCode::OK, bytes.into()),
         Err(err) => {
             log::error!(event = "peer_unwritable"; "answer to a peer could not be encoded: {err}");
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -8,6 +8,7 @@
 use sesamewind_protocol::placement::{Placement, PlacementQuery};
 use sesamewind_protocol::{PartId, Time};
 
+use crate::callers::wait_time;
 use crate::driver::Driver;
 
 /// Explains where the request of `query` would go.
@@ -47,7 +48,7 @@
     let parts: Result<Arc<[PartId]>, _> = parts.collect();
     let parts =
         parts.map_err(|err| (StatusCode::BAD_REQUEST, format!("part of the prompt: {err}")))?;
-    let stated = query.wait_ms.map_or(route.timeout, Duration::from_millis);
+    let wait = wait_time(query.wait_ms.map(Duration::from_millis), route);
     Ok(Arrival {
         ticket: 0,
         route: Arc::clone(route),
@@ -56,6 +57,6 @@
         output_tokens: query.output,
         parts,
         point: query.point.unwrap_or_else(rand::random),
-        deadline: now + stated.min(route.timeout),
+        deadline: now + wait,
     })
 }
