Build the requests of plays and the sums of callers in one place

Four plays and a test wrote the same request field by field: support::arrival. Two tests with processes added up their callers' counts alike: testbed::tally.

--- a/crates/gateway/tests/all/brittle_fleet.rs
+++ b/crates/gateway/tests/all/brittle_fleet.rs
@@ -15,7 +15,7 @@
 use sesamewind_protocol::relay::{RelayUpdate, StorePosition};
 use sesamewind_protocol::{Incarnation, InstanceId, Time, ZoneId};
 
-use crate::support::{self, at, identity, routing};
+use crate::support::{self, arrival, at, identity, routing};
 
 /// Milliseconds from the first statement until fewer requests may wait.
 const CONTACT_MS: u64 = 3_000;
@@ -268,20 +268,13 @@
     fn arrive(&mut self, now: u64) {
         let is_hot = self.rng.random_bool(self.plan.hot);
         let instance = if is_hot { 0 } else { self.rng.random_range(0..self.plan.instances) };
-        let resolved = self.table.resolve("host.example", &path(self.plan), Some("key-a"));
-        let resolved = resolved.expect("a route");
         self.next += 1;
         self.report.asked += 1;
         let ticket = self.next;
         let arrival = Arrival {
-            ticket,
-            deadline: at(now) + resolved.route.timeout,
-            route: resolved.route,
-            account: resolved.account,
             prompt_tokens: Some(300),
             output_tokens: 50,
-            parts: Arc::default(),
-            point: 0.5,
+            ..arrival(&self.table, ticket, &path(self.plan), at(now))
         };
         self.open.insert(ticket, now);
         self.send(instance, Event::Arrive(arrival), now);
--- a/crates/gateway/tests/all/groups.rs
+++ b/crates/gateway/tests/all/groups.rs
@@ -13,7 +13,7 @@
 use sesamewind_protocol::relay::StorePosition;
 use sesamewind_protocol::{InstanceId, TargetId, Time};
 
-use crate::support::{MODEL, at, identity, routing, target};
+use crate::support::{MODEL, arrival, at, identity, routing, target};
 
 /// Number of instances, all in one availability zone.
 const INSTANCES: usize = 24;
@@ -150,17 +150,10 @@
         fleet.exchange(now);
         if rng.random::<f64>() < rate {
             ticket += 1;
-            let found = fleet.table.resolve("host.example", "/urgent/x", Some("key-a"));
-            let found = found.expect("a route");
             let arrival = Arrival {
-                ticket,
-                deadline: at(now) + found.route.timeout,
-                route: found.route,
-                account: found.account,
                 prompt_tokens: Some(600),
                 output_tokens: 300,
-                parts: Arc::default(),
-                point: 0.5,
+                ..arrival(&fleet.table, ticket, "/urgent/x", at(now))
             };
             fleet.send(rng.random_range(0..INSTANCES), Event::Arrive(arrival), now);
         }
--- a/crates/gateway/tests/all/limit_fleet.rs
+++ b/crates/gateway/tests/all/limit_fleet.rs
@@ -18,7 +18,7 @@
 use sesamewind_protocol::relay::{RelayUpdate, StorePosition};
 use sesamewind_protocol::{Incarnation, InstanceId, TargetId, Time, ZoneId};
 
-use crate::support::{self, MODEL, at, identity, routing};
+use crate::support::{self, MODEL, arrival, at, identity, routing};
 
 /// Milliseconds from a target's first statement of a limit until the bound holds.
 const CONTACT_MS: u64 = 3_000;
@@ -494,19 +494,12 @@
         if !is_up || self.plan.is_stopping(instance, now) {
             return;
         }
-        let resolved =
-            self.table.resolve("host.example", "/urgent/x", Some("key-a")).expect("a route");
         self.next += 1;
         self.report.asked += 1;
         let arrival = Arrival {
-            ticket: self.next,
-            deadline: at(now) + resolved.route.timeout,
-            route: resolved.route,
-            account: resolved.account,
             prompt_tokens: Some(300),
             output_tokens: 50,
-            parts: Arc::default(),
-            point: 0.5,
+            ..arrival(&self.table, self.next, "/urgent/x", at(now))
         };
         self.send(instance, Event::Arrive(arrival), now);
     }
--- a/crates/gateway/tests/all/placement.rs
+++ b/crates/gateway/tests/all/placement.rs
@@ -7,21 +7,14 @@
 use sesamewind_protocol::relay::{StorePosition, ZoneEntry, ZoneReport};
 use sesamewind_protocol::{PartId, RegionId, TargetId, Time};
 
-use crate::support::{Bench, MODEL, PLAIN, account, at, routing, target};
+use crate::support::{self, Bench, MODEL, PLAIN, account, at, routing, target};
 
 /// A request on the route `name` that is not sent.
 fn arrival(bench: &Bench, name: &str, now: Time) -> Arrival {
-    let path = format!("/{name}/x");
-    let found = bench.table.resolve("host.example", &path, Some("key-a")).expect("a route");
     Arrival {
-        ticket: 0,
-        deadline: now + found.route.timeout,
-        route: found.route,
-        account: found.account,
         prompt_tokens: Some(500),
-        output_tokens: 100,
         parts: [PartId(7)].into(),
-        point: 0.5,
+        ..support::arrival(&bench.table, 0, &format!("/{name}/x"), now)
     }
 }
 
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -115,6 +115,21 @@
     }
 }
 
+/// Returns a request of the account `a` that arrives at `now` on the route of `path`.
+pub fn arrival(table: &RouteTable, ticket: Ticket, path: &str, now: Time) -> Arrival {
+    let resolved = table.resolve("host.example", path, Some("key-a")).expect("a route");
+    Arrival {
+        ticket,
+        deadline: now + resolved.route.timeout,
+        route: resolved.route,
+        account: resolved.account,
+        prompt_tokens: None,
+        output_tokens: 100,
+        parts: Arc::default(),
+        point: 0.5,
+    }
+}
+
 /// A gateway under test, with the last step of each request.
 pub struct Bench {
     /// Gateway under test.
@@ -160,20 +175,12 @@
 
     /// Sends a request with these parts of its prompt.
     pub fn arrive_with(&mut self, name: &str, prompt: u32, parts: &[u64], now: Time) -> Ticket {
-        let path = format!("/{name}/x");
-        let resolved = self.table.resolve("host.example", &path, Some("key-a")).expect("a route");
         let ticket = self.next;
         self.next += 1;
-        let deadline = now + resolved.route.timeout;
         let arrival = Arrival {
-            ticket,
-            route: resolved.route,
-            account: resolved.account,
             prompt_tokens: Some(prompt),
-            output_tokens: 100,
             parts: parts.iter().copied().map(PartId).collect(),
-            point: 0.5,
-            deadline,
+            ..arrival(&self.table, ticket, &format!("/{name}/x"), now)
         };
         self.send(Event::Arrive(arrival), now);
         ticket
--- a/tests/all/relay/brittle.rs
+++ b/tests/all/relay/brittle.rs
@@ -6,7 +6,7 @@
 use sesamewind_standins::relay::{Brittleness, RelayTarget, TargetOptions};
 use tokio::time::sleep;
 
-use super::testbed::{Gateway, Testbed, until};
+use super::testbed::{Gateway, Testbed, tally, until};
 
 /// Time from a target's first statement until it lets fewer requests wait.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -42,12 +42,7 @@
             (served, refused)
         }));
     }
-    let mut sum = (0, 0);
-    for task in tasks {
-        let (served, refused) = task.await.expect("the task ends");
-        sum = (sum.0 + served, sum.1 + refused);
-    }
-    sum
+    tally(tasks).await
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/all/relay/limits.rs
+++ b/tests/all/relay/limits.rs
@@ -8,7 +8,7 @@
 use sesamewind_standins::relay::{Behaviour, Received, RelayTarget, TargetOptions};
 use tokio::time::sleep;
 
-use super::testbed::{Gateway, Testbed, until};
+use super::testbed::{Gateway, Testbed, tally, until};
 
 /// Time from a target's first statement of a limit until the bound holds.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -81,12 +81,7 @@
                 (served, refused)
             }));
         }
-        let mut sum = (0, 0);
-        for task in tasks {
-            let (served, refused) = task.await.expect("the task ends");
-            sum = (sum.0 + served, sum.1 + refused);
-        }
-        sum
+        tally(tasks).await
     }
 
     /// Returns the target that has got most requests, which gateways go on to use.
--- a/tests/all/relay/testbed.rs
+++ b/tests/all/relay/testbed.rs
@@ -13,6 +13,7 @@
 use sesamewind_standins::relay::configuration::{self, account, default_routes};
 use sesamewind_standins::relay::settings::GatewaySettings;
 use sesamewind_standins::relay::{RelayTarget, RowStore, TargetOptions};
+use tokio::task::JoinHandle;
 
 use crate::daemon::next_address;
 
@@ -313,3 +314,13 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Adds up how many requests of all callers were served and refused.
+pub async fn tally(callers: Vec<JoinHandle<(usize, usize)>>) -> (usize, usize) {
+    let mut sum = (0, 0);
+    for caller in callers {
+        let (served, refused) = caller.await.expect("the task ends");
+        sum = (sum.0 + served, sum.1 + refused);
+    }
+    sum
+}
