Reproduce a bad version that is completed while one target or instance serves it

The simulation gains instances that pass their requests on. The log already tells this fault apart (move_progress: evidence below evidence_of_all), so no field is added.

--- a/crates/gateway/tests/all/rollout_simulation.rs
+++ b/crates/gateway/tests/all/rollout_simulation.rs
@@ -101,6 +101,9 @@
     SlowTarget(f64),
     /// The targets of the new version together take so many requests a second of all instances.
     Limited(f64),
+    /// The first instances reach no target from a time on for a while, and pass their requests on to the
+    /// others.
+    Partition(usize, u64, u64),
     /// An instance is started again at a time.
     Restart(usize, u64),
     /// All instances are started again at a time.
@@ -264,6 +267,17 @@
     }
 }
 
+impl Scenario {
+    /// Returns the number of instances, the first ones, that reach no target at `now`.
+    fn partitioned(&self, now: u64) -> usize {
+        let counts = self.faults.iter().filter_map(|fault| match fault {
+            Fault::Partition(count, from, length) if within(now, *from, *length) => Some(*count),
+            _ => None,
+        });
+        counts.max().unwrap_or(0)
+    }
+}
+
 impl Simulation {
     fn order(&mut self, instance: usize, now: u64) {
         let duration = Duration::from_millis(self.scenario.duration);
@@ -343,7 +357,8 @@
     }
 
     fn arrive(&mut self, now: u64) {
-        let instance = self.rng.random_range(0..self.instances.len());
+        let first = self.scenario.partitioned(now);
+        let instance = self.rng.random_range(first..self.instances.len());
         if self.stall_end(instance, now).is_some() {
             return;
         }
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -273,6 +273,69 @@
     check(&cases, RolloutOutcome::TakenBack);
 }
 
+/// Guards against a verdict that waits for evidence of targets or instances which no longer get requests.
+#[test]
+fn bad_versions_that_one_target_or_instance_serves_are_rolled_back_in_time() {
+    let bad = |version| Scenario { version, targets: 2, ..calm() };
+    let cut = |version, from| Scenario {
+        faults: vec![Fault::Partition(3, from, DURATION)],
+        ..bad(version)
+    };
+    let crash =
+        |version, time| Scenario { faults: vec![Fault::TargetCrash(1, time)], ..bad(version) };
+    let fails = Version::Fails(0.5, 0.0);
+    let on_route = Version::FailsOnRoute(0.5);
+    let slow = Version::Slow(4.0);
+    let long = |scenario| Scenario { duration: 15_000, rate: 240.0, ..scenario };
+    let short = |scenario| Scenario { duration: 5_000, ..scenario };
+    let cases = [
+        Case { name: "fails half, one of two targets crashes", scenario: crash(fails, 500) },
+        Case { name: "one crashes after 1 s", scenario: crash(fails, 1_000) },
+        Case { name: "one crashes after 2 s", scenario: crash(fails, 2_000) },
+        Case { name: "5 s", scenario: short(crash(fails, 500)) },
+        Case { name: "15 s, more requests", scenario: long(crash(fails, 500)) },
+        Case { name: "fails a third later", scenario: crash(Version::Fails(0.33, 0.55), 500) },
+        Case { name: "fails half on one route", scenario: crash(on_route, 1_000) },
+        Case {
+            name: "fails half under load",
+            scenario: crash(Version::FailsUnderLoad(0.5, 0.06), 500),
+        },
+        Case { name: "four times slower", scenario: crash(slow, 500) },
+        Case { name: "5 s, four times slower", scenario: short(crash(slow, 500)) },
+        Case { name: "15 s, four times slower", scenario: long(crash(slow, 500)) },
+        Case { name: "three of four instances are cut off", scenario: cut(fails, 600) },
+        Case { name: "5 s, three are cut off", scenario: short(cut(fails, 600)) },
+        Case { name: "15 s, three are cut off", scenario: long(cut(fails, 900)) },
+        Case { name: "later, three are cut off", scenario: cut(Version::Fails(0.5, 0.4), 2_000) },
+        Case { name: "four times slower, three are cut off", scenario: cut(slow, 900) },
+    ];
+    check(&cases, RolloutOutcome::TakenBack);
+}
+
+/// The counterpart: a good version takes over though one target or instance serves most of its requests.
+#[test]
+fn good_versions_that_one_target_or_instance_serves_take_over_in_time() {
+    let with = |fault| Scenario { targets: 2, faults: vec![fault], ..calm() };
+    let cases = [
+        Case { name: "one of two targets crashes", scenario: with(Fault::TargetCrash(1, 500)) },
+        Case { name: "one crashes late", scenario: with(Fault::TargetCrash(1, 7_500)) },
+        Case { name: "one stalls", scenario: with(Fault::TargetStall(0, 4_000, 1_500)) },
+        Case {
+            name: "three of four are cut off",
+            scenario: with(Fault::Partition(3, 600, DURATION)),
+        },
+        Case {
+            name: "three are cut off for 4 s",
+            scenario: with(Fault::Partition(3, 3_000, 4_000)),
+        },
+        Case {
+            name: "both fail at times, three are cut off",
+            scenario: Scenario { baseline: 0.05, ..with(Fault::Partition(3, 600, DURATION)) },
+        },
+    ];
+    check(&cases, RolloutOutcome::Completed);
+}
+
 #[test]
 fn versions_bad_on_one_route_are_rolled_back_in_time() {
     let version = Version::FailsOnRoute(0.5);
