Decide on a version by all evidence where what remains without the worst part can't tell

What callers saw: a bad version reaches too many requests (EXPOSURE), at worst it takes over and is kept.

Cause: evidence that rests on one target or one instance does not decide, so that a crash or a grey target is not taken for a bad version. What remained without the worst target groups, or the worst instance, had to show a difference however little it was. If one of two targets is down, or most instances reach no target and pass their requests on to one, a few early requests remain, show nothing, and acquit the version. The class of the fault: no evidence against counted as evidence for.

Change: the remainder acquits only if it holds a quarter of the evidence or more, and if the failures (binomial) or the slowness fall on the part left out by more than chance.

--- a/crates/gateway/src/rollouts/verdict.rs
+++ b/crates/gateway/src/rollouts/verdict.rs
@@ -5,7 +5,8 @@
 //! Evidence that rests on one instance, or on a few of the new version's targets, does not decide:
 //! a crash, a pause or a faulty target is not the version's fault. Without the evidence of the
 //! instance, or of the quarter of the targets, that speaks most against the version, a weaker
-//! difference must remain.
+//! difference must remain. If what remains is too little to differ from the whole, all evidence
+//! decides, and must be stronger: one instance or target may serve nearly all requests of the version.
 
 use std::collections::BTreeMap;
 
@@ -14,6 +15,7 @@
     ArmCounts, LatencyCounts, LatencyReport, RolloutCounts, TARGET_GROUPS,
 };
 use sesamewind_rollout::rule::MaxSprt;
+use statrs::distribution::{Binomial, DiscreteCDF};
 
 use super::status::{LatencyAverage, LatencyComparison};
 
@@ -57,8 +59,18 @@
 struct Level {
     all: Thresholds,
     remainder: Thresholds,
+    /// For all evidence where the remainder does not differ from it.
+    concentrated: Thresholds,
 }
 
+/// Probability below which the remainder does not differ from all evidence by chance, and the number of
+/// standard deviations that correspond to it.
+const CHANCE: f64 = 0.25;
+const CHANCE_DEVIATIONS: f64 = 0.67;
+
+/// Part of all evidence below which the remainder can't differ from it.
+const MIN_REMAINDER: f64 = 0.25;
+
 /// Evidence for rolling the version back at any time.
 const BAD: Level = Level {
     all: Thresholds { failures: 8.0, log_ratio: 4.5, intervals: 8.0, slowdown: 2.0, margin: 2.0 },
@@ -69,12 +81,23 @@
         slowdown: 1.5,
         margin: 2.0,
     },
+    concentrated: Thresholds {
+        failures: 16.0,
+        log_ratio: 9.0,
+        intervals: 16.0,
+        slowdown: 2.0,
+        margin: 3.0,
+    },
 };
 
+const SUSPECT_OF_ALL: Thresholds =
+    Thresholds { failures: 4.0, log_ratio: 2.0, intervals: 5.0, slowdown: 1.8, margin: 2.0 };
+
 /// Evidence for not sending the version more requests, and for rolling it back when the rollout
 /// should complete.
 const SUSPECT: Level = Level {
-    all: Thresholds { failures: 4.0, log_ratio: 2.0, intervals: 5.0, slowdown: 1.8, margin: 2.0 },
+    all: SUSPECT_OF_ALL,
+    concentrated: SUSPECT_OF_ALL,
     remainder: Thresholds {
         failures: 1.0,
         log_ratio: 0.2,
@@ -84,10 +107,14 @@
     },
 };
 
+const UNCLEAR_OF_ALL: Thresholds =
+    Thresholds { failures: 2.0, log_ratio: 1.5, intervals: 3.0, slowdown: 1.5, margin: 0.0 };
+
 /// Evidence for not increasing the version's share yet. Unlike the others it needs no significance:
 /// a good version is delayed until its averages show it to be one.
 const UNCLEAR: Level = Level {
-    all: Thresholds { failures: 2.0, log_ratio: 1.5, intervals: 3.0, slowdown: 1.5, margin: 0.0 },
+    all: UNCLEAR_OF_ALL,
+    concentrated: UNCLEAR_OF_ALL,
     remainder: Thresholds {
         failures: 1.0,
         log_ratio: 0.5,
@@ -232,13 +259,16 @@
         let requests = |counts: &RolloutCounts, group: usize| {
             counts.routes.iter().any(|route| route.new[group].requests > 0)
         };
-        self.without_worst(by_group, by_report, requests)
-            .iter()
-            .all(|&omitted| self.exceeds_failures(omitted, &level.remainder))
+        self.without_worst(by_group, by_report, requests).iter().all(|&omitted| {
+            self.exceeds_failures(omitted, &level.remainder)
+                || !self.are_failures_concentrated(omitted)
+                    && self.exceeds_failures(all, &level.concentrated)
+        })
     }
 
     fn is_slow(&self, measure: Measure, level: &Level) -> bool {
-        if !self.exceeds_latency(measure, Omitted::default(), &level.all) {
+        let all = Omitted::default();
+        if !self.exceeds_latency(measure, all, &level.all) {
             return false;
         }
         let (old, _) = self.old_average(measure);
@@ -249,9 +279,11 @@
         let by_report = |report: &RolloutCounts| measure.of(report).new.iter().map(excess).sum();
         let timed =
             |counts: &RolloutCounts, group: usize| measure.of(counts).new[group].intervals > 0;
-        self.without_worst(by_group, by_report, timed)
-            .iter()
-            .all(|&omitted| self.exceeds_latency(measure, omitted, &level.remainder))
+        self.without_worst(by_group, by_report, timed).iter().all(|&omitted| {
+            self.exceeds_latency(measure, omitted, &level.remainder)
+                || !self.is_slowness_concentrated(measure, omitted)
+                    && self.exceeds_latency(measure, all, &level.concentrated)
+        })
     }
 
     /// Returns what to leave out in turn: the quarter of the target groups with the largest
@@ -288,29 +320,45 @@
 
     /// Returns whether the failures of the new version exceed what the old version's failures let
     /// expect.
-    ///
-    /// The routes are added in the order of their expected failure rates, and the most significant
-    /// of the sums counts: a route whose requests often fail anyway would hide the difference on
-    /// the others.
     fn exceeds_failures(&self, omitted: Omitted, thresholds: &Thresholds) -> bool {
-        let rates = &self.baseline;
+        self.sums(omitted).iter().any(|sum| {
+            f64::from(sum.new.failures) >= thresholds.failures
+                && sum.log_ratio() > thresholds.log_ratio
+        })
+    }
+
+    /// Returns whether the failures fall on the omitted part by more than chance, on the routes that
+    /// show most against the version.
+    fn are_failures_concentrated(&self, omitted: Omitted) -> bool {
+        let (all, remainder) = (self.sums(Omitted::default()), self.sums(omitted));
+        let pairs = all.iter().zip(&remainder);
+        let strongest = pairs.max_by(|(a, _), (b, _)| a.log_ratio().total_cmp(&b.log_ratio()));
+        let Some((all, remainder)) = strongest else { return false };
+        let share = f64::from(remainder.new.requests) / f64::from(all.new.requests.max(1));
+        share >= MIN_REMAINDER
+            && Binomial::new(share, u64::from(all.new.failures))
+                .is_ok_and(|chance| chance.cdf(u64::from(remainder.new.failures)) < CHANCE)
+    }
+
+    /// Adds up the routes in the order of their expected failure rates and returns all sums. The most
+    /// significant of them counts: a route whose requests often fail anyway would hide the difference
+    /// on the others.
+    fn sums(&self, omitted: Omitted) -> Vec<Sum> {
         let reduced = omitted.report.map(|report| totals(&self.reports, Some(report)));
-        let mut routes: Vec<(f64, ArmCounts)> = reduced
-            .as_ref()
-            .unwrap_or(&self.totals)
-            .iter()
-            .map(|(route, total)| (rates.rate(route), total.new_counts(omitted.groups)))
-            .collect();
+        let totals = reduced.as_ref().unwrap_or(&self.totals);
+        let routes = self.totals.keys().map(|route| {
+            let total = totals.get(route).copied().unwrap_or_default();
+            (self.baseline.rate(route), total.new_counts(omitted.groups))
+        });
+        let mut routes: Vec<_> = routes.collect();
         routes.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let rule = MaxSprt::default();
-        let (mut observed, mut mean) = (0.0, 0.0);
-        routes.iter().any(|(rate, new)| {
-            observed += f64::from(new.failures);
-            mean += rate * f64::from(new.requests);
-            let expected = rule.tolerated * (mean + EXPECTATION_MARGIN * mean.sqrt());
-            observed >= thresholds.failures
-                && MaxSprt::log_ratio(observed, expected) > thresholds.log_ratio
-        })
+        let mut sum = Sum::default();
+        let sums = routes.iter().map(|(rate, new)| {
+            sum.new.add(new);
+            sum.expected += rate * f64::from(new.requests);
+            sum
+        });
+        sums.collect()
     }
 
     /// Returns the average logarithmic ratio of the new version and the number of intervals it
@@ -336,6 +384,33 @@
         let deviation = LOG_DEVIATION * (1.0 / new_intervals + 1.0 / old_intervals).sqrt();
         new - old > thresholds.slowdown.ln() + thresholds.margin * deviation
     }
+
+    /// Returns whether the omitted part is slower than the remainder by more than chance.
+    fn is_slowness_concentrated(&self, measure: Measure, omitted: Omitted) -> bool {
+        let (all, all_intervals) = self.new_average(measure, Omitted::default());
+        let (remainder, intervals) = self.new_average(measure, omitted);
+        let deviation = LOG_DEVIATION / intervals.sqrt();
+        intervals >= MIN_REMAINDER * all_intervals
+            && all - remainder > CHANCE_DEVIATIONS * deviation
+    }
+}
+
+/// Requests of the new version on several routes.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sum {
+    new: ArmCounts,
+    /// Failures that the rates of the routes let expect.
+    expected: f64,
+}
+
+impl Sum {
+    /// Returns the log-likelihood ratio of the failures.
+    fn log_ratio(&self) -> f64 {
+        let rule = MaxSprt::default();
+        let margin = EXPECTATION_MARGIN * self.expected.sqrt();
+        let expected = rule.tolerated * (self.expected + margin);
+        MaxSprt::log_ratio(f64::from(self.new.failures), expected)
+    }
 }
 
 /// Returns the strongest level that `holds`.
