--- a/crates/gateway/tests/all/rollout_simulation.rs
+++ b/crates/gateway/tests/all/rollout_simulation.rs
@@ -101,6 +101,8 @@
     SlowTarget(f64),
     /// The targets of the new version together take so many requests a second of all instances.
     Limited(f64),
+    /// No request arrives from a time on for a while.
+    Quiet(u64, u64),
     /// The first instances reach no target from a time on for a while, and pass their requests on to the
     /// others.
     Partition(usize, u64, u64),
@@ -135,6 +137,8 @@
     pub started: u64,
     /// Time in milliseconds that a write to the store takes.
     pub store_delay: u64,
+    /// Milliseconds between two exchanges of each pair of instances.
+    pub exchange: u64,
     /// Faults.
     pub faults: Vec<Fault>,
 }
@@ -288,8 +292,8 @@
     fn step(&mut self, now: u64) {
         self.apply_faults(now);
         self.exchange_requests(now);
+        self.exchange(now);
         if now.is_multiple_of(INTERVAL) {
-            self.exchange(now);
             for instance in 0..self.instances.len() {
                 if self.stall_end(instance, now).is_none() {
                     let started = WARM_UP + self.scenario.started;
@@ -304,7 +308,10 @@
     /// Lets requests arrive and end.
     fn exchange_requests(&mut self, now: u64) {
         let arrives = self.rng.random::<f64>() * 1_000.0 < self.scenario.rate;
-        if arrives {
+        let quiet = self.scenario.faults.iter().any(
+            |fault| matches!(fault, Fault::Quiet(from, length) if within(now, *from, *length)),
+        );
+        if arrives && !quiet {
             self.arrive(now);
         }
         while self.in_flight.peek().is_some_and(|Reverse(first)| first.ends <= now) {
@@ -578,8 +585,11 @@
     }
 
     fn exchange(&mut self, now: u64) {
+        let interval = self.scenario.exchange;
         for from in 0..self.instances.len() {
-            if self.stall_end(from, now).is_some() {
+            // Instances send at different times.
+            let phase = if interval == INTERVAL { 0 } else { from as u64 * 37 };
+            if !(now + phase).is_multiple_of(interval) || self.stall_end(from, now).is_some() {
                 continue;
             }
             let progress = self.instances[from].progress(at(now));
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -42,6 +42,7 @@
         targets: 6,
         started: 300,
         store_delay: 10,
+        exchange: 100,
         faults: Vec::new(),
     }
 }
@@ -312,6 +313,40 @@
     check(&cases, RolloutOutcome::TakenBack);
 }
 
+/// Guards against a share that grows, or is raised for few requests, while answers of the new version are
+/// still to come.
+#[test]
+fn bad_versions_whose_answers_are_late_are_rolled_back_in_time() {
+    let bad = |version, faults: &[Fault]| Scenario {
+        version,
+        rate: 240.0,
+        duration: 5_000,
+        instances: 20,
+        targets: 3,
+        exchange: 600,
+        faults: faults.to_vec(),
+        ..calm()
+    };
+    let stalls: Vec<_> = (0..3).map(|target| Fault::TargetStall(target, 0, 20_000)).collect();
+    let (fails, slow) = (Version::Fails(0.5, 0.0), Version::Slow(8.0));
+    let cases = [
+        Case {
+            name: "eight times slower, first requests after 1.9 s",
+            scenario: bad(slow, &[Fault::Quiet(0, 1_900)]),
+        },
+        Case {
+            name: "fails half, first requests after 1.9 s",
+            scenario: bad(fails, &[Fault::Quiet(0, 1_900)]),
+        },
+        Case { name: "answers never come", scenario: bad(fails, &stalls) },
+        Case {
+            name: "answers never come, rare exchanges",
+            scenario: Scenario { exchange: 3_000, rate: 560.0, ..bad(fails, &stalls) },
+        },
+    ];
+    check(&cases, RolloutOutcome::TakenBack);
+}
+
 /// The counterpart: a good version takes over though one target or instance serves most of its requests.
 #[test]
 fn good_versions_that_one_target_or_instance_serves_take_over_in_time() {
