Bound the raised first share of a new version by the requests that were sent to it

Cause: the first share is raised for a service with few requests until 24 requests of the new version were answered. If requests pause when the order comes, the rate is underestimated; if answers are slow, the raised share lasts, and a version eight times slower reached 126 of 728 requests (122 allowed). Change: 30 requests that were sent end the raised share as well.

--- a/crates/gateway/src/rollouts/schedule.rs
+++ b/crates/gateway/src/rollouts/schedule.rs
@@ -16,6 +16,9 @@
 /// Deployments allow a bad version about twice as many beside its share.
 const FIRST_REQUESTS: f64 = 24.0;
 
+/// Number of requests sent to the new version at which the first stage has enough, answered or not.
+const MAX_FIRST_SENT: f64 = 1.25 * FIRST_REQUESTS;
+
 /// Share of a version that is suspect, below the share that deployments allow a bad version.
 const SUSPECT_SHARE: f64 = 0.09;
 
@@ -223,7 +226,10 @@
 
     /// Returns the share with which the new version receives [`FIRST_REQUESTS`] in time.
     fn sample_share(&self, progress: Progress) -> f64 {
-        if f64::from(progress.new_requests) >= FIRST_REQUESTS {
+        // Slow or missing answers must not prolong a raised share.
+        if f64::from(progress.new_requests) >= FIRST_REQUESTS
+            || progress.new_sent as f64 >= MAX_FIRST_SENT
+        {
             return FIRST_SHARE;
         }
         let rate = progress.requests as f64 / progress.age.as_secs_f64().max(f64::MIN_POSITIVE);
--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -313,11 +313,9 @@
     check(&cases, RolloutOutcome::TakenBack);
 }
 
-/// Guards against a share that grows, or is raised for few requests, while answers of the new version are
-/// still to come.
-#[test]
-fn bad_versions_whose_answers_are_late_are_rolled_back_in_time() {
-    let bad = |version, faults: &[Fault]| Scenario {
+/// A rollout of a bad version among instances that hear of each other each 600 ms.
+fn among_many(version: Version, faults: &[Fault]) -> Scenario {
+    Scenario {
         version,
         rate: 240.0,
         duration: 5_000,
@@ -326,27 +324,36 @@
         exchange: 600,
         faults: faults.to_vec(),
         ..calm()
-    };
-    let stalls: Vec<_> = (0..3).map(|target| Fault::TargetStall(target, 0, 20_000)).collect();
+    }
+}
+
+/// Targets of the new version that never answer.
+fn silent_targets() -> Vec<Fault> {
+    (0..3).map(|target| Fault::TargetStall(target, 0, 20_000)).collect()
+}
+
+/// Guards against a share that grows, or is raised for few requests, while answers of the new version are
+/// still to come.
+#[test]
+fn bad_versions_whose_answers_are_late_are_rolled_back_in_time() {
+    let quiet = [Fault::Quiet(0, 1_900)];
     let (fails, slow) = (Version::Fails(0.5, 0.0), Version::Slow(8.0));
     let cases = [
-        Case {
-            name: "eight times slower, first requests after 1.9 s",
-            scenario: bad(slow, &[Fault::Quiet(0, 1_900)]),
-        },
-        Case {
-            name: "fails half, first requests after 1.9 s",
-            scenario: bad(fails, &[Fault::Quiet(0, 1_900)]),
-        },
-        Case { name: "answers never come", scenario: bad(fails, &stalls) },
-        Case {
-            name: "answers never come, rare exchanges",
-            scenario: Scenario { exchange: 3_000, rate: 560.0, ..bad(fails, &stalls) },
-        },
+        Case { name: "eight times slower after 1.9 s", scenario: among_many(slow, &quiet) },
+        Case { name: "fails half after 1.9 s", scenario: among_many(fails, &quiet) },
+        Case { name: "answers never come", scenario: among_many(fails, &silent_targets()) },
     ];
     check(&cases, RolloutOutcome::TakenBack);
 }
 
+/// Like the last case before, among instances that hear of each other as rarely as 300 do.
+#[test]
+fn silent_versions_are_rolled_back_in_time_where_exchanges_are_rare() {
+    let silent = among_many(Version::Fails(0.5, 0.0), &silent_targets());
+    let scenario = Scenario { exchange: 3_000, rate: 560.0, ..silent };
+    check(&[Case { name: "answers never come", scenario }], RolloutOutcome::TakenBack);
+}
+
 /// The counterpart: a good version takes over though one target or instance serves most of its requests.
 #[test]
 fn good_versions_that_one_target_or_instance_serves_take_over_in_time() {
