--- a/tests/all/relay/state.rs
+++ b/tests/all/relay/state.rs
@@ -109,6 +109,64 @@
     }
 }
 
+/// Guards against an instance that ends, or stops following the list, because of an odd entry in it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_entries_do_not_end_an_instance_or_its_list() {
+    let nested = format!("{}{}", "[".repeat(12_000), "]".repeat(12_000));
+    let entry = |field: &str, value: &str| {
+        let fields = [
+            ("service", "\"plain\""),
+            ("address", "\"127.0.0.1:9\""),
+            ("zone", "\"z1\""),
+            ("version", "\"v1\""),
+            ("slots", "4"),
+            ("state", "\"ready\""),
+            ("coldRemainingMs", "0"),
+            ("born", "1"),
+        ];
+        let kept = fields.iter().filter(|(name, _)| *name != field);
+        let all = kept.copied().chain([(field, value)]);
+        let texts: Vec<_> = all.map(|(name, value)| format!("\"{name}\":{value}")).collect();
+        format!("{{{}}}", texts.join(","))
+    };
+    let odd = [
+        entry("more", &nested),
+        entry("coldRemainingMs", &nested),
+        entry("slots", &nested),
+        entry("slots", "4294967295"),
+        entry("slots", "1e400"),
+        entry("slots", "-1"),
+        entry("coldRemainingMs", "1e308"),
+        entry("coldRemainingMs", "-1e308"),
+        entry("born", "18446744073709551616"),
+        entry("address", "\"127.0.0.1:70000\""),
+        entry("address", "\"127.0.0.1:0\""),
+        nested.clone(),
+    ];
+    let testbed = Testbed::start(0, 1).await;
+    for (number, text) in odd.iter().enumerate() {
+        let (key, bytes) = (format!("i-odd{number}"), text.clone().into_bytes());
+        testbed.store.put_bytes(names::TARGET_TABLE, &key, bytes);
+    }
+    let options = TargetOptions {
+        id: "i-late".into(),
+        service: "plain".into(),
+        stream: false,
+        ..TargetOptions::default()
+    };
+    let late = RelayTarget::start(options, &testbed.store).await;
+    for number in 0..odd.len() {
+        testbed.store.remove(names::TARGET_TABLE, &format!("i-odd{number}"));
+    }
+    testbed.store.remove(names::TARGET_TABLE, "i-p0");
+    until("a target that is listed afterwards serves", async || {
+        testbed.send("/read/x").await.1.status() == 200 && !late.received().is_empty()
+    })
+    .await;
+    let starts = testbed.gateway.log_text().matches("\"event\":\"ready\"").count();
+    assert!(starts <= 1, "the process has started {starts} times");
+}
+
 /// Instances announce themselves in the store and discover each other.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn instances_discover_each_other() {
