--- a/tests/all/relay/late_answers.rs
+++ b/tests/all/relay/late_answers.rs
@@ -1,5 +1,6 @@
 //! Answers to other requests that arrive where the answer to a request is expected.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -36,6 +37,26 @@
     }
 }
 
+/// Lists a plain target.
+fn list_plain(testbed: &Testbed, id: &str, addr: SocketAddr) {
+    let entry = json!({
+        "service": "plain", "address": addr.to_string(), "zone": "z1", "version": "v1",
+        "slots": 4, "state": names::STATE_READY, "coldRemainingMs": 0, "sequence": 1,
+        "born": 1
+    });
+    testbed.store.put(names::TARGET_TABLE, id, &entry);
+}
+
+/// Returns the bytes of a request that may run only once.
+fn pay(id: &str) -> String {
+    format!(
+        "POST /pay/x HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\nauthorization: {}{KEY}\r\n\
+         content-length: 8\r\n\r\nthe body",
+        names::REQUEST_ID,
+        names::KEY_SCHEME,
+    )
+}
+
 /// Guards against running a request twice because an answer to another one says that it was not
 /// run. Each target runs all requests that it receives.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -67,22 +88,11 @@
                     tokio::spawn(answer(stream, other.clone(), Arc::clone(&runs)));
                 }
             });
-            let entry = json!({
-                "service": "plain", "address": addr.to_string(), "zone": "z1", "version": "v1",
-                "slots": 4, "state": names::STATE_READY, "coldRemainingMs": 0, "sequence": 1,
-                "born": 1
-            });
-            testbed.store.put(names::TARGET_TABLE, &format!("i-l{number}"), &entry);
+            list_plain(&testbed, &format!("i-l{number}"), addr);
         }
         testbed.wait_listed(2).await;
         let mut caller = TcpStream::connect(testbed.gateway.callers).await.expect("it accepts");
-        let request = format!(
-            "POST /pay/x HTTP/1.1\r\nhost: h.example\r\n{}: own\r\nauthorization: {}{KEY}\r\n\
-             content-length: 8\r\n\r\nthe body",
-            names::REQUEST_ID,
-            names::KEY_SCHEME,
-        );
-        caller.write_all(request.as_bytes()).await.expect("it is sent");
+        caller.write_all(pay("own").as_bytes()).await.expect("it is sent");
         let mut bytes = Vec::new();
         caller.read_buf(&mut bytes).await.expect("an answer");
         let text = String::from_utf8_lossy(&bytes);
@@ -94,3 +104,96 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// A target that runs every request after the first one on each connection, and writes `refusal` for it
+/// nevertheless. `first` answers the first one.
+async fn refuse_again(
+    mut stream: TcpStream,
+    first: &'static str,
+    refusal: &'static str,
+    runs: Arc<AtomicUsize>,
+) {
+    let mut is_first = true;
+    for answer in std::iter::once(first).chain(std::iter::repeat(refusal)) {
+        let mut buffer = Vec::new();
+        while !buffer.ends_with(b"the body") {
+            match stream.read_buf(&mut buffer).await {
+                Ok(bytes) if bytes > 0 => {}
+                _ => return,
+            }
+        }
+        let head = String::from_utf8_lossy(&buffer).into_owned();
+        let prefix = format!("{}: ", names::REQUEST_ID);
+        let id = head.lines().find_map(|line| line.strip_prefix(&prefix)).unwrap_or_default();
+        if !std::mem::take(&mut is_first) {
+            runs.fetch_add(1, Ordering::Relaxed);
+        }
+        if stream.write_all(answer.replace("ID", id).as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against "not run" for a request that a target runs, and against running it at another one,
+/// because the target writes an earlier refusal once more on a connection that was kept.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_earlier_refusal_written_once_more_does_not_tell_that_a_request_was_not_run() {
+    const SERVED: &str = "HTTP/1.1 200 OK\r\nrequest-id: ID\r\nresponse-seal: seal\r\n\
+                          content-length: 4\r\n\r\ndone";
+    const REFUSED: &str = "HTTP/1.1 503 Service Unavailable\r\nrequest-id: ID\r\n\
+                           not-executed: full\r\ncontent-length: 0\r\n\r\n";
+    const UNNAMED: &str = "HTTP/1.1 503 Service Unavailable\r\nnot-executed: full\r\n\
+                           content-length: 0\r\n\r\n";
+    const UNNAMED_421: &str = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+    const EARLIER: &str = "HTTP/1.1 503 Service Unavailable\r\nrequest-id: first\r\n\
+                           not-executed: full\r\ncontent-length: 0\r\n\r\n";
+    struct Case {
+        name: &'static str,
+        first: &'static str,
+        refusal: &'static str,
+        /// Status of the second request, and how often a target ran it. A connection that has carried a
+        /// refusal is not used again.
+        want: (u16, usize),
+    }
+    let cases = [
+        Case { name: "of the first request", first: SERVED, refusal: EARLIER, want: (502, 1) },
+        Case { name: "without a request", first: SERVED, refusal: UNNAMED, want: (502, 1) },
+        Case {
+            name: "421, without a request",
+            first: SERVED,
+            refusal: UNNAMED_421,
+            want: (502, 1),
+        },
+        Case { name: "after a refusal", first: REFUSED, refusal: REFUSED, want: (503, 0) },
+    ];
+    let mut wrong = Vec::new();
+    for Case { name, first, refusal, want } in cases {
+        let testbed = Testbed::start(0, 0).await;
+        let runs = Arc::new(AtomicUsize::new(0));
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let counted = Arc::clone(&runs);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(refuse_again(stream, first, refusal, Arc::clone(&counted)));
+            }
+        });
+        list_plain(&testbed, "i-r", addr);
+        testbed.wait_listed(1).await;
+        let mut statuses = Vec::new();
+        for id in ["first", "second"] {
+            let mut caller = TcpStream::connect(testbed.gateway.callers).await.expect("it accepts");
+            caller.write_all(pay(id).as_bytes()).await.expect("it is sent");
+            let mut bytes = Vec::new();
+            caller.read_buf(&mut bytes).await.expect("an answer");
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            let status = text.split(' ').nth(1).and_then(|status| status.parse::<u16>().ok());
+            statuses.push(status.unwrap_or_default());
+        }
+        let ran = runs.load(Ordering::Relaxed);
+        if (statuses[1], ran) != want {
+            wrong.push(format!("{name}: {statuses:?}, {ran} runs; {:?}", testbed.trace("second")));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
