Test that an error of the next target does not reach a stream that has begun

A report of other operators: a stream broke off, the next target answered with an error, and callers found its text in their stream, or a stream that looked complete. Kept out here: an answer that is no stream ends the attempt. The test plays failures, rejections, unsealed and foreign answers, and refusals after two events; it fails (error text within a complete stream) if such an answer is passed on as the rest of the stream. The stand-in can reject requests.

--- a/crates/standins/src/relay/target.rs
+++ b/crates/standins/src/relay/target.rs
@@ -110,6 +110,8 @@
     Replaced,
     /// It runs the request and answers with a failure.
     Fail,
+    /// It answers that the request is wrong.
+    Reject,
     /// It answers successfully without its seal.
     Unsealed,
     /// It answers with the id of another request.
@@ -336,15 +338,17 @@
         }
         let id = call.header(names::REQUEST_ID).unwrap_or_default().to_owned();
         let after = call.number(names::LAST_EVENT).map_or(0, u64::from);
-        let mut answer = if self.options.stream && behaviour != Behaviour::Fail {
+        let status = match behaviour {
+            Behaviour::Fail => StatusCode::INTERNAL_SERVER_ERROR,
+            Behaviour::Reject => StatusCode::CONFLICT,
+            _ => StatusCode::OK,
+        };
+        let mut answer = if self.options.stream && status == StatusCode::OK {
             Arc::clone(&self).stream(id.clone(), after, behaviour, place)
         } else {
             sleep(self.options.delay).await;
-            server::text(StatusCode::OK, body(&id))
+            server::text(status, body(&id))
         };
-        if behaviour == Behaviour::Fail {
-            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-        }
         let echoed_id = if behaviour == Behaviour::Foreign { "another" } else { id.as_str() };
         set_header(&mut answer, names::REQUEST_ID, echoed_id);
         if behaviour == Behaviour::Leave {
--- a/tests/all/relay/faults.rs
+++ b/tests/all/relay/faults.rs
@@ -106,6 +106,45 @@
     }
 }
 
+/// Guards against the text of an error in the middle of a stream, and against a stream that looks
+/// complete, where the target that should have gone on with it answers with an error.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_error_of_the_next_target_does_not_reach_a_stream_that_has_begun() {
+    use Behaviour::{BreakOff, Decline, Fail, Foreign, Hang, Reject, Replaced, Unsealed};
+    struct Case {
+        script: &'static [Behaviour],
+        whole: bool,
+    }
+    let cases = [
+        Case { script: &[BreakOff(2), Fail], whole: false },
+        Case { script: &[BreakOff(2), Reject], whole: false },
+        Case { script: &[BreakOff(2), Unsealed], whole: false },
+        Case { script: &[BreakOff(2), Foreign], whole: false },
+        Case { script: &[Hang(2), Fail], whole: false },
+        Case { script: &[BreakOff(2), Decline], whole: true },
+        Case { script: &[BreakOff(2), Replaced], whole: true },
+    ];
+    for Case { script, whole } in cases {
+        let options = TargetOptions::default();
+        options.script.extend(script);
+        let testbed = Testbed::start_with(3, 0, options).await;
+        let (id, mut answer) = testbed.send("/talk/x").await;
+        assert_eq!(answer.status(), 200, "{script:?}");
+        let mut received = Vec::new();
+        let is_complete = loop {
+            match answer.chunk().await {
+                Ok(Some(chunk)) => received.extend_from_slice(&chunk),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        let events = if whole { 5 } else { 2 };
+        let want: String = (1..=events).map(|number| event(&id, number)).collect();
+        let got = String::from_utf8_lossy(&received);
+        assert_eq!((got.as_ref(), is_complete), (want.as_str(), whole), "{script:?}");
+    }
+}
+
 /// A crashed target is soon no longer selected, and calls that it can't have received are served.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn calls_avoid_a_crashed_target() {
