--- a/tests/all/relay/late_answers.rs
+++ b/tests/all/relay/late_answers.rs
@@ -11,20 +11,21 @@
 
 use super::testbed::{KEY, Testbed};
 
+/// Reads a request and returns its id; none at the end of the connection.
+async fn next_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buffer = Vec::new();
+    while !buffer.ends_with(b"the body") {
+        let bytes = stream.read_buf(&mut buffer).await.ok()?;
+        (bytes > 0).then_some(())?;
+    }
+    let head = String::from_utf8_lossy(&buffer);
+    let prefix = format!("{}: ", names::REQUEST_ID);
+    head.lines().find_map(|line| line.strip_prefix(&prefix)).map(str::to_owned)
+}
+
 /// Answers the first request at any target with `first`, and others as a sound target does.
 async fn answer(mut stream: TcpStream, first: String, runs: Arc<AtomicUsize>) {
-    let mut buffer = Vec::new();
-    loop {
-        while !buffer.ends_with(b"the body") {
-            match stream.read_buf(&mut buffer).await {
-                Ok(bytes) if bytes > 0 => {}
-                _ => return,
-            }
-        }
-        let head = String::from_utf8_lossy(&buffer).into_owned();
-        let prefix = format!("{}: ", names::REQUEST_ID);
-        let id = head.lines().find_map(|line| line.strip_prefix(&prefix)).unwrap_or_default();
-        buffer.clear();
+    while let Some(id) = next_request(&mut stream).await {
         let own = format!(
             "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: seal\r\ncontent-length: 4\r\n\r\ndone",
             names::REQUEST_ID,
@@ -115,20 +116,11 @@
 ) {
     let mut is_first = true;
     for answer in std::iter::once(first).chain(std::iter::repeat(refusal)) {
-        let mut buffer = Vec::new();
-        while !buffer.ends_with(b"the body") {
-            match stream.read_buf(&mut buffer).await {
-                Ok(bytes) if bytes > 0 => {}
-                _ => return,
-            }
-        }
-        let head = String::from_utf8_lossy(&buffer).into_owned();
-        let prefix = format!("{}: ", names::REQUEST_ID);
-        let id = head.lines().find_map(|line| line.strip_prefix(&prefix)).unwrap_or_default();
+        let Some(id) = next_request(&mut stream).await else { return };
         if !std::mem::take(&mut is_first) {
             runs.fetch_add(1, Ordering::Relaxed);
         }
-        if stream.write_all(answer.replace("ID", id).as_bytes()).await.is_err() {
+        if stream.write_all(answer.replace("ID", &id).as_bytes()).await.is_err() {
             return;
         }
     }
