Take instances that have not reported yet into account when a first share is raised

Cause: the first share of a new version is raised for a service with few requests. In a large deployment an instance hears of most others only after seconds (3 s among 300) and took what it had heard of for all requests, so that it raised the share in any rollout. Where the version answers nothing, nothing ended that in time: 698 of 2,801 requests reached it, 330 are allowed.

Change: where there are 12 peers or more, counts that decide on the share are extrapolated from the instances that have reported to all. Deployments with fewer peers, which hear of each other within 100 ms, are not affected.

All other tests of rollouts end as before, with the same counts.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -261,6 +261,7 @@
     /// Evaluates the rollouts in progress. Returns the new versions that have just been rolled
     /// back.
     pub fn evaluate_rollouts(&mut self, now: Time) -> Vec<RolledBack> {
+        self.rollouts.expect_instances(1 + self.peers.count_of_many());
         let (services, targets) = (&self.services, &self.targets);
         let capacity = |service: &ServiceId, version: &VersionId| {
             services
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -84,6 +84,12 @@
         self.peers.len() >= SHARED_WATCH_PEERS
     }
 
+    /// Returns the number of peers if there are so many that all are heard only after some time; zero
+    /// otherwise.
+    pub(crate) fn count_of_many(&self) -> usize {
+        if self.shares_watch() { self.peers.len() } else { 0 }
+    }
+
     /// Returns whether this instance should learn of store changes from peers. It does so if there
     /// are many instances, enough of them precede it in the order, and one of those recently had
     /// contact with the store.
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -142,6 +142,8 @@
     earlier: HashMap<ServiceId, Evidence>,
     /// Versions that no known order names.
     unordered: HashMap<ServiceId, Unordered>,
+    /// Number of instances whose reports are expected, including this one.
+    instances: usize,
 }
 
 impl Rollouts {
@@ -178,6 +180,12 @@
         self.rollouts.insert(service, rollout);
     }
 
+    /// Sets the number of instances whose reports are expected, including this one. Until all have
+    /// reported, the others are taken to be like those that have.
+    pub fn expect_instances(&mut self, count: usize) {
+        self.instances = count;
+    }
+
     /// Returns the versions that may take a request to `service` at `point`, a split position in
     /// `[0, 1)`.
     pub fn allowed_versions(&self, service: &ServiceId, point: f64) -> AllowedVersions {
@@ -368,16 +376,18 @@
             let own = rollout.own.report();
             let reports = rollout.reports(&own);
             let (new, old) = totals(&reports);
-            let requests = reports.iter().map(|report| u64::from(report.requests)).sum();
+            let requests = reports.iter().map(|report| u64::from(report.requests)).sum::<u64>();
+            let unheard = (self.instances as f64 / reports.len() as f64).max(1.0);
+            let of_all = |count: u64| (count as f64 * unheard) as u64;
             let age = rollout.age(now);
             let verdict = Verdict::new(reports);
             let level = verdict.level();
             let capacity = capacity(&rollout.order.service, &rollout.order.version);
             let (stage, reason) = rollout.schedule.stage(Progress {
                 age,
-                requests,
-                new_requests: new.requests,
-                new_sent: verdict.new_sent(),
+                requests: of_all(requests),
+                new_requests: of_all(u64::from(new.requests)),
+                new_sent: of_all(verdict.new_sent()),
                 level,
                 previous: rollout.evaluated.map(|at| (rollout.stage, now.since(at))),
                 capacity,
--- a/crates/gateway/src/rollouts/schedule.rs
+++ b/crates/gateway/src/rollouts/schedule.rs
@@ -102,7 +102,7 @@
     /// Requests of the service since the order.
     pub(super) requests: u64,
     /// Requests of the new version that were answered or failed.
-    pub(super) new_requests: u32,
+    pub(super) new_requests: u64,
     /// Requests sent to the new version.
     pub(super) new_sent: u64,
     /// Evidence against the new version.
@@ -117,8 +117,7 @@
     /// Returns whether so many requests of the new version wait for an answer that the answered
     /// ones don't show what it is like.
     fn is_unanswered(&self) -> bool {
-        let answered = u64::from(self.new_requests);
-        self.new_sent > 2 * answered.max(MIN_UNANSWERED)
+        self.new_sent > 2 * self.new_requests.max(MIN_UNANSWERED)
     }
 }
 
@@ -227,7 +226,7 @@
     /// Returns the share with which the new version receives [`FIRST_REQUESTS`] in time.
     fn sample_share(&self, progress: Progress) -> f64 {
         // Slow or missing answers must not prolong a raised share.
-        if f64::from(progress.new_requests) >= FIRST_REQUESTS
+        if progress.new_requests as f64 >= FIRST_REQUESTS
             || progress.new_sent as f64 >= MAX_FIRST_SENT
         {
             return FIRST_SHARE;
--- a/crates/gateway/tests/all/rollout_simulation.rs
+++ b/crates/gateway/tests/all/rollout_simulation.rs
@@ -298,6 +298,8 @@
                 if self.stall_end(instance, now).is_none() {
                     let started = WARM_UP + self.scenario.started;
                     let capacity = if now < started { 0.0 } else { 1.0 };
+                    let count = self.instances.len();
+                    self.instances[instance].expect_instances(count);
                     self.instances[instance].evaluate(|_, _| capacity, at(now));
                 }
             }
