Count refusals that name no request again, on any connection

It took a refusal without the id of a request as unknown on a connection that was used before, in the belief that refusals echo the id. The platform's examples of messages show refusals (503 with Not-Executed, 421) without it, so that each honest one on a kept connection would have become an unknown outcome: 502 for calls that may run once, and an attempt used for others.

What the report describes is kept out already: a connection that has carried a refusal is closed, so that no earlier refusal can come up on it again. The test checks that in three forms and fails if such a connection is kept.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -180,8 +180,7 @@
             connection.set_keep_alive(keep);
         }
         self.apply_notice(dispatch, &head, &mut connection);
-        let is_first = !connection.reused;
-        let kind = self.driver.wire_format.classify_answer(&head, &self.caller.id, is_first);
+        let kind = self.driver.wire_format.classify_answer(&head, &self.caller.id);
         match kind {
             AnswerClass::Declined => Err(AttemptOutcome::Declined.into()),
             AnswerClass::Replaced => Err(AttemptOutcome::Replaced.into()),
--- a/crates/relay/src/wire_format.rs
+++ b/crates/relay/src/wire_format.rs
@@ -138,10 +138,8 @@
     /// Returns the headers of the request to a target.
     fn target_headers(&self, caller: &request::Parts, forward: &ForwardHead<'_>) -> HeaderMap;
 
-    /// Classifies a target's answer to the request `id` by its head. `is_first` tells whether the
-    /// connection has carried no other request: an answer that names no request may otherwise be to an
-    /// earlier one.
-    fn classify_answer(&self, head: &response::Parts, id: &str, is_first: bool) -> AnswerClass;
+    /// Classifies a target's answer to the request `id` by its head.
+    fn classify_answer(&self, head: &response::Parts, id: &str) -> AnswerClass;
 
     /// Returns what the target says about itself in its answer to the request `id`. An answer of
     /// another target at its address, or to another request, says nothing about it.
