Report first attempts, retries and denied retries of each service

The retries of a window could not be compared with what the budget allows: no log line or metric named them, and histories show single requests. Each instance now writes a line a second for each service with attempts, with the number of instances that its share is computed for and the time since its start, and counts the same in a metric. Added up over all instances, they give the retries of any window and its bound, also across restarts.

Tested with reports_of_the_budget_add_up. No decision is changed.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -24,6 +24,30 @@
     retries: u32,
 }
 
+/// Attempts counted since the last report.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RetryCounts {
+    /// First attempts.
+    pub first: u32,
+    /// Retries that were charged.
+    pub retries: u32,
+    /// Retries that the budget did not allow.
+    pub denied: u32,
+}
+
+/// Use of a retry budget at one instance, for the log and metrics.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryReport {
+    /// Attempts since the last report.
+    pub counts: RetryCounts,
+    /// Retries within the window.
+    pub used: u32,
+    /// Retries that this instance may make within the window.
+    pub allowed: f64,
+    /// Number of instances that share the budget.
+    pub instances: usize,
+}
+
 /// Retry budget of one service at one instance.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
@@ -33,13 +57,22 @@
     buckets: VecDeque<Bucket>,
     first: u32,
     retries: u32,
+    unreported: RetryCounts,
 }
 
 impl RetryBudget {
     /// Creates a budget that allows, within each `window`, `ratio` retries for each first attempt
     /// plus `extra` retries over all instances.
     pub fn new(ratio: f64, extra: f64, window: Duration) -> Self {
-        Self { ratio, extra, window, buckets: VecDeque::new(), first: 0, retries: 0 }
+        Self {
+            ratio,
+            extra,
+            window,
+            buckets: VecDeque::new(),
+            first: 0,
+            retries: 0,
+            unreported: RetryCounts::default(),
+        }
     }
 
     /// Replaces `ratio`, `extra` and `window`.
@@ -53,21 +86,39 @@
     pub fn record_first(&mut self, now: Time) {
         self.bucket(now).first += 1;
         self.first += 1;
+        self.unreported.first += 1;
     }
 
     /// Charges one retry to the budget; returns false if the budget is exhausted.
     pub fn acquire(&mut self, instances: usize, now: Time) -> bool {
         self.bucket(now);
-        let share = self.extra / instances.max(1) as f64;
-        let allowed = USED_FRACTION * (self.ratio * f64::from(self.first) + share);
-        if f64::from(self.retries) + 1.0 > allowed {
+        if f64::from(self.retries) + 1.0 > self.allowed(instances) {
+            self.unreported.denied += 1;
             return false;
         }
         self.bucket(now).retries += 1;
         self.retries += 1;
+        self.unreported.retries += 1;
         true
     }
 
+    /// Returns the use of the budget; none if no attempt was counted since the last report.
+    pub fn take_report(&mut self, instances: usize, now: Time) -> Option<RetryReport> {
+        let counts = std::mem::take(&mut self.unreported);
+        if counts == RetryCounts::default() {
+            return None;
+        }
+        self.bucket(now);
+        let allowed = self.allowed(instances);
+        Some(RetryReport { counts, used: self.retries, allowed, instances })
+    }
+
+    /// Returns the retries that this instance may make within the window.
+    fn allowed(&self, instances: usize) -> f64 {
+        let share = self.extra / instances.max(1) as f64;
+        USED_FRACTION * (self.ratio * f64::from(self.first) + share)
+    }
+
     /// Returns the bucket for `now`, after adding it if needed and dropping buckets that have left
     /// the window.
     fn bucket(&mut self, now: Time) -> &mut Bucket {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::StatedTimes;
 use crate::arrival::Ticket;
+use crate::budget::RetryReport;
 use crate::evacuation::Evacuations;
 use crate::event::{Action, Event};
 use crate::groups::Members;
@@ -338,6 +339,15 @@
         self.tuning = tuning;
     }
 
+    /// Returns the use of the retry budget of each service with attempts since the last call.
+    pub fn take_retry_reports(&mut self, now: Time) -> Vec<(ServiceId, RetryReport)> {
+        let instances = self.sharers.instances();
+        let reports = self.services.iter_mut().filter_map(|(name, service)| {
+            Some((name.clone(), service.budget.take_report(instances, now)?))
+        });
+        reports.collect()
+    }
+
     /// Makes the instance report that it is not ready. Requests that still arrive are served.
     pub fn set_unready(&mut self) {
         self.unready = true;
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sesamewind_gateway::budget::RetryBudget;
+use sesamewind_gateway::budget::{RetryBudget, RetryCounts};
 use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
 
 use sesamewind_protocol::relay::StorePosition;
@@ -79,6 +79,39 @@
     assert!(bench.refusal(lost).is_none(), "{:?}", bench.refusal(lost));
 }
 
+/// What instances report of a budget adds up to all attempts, also to those that were not allowed.
+#[test]
+fn reports_of_the_budget_add_up() {
+    let mut bench = bench(0, 6);
+    let (mut counts, mut retries, mut denied) = (RetryCounts::default(), 0, 0);
+    for now in (10..30_010).step_by(50) {
+        let ticket = bench.arrive("read", 0, at(now));
+        bench.end(ticket, AttemptOutcome::Failing, at(now));
+        match bench.dispatch(ticket) {
+            Some(_) => retries += 1,
+            None => denied += 1,
+        }
+        bench.send(Event::CallerLeft(ticket), at(now));
+        if now % 1_000 != 10 {
+            continue;
+        }
+        let reports = bench.gateway.take_retry_reports(at(now));
+        let [(service, report)] = &reports[..] else { panic!("one service: {reports:?}") };
+        assert_eq!((service.as_str(), report.instances), (PLAIN, 1));
+        assert!(f64::from(report.used) <= report.allowed, "{report:?}");
+        counts.first += report.counts.first;
+        counts.retries += report.counts.retries;
+        counts.denied += report.counts.denied;
+    }
+    assert!(retries > 0 && denied > 0, "{retries} retries, {denied} denied");
+    let last = bench.gateway.take_retry_reports(at(30_010)).pop().expect("the last ones").1.counts;
+    counts.first += last.first;
+    counts.retries += last.retries;
+    counts.denied += last.denied;
+    assert_eq!(counts, RetryCounts { first: 600, retries, denied });
+    assert!(bench.gateway.take_retry_reports(at(30_010)).is_empty());
+}
+
 /// Within any window, the retries of all instances stay within the bound.
 #[test]
 fn the_budget_holds_in_every_window() {
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -200,6 +200,16 @@
         }
     }
 
+    /// Logs and counts the first attempts and retries of each service since the last call.
+    pub fn report_retries(&self) {
+        let now = self.now();
+        let reports = self.with_gateway_mut(|gateway| gateway.take_retry_reports(now));
+        for (service, report) in &reports {
+            journal::retries_counted(service, report, self.run_time());
+            self.metrics.retries(service, &report.counts);
+        }
+    }
+
     /// Logs the changes of evacuated availability zones, and counts the requests at their targets.
     pub fn report_zones(&self) {
         for change in self.with_gateway_mut(|gateway| gateway.take_zone_changes(self.now())) {
--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -155,6 +155,7 @@
                     driver.pool.sweep();
                     driver.peer_link.sweep();
                     self.report_dropped();
+                    driver.report_retries();
                     self.reload(&driver, &mut text, false);
                 }
                 _ = hangup.recv() => self.reload(&driver, &mut text, true),
@@ -162,6 +163,7 @@
             }
         }
         stop(&driver, &phase, &in_use, self.settings.bounds.grace).await;
+        driver.report_retries();
         Ok(())
     }
 
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -6,14 +6,15 @@
 
 use std::time::Duration;
 
+use sesamewind_gateway::budget::RetryReport;
 use sesamewind_gateway::event::Dispatch;
 use sesamewind_gateway::rollouts::{RolloutOrder, RolloutStatus};
 use sesamewind_gateway::{
     AttemptOutcome, BrittleChange, ColdChange, HedgeObstacle, LimitChange, LimitSummary, NoRetry,
     PartChange, PassOn, PassOutcome, ReachChange, Refusal, RefusalReason, ZoneChange,
 };
-use sesamewind_protocol::PartId;
 use sesamewind_protocol::relay::ReachState;
+use sesamewind_protocol::{PartId, ServiceId};
 
 use crate::activity::CallerSide;
 use crate::attempt::Call;
@@ -332,6 +333,22 @@
     }
 }
 
+/// Logs the use of a service's retry budget `run_time` after the start.
+pub fn retries_counted(service: &ServiceId, report: &RetryReport, run_time: Duration) {
+    log::info!(
+        event = "retries_counted",
+        service = service.as_str(),
+        first = report.counts.first,
+        retries = report.counts.retries,
+        denied = report.counts.denied,
+        used = report.used,
+        allowed = report.allowed,
+        instances = report.instances,
+        age_ms = millis(run_time);
+        "attempts since the last such line"
+    );
+}
+
 /// Logs that a target's request limit has changed.
 pub fn limit_changed(change: &LimitChange) {
     let target = change.target.as_str();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -9,8 +9,9 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use sesamewind_gateway::BrittleTotals;
+use sesamewind_gateway::budget::RetryCounts;
 use sesamewind_protocol::relay::ReachState;
-use sesamewind_protocol::{RouteId, ZoneId};
+use sesamewind_protocol::{RouteId, ServiceId, ZoneId};
 
 /// Buckets of the latency histograms: first bound in seconds, factor, and number of bounds. They
 /// cover 5 ms to 20 s.
@@ -47,6 +48,13 @@
     of: &'static str,
 }
 
+/// Labels of the counter of first attempts and retries.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    service: String,
+    kind: &'static str,
+}
+
 type RouteHistogram = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one instance.
@@ -57,6 +65,7 @@
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
     hedges: Family<ReasonLabels, Counter>,
+    retries: Family<AttemptLabels, Counter>,
     lost: Family<ReasonLabels, Counter>,
     closed: Family<ReasonLabels, Counter>,
     panics: Counter,
@@ -99,6 +108,7 @@
             refusals: Family::default(),
             attempts: Family::default(),
             hedges: Family::default(),
+            retries: Family::default(),
             lost: Family::default(),
             closed: Family::default(),
             panics: Counter::default(),
@@ -131,6 +141,11 @@
             "Second attempts of slow requests by end, and why others had none",
             this.hedges.clone(),
         );
+        registry.register(
+            "retry_budget",
+            "First attempts, retries and denied retries by service",
+            this.retries.clone(),
+        );
         registry.register("lost", "Lost dependencies by kind", this.lost.clone());
         registry.register(
             "connections_closed",
@@ -302,6 +317,15 @@
         self.passed.get_or_create(&ReasonLabels { reason: end.to_owned() }).inc();
     }
 
+    /// Adds attempts to those that the retry budget of a service has counted.
+    pub fn retries(&self, service: &ServiceId, counts: &RetryCounts) {
+        let kinds = [("first", counts.first), ("retry", counts.retries), ("denied", counts.denied)];
+        for (kind, count) in kinds {
+            let labels = AttemptLabels { service: service.as_str().to_owned(), kind };
+            self.retries.get_or_create(&labels).inc_by(count.into());
+        }
+    }
+
     /// Counts a request that a peer has passed on.
     pub fn taken(&self) {
         self.taken.inc();
