--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod reach_fleet;
 mod refusals;
 mod retries;
+mod retry_fleet;
 mod rollout_simulation;
 mod rollouts;
 mod room;
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -5,10 +5,8 @@
 use sesamewind_gateway::budget::{RetryBudget, RetryCounts};
 use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
 
-use sesamewind_protocol::relay::StorePosition;
-use sesamewind_protocol::{InstanceId, ZoneId};
-
-use crate::support::{Bench, MODEL, PLAIN, at, bench, identity, routing, target};
+use crate::retry_fleet::{Change, Fleet, Plan, play};
+use crate::support::{Bench, MODEL, PLAIN, at, bench, routing, target};
 
 #[test]
 fn requests_are_sent_again_as_their_route_allows() {
@@ -201,52 +199,7 @@
     }
 }
 
-/// Gateways of a deployment that can't reach each other from some time on, each with its last retries.
-struct Parted {
-    benches: Vec<Bench>,
-    names: Vec<InstanceId>,
-}
-
-impl Parted {
-    fn new(instances: usize, joined: bool) -> Self {
-        let names: Vec<_> = (0..instances).map(|n| InstanceId::new(format!("i{n}"))).collect();
-        let tuning = Tuning { retry_ratio: 0.0, retry_extra: EXTRA, joined, ..Tuning::default() };
-        let start = |name: &InstanceId| {
-            let targets = (0..6).map(|n| target(&format!("p{n}"), PLAIN, 100)).collect();
-            Bench::of(identity(name.as_str(), "z1"), routing(), targets, tuning.clone())
-        };
-        let benches = names.iter().map(start).collect();
-        Self { benches, names }
-    }
-
-    /// Exchanges updates between the instances on the same side.
-    fn exchange(&mut self, side: impl Fn(usize) -> usize, now: u64) {
-        for from in 0..self.names.len() {
-            for to in (0..self.names.len()).filter(|&to| to != from && side(to) == side(from)) {
-                let name = &self.names[to];
-                let position = StorePosition::default();
-                let bench = &mut self.benches[from];
-                let update = bench.gateway.peer_update(name, position, at(now), at(now));
-                self.benches[to].send(Event::PeerUpdate(&update), at(now));
-            }
-        }
-    }
-
-    /// Fails a request at each instance; returns the number of retries.
-    fn fail(&mut self, now: u64) -> usize {
-        let fail = |bench: &mut Bench| {
-            bench.send(Event::Tick, at(now));
-            let ticket = bench.arrive("read", 0, at(now));
-            bench.end(ticket, AttemptOutcome::Failing, at(now));
-            let is_again = bench.dispatch(ticket).is_some_and(|again| again.attempt == 2);
-            bench.send(Event::CallerLeft(ticket), at(now));
-            usize::from(is_again)
-        };
-        self.benches.iter_mut().map(fail).sum()
-    }
-}
-
-/// Retries allowed within the window over all instances of [`Parted`].
+/// Retries allowed within the window over all instances of a [`Fleet`].
 const EXTRA: f64 = 56.0;
 
 /// All sides of a cut together stay within the budget, as do instances that have just started.
@@ -270,26 +223,153 @@
         Case { name: "all start alone", joined: true, side: |n| n, cut: 0, announced: true },
     ];
     for case in cases {
-        let mut parted = Parted::new(8, case.joined);
+        let tuning = Tuning {
+            retry_ratio: 0.0,
+            retry_extra: EXTRA,
+            joined: case.joined,
+            ..Tuning::default()
+        };
+        let mut fleet = Fleet::new(8, tuning);
         if case.announced {
-            let zone = ZoneId::new("z1");
-            let names: Vec<_> = parted.names.iter().map(|name| (name, &zone)).collect();
-            for bench in &mut parted.benches {
-                bench.gateway.expect_peers(&names, at(0));
-            }
+            fleet.read_announcements(at(0));
         }
-        let mut retries: Vec<(u64, usize)> = Vec::new();
         for now in (0..40_000).step_by(50) {
             let is_cut = now >= case.cut;
-            parted.exchange(|instance| if is_cut { (case.side)(instance) } else { 0 }, now);
-            retries.push((now, parted.fail(now)));
+            fleet.exchange(|instance| if is_cut { (case.side)(instance) } else { 0 }, now);
+            fleet.serve(|_| 1, AttemptOutcome::Failing, now);
         }
-        let within = |start: u64| -> usize {
-            let window = retries.iter().filter(|(at, _)| (start..start + 10_000).contains(at));
-            window.map(|(_, count)| count).sum()
-        };
-        let most = (0..30_000).step_by(50).map(within).max().unwrap_or(0);
+        let most = fleet.most_retries();
         assert!(most as f64 <= EXTRA, "{}: {most} of {EXTRA}", case.name);
         assert!(most > 0, "{}: some retries are allowed", case.name);
     }
 }
+
+/// Guards against retries beyond the budget after restarts, since a new instance does not know what the
+/// one before it has used.
+#[test]
+fn the_budget_holds_through_restarts() {
+    let kills = |times: &[u64]| -> Vec<(u64, Change)> {
+        times.iter().map(|time| (*time, Change::Kill(0..8))).collect()
+    };
+    struct Case {
+        name: &'static str,
+        changes: Vec<(u64, Change)>,
+    }
+    let cases = [
+        Case { name: "all, once", changes: kills(&[12_000]) },
+        Case { name: "all, twice", changes: kills(&[12_000, 14_000]) },
+        Case { name: "all, in series", changes: kills(&[12_000, 13_000, 14_000, 15_000, 21_000]) },
+        Case { name: "all, at the first traffic", changes: kills(&[500, 1_500, 2_500]) },
+        Case {
+            name: "most, in series",
+            changes: (12..18).map(|second| (second * 1_000, Change::Kill(0..5))).collect(),
+        },
+    ];
+    for Case { name, changes } in cases {
+        check(name, &Plan { changes, ..plan() });
+    }
+}
+
+/// Guards against shares of the budget that are computed before an instance knows of the others.
+#[test]
+fn the_budget_holds_while_instances_do_not_know_of_each_other() {
+    struct Case {
+        name: &'static str,
+        /// Time after a start until announcements are read.
+        read_after: u64,
+        /// Time after a start until updates of peers arrive.
+        heard_after: u64,
+    }
+    let cases = [
+        Case { name: "announcements are read late", read_after: 1_000, heard_after: 2_000 },
+        Case { name: "announcements can't be read", read_after: 60_000, heard_after: 3_000 },
+        Case { name: "neither is there", read_after: 60_000, heard_after: 60_000 },
+        Case { name: "peers are heard late", read_after: 15_000, heard_after: 14_000 },
+    ];
+    for Case { name, read_after, heard_after } in cases {
+        for changes in [Vec::new(), vec![(12_000, Change::Kill(0..8))]] {
+            check(name, &Plan { read_after, heard_after, changes, ..plan() });
+        }
+    }
+}
+
+/// Guards against dividing the share of an instance that stops among the others, though it has been
+/// used.
+#[test]
+fn the_budget_holds_through_planned_stops() {
+    struct Case {
+        name: &'static str,
+        pause: u64,
+        back_after: u64,
+    }
+    let cases = [
+        Case { name: "one after the other", pause: 1_000, back_after: 400 },
+        Case { name: "overlapping", pause: 500, back_after: 2_000 },
+        Case { name: "for good", pause: 1_000, back_after: 60_000 },
+    ];
+    for Case { name, pause, back_after } in cases {
+        let stops = (0..7_usize).map(|n| (12_000 + pause * n as u64, Change::Stop(n, back_after)));
+        check(name, &Plan { changes: stops.collect(), ..plan() });
+    }
+}
+
+/// Guards against callers' retries that are allowed at one instance for requests whose retries another one
+/// has used up already.
+#[test]
+fn the_budget_holds_while_callers_move() {
+    let base = Plan { ratio: 0.2, failing_from: 10_500, ..plan() };
+    struct Case {
+        name: &'static str,
+        load: fn(usize, u64) -> usize,
+        changes: Vec<(u64, Change)>,
+    }
+    let all = |times: &[u64]| times.iter().map(|time| (*time, Change::Kill(0..8))).collect();
+    let cases = [
+        Case {
+            name: "to the other half",
+            load: |instance, now| if (instance < 4) == (now < 12_000) { 10 } else { 0 },
+            changes: Vec::new(),
+        },
+        Case {
+            name: "to a fourth",
+            load: |instance, now| match (instance < 2, now < 12_000) {
+                (_, true) => 5,
+                (true, false) => 20,
+                (false, false) => 0,
+            },
+            changes: Vec::new(),
+        },
+        Case {
+            name: "back and forth",
+            load: |instance, now| if (instance < 4) == (now / 6_000 % 2 == 1) { 10 } else { 0 },
+            changes: Vec::new(),
+        },
+        Case { name: "to new instances", load: |_, _| 5, changes: all(&[12_000]) },
+        Case { name: "to new ones, twice", load: |_, _| 5, changes: all(&[12_000, 16_000]) },
+    ];
+    for Case { name, load, changes } in cases {
+        check(name, &Plan { load, changes, ..base.clone() });
+    }
+}
+
+/// A plan whose requests all fail, at instances that share a budget without a ratio.
+fn plan() -> Plan {
+    Plan {
+        instances: 8,
+        ratio: 0.0,
+        extra: EXTRA,
+        read_after: 0,
+        heard_after: 50,
+        changes: Vec::new(),
+        load: |_, _| 3,
+        failing_from: 0,
+    }
+}
+
+/// Plays `plan` and checks the bound in each window.
+fn check(name: &str, plan: &Plan) {
+    let fleet = play(plan);
+    let (used, allowed) = fleet.worst_window(plan.ratio, plan.extra);
+    assert!(used as f64 <= allowed, "{name}: {used} retries, {allowed:.0} allowed");
+    assert!(used > 0, "{name}: some retries are allowed");
+}
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -149,6 +149,17 @@
 
     /// Like [`Bench::new`], for the instance `me`.
     pub fn of(me: Identity, routing: Routing, targets: Vec<ListedTarget>, tuning: Tuning) -> Self {
+        Self::start(me, routing, targets, tuning, at(0))
+    }
+
+    /// Like [`Bench::of`], for an instance that starts at `now`.
+    pub fn start(
+        me: Identity,
+        routing: Routing,
+        targets: Vec<ListedTarget>,
+        tuning: Tuning,
+        now: Time,
+    ) -> Self {
         let table = Arc::new(RouteTable::new(routing));
         let mut this = Self {
             gateway: Gateway::new(me, tuning, 7),
@@ -156,8 +167,8 @@
             steps: HashMap::new(),
             next: 0,
         };
-        this.send(Event::Configured(table), at(0));
-        this.send(Event::ListedAll(targets.into_iter().map(TargetChange::Listed).collect()), at(0));
+        this.send(Event::Configured(table), now);
+        this.send(Event::ListedAll(targets.into_iter().map(TargetChange::Listed).collect()), now);
         this
     }
 
