Give a restarted instance no share of the retry budget in its first window

Targets got more retries than the budget allows after restarts: the count of what an instance has used is lost, and the new one took its whole share again in the same window. What is held back covers less than one restart of all.

An instance that joins a running deployment now has no share of the retries beyond the ratio until a window has passed since its start. Those of its predecessor have left the window by then, however often it restarts, and retries by the ratio need first attempts of its own. No knowledge of others is needed, so it also holds while neither peers nor the store can be reached.

Log lines name the share, which tells these instances apart.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,8 +1,9 @@
 //! Retry budget of one service: the number of retries that this instance may make.
 //!
-//! The bound applies to all instances together. Each instance computes its share locally, from the
-//! number of its own first attempts and the number of instances, so the bound holds without
-//! coordination.
+//! The bound applies to all instances together. Each instance computes what it may use locally, from
+//! the number of its own first attempts and its share of the rest, so the bound holds without
+//! coordination. A restart loses the counts, so an instance has no share until what the one before it
+//! may have used has left the window.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -12,8 +13,8 @@
 /// Number of time buckets that the window is divided into.
 const BUCKETS: u32 = 10;
 
-/// Fraction of the bound that is used. The rest covers instances that lose their counts in a
-/// restart.
+/// Fraction of the bound that is used. The rest covers retries that arrive later than they were
+/// charged, and first attempts whose counts are lost in a restart.
 const USED_FRACTION: f64 = 0.7;
 
 /// Counts of one time bucket.
@@ -44,8 +45,8 @@
     pub used: u32,
     /// Retries that this instance may make within the window.
     pub allowed: f64,
-    /// Number of instances that share the budget.
-    pub instances: usize,
+    /// Fraction of the retries beyond the ratio that this instance may make.
+    pub share: f64,
 }
 
 /// Retry budget of one service at one instance.
@@ -89,10 +90,11 @@
         self.unreported.first += 1;
     }
 
-    /// Charges one retry to the budget; returns false if the budget is exhausted.
-    pub fn acquire(&mut self, instances: usize, now: Time) -> bool {
+    /// Charges one retry to the budget; returns false if the budget is exhausted. `share` is this
+    /// instance's fraction of the retries beyond the ratio.
+    pub fn acquire(&mut self, share: f64, now: Time) -> bool {
         self.bucket(now);
-        if f64::from(self.retries) + 1.0 > self.allowed(instances) {
+        if f64::from(self.retries) + 1.0 > self.allowed(share) {
             self.unreported.denied += 1;
             return false;
         }
@@ -103,20 +105,18 @@
     }
 
     /// Returns the use of the budget; none if no attempt was counted since the last report.
-    pub fn take_report(&mut self, instances: usize, now: Time) -> Option<RetryReport> {
+    pub fn take_report(&mut self, share: f64, now: Time) -> Option<RetryReport> {
         let counts = std::mem::take(&mut self.unreported);
         if counts == RetryCounts::default() {
             return None;
         }
         self.bucket(now);
-        let allowed = self.allowed(instances);
-        Some(RetryReport { counts, used: self.retries, allowed, instances })
+        Some(RetryReport { counts, used: self.retries, allowed: self.allowed(share), share })
     }
 
     /// Returns the retries that this instance may make within the window.
-    fn allowed(&self, instances: usize) -> f64 {
-        let share = self.extra / instances.max(1) as f64;
-        USED_FRACTION * (self.ratio * f64::from(self.first) + share)
+    fn allowed(&self, share: f64) -> f64 {
+        USED_FRACTION * (self.ratio * f64::from(self.first) + self.extra * share)
     }
 
     /// Returns the bucket for `now`, after adding it if needed and dropping buckets that have left
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -388,12 +388,17 @@
         outcome: AttemptOutcome,
         now: Time,
     ) -> bool {
-        let instances = self.sharers.instances();
+        let share = self.retry_share(now);
         outcome == AttemptOutcome::Unconnected
             || self
                 .services
                 .get_mut(service)
-                .is_some_and(|service| service.budget.acquire(instances, now))
+                .is_some_and(|service| service.budget.acquire(share, now))
+    }
+
+    /// Returns this instance's fraction of the retries that all of them may make beyond the ratio.
+    pub(crate) fn retry_share(&self, now: Time) -> f64 {
+        self.sharers.share_within(self.tuning.retry_window, self.tuning.joined, now)
     }
 
     /// Ends a request that will not be sent again.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -341,9 +341,9 @@
 
     /// Returns the use of the retry budget of each service with attempts since the last call.
     pub fn take_retry_reports(&mut self, now: Time) -> Vec<(ServiceId, RetryReport)> {
-        let instances = self.sharers.instances();
+        let share = self.retry_share(now);
         let reports = self.services.iter_mut().filter_map(|(name, service)| {
-            Some((name.clone(), service.budget.take_report(instances, now)?))
+            Some((name.clone(), service.budget.take_report(share, now)?))
         });
         reports.collect()
     }
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -163,6 +163,13 @@
         self.count + 1
     }
 
+    /// Returns this instance's share of what all of them together may use within `window`. If it `joined`
+    /// a deployment, it has none in its first window, since its predecessor may have used it.
+    pub(crate) fn share_within(&self, window: Duration, joined: bool, now: Time) -> f64 {
+        let is_used = joined && self.start.is_none_or(|start| now.since(start) <= window);
+        if is_used { 0.0 } else { 1.0 / self.instances() as f64 }
+    }
+
     /// Returns the position of the instance `me` among those that share what a target takes, in an
     /// order that all of them know.
     pub(crate) fn position_at(&self, target: &ListedTarget, me: &Identity, now: Time) -> usize {
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -95,7 +95,7 @@
         }
         let reports = bench.gateway.take_retry_reports(at(now));
         let [(service, report)] = &reports[..] else { panic!("one service: {reports:?}") };
-        assert_eq!((service.as_str(), report.instances), (PLAIN, 1));
+        assert_eq!((service.as_str(), report.share), (PLAIN, 1.0));
         assert!(f64::from(report.used) <= report.allowed, "{report:?}");
         counts.first += report.counts.first;
         counts.retries += report.counts.retries;
@@ -135,7 +135,7 @@
                     budget.record_first(at(now));
                     first.push(now);
                 }
-                if now % 5 == 0 && budget.acquire(case.instances, at(now)) {
+                if now % 5 == 0 && budget.acquire(1.0 / case.instances as f64, at(now)) {
                     retries.push(now);
                 }
             }
@@ -158,8 +158,9 @@
 #[test]
 fn a_new_window_applies_to_a_budget_in_use() {
     let mut budget = RetryBudget::new(0.0, 10.0, Duration::from_secs(1));
-    let taken =
-        |budget: &mut RetryBudget, now: u64| (0..20).filter(|_| budget.acquire(1, at(now))).count();
+    let taken = |budget: &mut RetryBudget, now: u64| {
+        (0..20).filter(|_| budget.acquire(1.0, at(now))).count()
+    };
     assert_eq!(taken(&mut budget, 0), 7);
     budget.retune(0.0, 10.0, Duration::from_secs(10));
     assert_eq!(taken(&mut budget, 3_000), 0);
