Give an instance no share of the retry budget before it knows of the others

Targets got more retries than the budget allows while instances did not know of each other: a share was computed from the peers known at that moment, so that one which knew of none took all of it. The configuration may be read from the store or a peer while the announcements can't be read yet.

An instance now has a share only after it has read the announcements, and one that joins a running deployment only three seconds later, as for limits. Before that it retries by the ratio alone.

--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -57,6 +57,8 @@
     count: usize,
     /// When this instance started.
     start: Option<Time>,
+    /// When it first read the announcements of the others.
+    read: Option<Time>,
     settled: bool,
     changed: bool,
 }
@@ -67,12 +69,13 @@
         self.start.get_or_insert(now);
     }
 
-    /// Adds announced peers, which may have a share already.
+    /// Adds announced peers, which may have a share already. There may be none.
     pub(crate) fn expect<'a>(
         &mut self,
         peers: impl Iterator<Item = (&'a InstanceId, &'a ZoneId)>,
         now: Time,
     ) {
+        self.read.get_or_insert(now);
         for (name, zone) in peers {
             if !self.peers.contains_key(name) && self.peers.len() < MAX_REMEMBERED {
                 self.changed = true;
@@ -163,11 +166,15 @@
         self.count + 1
     }
 
-    /// Returns this instance's share of what all of them together may use within `window`. If it `joined`
-    /// a deployment, it has none in its first window, since its predecessor may have used it.
+    /// Returns this instance's share of what all of them together may use within `window`. It has none
+    /// before it has read who the others are. If it `joined` a deployment, it has none in its first
+    /// window either, since its predecessor may have used it, and leaves time for others to be heard.
     pub(crate) fn share_within(&self, window: Duration, joined: bool, now: Time) -> f64 {
-        let is_used = joined && self.start.is_none_or(|start| now.since(start) <= window);
-        if is_used { 0.0 } else { 1.0 / self.instances() as f64 }
+        let (Some(start), Some(read)) = (self.start, self.read) else { return 0.0 };
+        if joined && (now.since(start) <= window || now.since(read) <= SETTLE_TIME) {
+            return 0.0;
+        }
+        1.0 / self.instances() as f64
     }
 
     /// Returns the position of the instance `me` among those that share what a target takes, in an
