Leave the share of a stopping instance unused until it has left the window

Targets got more retries than the budget allows while instances stopped one after the other: an update that tells of a stop gave the share to the others at once, though it had been used within the window. The limits of targets are rates, for which that is right, and stay as they are.

The share of the retry budget is now divided among all that had one within the window. the_budget_holds_through_planned_stops failed before (73 retries of 56, and 69 without the shares of restarted instances) and passes.

--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -151,7 +151,7 @@
             std::mem::take(&mut self.changed) | (count != self.count) | (settled != self.settled);
         (self.count, self.settled) = (count, settled);
         if changed && self.peers.len() > MAX_REMEMBERED {
-            self.peers.retain(|_, sharer| sharer.until > now);
+            self.peers.retain(|_, sharer| sharer.until + SHARE_RETENTION > now);
         }
         changed
     }
@@ -166,15 +166,18 @@
         self.count + 1
     }
 
-    /// Returns this instance's share of what all of them together may use within `window`. It has none
-    /// before it has read who the others are. If it `joined` a deployment, it has none in its first
-    /// window either, since its predecessor may have used it, and leaves time for others to be heard.
+    /// Returns this instance's share of what all of them together may use within `window`, in which
+    /// those that have stopped may have used theirs. It has none before it has read who the others are. If
+    /// it `joined` a deployment, it has none in its first window either, since its predecessor may have
+    /// used it, and leaves time for others to be heard.
     pub(crate) fn share_within(&self, window: Duration, joined: bool, now: Time) -> f64 {
         let (Some(start), Some(read)) = (self.start, self.read) else { return 0.0 };
         if joined && (now.since(start) <= window || now.since(read) <= SETTLE_TIME) {
             return 0.0;
         }
-        1.0 / self.instances() as f64
+        let had_share = |sharer: &&Sharer| sharer.until + window > now;
+        let peers = self.peers.values().filter(had_share).count();
+        1.0 / (peers + 1) as f64
     }
 
     /// Returns the position of the instance `me` among those that share what a target takes, in an
