Count first attempts less in the retry budget while they grow in number

Targets got more retries than the budget allows when callers moved from instances that had used the retries for them to others, or to the successors of killed ones: what an instance may use follows from the first attempts of its own last window, so that two instances allow retries for the callers of two windows within one.

First attempts in excess of those of the window before now count with the 0.3 that is held back, the others with 0.7 as before, which together can't exceed the bound whoever gets the callers. Time before the deployment's first start has no retries and counts like the time since.

--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -7,6 +7,7 @@
 
 use crate::admission;
 use crate::arrival::{Arrival, Ticket};
+use crate::budget::RetryShare;
 use crate::event::{Action, AttemptOutcome, Dispatch, Failure, NoRetry, Step};
 use crate::gateway::Gateway;
 use crate::homes::Homes;
@@ -396,9 +397,15 @@
                 .is_some_and(|service| service.budget.acquire(share, now))
     }
 
-    /// Returns this instance's fraction of the retries that all of them may make beyond the ratio.
-    pub(crate) fn retry_share(&self, now: Time) -> f64 {
-        self.sharers.share_within(self.tuning.retry_window, self.tuning.joined, now)
+    /// Returns what this instance may use of the retries that all of them may make.
+    pub(crate) fn retry_share(&self, now: Time) -> RetryShare {
+        let Tuning { retry_window, joined, .. } = self.tuning;
+        let earlier = self.sharers.run_time(now).saturating_sub(retry_window);
+        let earlier = earlier.as_secs_f64() / retry_window.as_secs_f64();
+        RetryShare {
+            fraction: self.sharers.share_within(retry_window, joined, now),
+            earlier: if joined { 1.0 } else { earlier.min(1.0) },
+        }
     }
 
     /// Ends a request that will not be sent again.
--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -69,6 +69,11 @@
         self.start.get_or_insert(now);
     }
 
+    /// Returns the time since this instance started.
+    pub(crate) fn run_time(&self, now: Time) -> Duration {
+        self.start.map_or(Duration::ZERO, |start| now.since(start))
+    }
+
     /// Adds announced peers, which may have a share already. There may be none.
     pub(crate) fn expect<'a>(
         &mut self,
@@ -146,7 +151,7 @@
     /// Returns whether shares have changed since the last call.
     pub(crate) fn update(&mut self, now: Time) -> bool {
         let count = self.peers.values().filter(|sharer| sharer.until > now).count();
-        let settled = self.start.is_some_and(|start| now.since(start) >= SETTLE_TIME);
+        let settled = self.run_time(now) >= SETTLE_TIME;
         let changed =
             std::mem::take(&mut self.changed) | (count != self.count) | (settled != self.settled);
         (self.count, self.settled) = (count, settled);
@@ -171,8 +176,8 @@
     /// it `joined` a deployment, it has none in its first window either, since its predecessor may have
     /// used it, and leaves time for others to be heard.
     pub(crate) fn share_within(&self, window: Duration, joined: bool, now: Time) -> f64 {
-        let (Some(start), Some(read)) = (self.start, self.read) else { return 0.0 };
-        if joined && (now.since(start) <= window || now.since(read) <= SETTLE_TIME) {
+        let Some(read) = self.read else { return 0.0 };
+        if joined && (self.run_time(now) <= window || now.since(read) <= SETTLE_TIME) {
             return 0.0;
         }
         let had_share = |sharer: &&Sharer| sharer.until + window > now;
--- a/crates/gateway/tests/all/retries.rs
+++ b/crates/gateway/tests/all/retries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sesamewind_gateway::budget::{RetryBudget, RetryCounts};
+use sesamewind_gateway::budget::{RetryBudget, RetryCounts, RetryShare};
 use sesamewind_gateway::{AttemptOutcome, Event, RefusalReason, Tuning};
 
 use crate::retry_fleet::{Change, Fleet, Plan, play};
@@ -95,7 +95,7 @@
         }
         let reports = bench.gateway.take_retry_reports(at(now));
         let [(service, report)] = &reports[..] else { panic!("one service: {reports:?}") };
-        assert_eq!((service.as_str(), report.share), (PLAIN, 1.0));
+        assert_eq!((service.as_str(), report.share.fraction), (PLAIN, 1.0));
         assert!(f64::from(report.used) <= report.allowed, "{report:?}");
         counts.first += report.counts.first;
         counts.retries += report.counts.retries;
@@ -128,6 +128,7 @@
         let mut budgets: Vec<RetryBudget> = (0..case.instances)
             .map(|_| RetryBudget::new(0.2, case.extra, Duration::from_millis(WINDOW)))
             .collect();
+        let share = RetryShare { fraction: 1.0 / case.instances as f64, earlier: 1.0 };
         let (mut first, mut retries) = (Vec::new(), Vec::new());
         for now in 0..40_000 {
             for budget in &mut budgets {
@@ -135,7 +136,7 @@
                     budget.record_first(at(now));
                     first.push(now);
                 }
-                if now % 5 == 0 && budget.acquire(1.0 / case.instances as f64, at(now)) {
+                if now % 5 == 0 && budget.acquire(share, at(now)) {
                     retries.push(now);
                 }
             }
@@ -158,8 +159,9 @@
 #[test]
 fn a_new_window_applies_to_a_budget_in_use() {
     let mut budget = RetryBudget::new(0.0, 10.0, Duration::from_secs(1));
+    let share = RetryShare { fraction: 1.0, earlier: 1.0 };
     let taken = |budget: &mut RetryBudget, now: u64| {
-        (0..20).filter(|_| budget.acquire(1.0, at(now))).count()
+        (0..20).filter(|_| budget.acquire(share, at(now))).count()
     };
     assert_eq!(taken(&mut budget, 0), 7);
     budget.retune(0.0, 10.0, Duration::from_secs(10));
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -343,7 +343,7 @@
         denied = report.counts.denied,
         used = report.used,
         allowed = report.allowed,
-        share = report.share,
+        share = report.share.fraction,
         age_ms = millis(run_time);
         "attempts since the last such line"
     );
