Count the first attempt of a request that is passed on once

A request that was passed on to a peer after an attempt counted as a first attempt in the retry budgets of both instances, and once more at the first one if no peer took it, so that its retries were allowed two or three times.

The request says whether an instance has counted it, also in the message to the peer; older builds ignore the field, and its absence means that it was not. Hedges, whose number follows from first attempts, had the same fault.

requests_that_are_passed_on_count_once_in_the_retry_budget fails without the check (542 first attempts of 519 requests) and passes.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -33,6 +33,8 @@
     pub point: f64,
     /// When the caller or the route stops waiting, whichever is earlier.
     pub deadline: Time,
+    /// Whether an instance has counted its first attempt in the retry budget.
+    pub counted: bool,
 }
 
 impl Arrival {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -107,6 +107,8 @@
     pub deadline: Time,
     /// Time since the request's arrival.
     pub waited: Duration,
+    /// Whether this instance has counted its first attempt.
+    pub counted: bool,
 }
 
 /// A target that is asked for any answer over a new connection.
--- a/crates/gateway/src/flow.rs
+++ b/crates/gateway/src/flow.rs
@@ -75,7 +75,7 @@
     /// Queues a request for a target of this instance, unless it must be refused.
     pub(crate) fn admit(
         &mut self,
-        arrival: Arrival,
+        mut arrival: Arrival,
         proof: NotRunProof,
         is_passed: bool,
         now: Time,
@@ -95,8 +95,10 @@
         }
         let state =
             self.services.entry(service.clone()).or_insert_with(|| ServiceState::new(&self.tuning));
-        state.budget.record_first(now);
-        state.hedges.record_first(self.tuning.hedge_share);
+        if !std::mem::replace(&mut arrival.counted, true) {
+            state.budget.record_first(now);
+            state.hedges.record_first(self.tuning.hedge_share);
+        }
         let route = &arrival.route;
         let left = arrival.deadline.since(now);
         let since = now - self.stated.waited(&route.name, left, route.timeout, now);
--- a/crates/gateway/src/passing.rs
+++ b/crates/gateway/src/passing.rs
@@ -100,6 +100,7 @@
             attempt: request.peers.len(),
             deadline: request.arrival.deadline,
             waited: now.since(request.arrived),
+            counted: request.arrival.counted,
         });
         request.state = State::Passed(Passed::new(peer, history));
         self.requests.insert(ticket, request);
--- a/crates/gateway/tests/all/answered.rs
+++ b/crates/gateway/tests/all/answered.rs
@@ -92,6 +92,7 @@
             parts: Arc::default(),
             point: self.rng.random_range(0.0..1.0),
             deadline,
+            counted: false,
         };
         self.send(Event::Arrive(arrival));
     }
--- a/crates/gateway/tests/all/crash_fleet.rs
+++ b/crates/gateway/tests/all/crash_fleet.rs
@@ -349,6 +349,7 @@
             parts: parts.into(),
             point: 0.5,
             deadline: at(now) + Duration::from_secs(12),
+            counted: false,
         };
         self.send(instance, Event::Arrive(arrival), now);
     }
--- a/crates/gateway/tests/all/partitions.rs
+++ b/crates/gateway/tests/all/partitions.rs
@@ -236,6 +236,7 @@
         let arrival = Arrival {
             ticket: self.next,
             deadline: at(now) + resolved.route.timeout,
+            counted: false,
             route: resolved.route,
             account: resolved.account,
             prompt_tokens: Some(100),
--- a/crates/gateway/tests/all/reach.rs
+++ b/crates/gateway/tests/all/reach.rs
@@ -59,6 +59,21 @@
     check(300, |case| vec![FAULTS[case % FAULTS.len()]]);
 }
 
+/// Guards against counting the first attempt of a request that is passed on at both instances, which
+/// would allow retries of it twice.
+#[test]
+fn requests_that_are_passed_on_count_once_in_the_retry_budget() {
+    let mut passed_again = 0;
+    for fault in FAULTS {
+        let report = play(&plan(6, 2, fault), 5);
+        let what = format!("{fault:?}: {report:?}");
+        assert!(report.first <= report.arrived, "{what}");
+        assert!(report.first >= report.arrived * 9 / 10, "{what}");
+        passed_again += report.passed_again;
+    }
+    assert!(passed_again > 0);
+}
+
 /// Guards against taking targets that are down, silent or idle for a partition of the instance.
 #[test]
 fn an_instance_whose_peers_reach_no_more_than_it_does_is_not_cut_off() {
--- a/crates/gateway/tests/all/reach_fleet.rs
+++ b/crates/gateway/tests/all/reach_fleet.rs
@@ -103,6 +103,12 @@
     pub probes: usize,
     /// Requests that ran more often than once.
     pub repeated: usize,
+    /// Requests of callers.
+    pub arrived: u32,
+    /// Requests that peers have passed on after an attempt.
+    pub passed_again: u32,
+    /// First attempts that the retry budgets of all instances have counted.
+    pub first: u32,
 }
 
 /// What happens to a request of an instance at a certain time.
@@ -180,6 +186,10 @@
     for now in (0..plan.length).step_by(STEP_MS as usize) {
         fleet.step(now);
     }
+    for gateway in &mut fleet.gateways {
+        let reports = gateway.take_retry_reports(at(plan.length));
+        fleet.report.first += reports.iter().map(|(_, report)| report.counts.first).sum::<u32>();
+    }
     fleet.report
 }
 
@@ -306,7 +316,9 @@
             parts: Arc::default(),
             point: 0.5,
             deadline,
+            counted: false,
         };
+        self.report.arrived += 1;
         if self.counts(now) {
             self.tries(instance).asked += 1;
         }
@@ -382,7 +394,8 @@
                 self.free(key);
                 let port = usize::from(pass.address.port());
                 let Some(flight) = self.flights.get(&key) else { return };
-                let arrival = flight.arrival.clone();
+                let arrival = Arrival { counted: pass.counted, ..flight.arrival.clone() };
+                self.report.passed_again += u32::from(pass.counted);
                 self.enter(port - 10_000, arrival, Some(key), now);
             }
             Step::Wait | Step::Hedge(_) | Step::Unhedged(_) => {}
--- a/crates/gateway/tests/all/room.rs
+++ b/crates/gateway/tests/all/room.rs
@@ -186,6 +186,7 @@
             parts: Arc::default(),
             point: 0.5,
             deadline: at(call.deadline),
+            counted: false,
         };
         let instance = self.rng.random_range(0..INSTANCES);
         self.send(instance, Event::Arrive(arrival), now);
--- a/crates/gateway/tests/all/support.rs
+++ b/crates/gateway/tests/all/support.rs
@@ -121,6 +121,7 @@
     Arrival {
         ticket,
         deadline: now + resolved.route.timeout,
+        counted: false,
         route: resolved.route,
         account: resolved.account,
         prompt_tokens: None,
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -410,6 +410,9 @@
     pub body: Vec<u8>,
     /// Time left until its deadline.
     pub left: Duration,
+    /// Whether the instance has counted its first attempt in the retry budget.
+    #[serde(default)]
+    pub counted: bool,
 }
 
 /// A header of a [`PassedRequest`].
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -25,7 +25,7 @@
 use crate::driver::{CallerGuard, Driver};
 use crate::hedge::{self, Attempted};
 use crate::journal;
-use crate::passing::{self, NotRun, Passed};
+use crate::passing::{self, NotRun, Passed, Taken};
 use crate::pool::Connection;
 use crate::stream;
 use crate::watched::RequestBody;
@@ -102,7 +102,7 @@
 /// Serves a request that a peer has passed on over `connection`.
 pub async fn serve_passed(driver: Rc<Driver>, message: &[u8], connection: Rc<Activity>) -> Answer {
     let arrived = driver.now();
-    let (head, body, left) = match passing::read(message) {
+    let Taken { head, body, left, counted } = match passing::read(message) {
         Ok(request) => request,
         Err(err) => {
             log::warn!(event = "peer_unreadable"; "passed request can't be read: {err}");
@@ -132,7 +132,7 @@
     driver.metrics.taken();
     let mut guard = CallerGuard::new(Rc::clone(&driver), &caller.id, arrived, connection);
     let call = enter(driver, (head, caller, body), resolved, &mut guard, arrived);
-    let event = Event::ArrivePassed(call.arrival());
+    let event = Event::ArrivePassed(Arrival { counted, ..call.arrival() });
     passing::finish(call.serve(event, guard).await)
 }
 
@@ -191,6 +191,7 @@
             parts: self.parts(),
             point: split_point(&self.caller.id),
             deadline: self.arrived + wait_time(self.caller.timeout, &self.route),
+            counted: false,
         }
     }
 
--- a/crates/relay/src/passing.rs
+++ b/crates/relay/src/passing.rs
@@ -183,6 +183,7 @@
             headers: headers.collect(),
             body: self.body.to_vec(),
             left: pass.deadline.since(self.driver.now()),
+            counted: pass.counted,
         };
         let body = codec::encode(&message).map_err(|err| err.to_string())?;
         Request::builder()
@@ -278,19 +279,33 @@
     }
 }
 
-/// Returns the head, body and time left of a request that a peer has passed on.
+/// A request that a peer has passed on.
+#[derive(Debug)]
+pub struct Taken {
+    /// Head of the request.
+    pub head: request::Parts,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Time left until its deadline.
+    pub left: Duration,
+    /// Whether the peer has counted its first attempt.
+    pub counted: bool,
+}
+
+/// Reads a request that a peer has passed on.
 ///
 /// # Errors
 ///
 /// Returns a description of what is wrong with the message.
-pub fn read(bytes: &[u8]) -> Result<(request::Parts, Bytes, Duration), String> {
+pub fn read(bytes: &[u8]) -> Result<Taken, String> {
     let message: PassedRequest = codec::decode(bytes).map_err(|err| err.to_string())?;
     let mut request = Request::builder().method(message.method.as_str()).uri(message.path);
     for PassedHeader { name, value } in message.headers {
         request = request.header(name, value);
     }
     let (head, ()) = request.body(()).map_err(|err| err.to_string())?.into_parts();
-    Ok((head, message.body.into(), message.left))
+    let PassedRequest { body, left, counted, .. } = message;
+    Ok(Taken { head, body: body.into(), left, counted })
 }
 
 /// Adds the outcome to the answer to a passed request.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -58,5 +58,6 @@
         parts,
         point: query.point.unwrap_or_else(rand::random),
         deadline: now + wait,
+        counted: false,
     })
 }
