Share no limit of a target before an instance knows of the others

It now has no share until three seconds after it has first read the announcements; trials of held prompt parts wait for the same. an_instance_that_reads_the_announcements_late_has_no_share fails without the change (a second request after 3.25 s to a target that takes four a second) and passes.

--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -33,7 +33,8 @@
 /// have ended remain in the store.
 const MAX_REMEMBERED: usize = 1_024;
 
-/// Time after its start in which an instance may not have heard of all others.
+/// Time after an instance has first read the announcements in which it may not have heard of all
+/// others.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// A peer that has or had a share.
@@ -151,7 +152,7 @@
     /// Returns whether shares have changed since the last call.
     pub(crate) fn update(&mut self, now: Time) -> bool {
         let count = self.peers.values().filter(|sharer| sharer.until > now).count();
-        let settled = self.run_time(now) >= SETTLE_TIME;
+        let settled = self.read.is_some_and(|read| now.since(read) >= SETTLE_TIME);
         let changed =
             std::mem::take(&mut self.changed) | (count != self.count) | (settled != self.settled);
         (self.count, self.settled) = (count, settled);
@@ -161,7 +162,7 @@
         changed
     }
 
-    /// Returns whether this instance has run for long enough to know of the others.
+    /// Returns whether this instance has known for long enough who the others are.
     pub(crate) fn is_settled(&self) -> bool {
         self.settled
     }
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -386,20 +386,39 @@
 #[test]
 fn an_instance_that_has_just_started_has_no_share() {
     let tuning = Tuning { joined: true, ..Tuning::default() };
-    let mut bench = Bench::new(routing(), vec![target("m0", MODEL, 4)], tuning);
+    let bench = Bench::new(routing(), vec![target("m0", MODEL, 4)], tuning);
+    let sent = second_send(bench, None).expect("the target is used again");
+    assert!(sent >= 3_000 + 250, "sent after {sent} ms");
+}
+
+/// Guards against using the whole of a limit before an instance has read who the others are.
+#[test]
+fn an_instance_that_reads_the_announcements_late_has_no_share() {
+    let start = || {
+        let targets = vec![target("m0", MODEL, 4)];
+        Bench::start(identity("i1", "z1"), routing(), targets, Tuning::default(), at(0))
+    };
+    assert_eq!(second_send(start(), None), None);
+    let sent = second_send(start(), Some(6_000)).expect("the target is used again");
+    assert!(sent >= 9_000 + 250, "sent after {sent} ms");
+}
+
+/// Returns when an instance sends a target that takes four requests a second the second one, within
+/// 12 s; the announcements are read at `read`.
+fn second_send(mut bench: Bench, read: Option<u64>) -> Option<u64> {
     let first = bench.arrive("urgent", 10, at(10));
     bench.send(Event::TargetLimit(first, Some(4.0)), at(20));
     bench.end(first, AttemptOutcome::Whole, at(20));
-    for now in (30..5_000).step_by(10) {
+    (30..12_000).step_by(10).find(|&now| {
+        if read == Some(now) {
+            bench.gateway.expect_peers(&[], at(now));
+        }
         bench.send(Event::Tick, at(now));
         let ticket = bench.arrive("urgent", 10, at(now));
-        if bench.dispatch(ticket).is_some() {
-            assert!(now >= 3_000 + 250, "sent after {now} ms");
-            return;
-        }
+        let is_sent = bench.dispatch(ticket).is_some();
         bench.send(Event::CallerLeft(ticket), at(now));
-    }
-    panic!("the target is not used again");
+        is_sent
+    })
 }
 
 /// A peer that says that it stops leaves its share at once.
