Write the last line on retries before the one that ends the log

A planned stop wrote the last counts of retries after the line that tells of its end, which a_planned_stop_cuts_no_request and readers of logs expect to be the last.

--- a/crates/relay/src/instance.rs
+++ b/crates/relay/src/instance.rs
@@ -163,7 +163,6 @@
             }
         }
         stop(&driver, &phase, &in_use, self.settings.bounds.grace).await;
-        driver.report_retries();
         Ok(())
     }
 
@@ -291,6 +290,7 @@
             break;
         }
     }
+    driver.report_retries();
     let open = driver.with_gateway(Gateway::open_requests);
     let level = if open == 0 { log::Level::Info } else { log::Level::Warn };
     log::log!(level, event = "stopped", cut = open, in_use = in_use.get(); "instance stopped");
