Test heads that end early and calls that come late in a stop

- A target stops within the head of its answer.
All cuts of a head are played, for all kinds of requests and framings, closed and reset: no caller gets anything of such an answer.
- Calls arrive late in a planned stop that a stream holds open.
They are refused without reaching a target.
With refusals only once nothing is open, calls that ran are cut by the exit and the test fails.

--- a/crates/standins/src/relay/wire.rs
+++ b/crates/standins/src/relay/wire.rs
@@ -47,6 +47,8 @@
     Nothing,
     /// Half of the head.
     HalfHead,
+    /// The head without so many of its last bytes.
+    HeadWithout(usize),
     /// The head.
     Head,
     /// Half of the body; of a stream, two events and a half.
@@ -277,6 +279,9 @@
         let mut parts = match answer.extent {
             Extent::Nothing => return Vec::new(),
             Extent::HalfHead => return vec![half(&head)],
+            Extent::HeadWithout(bytes) => {
+                return vec![head[..head.len().saturating_sub(bytes)].to_owned()];
+            }
             Extent::Head => Vec::new(),
             Extent::Half => {
                 let whole = if self.stream { 2 } else { 0 };
--- a/tests/all/relay/stops.rs
+++ b/tests/all/relay/stops.rs
@@ -65,6 +65,40 @@
     }
 }
 
+/// Guards against taking calls so late in a stop that the exit cuts them. A stream keeps the process from
+/// exiting before the end of the grace time is near.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_that_arrive_late_in_a_stop_are_not_cut() {
+    let delay = Duration::from_millis(900);
+    let options = TargetOptions { events: 5, delay, ..TargetOptions::default() };
+    let mut testbed = Testbed::start_with(1, 1, options).await;
+    let (_, stream) = testbed.send("/talk/x").await;
+    testbed.gateway.terminate();
+    let mut calls = Vec::new();
+    let stream = tokio::spawn(stream.text());
+    for _ in 0..90 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let (id, request) = testbed.request("/pay/x");
+        let status = async move { request.send().await.map(|answer| answer.status().as_u16()) };
+        calls.push((id, tokio::spawn(status)));
+    }
+    assert!(testbed.gateway.wait_exit().await, "the process exits with success");
+    assert!(stream.await.expect("the task ends").is_ok(), "the stream is whole");
+    let (mut served, mut refused) = (0, 0);
+    for (id, status) in calls {
+        let status = status.await.expect("the task ends");
+        match status {
+            Ok(200) => served += 1,
+            Ok(503) => refused += 1,
+            Ok(other) => panic!("status {other}"),
+            Err(_) => {}
+        }
+        let is_served = matches!(status, Ok(200));
+        assert_eq!(testbed.plains[0].runs(&id) > 0, is_served, "{id}: {status:?}");
+    }
+    assert!(served > 0 && refused > 0, "{served} served, {refused} refused");
+}
+
 /// Replaces the file at `path` in one step, so that no process reads a part of `text`.
 fn replace(path: &Path, text: &str) {
     let new = path.with_extension("new");
--- a/tests/all/relay/unframed.rs
+++ b/tests/all/relay/unframed.rs
@@ -192,7 +192,7 @@
     /// Returns the number of whole events in the answer.
     fn events(&self) -> u64 {
         match self.answer.extent {
-            Extent::Nothing | Extent::HalfHead | Extent::Head => 0,
+            Extent::Nothing | Extent::HalfHead | Extent::HeadWithout(_) | Extent::Head => 0,
             Extent::Half => 2,
             Extent::Events(events) => events,
             Extent::BlankLine | Extent::Whole => EVENTS,
@@ -377,6 +377,17 @@
     check(cases, None).await;
 }
 
+/// Guards against an answer that looks complete although its target has stopped within the head.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_ends_within_its_head_is_never_delivered() {
+    let ends: Vec<_> = [1, 2, 3, 30].map(Extent::HeadWithout).into();
+    let mut all = cases(&ends, &[End::Close, End::Reset], 0);
+    let everywhere = (4..100).map(Extent::HeadWithout).collect::<Vec<_>>();
+    let is_plain = |case: &Case| case.path == PAY && case.answer.framing == Framing::Length;
+    all.extend(cases(&everywhere, &[End::Close], 0).into_iter().filter(is_plain));
+    check(all, None).await;
+}
+
 /// Guards against taking a blank line after the last event for the start of another one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_may_end_with_blank_lines() {
