Test bad versions through restarts of all instances in series, known red

The class of the retry budget's fault elsewhere: what a new version has got and the evidence on it are counted in memory. After a restart of all instances nobody has them.

Not mended here: counts would have to be recorded in the store, as the age is.

--- a/crates/gateway/tests/all/rollouts.rs
+++ b/crates/gateway/tests/all/rollouts.rs
@@ -274,6 +274,30 @@
     check(&cases, RolloutOutcome::TakenBack);
 }
 
+/// Guards against losing the evidence on a bad version, and what it has got, with each restart of all
+/// instances.
+#[test]
+fn bad_versions_are_rolled_back_in_time_through_restarts_in_series() {
+    let restarts = |times: &[u64]| Scenario {
+        version: Version::Fails(0.5, 0.0),
+        duration: 5_000,
+        rate: 40.0,
+        faults: times.iter().copied().map(Fault::RestartAll).collect(),
+        ..calm()
+    };
+    let long = |pause: u64| {
+        let times: Vec<_> = (1..12_000 / pause).map(|number| number * pause).collect();
+        Scenario { duration: 12_000, rate: calm().rate, ..restarts(&times) }
+    };
+    let cases = [
+        Case { name: "5 s, twice", scenario: restarts(&[1_000, 2_000]) },
+        Case { name: "5 s, each second", scenario: restarts(&[1_000, 2_000, 3_000, 4_000]) },
+        Case { name: "each second", scenario: long(1_000) },
+        Case { name: "each half second", scenario: long(500) },
+    ];
+    check(&cases, RolloutOutcome::TakenBack);
+}
+
 /// Guards against a verdict that waits for evidence of targets or instances which no longer get requests.
 #[test]
 fn bad_versions_that_one_target_or_instance_serves_are_rolled_back_in_time() {
