--- a/crates/gateway/src/sharers.rs
+++ b/crates/gateway/src/sharers.rs
@@ -172,10 +172,10 @@
         self.count + 1
     }
 
-    /// Returns this instance's share of what all of them together may use within `window`, in which
-    /// those that have stopped may have used theirs. It has none before it has read who the others are. If
-    /// it `joined` a deployment, it has none in its first window either, since its predecessor may have
-    /// used it, and leaves time for others to be heard.
+    /// Returns this instance's share of what all of them together may use within `window`. Instances that
+    /// have stopped within it keep their shares, which they may have used. This one has none before it has
+    /// read who the others are and, if it `joined` a running deployment, in its first window, since its
+    /// predecessor may have used it.
     pub(crate) fn share_within(&self, window: Duration, joined: bool, now: Time) -> f64 {
         let Some(read) = self.read else { return 0.0 };
         if joined && (self.run_time(now) <= window || now.since(read) <= SETTLE_TIME) {
