--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -2,7 +2,7 @@
 
 mod grace;
 mod parted;
-mod rack;
+mod quarantined;
 mod stale_peer;
 mod uploads;
 
@@ -61,7 +61,7 @@
         "grace" => grace::play(stage),
         "stale-peer" => stale_peer::play(stage),
         "parted" => parted::play(stage),
-        "rack" => rack::play(stage),
+        "quarantined" => quarantined::play(stage),
         "uploads" => uploads::play(stage),
         other => Err(format!("there is no case {other}")),
     }
--- a/review/standins/src/cases/rack.rs
+++ b/review/standins/src/cases/quarantined.rs
@@ -1,4 +1,4 @@
-//! All engines of a small service crash together and come back; a final fault follows.
+//! One instance loses its paths to the engines for two seconds; a final fault follows.
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,11 +14,8 @@
 /// `recoveryS`.
 const RECOVERY: Duration = Duration::from_secs(12);
 
-/// How long the engines are down.
-const DOWN_TIME: Duration = Duration::from_millis(4_500);
-
-/// Three heartbeats, after which an engine's entry is removed.
-const SILENCE: Duration = Duration::from_millis(3_600);
+/// How long the instance is partitioned from the engines.
+const PARTITION: Duration = Duration::from_secs(2);
 
 /// A request.
 #[derive(Debug, Clone)]
@@ -27,10 +24,12 @@
     status: u16,
 }
 
-fn start_engines(stage: &Stage, generation: u32) -> Vec<Arc<Engine>> {
-    let engine = |number| {
+pub(super) fn play(stage: &Stage) -> Result<Verdict, String> {
+    let record = &stage.record;
+    let mut links = Vec::new();
+    for number in 1..=3 {
         let options = EngineOptions {
-            id: format!("e{generation}{number}"),
+            id: format!("e{number}"),
             service: "core".to_owned(),
             zone: "z1".to_owned(),
             slots: 6,
@@ -38,14 +37,8 @@
             first: Duration::from_millis(200),
             delay: Duration::ZERO,
         };
-        Engine::start(options, &stage.store, &stage.record)
-    };
-    (1..=3).map(engine).collect()
-}
-
-pub(super) fn play(stage: &Stage) -> Result<Verdict, String> {
-    let record = &stage.record;
-    let engines = start_engines(stage, 1);
+        links.push(Engine::start_behind_proxy(options, &stage.store, record).1);
+    }
     let route = Route {
         name: "roster",
         kind: "idempotent",
@@ -65,10 +58,10 @@
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let count = Arc::new(AtomicU32::new(0));
     // Sends lookups of the same roster at once, without waiting for their answers.
-    let wave = |size: usize| {
-        for index in 0..size {
+    let wave = |size: usize, machine: usize| {
+        for _ in 0..size {
             let (record, sent) = (Arc::clone(record), Arc::clone(&sent));
-            let (count, front) = (Arc::clone(&count), fronts[index % 2]);
+            let (count, front) = (Arc::clone(&count), fronts[machine]);
             thread::spawn(move || {
                 let id = format!("lookup-{}", count.fetch_add(1, Ordering::SeqCst));
                 let request = Request {
@@ -86,29 +79,26 @@
         }
     };
     for _ in 0..6 {
-        wave(6);
+        wave(3, 0);
+        wave(3, 1);
         thread::sleep(Duration::from_secs(2));
     }
     record.note("nobody asks for 12 s");
     thread::sleep(Duration::from_secs(12));
-    wave(6);
+    record.note("six lookups are sent to front-1");
+    wave(6, 0);
     thread::sleep(Duration::from_millis(60));
     if stage.has_trouble {
-        for engine in &engines {
-            engine.crash();
-        }
-        record.note("the three engines of the service crash");
-        thread::sleep(SILENCE);
-        for engine in &engines {
-            stage.store.remove("servers", &engine.options.id);
-        }
-        thread::sleep(DOWN_TIME - SILENCE);
-        start_engines(stage, 2);
-        record.note("the engines are back");
+        links.iter().for_each(|link| link.reset(gateways[0].pid()));
+        record.note("front-1 is partitioned from the engines");
     }
+    thread::sleep(PARTITION);
+    links.iter().for_each(|link| link.heal());
+    record.note("the partition heals, if there was one");
     for _ in 0..3 {
         thread::sleep(Duration::from_secs(2));
-        wave(2);
+        wave(1, 0);
+        wave(1, 1);
     }
     thread::sleep(Duration::from_secs(1));
     stage.store.put("op", "config", &text(2));
@@ -125,7 +115,8 @@
     let back = record.now();
     record.note("the machines are back");
     while record.now() < back + Duration::from_secs(40) {
-        wave(2);
+        wave(1, 0);
+        wave(1, 1);
         thread::sleep(Duration::from_secs(1));
     }
     thread::sleep(Duration::from_secs(3));
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -1,9 +1,8 @@
 //! Stand-in for an engine: it runs requests, answers them, and registers itself in the store.
 
 use std::io::{BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -38,9 +37,6 @@
     pub options: EngineOptions,
     /// Its own address.
     own: SocketAddr,
-    /// Open connections.
-    open: Mutex<Vec<TcpStream>>,
-    has_crashed: AtomicBool,
     record: Arc<Record>,
 }
 
@@ -67,25 +63,10 @@
     fn start_unregistered(options: EngineOptions, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let own = listener.local_addr().expect("an address");
-        listener.set_nonblocking(true).expect("a listener that does not block");
-        let engine = Arc::new(Self {
-            options,
-            own,
-            open: Mutex::default(),
-            has_crashed: AtomicBool::new(false),
-            record: Arc::clone(record),
-        });
+        let engine = Arc::new(Self { options, own, record: Arc::clone(record) });
         let shared = Arc::clone(&engine);
         thread::spawn(move || {
-            while !shared.has_crashed.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
-                    thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
-                if let Ok(copy) = stream.try_clone() {
-                    shared.open.lock().expect("no panic").push(copy);
-                }
+            for stream in listener.incoming().flatten() {
                 let engine = Arc::clone(&shared);
                 thread::spawn(move || engine.serve(stream));
             }
@@ -93,15 +74,6 @@
         engine
     }
 
-    /// Ends the engine for good: its connections break, and new ones are refused.
-    pub fn crash(&self) {
-        self.has_crashed.store(true, Ordering::SeqCst);
-        for stream in self.open.lock().expect("no panic").drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        self.record.line(&format!("engine {} crashes", self.options.id));
-    }
-
     fn register(&self, store: &Store, address: SocketAddr) {
         let EngineOptions { id, service, zone, slots, .. } = &self.options;
         let entry = format!(
@@ -137,7 +109,8 @@
         }
         let tenant = message.header("tenant-name").unwrap_or("-");
         let service = &self.options.service;
-        self.record.run(request, service, &format!("engine {id} of {service} for tenant {tenant}"));
+        let text = format!("engine {id} of {service} for tenant {tenant}");
+        self.record.run(request, service, &text);
         if self.options.events == 0 {
             thread::sleep(self.options.first);
             let head = [("Request-Id", request), ("Response-Seal", "s"), ("Instance-Id", id)];
@@ -145,9 +118,6 @@
         } else {
             // A request begins to run with its first token.
             thread::sleep(self.options.first);
-            if self.has_crashed.load(Ordering::SeqCst) {
-                return Ok(());
-            }
             write!(
                 writer,
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {request}\r\n\
@@ -157,9 +127,6 @@
             let next = after.unwrap_or(0) + 1;
             for event in next..=self.options.events {
                 thread::sleep(if event == next { Duration::ZERO } else { self.options.delay });
-                if self.has_crashed.load(Ordering::SeqCst) {
-                    return Ok(());
-                }
                 let text = format!("id: {event}\ndata: {request}-{event}\n\n");
                 write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
             }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -56,18 +56,9 @@
 
     /// Writes a row with a JSON text.
     pub fn put(&self, table: &str, key: &str, value: &str) {
-        self.write(table, key, Some(base64(value.as_bytes())));
-    }
-
-    /// Drops a row.
-    pub fn remove(&self, table: &str, key: &str) {
-        self.write(table, key, None);
-    }
-
-    fn write(&self, table: &str, key: &str, value: Option<String>) {
         let mut state = self.state.lock().expect("no panic");
         state.version += 1;
-        let row = Row { value, version: state.version };
+        let row = Row { value: Some(base64(value.as_bytes())), version: state.version };
         state.tables.entry(table.to_owned()).or_default().insert(key.to_owned(), row);
         self.changed.notify_all();
     }
