--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -21,6 +21,9 @@
     running: usize,
     waiting: usize,
     leaving: bool,
+    /// Whether 45 in 100 requests fail, as with `srv_grey`.
+    grey: bool,
+    answered: usize,
     /// When each request began to run, by its id.
     runs: HashMap<String, Vec<Instant>>,
 }
@@ -42,11 +45,27 @@
 }
 
 impl Engine {
+    /// Fails 45 in 100 requests from now on, with a sound health check.
+    pub fn turn_grey(&self) {
+        self.core.state.lock().expect("no holder of the lock panics").grey = true;
+    }
+
     /// Starts an engine and registers it.
     pub fn start(store: &Store, zone: &str, version: &str, slots: usize, work: Duration) -> Self {
+        Self::start_as(format!("i-{version}-{zone}"), store, zone, version, slots, work)
+    }
+
+    /// Starts an engine with an id of its own and registers it.
+    pub fn start_as(
+        id: String,
+        store: &Store,
+        zone: &str,
+        version: &str,
+        slots: usize,
+        work: Duration,
+    ) -> Self {
         let listener = http::bind();
         let address = listener.local_addr().expect("a bound socket has an address");
-        let id = format!("i-{version}-{zone}");
         let (state, free) = (Mutex::default(), Condvar::new());
         let core = Arc::new(Core { id, slots, work, state, free });
         let shared = Arc::clone(&core);
@@ -124,9 +143,13 @@
         state.runs.entry(id.clone()).or_default().push(Instant::now());
         drop(state);
         thread::sleep(self.work);
-        self.state.lock().expect("no holder of the lock panics").running -= 1;
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        state.running -= 1;
+        state.answered += 1;
+        let fails = state.grey && state.answered * 9 % 20 < 9;
+        drop(state);
         self.free.notify_one();
-        let mut answer = Answer::new(200, format!("answer to {id}"));
+        let mut answer = Answer::new(if fails { 500 } else { 200 }, format!("answer to {id}"));
         answer.headers.push(("response-seal", format!("seal-of-{}", self.id)));
         answer
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,8 @@
 mod http;
 mod json;
 mod proxy;
+mod repeated_order;
+mod rollouts;
 mod stale_record;
 mod stale_route;
 mod store;
@@ -32,6 +34,7 @@
     let outcome = match case.as_str() {
         "stale-route" => stale_route::run(&run),
         "stale-record" => stale_record::run(&run),
+        "repeated-order" => repeated_order::run(&run),
         "forgotten-usage" => forgotten_usage::run(&run),
         _ => Outcome::NotRun,
     };
--- a/review/standins-2/src/stale_record.rs
+++ b/review/standins-2/src/stale_record.rs
@@ -1,17 +1,11 @@
 //! An instance that was frozen while a rollout ended writes the state of that rollout over the state
 //! of the next one.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::common::{
-    Outcome, Run, ZONES, account, configuration, route, start_gateways, wait_until,
-};
-use crate::engine::{Engine, SERVICE};
-use crate::http;
-use crate::json::Json;
+use crate::common::{Outcome, Run, account, configuration, route, start_gateways};
+use crate::rollouts::{Operator, Traffic, order, start_engines, stop_engines};
 use crate::store::Store;
 
 /// The instance that freezes.
@@ -28,91 +22,18 @@
 /// Time from the end of the first rollout to the second order.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// Interval between requests at one instance, and between looks at the status.
-const INTERVAL: Duration = Duration::from_millis(25);
-
-fn start_engines(version: &str, store: &Store) -> Vec<Engine> {
-    let work = Duration::from_millis(20);
-    ZONES.iter().map(|zone| Engine::start(store, zone, version, 6, work)).collect()
-}
-
-/// Stops engines at once.
-fn stop_engines(engines: Option<Vec<Engine>>, store: &Store) {
-    engines.into_iter().flatten().for_each(|engine| engine.stop(store));
-}
-
-/// Orders a rollout, which the store acknowledges at once.
-fn order(run: &Run, store: &Store, version: &str, duration: f64) {
-    let order = Json::object([
-        ("service", SERVICE.into()),
-        ("target", version.into()),
-        ("durationS", duration.into()),
-    ]);
-    store.put("op", "rollout/plain", &order);
-    run.note(&format!("the store acknowledges the order to move to {version} in {duration} s"));
-}
-
-/// Watches the status of the rollout as the operator does.
-struct Operator<'a> {
-    run: &'a Run,
-    store: &'a Store,
-    last: Option<Json>,
-}
-
-impl Operator<'_> {
-    /// Reads the status, and notes a change.
-    fn look(&mut self) {
-        let status = self.store.row("status", "rollout/plain");
-        if status != self.last {
-            let text = status.as_ref().map_or("none".to_owned(), Json::to_string);
-            self.run.note(&format!("status/rollout/plain is {text}"));
-            self.last = status;
-        }
-    }
-
-    fn is_at(&self, version: &str, state: &str) -> bool {
-        let last = self.last.as_ref();
-        let is_at =
-            |last: &Json| last.get("target").text() == version && last.get("state").text() == state;
-        last.is_some_and(is_at)
-    }
-}
-
-/// Sends requests to an instance until `end`.
-fn call(front: std::net::SocketAddr, end: &AtomicBool) {
-    let (mut next, mut number) = (Instant::now(), 0);
-    while !end.load(Ordering::Relaxed) {
-        number += 1;
-        thread::spawn(move || {
-            let id = format!("{front}-{number}");
-            let headers = [
-                ("Request-Id", id.as_str()),
-                ("Authorization", "Token key"),
-                ("Deadline-Ms", "1500"),
-            ];
-            http::get(front, "/read/x", &headers)
-        });
-        next += INTERVAL;
-        wait_until(next);
-    }
-}
-
 pub fn run(run: &Run) -> Outcome {
     let store = Store::start();
     let accounts = vec![account("tenant", "key", 0.0, 0.0)];
     store.put("op", "config", &configuration(10, vec![route("read")], accounts));
-    let first = start_engines("v1", &store);
+    let first = start_engines(&store, "v1", "v1");
     let Some(gateways) = start_gateways(run, store.address) else { return Outcome::NotRun };
-    let end = Arc::new(AtomicBool::new(false));
-    for gateway in &gateways {
-        let (front, end) = (gateway.front, Arc::clone(&end));
-        thread::spawn(move || call(front, &end));
-    }
+    let _traffic = Traffic::start(&gateways);
     // Longer than `contactMs`, so that all instances are in touch.
     thread::sleep(Duration::from_secs(4));
 
-    let mut operator = Operator { run, store: &store, last: None };
-    let second = start_engines("v2", &store);
+    let mut operator = Operator::new(run, &store);
+    let second = start_engines(&store, "v2", "v2");
     order(run, &store, "v2", FIRST_DURATION);
     let ordered = Instant::now();
     let (freeze, wake) = (ordered + FREEZE_AT, ordered + FREEZE_AT + FREEZE_TIME);
@@ -137,7 +58,7 @@
             succeeded = Some(now);
             stop_engines(old.take(), &store);
             run.note("the engines of v1 stop");
-            third = Some(start_engines("v3", &store));
+            third = Some(start_engines(&store, "v3", "v3"));
         }
         if deadline.is_none() && succeeded.is_some_and(|at| now >= at + PAUSE) {
             order(run, &store, "v3", SECOND_DURATION);
@@ -154,12 +75,11 @@
             run.note("the first rollout did not succeed");
             return Outcome::NotRun;
         }
-        thread::sleep(INTERVAL / 5);
+        thread::sleep(Duration::from_millis(5));
     };
     run.note("the deadline of the order to move to v3");
     thread::sleep(Duration::from_secs(3));
     operator.look();
-    end.store(true, Ordering::Relaxed);
     drop(third);
     let was_recorded = middle.is_none();
     if has_succeeded {
