--- a/review/standins-2/src/common.rs
+++ b/review/standins-2/src/common.rs
@@ -98,6 +98,8 @@
     readiness: SocketAddr,
     /// Link from the instance to the store.
     pub store: Proxy,
+    ip: IpAddr,
+    zone: &'static str,
     child: Child,
 }
 
@@ -112,33 +114,25 @@
 }
 
 impl Gateway {
-    fn start(run: &Run, zone: &str, ip: IpAddr, store: SocketAddr) -> Self {
+    fn start(run: &Run, zone: &'static str, ip: IpAddr, store: SocketAddr) -> Self {
         let name = format!("front-{zone}-1");
         let at = |port| SocketAddr::new(ip, port);
         let store = Proxy::start(store);
-        let read = |path: &str| {
-            std::fs::read_to_string(run.root.join(path)).expect("the deploy folder can be read")
-        };
-        let (deploy, template) = (read("deploy/system.toml"), read("deploy/settings.toml"));
-        let path = run.folder.join(format!("{name}.toml"));
-        let text = fill(&template, &name, zone, ip, store.address);
-        std::fs::write(&path, text).expect("settings can be written");
-        let logs = std::env::var("LOGS").ok();
-        let log =
-            logs.and_then(|logs| File::create(Path::new(&logs).join(format!("{name}.log"))).ok());
-        let child = Command::new(run.root.join(quoted(&deploy, "run = \"")))
-            .current_dir(&run.root)
-            .env_clear()
-            .env("PATH", std::env::var("PATH").unwrap_or_default())
-            .env("SESAMEWIND_CONFIG", &path)
-            .env("SESAMEWIND_PEER_TOKEN", quoted(&deploy, "SESAMEWIND_PEER_TOKEN = \""))
-            .stdin(Stdio::null())
-            .stdout(log.map_or(Stdio::null(), Stdio::from))
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("the command of the deploy file can be run");
+        let child = spawn(run, (&name, zone, ip), store.address, true);
         run.note(&format!("{name} starts, callers at {}", at(FRONT_PORT)));
-        Self { name, front: at(FRONT_PORT), readiness: at(READINESS_PORT), store, child }
+        let (front, readiness) = (at(FRONT_PORT), at(READINESS_PORT));
+        Self { name, front, readiness, store, ip, zone, child }
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again.
+    pub fn restart(&mut self, run: &Run) {
+        self.child = spawn(run, (&self.name, self.zone, self.ip), self.store.address, false);
     }
 
     fn is_ready_in_time(&self) -> bool {
@@ -171,6 +165,39 @@
     }
 }
 
+/// Starts the process of an instance; `bootstrap` tells whether the whole system starts for the first
+/// time.
+fn spawn(
+    run: &Run,
+    (name, zone, ip): (&str, &str, IpAddr),
+    store: SocketAddr,
+    bootstrap: bool,
+) -> Child {
+    let read = |path: &str| {
+        std::fs::read_to_string(run.root.join(path)).expect("the deploy folder can be read")
+    };
+    let (deploy, template) = (read("deploy/system.toml"), read("deploy/settings.toml"));
+    let path = run.folder.join(format!("{name}.toml"));
+    let text = fill(&template, (name, zone, ip), store, bootstrap);
+    std::fs::write(&path, text).expect("settings can be written");
+    let logs = std::env::var("LOGS").ok();
+    let open = |logs: String| {
+        let path = Path::new(&logs).join(format!("{name}.log"));
+        File::options().create(true).append(true).open(path).ok()
+    };
+    Command::new(run.root.join(quoted(&deploy, "run = \"")))
+        .current_dir(&run.root)
+        .env_clear()
+        .env("PATH", std::env::var("PATH").unwrap_or_default())
+        .env("SESAMEWIND_CONFIG", &path)
+        .env("SESAMEWIND_PEER_TOKEN", quoted(&deploy, "SESAMEWIND_PEER_TOKEN = \""))
+        .stdin(Stdio::null())
+        .stdout(logs.and_then(open).map_or(Stdio::null(), Stdio::from))
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("the command of the deploy file can be run")
+}
+
 /// Returns the quoted text after `start`.
 fn quoted(text: &str, start: &str) -> String {
     let rest = text.split_once(start).map_or("", |(_, rest)| rest);
@@ -178,7 +205,12 @@
 }
 
 /// Fills in the template of the settings as the platform does, with the bounds of `derwent-hands`.
-fn fill(template: &str, name: &str, zone: &str, ip: IpAddr, store: SocketAddr) -> String {
+fn fill(
+    template: &str,
+    (name, zone, ip): (&str, &str, IpAddr),
+    store: SocketAddr,
+    bootstrap: bool,
+) -> String {
     let mut text = template.to_owned();
     let mut replace_section = |section: &str, by: &str| {
         let (open, close) = (format!("{{{{#{section}}}}}"), format!("{{{{/{section}}}}}"));
@@ -194,7 +226,7 @@
     let values = [
         ("nodeName", name.to_owned()),
         ("zone", zone.to_owned()),
-        ("bootstrap", "true".to_owned()),
+        ("bootstrap", bootstrap.to_string()),
         ("listen.front", format!("{ip}:{FRONT_PORT}")),
         ("listen.readiness", format!("{ip}:{READINESS_PORT}")),
         ("ip", ip.to_string()),
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod proxy;
 mod repeated_order;
+mod reversed_outcome;
 mod rollouts;
 mod stale_record;
 mod stale_route;
@@ -35,6 +36,7 @@
         "stale-route" => stale_route::run(&run),
         "stale-record" => stale_record::run(&run),
         "repeated-order" => repeated_order::run(&run),
+        "reversed-outcome" => reversed_outcome::run(&run),
         "forgotten-usage" => forgotten_usage::run(&run),
         _ => Outcome::NotRun,
     };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -8,6 +8,7 @@
 use crate::http::{self, Answer, Request};
 use crate::json::{Json, from_base64, to_base64};
 
+#[derive(Clone)]
 struct Row {
     /// None after the row was removed.
     value: Option<String>,
@@ -17,6 +18,10 @@
 #[derive(Default)]
 struct State {
     version: u64,
+    /// Rises by one each time the store comes back from an older copy.
+    era: u64,
+    /// Whether the store is away.
+    away: bool,
     rows: BTreeMap<(String, String), Row>,
 }
 
@@ -54,6 +59,12 @@
     start: Instant,
 }
 
+/// Copy of all rows, and the version of the store then.
+pub struct Copy {
+    version: u64,
+    rows: BTreeMap<(String, String), Row>,
+}
+
 /// A running store.
 #[derive(Clone)]
 pub struct Store {
@@ -68,7 +79,11 @@
         let core = Core { state: Mutex::default(), changed: Condvar::new(), start: Instant::now() };
         let core = Arc::new(core);
         let shared = Arc::clone(&core);
-        http::serve(listener, move |request| shared.answer(&request));
+        http::serve(listener, move |request| {
+            let mut answer = shared.answer(&request);
+            answer.headers.push(("store-era", shared.state().era.to_string()));
+            answer
+        });
         Self { core, address }
     }
 
@@ -88,6 +103,27 @@
         self.core.changed.notify_all();
     }
 
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> Copy {
+        let state = self.core.state();
+        Copy { version: state.version, rows: state.rows.clone() }
+    }
+
+    /// Answers nothing but 503 until [`Store::come_back`].
+    pub fn go_away(&self) {
+        self.core.state().away = true;
+        self.core.changed.notify_all();
+    }
+
+    /// Comes back from a copy: what was written since is gone, and versions are given out again.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.core.state();
+        (state.version, state.rows) = (copy.version, copy.rows);
+        state.era += 1;
+        state.away = false;
+        self.core.changed.notify_all();
+    }
+
     /// Returns a row, if it exists.
     pub fn row(&self, table: &str, key: &str) -> Option<Json> {
         let state = self.core.state();
@@ -114,6 +150,9 @@
 
     fn answer(&self, request: &Request) -> Answer {
         let table = request.parameter("table");
+        if self.state().away {
+            return Answer::new(503, String::new());
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/sesamewind/rows-get") => {
                 let state = self.state();
@@ -126,7 +165,14 @@
                 let wait = request.parameter("waitMs").parse().unwrap_or(0);
                 let end = Instant::now() + Duration::from_millis(wait);
                 let mut state = self.state();
+                let era = state.era;
                 loop {
+                    if state.away || state.era != era {
+                        return Answer::new(503, String::new());
+                    }
+                    if after > state.version {
+                        return Answer::new(410, String::new());
+                    }
                     let rows = state.rows(table, |_, row| row.version > after);
                     let left = end.saturating_duration_since(Instant::now());
                     if !rows.is_empty() || left.is_zero() {
