--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 driver=target/review-2/release/sesamewind-review-2
 [ -x "$driver" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec timeout 110 "$driver" reversed-outcome review/6
+exec "$driver" reversed-outcome review/6
--- a/review/standins-2/src/common.rs
+++ b/review/standins-2/src/common.rs
@@ -25,6 +25,12 @@
 const READINESS_PORT: u16 = 8_224;
 const INNER_PORT: u16 = 7_600;
 
+/// Longest time of a run. A script may take 120 s.
+const TIME_LIMIT: Duration = Duration::from_secs(100);
+
+/// Ids of the processes that run.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 /// Outcome of a run, as the exit code of the script.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -72,6 +78,31 @@
     }
 }
 
+/// Ends all processes and this one after the longest time of a run.
+pub fn limit_time() {
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        let processes = PROCESSES.lock().expect("no holder of the lock panics");
+        processes.iter().for_each(|&process| signal(process, SIGKILL));
+        eprintln!("the case took too long");
+        std::process::exit(Outcome::NotRun as i32);
+    });
+}
+
+const SIGKILL: i32 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
+/// Sends a signal to a process that this one has started and not waited for.
+fn signal(process: u32, signal: i32) {
+    unsafe extern "C" {
+        fn kill(process: i32, signal: i32) -> i32;
+    }
+    let process = i32::try_from(process).expect("process ids are small");
+    // SAFETY: `kill` takes plain numbers.
+    unsafe { kill(process, signal) };
+}
+
 /// Waits until `end`.
 pub fn wait_until(end: Instant) {
     thread::sleep(end.saturating_duration_since(Instant::now()));
@@ -127,6 +158,8 @@
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
+        let mut processes = PROCESSES.lock().expect("no holder of the lock panics");
+        processes.retain(|process| *process != self.child.id());
         let _ = self.child.wait();
     }
 
@@ -147,21 +180,13 @@
 
     /// Stops the process from running, or lets it go on.
     pub fn freeze(&self, frozen: bool) {
-        unsafe extern "C" {
-            fn kill(process: i32, signal: i32) -> i32;
-        }
-        const SIGCONT: i32 = 18;
-        const SIGSTOP: i32 = 19;
-        let process = i32::try_from(self.child.id()).expect("process ids are small");
-        // SAFETY: `kill` takes plain numbers. The id is valid, since the child was not waited for.
-        unsafe { kill(process, if frozen { SIGSTOP } else { SIGCONT }) };
+        signal(self.child.id(), if frozen { SIGSTOP } else { SIGCONT });
     }
 }
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -185,7 +210,7 @@
         let path = Path::new(&logs).join(format!("{name}.log"));
         File::options().create(true).append(true).open(path).ok()
     };
-    Command::new(run.root.join(quoted(&deploy, "run = \"")))
+    let child = Command::new(run.root.join(quoted(&deploy, "run = \"")))
         .current_dir(&run.root)
         .env_clear()
         .env("PATH", std::env::var("PATH").unwrap_or_default())
@@ -195,7 +220,9 @@
         .stdout(logs.and_then(open).map_or(Stdio::null(), Stdio::from))
         .stderr(Stdio::inherit())
         .spawn()
-        .expect("the command of the deploy file can be run")
+        .expect("the command of the deploy file can be run");
+    PROCESSES.lock().expect("no holder of the lock panics").push(child.id());
+    child
 }
 
 /// Returns the quoted text after `start`.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -32,6 +32,7 @@
             return ExitCode::from(Outcome::NotRun as u8);
         }
     };
+    common::limit_time();
     let outcome = match case.as_str() {
         "stale-route" => stale_route::run(&run),
         "stale-record" => stale_record::run(&run),
