--- a/review/standins-3/src/bin/stop-waiting.rs
+++ b/review/standins-3/src/bin/stop-waiting.rs
@@ -15,7 +15,7 @@
 const GRACE: Duration = Duration::from_secs(8);
 
 const CONFIGURATION: &str = r#"{"version":1,"routes":[
- {"name":"report","host":"app.example","prefix":"/report/","kind":"idempotent","timeoutMs":20000,
+ {"name":"report","host":"app.example","prefix":"/report/","kind":"idempotent","timeoutMs":15000,
   "targetLatencyMs":12000,"priority":2,"service":"reports","maxAttempts":2,"public":false,
   "sticky":false,"resumable":false}],
  "services":[{"name":"reports","healthPath":"/healthz","maxConnections":110}],
@@ -81,7 +81,7 @@
                 host: "app.example",
                 path: "/report/x",
                 key: Some("k-one"),
-                deadline: Duration::from_secs(20),
+                deadline: Duration::from_secs(15),
                 body: b"",
             };
             let status = client::send(address, &attempt).map_or(0, |answer| answer.status());
@@ -122,11 +122,11 @@
     let mut broken = 0;
     for one in results.iter().filter(|one| one.id.starts_with("waits")) {
         let ran = runs.iter().any(|run| run.id == one.id);
-        if one.status == 0 && one.ended - one.sent > 200.0 && one.ended - one.sent < 19_500.0 {
+        if one.status == 0 && one.ended - one.sent > 200.0 && one.ended - one.sent < 14_500.0 {
             broken += 1;
             record.line(&format!(
                 "LOST: {} was sent {:.0} ms before the SIGTERM; its connection was closed without an answer {:.0} ms \
-                 after it; an engine ran it: {ran}; its deadline was 20 s",
+                 after it; an engine ran it: {ran}; its deadline was 15 s",
                 one.id,
                 stopped_at - one.sent,
                 one.ended - stopped_at
