--- a/review/standins-3/src/bin/silent-drain.rs
+++ b/review/standins-3/src/bin/silent-drain.rs
@@ -127,7 +127,9 @@
 
     add_engine("i-3", "other", "z-c", &mut proxies)?;
     record.line("engine i-3 of another service has registered itself");
-    thread::sleep(Duration::from_millis(300));
+    // The watches of the list begin anew now, and are given up four seconds later, before the machines are
+    // in touch again.
+    thread::sleep(Duration::from_millis(1_300));
     if trouble {
         proxies.iter().for_each(Proxy::silence_open);
         record.line(
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -1,5 +1,6 @@
 //! A plain engine, which registers itself in the store.
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -17,6 +18,8 @@
     Serve(Duration),
     /// It runs the request for this long and answers with its own failure.
     Fail(Duration),
+    /// It runs the request and answers it with a stream of so many events, one after each such time.
+    Stream(u32, Duration),
     /// It is full: it does not run the request and says so.
     Full,
 }
@@ -128,6 +131,7 @@
         let (status, time) = match deed {
             Act::Serve(time) => ("200 OK", time),
             Act::Fail(time) => ("500 Internal Server Error", time),
+            Act::Stream(events, gap) => return self.stream(wire, &id, events, gap),
             Act::Full => unreachable!("handled above"),
         };
         thread::sleep(time);
@@ -137,6 +141,22 @@
         wire.answer(status, &headers, body.as_bytes())
     }
 
+    fn stream(&self, wire: &mut Wire, id: &str, events: u32, gap: Duration) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal.{}.{id}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        for event in 1..=events {
+            thread::sleep(gap);
+            let text = format!("id: {event}\ndata: {id}-{event}\n\n");
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            let start = if event == 1 { head.as_str() } else { "" };
+            wire.stream.write_all(format!("{start}{chunk}").as_bytes())?;
+        }
+        wire.stream.write_all(b"0\r\n\r\n")
+    }
+
     /// Writes the engine's entry to the store, with the address at which it is reached.
     pub fn register(&self, store: &Store, address: SocketAddr, state: &str) {
         let entry = format!(
--- a/review/standins-3/src/process.rs
+++ b/review/standins-3/src/process.rs
@@ -21,6 +21,8 @@
     /// Address at which peers reach the inner listener.
     pub advertise: SocketAddr,
     pub store: SocketAddr,
+    /// Whether the whole deployment starts for the first time.
+    pub first_start: bool,
 }
 
 /// A running instance, which is killed when this value is dropped.
@@ -82,15 +84,16 @@
             inner,
             advertise: inner,
             store,
+            first_start: true,
         }
     }
 
     /// Returns the settings file, as the template of the deploy file lays it out, with the bounds of the
     /// small deployments.
     fn text(&self) -> String {
-        let Self { name, zone, callers, readiness, inner, advertise, store } = self;
+        let Self { name, zone, callers, readiness, inner, advertise, store, first_start } = self;
         format!(
-            "[instance]\nname = \"{name}\"\nzone = \"{zone}\"\nfirst_start = \"true\"\n\n\
+            "[instance]\nname = \"{name}\"\nzone = \"{zone}\"\nfirst_start = \"{first_start}\"\n\n\
              [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\ninner = \"{inner}\"\n\
              advertise = \"{advertise}\"\n\n\
              [store]\naddress = \"{store}\"\n\n\
@@ -159,6 +162,14 @@
         let _ = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
     }
 
+    /// Returns the memory that the process occupies, in kilobytes; zero if it has ended.
+    pub fn resident_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.trim().strip_suffix("kB")?.trim().parse().ok()).unwrap_or(0)
+    }
+
     /// Returns whether the process has ended, and how.
     pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
         self.child.try_wait().ok().flatten()
